Add the core contract: objects, records, tables and the fold

Cause: every later part needs one agreed set of records and one pure fold. Ruled out: an ordered Kind inside references; Enum members do not compare, seen as 15 failing tests, so references are sorted by their text.

--- /dev/null
+++ b/hickoryplank/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/hickoryplank/core/checks.py
@@ -0,0 +1,131 @@
+"""Checks of a whole configuration, which list every fault at once."""
+
+import re
+from collections.abc import Iterator, Mapping
+
+from hickoryplank.core.errors import Fault, FaultCode
+from hickoryplank.core.objects import (
+    ConfigObject,
+    Endpoint,
+    Key,
+    Kind,
+    Limit,
+    Pool,
+    Queue,
+    Ref,
+    Share,
+    Team,
+    ref_of,
+)
+
+__all__ = ["Objects", "check_objects"]
+
+Objects = Mapping[Kind, Mapping[str, ConfigObject]]
+
+_NAME = re.compile(r"[a-z0-9æøå][a-z0-9æøå._-]{0,62}")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_ADDRESS = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}")
+_FULL_SHARE_PERCENT = 100.0
+_MAX_UNITS = 1_000_000
+_MAX_SLOTS = 10_000
+
+
+def check_objects(objects: Objects) -> list[Fault]:
+    """Return every fault of a configuration, in a stable order."""
+    faults = []
+    for kind in Kind:
+        for name in sorted(objects[kind]):
+            faults.extend(_check_object(objects[kind][name], objects))
+    faults.extend(_check_share_total(objects))
+    return faults
+
+
+def _check_object(obj: ConfigObject, objects: Objects) -> Iterator[Fault]:
+    ref = ref_of(obj)
+    if not _NAME.fullmatch(obj.name):
+        yield Fault(
+            FaultCode.BAD_NAME,
+            f"{ref}: names are lower-case letters, digits, '.', '_' and '-',"
+            " 63 characters at most",
+            ref,
+        )
+    match obj:
+        case Pool():
+            yield from _check_pool(obj, ref)
+        case Team():
+            yield from _check_team(obj, ref, objects)
+        case Key():
+            yield from _check_key(obj, ref, objects)
+        case Queue():
+            yield from _check_queue(obj, ref, objects)
+        case Share() | Limit():
+            yield from _check_quota(obj, ref, objects)
+        case Endpoint():
+            yield from _check_endpoint(obj, ref, objects)
+
+
+def _missing(ref: Ref, key: str, kind: Kind, name: str) -> Fault:
+    message = f"{ref}: {key} names {kind.value} {name!r}, which does not exist"
+    return Fault(FaultCode.MISSING_REFERENCE, message, ref, key)
+
+
+def _bad(ref: Ref, key: str, right: str) -> Fault:
+    return Fault(FaultCode.BAD_VALUE, f"{ref}: {key} must be {right}", ref, key)
+
+
+def _check_pool(pool: Pool, ref: Ref) -> Iterator[Fault]:
+    if pool.min_available < 0:
+        yield _bad(ref, "min_available", "0 or more")
+
+
+def _check_team(team: Team, ref: Ref, objects: Objects) -> Iterator[Fault]:
+    for kind in (Kind.SHARE, Kind.LIMIT):
+        if team.name not in objects[kind]:
+            message = f"{ref}: needs a {kind.value} of the same name"
+            yield Fault(FaultCode.MISSING_REFERENCE, message, ref, kind.value)
+
+
+def _check_key(key: Key, ref: Ref, objects: Objects) -> Iterator[Fault]:
+    if key.team not in objects[Kind.TEAM]:
+        yield _missing(ref, "team", Kind.TEAM, key.team)
+    if not _DIGEST.fullmatch(key.digest):
+        yield _bad(ref, "digest", "a SHA-256 in 64 hexadecimal digits")
+
+
+def _check_queue(queue: Queue, ref: Ref, objects: Objects) -> Iterator[Fault]:
+    if queue.pool not in objects[Kind.POOL]:
+        yield _missing(ref, "pool", Kind.POOL, queue.pool)
+    if queue.open_team is not None and queue.open_team not in objects[Kind.TEAM]:
+        yield _missing(ref, "open_team", Kind.TEAM, queue.open_team)
+    for team in queue.teams:
+        if team not in objects[Kind.TEAM]:
+            yield _missing(ref, "teams", Kind.TEAM, team)
+
+
+def _check_quota(quota: Share | Limit, ref: Ref, objects: Objects) -> Iterator[Fault]:
+    if quota.name not in objects[Kind.TEAM]:
+        yield _missing(ref, "name", Kind.TEAM, quota.name)
+    match quota:
+        case Share(percent=percent) if not 0 <= percent <= _FULL_SHARE_PERCENT:
+            yield _bad(ref, "percent", "between 0 and 100")
+        case Limit(units=units) if not 0 <= units <= _MAX_UNITS:
+            yield _bad(ref, "units", f"between 0 and {_MAX_UNITS}")
+
+
+def _check_endpoint(end: Endpoint, ref: Ref, objects: Objects) -> Iterator[Fault]:
+    if end.pool not in objects[Kind.POOL]:
+        yield _missing(ref, "pool", Kind.POOL, end.pool)
+    if not _ADDRESS.fullmatch(end.address):
+        yield _bad(ref, "address", "an IP address and a port, as 192.0.2.7:8080")
+    if not 1 <= end.slots <= _MAX_SLOTS:
+        yield _bad(ref, "slots", f"between 1 and {_MAX_SLOTS}")
+
+
+def _check_share_total(objects: Objects) -> Iterator[Fault]:
+    shares = objects[Kind.SHARE].values()
+    total = sum(share.percent for share in shares if isinstance(share, Share))
+    if total > _FULL_SHARE_PERCENT + 1e-9:
+        yield Fault(
+            FaultCode.SHARE_OVER_TOTAL,
+            f"shares add up to {total:g}%; together they may be 100% at most",
+        )
--- /dev/null
+++ b/hickoryplank/core/claims.py
@@ -0,0 +1,115 @@
+"""Claims of non-idempotent requests: the first claim in the log wins."""
+
+from hickoryplank.core.errors import Fault, FaultCode
+from hickoryplank.core.records import (
+    Claim,
+    ClaimsForgotten,
+    Dispatch,
+    Outcome,
+    OutcomeKind,
+)
+from hickoryplank.core.tables import ClaimRow, Tables
+
+__all__ = ["apply_claim", "apply_dispatch", "apply_outcome", "forget_claims"]
+
+
+def apply_claim(tables: Tables, record: Claim) -> list[Fault]:
+    """Give the request to its first claimant.
+
+    A later claimant gets it only once the holder is gone, or once the outcome
+    says that the request did not run.
+    """
+    if not tables.is_live(record.holder):
+        return [Fault(FaultCode.NOT_LIVE, f"holder {record.holder} is not live")]
+    row = tables.claims.get(record.claim)
+    if row is None:
+        tables.claims[record.claim] = _new_row(record)
+        return []
+    faults = _check_takeover(tables, row, record)
+    if not faults:
+        row.holder = record.holder
+        row.outcome = None
+        row.expires = max(row.expires, record.expires)
+    return faults
+
+
+def _new_row(record: Claim) -> ClaimRow:
+    return ClaimRow(
+        claim=record.claim,
+        team=record.team,
+        queue=record.queue,
+        holder=record.holder,
+        request=record.request,
+        expires=record.expires,
+        content_type=record.content_type,
+        body=record.body,
+    )
+
+
+def _check_takeover(tables: Tables, row: ClaimRow, record: Claim) -> list[Fault]:
+    if record.request != row.request:
+        message = "the idempotency key was used before for another request"
+        return [Fault(FaultCode.REQUEST_MISMATCH, message)]
+    if row.outcome is not None:
+        if row.outcome.kind is OutcomeKind.NOT_RUN:
+            return []
+        return [Fault(FaultCode.SETTLED, f"claim {row.claim} is settled")]
+    if tables.is_live(row.holder):
+        message = f"claim {row.claim} is held by incarnation {row.holder}"
+        return [Fault(FaultCode.CLAIMED, message)]
+    return []
+
+
+def apply_dispatch(tables: Tables, record: Dispatch) -> list[Fault]:
+    """Note an attempt before it is sent; a second one needs proof."""
+    row = tables.claims.get(record.claim)
+    if row is None or row.holder != record.holder or not tables.is_live(record.holder):
+        message = f"claim {record.claim} is not held by {record.holder}"
+        return [Fault(FaultCode.NOT_HOLDER, message)]
+    if row.outcome is not None:
+        return [Fault(FaultCode.SETTLED, f"claim {record.claim} is settled")]
+    if record.attempt != row.attempt + 1:
+        message = f"attempt {record.attempt} does not follow attempt {row.attempt}"
+        return [Fault(FaultCode.STALE, message)]
+    if row.attempt > 0 and record.proof is None:
+        message = f"attempt {row.attempt} may have run; a second one needs proof"
+        return [Fault(FaultCode.PROOF_MISSING, message)]
+    row.attempt = record.attempt
+    row.vm = record.vm
+    row.boot = record.boot
+    row.start_by = record.start_by
+    return []
+
+
+def apply_outcome(tables: Tables, record: Outcome) -> list[Fault]:
+    """Settle a claim; the first outcome stands.
+
+    ``unknown`` can still become ``done`` or ``not_run`` once more is known, from
+    the holder or an operator.
+    """
+    row = tables.claims.get(record.claim)
+    if row is None or record.holder not in (row.holder, None):
+        message = f"claim {record.claim} is not held by {record.holder}"
+        return [Fault(FaultCode.NOT_HOLDER, message)]
+    known = row.outcome is not None and row.outcome.kind is not OutcomeKind.UNKNOWN
+    if known or (row.outcome is not None and record.kind is OutcomeKind.UNKNOWN):
+        return [Fault(FaultCode.SETTLED, f"claim {record.claim} is settled")]
+    row.outcome = record
+    row.body = b""
+    return []
+
+
+def forget_claims(tables: Tables, record: ClaimsForgotten) -> list[Fault]:
+    """Drop settled claims that have expired; open and unknown ones stay."""
+    expired = [
+        claim
+        for claim, row in tables.claims.items()
+        if row.expires < record.before and _is_final(row)
+    ]
+    for claim in expired:
+        del tables.claims[claim]
+    return []
+
+
+def _is_final(row: ClaimRow) -> bool:
+    return row.outcome is not None and row.outcome.kind is not OutcomeKind.UNKNOWN
--- /dev/null
+++ b/hickoryplank/core/edits.py
@@ -0,0 +1,200 @@
+"""Edit sets: checked whole against the tables, then applied whole."""
+
+from hickoryplank.core.checks import check_objects
+from hickoryplank.core.errors import Fault, FaultCode
+from hickoryplank.core.ids import Revision
+from hickoryplank.core.objects import ConfigObject, Endpoint, Kind, Pool, Ref, ref_of
+from hickoryplank.core.records import BaseRevision, Delete, EditSet, Put, VmState
+from hickoryplank.core.tables import ObjectRow, Tables, VmRow
+
+__all__ = ["apply_edits", "base_for", "check_edits", "references_of"]
+
+
+def references_of(obj: ConfigObject) -> tuple[Ref, ...]:
+    """Return the objects that ``obj`` refers to."""
+    refs = []
+    for key, kind in (
+        ("pool", Kind.POOL),
+        ("team", Kind.TEAM),
+        ("open_team", Kind.TEAM),
+    ):
+        name = getattr(obj, key, None)
+        if name is not None:
+            refs.append(Ref(kind, name))
+    refs.extend(Ref(Kind.TEAM, team) for team in getattr(obj, "teams", ()))
+    return tuple(refs)
+
+
+def _touched(edits: tuple[Put | Delete, ...]) -> list[Ref]:
+    return [_ref(edit) for edit in edits]
+
+
+def _ref(edit: Put | Delete) -> Ref:
+    match edit:
+        case Put(obj):
+            return ref_of(obj)
+        case Delete(ref):
+            return ref
+
+
+def base_for(
+    tables: Tables, edits: tuple[Put | Delete, ...]
+) -> tuple[BaseRevision, ...]:
+    """Return the revisions of all objects that ``edits`` touch or refer to."""
+    refs = set(_touched(edits))
+    for edit in edits:
+        if isinstance(edit, Put):
+            refs.update(references_of(edit.obj))
+    return tuple(
+        BaseRevision(ref, _revision(tables, ref)) for ref in sorted(refs, key=str)
+    )
+
+
+def _revision(tables: Tables, ref: Ref) -> Revision:
+    row = tables.find(ref)
+    return row.revision if row else Revision(0)
+
+
+def check_edits(tables: Tables, edit_set: EditSet) -> list[Fault]:
+    """Return every fault of ``edit_set`` against ``tables``.
+
+    A set is tied to the revisions that its author read, so of two operators who
+    race each other one wins and the other learns which objects had changed.
+    """
+    faults = _check_shape(edit_set)
+    faults.extend(_check_base(tables, edit_set))
+    objects = _overlay(tables, edit_set.edits)
+    faults.extend(check_objects(objects))
+    faults.extend(_check_vms(tables, edit_set))
+    faults.extend(_check_budgets(objects))
+    return faults
+
+
+def _check_shape(edit_set: EditSet) -> list[Fault]:
+    faults = []
+    if not edit_set.edits:
+        faults.append(Fault(FaultCode.EMPTY, "the set holds no edits"))
+    refs = _touched(edit_set.edits)
+    for ref in sorted({ref for ref in refs if refs.count(ref) > 1}, key=str):
+        message = f"{ref} is edited twice in one set"
+        faults.append(Fault(FaultCode.DUPLICATE, message, ref))
+    return faults
+
+
+def _check_base(tables: Tables, edit_set: EditSet) -> list[Fault]:
+    faults = []
+    based = {base.ref for base in edit_set.base}
+    for base in edit_set.base:
+        current = _revision(tables, base.ref)
+        if current != base.revision:
+            message = (
+                f"{base.ref} was read at revision {base.revision}"
+                f" and is at {current} now"
+            )
+            faults.append(Fault(FaultCode.CONFLICT, message, base.ref))
+    for ref in _touched(edit_set.edits):
+        if ref not in based:
+            message = f"{ref} is edited without the revision it was read at"
+            faults.append(Fault(FaultCode.CONFLICT, message, ref))
+    return faults
+
+
+def _overlay(
+    tables: Tables, edits: tuple[Put | Delete, ...]
+) -> dict[Kind, dict[str, ConfigObject]]:
+    objects = {
+        kind: {name: row.obj for name, row in rows.items()}
+        for kind, rows in tables.objects.items()
+    }
+    for edit in edits:
+        match edit:
+            case Put(obj):
+                ref = ref_of(obj)
+                objects[ref.kind][ref.name] = obj
+            case Delete(ref):
+                objects[ref.kind].pop(ref.name, None)
+    return objects
+
+
+def _check_vms(tables: Tables, edit_set: EditSet) -> list[Fault]:
+    faults = []
+    for edit in edit_set.edits:
+        match edit:
+            case Delete(ref):
+                faults.extend(_check_delete(tables, ref))
+            case Put(Endpoint() as end):
+                faults.extend(_check_replace(tables, end))
+    return faults
+
+
+def _check_delete(tables: Tables, ref: Ref) -> list[Fault]:
+    if tables.find(ref) is None:
+        return [Fault(FaultCode.CONFLICT, f"{ref} does not exist", ref)]
+    if ref.kind is Kind.POOL:
+        members = [row.vm for row in tables.members(ref.name)]
+        if members:
+            message = f"{ref} still holds {len(members)} VMs; move them first"
+            return [Fault(FaultCode.STILL_REFERENCED, message, ref)]
+    row = tables.vms.get(ref.name) if ref.kind is Kind.ENDPOINT else None
+    if row is not None and row.healthy and row.state is not VmState.DRAINED:
+        message = f"{ref} is {row.state.value}; drain it before it is deleted"
+        return [Fault(FaultCode.IN_SERVICE, message, ref)]
+    return []
+
+
+def _check_replace(tables: Tables, end: Endpoint) -> list[Fault]:
+    old = tables.endpoint_of(end.name)
+    if old is None:
+        return []
+    ref = ref_of(end)
+    if old.pool != end.pool:
+        message = f"{ref}: pool cannot be edited from {old.pool!r}; use 'move'"
+        return [Fault(FaultCode.BAD_VALUE, message, ref, "pool")]
+    row = tables.vms[end.name]
+    if old.address != end.address and row.state is not VmState.DRAINED:
+        message = f"{ref}: address can be edited only while the VM is drained"
+        return [Fault(FaultCode.IN_SERVICE, message, ref, "address")]
+    return []
+
+
+def _check_budgets(objects: dict[Kind, dict[str, ConfigObject]]) -> list[Fault]:
+    faults = []
+    sizes: dict[str, int] = {}
+    for end in objects[Kind.ENDPOINT].values():
+        sizes[end.pool] = sizes.get(end.pool, 0) + 1
+    for name, pool in objects[Kind.POOL].items():
+        size = sizes.get(name, 0)
+        if isinstance(pool, Pool) and size and pool.min_available >= size:
+            message = (
+                f"pool {name}: min_available {pool.min_available} of {size} VMs"
+                " leaves none to drain"
+            )
+            ref = Ref(Kind.POOL, name)
+            faults.append(Fault(FaultCode.BUDGET, message, ref, "min_available"))
+    return faults
+
+
+def apply_edits(tables: Tables, edit_set: EditSet, revision: Revision) -> None:
+    """Put a checked set in force as a whole."""
+    for edit in edit_set.edits:
+        match edit:
+            case Put(obj):
+                _put(tables, obj, revision)
+            case Delete(ref):
+                del tables.objects[ref.kind][ref.name]
+                if ref.kind is Kind.ENDPOINT:
+                    tables.vms.pop(ref.name, None)
+    tables.revision = revision
+
+
+def _put(tables: Tables, obj: ConfigObject, revision: Revision) -> None:
+    ref = ref_of(obj)
+    tables.objects[ref.kind][ref.name] = ObjectRow(obj, revision)
+    if isinstance(obj, Endpoint) and obj.name not in tables.vms:
+        tables.vms[obj.name] = VmRow(
+            vm=obj.name,
+            pool=obj.pool,
+            state=VmState.ACTIVE,
+            healthy=True,
+            revision=revision,
+        )
--- /dev/null
+++ b/hickoryplank/core/vms.py
@@ -0,0 +1,165 @@
+"""VM records: maintenance steps, moves, health and waves, within every budget."""
+
+import msgspec
+
+from hickoryplank.core.errors import Fault, FaultCode
+from hickoryplank.core.ids import PoolId, Revision
+from hickoryplank.core.objects import Kind, Pool
+from hickoryplank.core.records import (
+    VmMoved,
+    VmReport,
+    VmState,
+    VmStep,
+    WaveChange,
+    WaveState,
+)
+from hickoryplank.core.tables import ObjectRow, Tables, VmRow, WaveRow
+
+__all__ = [
+    "apply_move",
+    "apply_report",
+    "apply_step",
+    "apply_wave",
+    "budget_of",
+    "in_service",
+]
+
+_NEXT_STATES = {
+    VmState.ACTIVE: {VmState.LEAVING},
+    VmState.LEAVING: {VmState.DRAINED, VmState.ACTIVE},
+    VmState.DRAINED: {VmState.REBOOTING, VmState.ACTIVE},
+    VmState.REBOOTING: {VmState.PROBING},
+    VmState.PROBING: {VmState.ACTIVE, VmState.REBOOTING},
+}
+
+_NEXT_WAVE_STATES = {
+    WaveState.RUNNING: {WaveState.PAUSED, WaveState.CANCELLED, WaveState.DONE},
+    WaveState.PAUSED: {WaveState.RUNNING, WaveState.CANCELLED},
+    WaveState.CANCELLED: set(),
+    WaveState.DONE: set(),
+}
+
+
+def budget_of(tables: Tables, pool: PoolId) -> int:
+    """Return how many VMs of ``pool`` must stay in service."""
+    row = tables.objects[Kind.POOL].get(pool)
+    return row.obj.min_available if row and isinstance(row.obj, Pool) else 0
+
+
+def in_service(tables: Tables, pool: PoolId) -> int:
+    """Return how many VMs of ``pool`` are in service."""
+    return sum(row.in_service for row in tables.members(pool))
+
+
+def apply_step(tables: Tables, record: VmStep, revision: Revision) -> list[Fault]:
+    """Take one step of a VM's maintenance, if its pool's budget has room."""
+    row = tables.vms.get(record.vm)
+    faults = _check_read(row, record.revision, record.vm)
+    if row is None or faults:
+        return faults
+    if record.state not in _NEXT_STATES[row.state]:
+        message = f"VM {row.vm} cannot go from {row.state.value} to"
+        return [Fault(FaultCode.WRONG_STATE, f"{message} {record.state.value}")]
+    if record.state is VmState.LEAVING:
+        faults = _check_leave(tables, row, record)
+        if faults:
+            return faults
+        row.wave = record.wave
+    if record.state is VmState.ACTIVE:
+        _finish(tables, row)
+    row.state = record.state
+    row.revision = revision
+    return []
+
+
+def _check_read(row: VmRow | None, revision: Revision, vm: str) -> list[Fault]:
+    if row is None:
+        return [Fault(FaultCode.MISSING_REFERENCE, f"VM {vm} does not exist")]
+    if row.revision != revision:
+        message = f"VM {vm} was read at revision {revision}, and is at {row.revision}"
+        return [Fault(FaultCode.STALE, message)]
+    return []
+
+
+def _check_leave(tables: Tables, row: VmRow, record: VmStep) -> list[Fault]:
+    if record.wave is not None:
+        wave = tables.waves.get(record.wave)
+        if wave is None or wave.state is not WaveState.RUNNING:
+            message = f"wave {record.wave} is not running"
+            return [Fault(FaultCode.WRONG_STATE, message)]
+    available = in_service(tables, row.pool)
+    budget = budget_of(tables, row.pool)
+    if row.in_service and available - 1 < budget:
+        message = (
+            f"pool {row.pool} has {available} VMs in service and keeps {budget};"
+            f" VM {row.vm} cannot leave now"
+        )
+        return [Fault(FaultCode.BUDGET, message)]
+    return []
+
+
+def _finish(tables: Tables, row: VmRow) -> None:
+    wave = tables.waves.get(row.wave) if row.wave else None
+    if wave is not None and row.state is VmState.PROBING:
+        wave.done.add(row.vm)
+    row.wave = None
+
+
+def apply_move(tables: Tables, record: VmMoved, revision: Revision) -> list[Fault]:
+    """Move a drained VM to another pool, if its old pool can still drain."""
+    row = tables.vms.get(record.vm)
+    faults = _check_read(row, record.revision, record.vm)
+    if row is None or faults:
+        return faults
+    if record.pool not in tables.objects[Kind.POOL]:
+        message = f"pool {record.pool} does not exist"
+        return [Fault(FaultCode.MISSING_REFERENCE, message)]
+    if row.state is not VmState.DRAINED:
+        message = f"VM {row.vm} is {row.state.value}; only a drained VM moves"
+        return [Fault(FaultCode.WRONG_STATE, message)]
+    left = len(tables.members(row.pool)) - 1
+    budget = budget_of(tables, row.pool)
+    if left and left <= budget or left < budget:
+        message = f"pool {row.pool} would keep {left} VMs for a budget of {budget}"
+        return [Fault(FaultCode.BUDGET, message)]
+    row.pool = record.pool
+    row.revision = revision
+    end = tables.endpoint_of(row.vm)
+    moved = msgspec.structs.replace(end, pool=record.pool)
+    tables.objects[Kind.ENDPOINT][row.vm] = ObjectRow(moved, revision)
+    return []
+
+
+def apply_report(tables: Tables, record: VmReport, revision: Revision) -> list[Fault]:
+    """Note that a VM failed or is healthy; failures count against the budget."""
+    row = tables.vms.get(record.vm)
+    if row is None:
+        return [Fault(FaultCode.MISSING_REFERENCE, f"VM {record.vm} does not exist")]
+    if row.healthy != record.healthy:
+        row.healthy = record.healthy
+        row.revision = revision
+    return []
+
+
+def apply_wave(tables: Tables, record: WaveChange) -> list[Fault]:
+    """Start, pause, resume, cancel or end a maintenance wave."""
+    row = tables.waves.get(record.wave)
+    if row is None:
+        return _start_wave(tables, record)
+    if record.state not in _NEXT_WAVE_STATES[row.state]:
+        message = f"wave {row.wave} is {row.state.value}, so it cannot be"
+        return [Fault(FaultCode.WRONG_STATE, f"{message} {record.state.value}")]
+    row.state = record.state
+    return []
+
+
+def _start_wave(tables: Tables, record: WaveChange) -> list[Fault]:
+    if record.state is not WaveState.RUNNING or not record.pools:
+        message = f"wave {record.wave} does not exist; a new one needs pools"
+        return [Fault(FaultCode.WRONG_STATE, message)]
+    unknown = [pool for pool in record.pools if pool not in tables.objects[Kind.POOL]]
+    if unknown:
+        message = f"wave {record.wave} names unknown pools: {', '.join(unknown)}"
+        return [Fault(FaultCode.MISSING_REFERENCE, message)]
+    tables.waves[record.wave] = WaveRow(record.wave, record.pools, WaveState.RUNNING)
+    return []
--- /dev/null
+++ b/hickoryplank/shell/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks, sockets and the composition root around the core."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in the layout of the package."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the log service, the VM list and the workers."""
