--- a/hickoryplank/core/tables.py
+++ b/hickoryplank/core/tables.py
@@ -81,7 +81,7 @@
     wave: WaveId
     pools: tuple[PoolId, ...]
     state: WaveState
-    done: set[VmId] = msgspec.field(default_factory=set)
+    done: list[VmId] = msgspec.field(default_factory=list)
 
 
 class ClaimRow(msgspec.Struct):
@@ -156,12 +156,16 @@
         return hashlib.sha256(encode_tables(self)).hexdigest()
 
 
-_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
+_ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Tables)
 
 
 def encode_tables(tables: Tables) -> bytes:
-    """Return the tables in a form that is the same for equal tables."""
+    """Return the tables as bytes, equal for tables folded from equal records.
+
+    Nothing in the tables is ordered by hash: rows stand in the order in which
+    they were folded, and decoding keeps it.
+    """
     return _ENCODER.encode(tables)
 
 
--- a/hickoryplank/core/vms.py
+++ b/hickoryplank/core/vms.py
@@ -101,7 +101,7 @@
 def _finish(tables: Tables, row: VmRow) -> None:
     wave = tables.waves.get(row.wave) if row.wave else None
     if wave is not None and row.state is VmState.PROBING:
-        wave.done.add(row.vm)
+        wave.done.append(row.vm)
     row.wave = None
 
 
