--- a/tests/core/build.py
+++ b/tests/core/build.py
@@ -32,7 +32,7 @@
     return [
         Pool(name="rondas-norte", min_available=budget),
         Team(name="rutas"),
-        Share(name="rutas", percent=60),
+        Share(name="rutas", percent=60.0),
         Limit(name="rutas", units=limit),
         Key(name="rutas-1", team="rutas", digest="0" * 64),
         Queue(name="rondas", pool="rondas-norte"),
--- a/tests/core/test_fold.py
+++ b/tests/core/test_fold.py
@@ -17,7 +17,7 @@
         (Put(Key(name="k", team="nobody", digest="0" * 64)), "missing_reference"),
         (Put(Key(name="k", team="rutas", digest="secret")), FaultCode.BAD_VALUE),
         (Put(Team(name="new")), FaultCode.MISSING_REFERENCE),
-        (Put(Share(name="rutas", percent=101)), FaultCode.SHARE_OVER_TOTAL),
+        (Put(Share(name="rutas", percent=101.0)), FaultCode.SHARE_OVER_TOTAL),
         (Put(Limit(name="rutas", units=-1)), FaultCode.BAD_VALUE),
         (Put(Pool(name="rondas-norte", min_available=6)), FaultCode.BUDGET),
         (Put(Pool(name="Bad Name")), FaultCode.BAD_NAME),
