--- /dev/null
+++ b/hickoryplank/core/messages.py
@@ -0,0 +1,143 @@
+"""Messages between the system's own processes."""
+
+import msgspec
+
+from hickoryplank.core.ids import Incarnation, PoolId, RequestId, TeamId
+from hickoryplank.core.work import WorkAnswer, WorkRequest
+
+__all__ = [
+    "Accepted",
+    "Answered",
+    "Cancel",
+    "Envelope",
+    "Forward",
+    "Heartbeat",
+    "Inquiry",
+    "InquiryAnswer",
+    "LogEntry",
+    "Message",
+    "PoolDemand",
+    "Running",
+    "UnitsWanted",
+]
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag="hb", array_like=True):
+    """A sign of life.
+
+    :param offset: the log offset that the sender folds next.
+    :param leaving: whether the sender is shutting down.
+    """
+
+    offset: int
+    leaving: bool
+
+
+class Running(msgspec.Struct, frozen=True, tag="run", array_like=True):
+    """How much the sender runs for each team whose count changed."""
+
+    counts: dict[TeamId, int]
+
+
+class PoolDemand(msgspec.Struct, frozen=True, tag="dem", array_like=True):
+    """The demand that the sender sees as owner of a pool.
+
+    :param asked: slots that running and waiting work would fill.
+    :param wait: seconds that the oldest urgent request has waited.
+    """
+
+    pool: PoolId
+    asked: int
+    wait: float
+
+
+class Inquiry(msgspec.Struct, frozen=True, tag="inq", array_like=True):
+    """A node that cannot read the log asks a peer for what it knows."""
+
+    id: int
+    offset: int
+
+
+class LogEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of the control stream, passed on by a peer."""
+
+    offset: int
+    data: bytes
+
+
+class InquiryAnswer(msgspec.Struct, frozen=True, tag="ans", array_like=True):
+    """What a peer knows of the log.
+
+    :param reads: whether the peer's own read reached the tail after the inquiry
+        came.
+    :param quiet: whether the peer cannot read the log either, has no append
+        under way and starts no edit for ``QUIET_SECONDS``.
+    :param offset: the offset that the peer folds next.
+    :param entries: entries from the asker's offset on.
+    """
+
+    id: int
+    reads: bool
+    quiet: bool
+    offset: int
+    entries: tuple[LogEntry, ...] = ()
+
+
+class Forward(msgspec.Struct, frozen=True, tag="fwd", array_like=True):
+    """A request for the owner of its queue's pool."""
+
+    request: WorkRequest
+
+
+class Accepted(msgspec.Struct, frozen=True, tag="acc", array_like=True):
+    """The receiver of a forwarded request has queued it."""
+
+    request: RequestId
+
+
+class Answered(msgspec.Struct, frozen=True, tag="done", array_like=True):
+    """The answer to a forwarded request."""
+
+    request: RequestId
+    answer: WorkAnswer
+
+
+class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
+    """The caller has gone or withdrawn its request."""
+
+    request: RequestId
+
+
+class UnitsWanted(msgspec.Struct, frozen=True, tag="want", array_like=True):
+    """The sender has waiting work and no units of a team."""
+
+    team: TeamId
+    units: int
+
+
+Message = (
+    Heartbeat
+    | Running
+    | PoolDemand
+    | Inquiry
+    | InquiryAnswer
+    | Forward
+    | Accepted
+    | Answered
+    | Cancel
+    | UnitsWanted
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """What goes over the wire, under a keyed digest.
+
+    :param sender: incarnation that sends.
+    :param receiver: incarnation that it is meant for.
+    :param sequence: grows with each message from sender to receiver.
+    """
+
+    sender: Incarnation
+    receiver: Incarnation
+    sequence: int
+    message: Message
--- /dev/null
+++ b/hickoryplank/shell/clock.py
@@ -0,0 +1,36 @@
+"""The process's monotonic clock, behind an interface that tests can drive."""
+
+import time
+from abc import ABC, abstractmethod
+
+__all__ = ["Clock", "ManualClock", "MonotonicClock"]
+
+
+class Clock(ABC):
+    """A clock that only runs forward."""
+
+    @abstractmethod
+    def now(self) -> float:
+        """Return the reading in seconds."""
+
+
+class MonotonicClock(Clock):
+    """The machine's clock since boot.
+
+    It goes on while the process is paused, so a paused node finds itself stale.
+    """
+
+    def now(self) -> float:
+        """Return the reading in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class ManualClock(Clock):
+    """A clock that stands until it is moved."""
+
+    def __init__(self, reading: float = 0.0):
+        self.reading = reading
+
+    def now(self) -> float:
+        """Return the reading in seconds."""
+        return self.reading
--- /dev/null
+++ b/hickoryplank/shell/members.py
@@ -0,0 +1,90 @@
+"""Membership as this node sees it: heartbeats, suspicion and ownership."""
+
+from collections.abc import Iterable
+
+from hickoryplank.core.ids import Incarnation, PoolId
+from hickoryplank.core.messages import Heartbeat
+from hickoryplank.core.ownership import owner
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.peers import Peers
+from hickoryplank.shell.replica import Replica
+
+__all__ = ["HEARTBEAT_SECONDS", "SUSPECT_SECONDS", "Members"]
+
+HEARTBEAT_SECONDS = 0.5
+SUSPECT_SECONDS = 1.2
+REDIAL_SECONDS = 3.0
+
+
+class Members:
+    """Which peers this node believes alive; a belief that may be wrong."""
+
+    def __init__(self, replica: Replica, peers: Peers, clock: Clock):
+        self._replica = replica
+        self._peers = peers
+        self._clock = clock
+        self._heard: dict[Incarnation, float] = {}
+        self._dialled: dict[Incarnation, float] = {}
+        self._leaving: set[Incarnation] = set()
+        self._owners: dict[PoolId, Incarnation | None] = {}
+        self._alive: frozenset[Incarnation] = frozenset()
+        self.leaving = False
+
+    @property
+    def me(self) -> Incarnation:
+        """This node's incarnation."""
+        return self._replica.incarnation
+
+    def note_heartbeat(self, sender: Incarnation, heartbeat: Heartbeat) -> None:
+        """Note a peer's sign of life, and how far it has folded."""
+        self._heard[sender] = self._clock.now()
+        self._replica.note_confirmed(sender, heartbeat.offset)
+        if heartbeat.leaving:
+            self._leaving.add(sender)
+
+    def beat(self) -> None:
+        """Send a heartbeat, follow the table of nodes, and renew silent links."""
+        now = self._clock.now()
+        rows = [
+            row
+            for row in self._replica.tables.live_nodes()
+            if row.incarnation != self.me
+        ]
+        self._peers.connect({row.incarnation: row.peer for row in rows})
+        self._peers.broadcast(Heartbeat(self._replica.offset, self.leaving))
+        for row in rows:
+            self._redial_if_silent(row.incarnation, now)
+
+    def _redial_if_silent(self, peer: Incarnation, now: float) -> None:
+        dialled = self._dialled.setdefault(peer, now)
+        last = max(self._heard.get(peer, 0.0), dialled)
+        if now - last > REDIAL_SECONDS:
+            self._peers.redial(peer)
+            self._dialled[peer] = now
+
+    def is_alive(self, peer: Incarnation) -> bool:
+        """Return whether ``peer`` was heard of lately."""
+        heard = self._heard.get(peer)
+        fresh = heard is not None and self._clock.now() - heard <= SUSPECT_SECONDS
+        return fresh and self._replica.tables.is_live(peer)
+
+    def alive(self) -> frozenset[Incarnation]:
+        """Return this node and the peers that are alive and stay."""
+        peers = (peer for peer in self._heard if self.is_alive(peer))
+        staying = {peer for peer in peers if peer not in self._leaving}
+        return frozenset(staying | {self.me})
+
+    def owner_of(self, pool: PoolId) -> Incarnation:
+        """Return the node that queues and dispatches the work of ``pool``."""
+        alive = self.alive()
+        if alive != self._alive:
+            self._alive = alive
+            self._owners.clear()
+        if pool not in self._owners:
+            self._owners[pool] = owner(pool, self._candidates(alive))
+        return self._owners[pool] or self.me
+
+    def _candidates(self, alive: Iterable[Incarnation]) -> list[Incarnation]:
+        if self.leaving:
+            return [peer for peer in alive if peer != self.me]
+        return list(alive)
--- /dev/null
+++ b/hickoryplank/shell/peers.py
@@ -0,0 +1,115 @@
+"""Transport between the system's own processes, over pynng sockets."""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import anyio
+import msgspec
+import pynng
+
+from hickoryplank.core.ids import Incarnation
+from hickoryplank.core.messages import Envelope, Message
+from hickoryplank.core.seal import Opener, Sealer
+
+__all__ = ["Peers"]
+
+logger = logging.getLogger(__name__)
+
+OUTBOX_MESSAGES = 4096
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+
+Handler = Callable[[Envelope], Awaitable[None]]
+
+
+class _Link(msgspec.Struct):
+    """The way to one peer."""
+
+    address: str
+    socket: pynng.Push0
+
+
+class Peers:
+    """Sends messages to peers without waiting, and hands on what arrives.
+
+    Every message may be lost; whoever needs an answer repeats or gives up by its
+    own deadline.
+
+    :param listen: IP address and port to listen on, as ``host:port``.
+    """
+
+    def __init__(self, listen: str, secret: bytes, incarnation: Incarnation):
+        self._listen = listen
+        self._sealer = Sealer(secret, incarnation)
+        self._opener = Opener(secret, incarnation)
+        self._links: dict[Incarnation, _Link] = {}
+        self.dropped = 0
+        self.refused = 0
+
+    def connect(self, addresses: dict[Incarnation, str]) -> None:
+        """Keep links to just the peers in ``addresses``."""
+        for peer in set(self._links) - set(addresses):
+            self._links.pop(peer).socket.close()
+        for peer, address in addresses.items():
+            if peer not in self._links:
+                self._links[peer] = _Link(address, _dial(address))
+
+    def redial(self, peer: Incarnation) -> None:
+        """Replace a connection that went silent by a new one."""
+        link = self._links.get(peer)
+        if link is not None:
+            link.socket.close()
+            link.socket = _dial(link.address)
+
+    def send(self, peer: Incarnation, message: Message) -> bool:
+        """Queue ``message`` for ``peer``; return whether there was room."""
+        link = self._links.get(peer)
+        if link is None:
+            return False
+        try:
+            link.socket.send(self._sealer.seal(peer, message), block=False)
+        except pynng.NNGException:
+            self.dropped += 1
+            return False
+        return True
+
+    def broadcast(self, message: Message) -> None:
+        """Queue ``message`` for every peer."""
+        for peer in list(self._links):
+            self.send(peer, message)
+
+    async def serve(
+        self,
+        handler: Handler,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Receive until cancelled; what is not genuine is counted and dropped."""
+        with pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES) as socket:
+            socket.listen(f"tcp://{self._listen}")
+            task_status.started()
+            while True:
+                await self._receive(await socket.arecv(), handler)
+
+    async def _receive(self, data: bytes, handler: Handler) -> None:
+        opened = self._opener.open(data)
+        if opened.is_err():
+            self.refused += 1
+            logger.warning("peer message refused: %s", opened.unwrap_err().detail)
+            return
+        await handler(opened.unwrap())
+
+    def close(self) -> None:
+        """Close all links."""
+        self.connect({})
+
+
+def _dial(address: str) -> pynng.Push0:
+    socket = pynng.Push0(
+        send_buffer_size=OUTBOX_MESSAGES,
+        reconnect_time_min=RECONNECT_MIN_MS,
+        reconnect_time_max=RECONNECT_MAX_MS,
+    )
+    socket.dial(f"tcp://{address}", block=False)
+    return socket
--- /dev/null
+++ b/hickoryplank/shell/replica.py
@@ -0,0 +1,265 @@
+"""The replica: follows the log, folds it, and appends records in batches."""
+
+import logging
+import secrets
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.core.errors import FaultCode, Refusal
+from hickoryplank.core.fold import Verdict, fold_batch
+from hickoryplank.core.freshness import Freshness
+from hickoryplank.core.ids import Incarnation, NodeId, RecordId, Revision
+from hickoryplank.core.records import EditSet, Record, decode_batch, encode_batch
+from hickoryplank.core.tables import NodeState, Tables
+from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
+from hickoryplank.platform.log import Entry, Log, Page
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.control import Control
+
+__all__ = ["CONTROL_STREAM", "Replica", "new_record_id"]
+
+logger = logging.getLogger(__name__)
+
+CONTROL_STREAM = "control"
+PAGE_ENTRIES = 500
+POLL_SECONDS = 0.4
+ERROR_PAUSE_SECONDS = 0.1
+BATCH_RECORDS = 256
+BATCH_PAUSE_SECONDS = 0.002
+RECENT_ENTRIES = 2000
+_ID_BYTES = 8
+
+Listener = Callable[[Record, Verdict], None]
+
+
+def new_record_id() -> RecordId:
+    """Return an id that no other record has."""
+    return RecordId(secrets.token_hex(_ID_BYTES))
+
+
+class _Pending(msgspec.Struct):
+    """A record on its way into the log.
+
+    :param sent: whether an append that carried it may have taken effect.
+    :param withdrawn: whether nobody waits for the verdict any more.
+    """
+
+    record: Record
+    done: anyio.Event
+    verdict: Verdict | None = None
+    error: LogFailure | None = None
+    sent: bool = False
+    withdrawn: bool = False
+
+
+def _is_repeat(verdict: Verdict) -> bool:
+    """Return whether the first copy was folded into a snapshot unseen."""
+    match verdict:
+        case Err(Refusal(faults)):
+            return any(fault.code is FaultCode.DUPLICATE for fault in faults)
+    return False
+
+
+class Replica(Control):
+    """The tables of this node, kept up with the log."""
+
+    def __init__(self, log: Log, clock: Clock, freshness: Freshness):
+        self._log = log
+        self._clock = clock
+        self._tables = Tables()
+        self._pending: dict[RecordId, _Pending] = {}
+        self._waiting: deque[_Pending] = deque()
+        self._wake = anyio.Event()
+        self._advanced = anyio.Event()
+        self._listeners: list[Listener] = []
+        self._confirmed: dict[Incarnation, int] = {}
+        self._folded_at: deque[tuple[int, float]] = deque(maxlen=RECENT_ENTRIES)
+        self.recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
+        self.freshness = freshness
+        self.incarnation = Incarnation(0)
+        self.reading = False
+
+    @property
+    def tables(self) -> Tables:
+        """The tables as folded so far."""
+        return self._tables
+
+    @property
+    def offset(self) -> int:
+        """The log offset that is folded next."""
+        return self._tables.next_offset
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` with every record folded from now on."""
+        self._listeners.append(listener)
+
+    def adopt(self, tables: Tables) -> bool:
+        """Start over from a snapshot, unless it is older than what is folded."""
+        if tables.next_offset <= self.offset:
+            return False
+        self._tables = tables
+        self.recent.clear()
+        self._signal()
+        return True
+
+    async def follow(self) -> None:
+        """Read the log and fold it until cancelled."""
+        while True:
+            sent_at = self._clock.now()
+            read = await self._log.read(
+                CONTROL_STREAM, self.offset, PAGE_ENTRIES, POLL_SECONDS
+            )
+            match read:
+                case Ok(page):
+                    self._take_page(page, sent_at)
+                case Err(failure):
+                    self.reading = False
+                    if isinstance(failure, Trimmed):
+                        logger.warning("the log starts at %d only", failure.first)
+                    await anyio.sleep(ERROR_PAUSE_SECONDS)
+
+    def _take_page(self, page: Page, sent_at: float) -> None:
+        self.fold_entries(page.entries)
+        self.reading = True
+        if self.offset >= page.tail:
+            self.freshness.note_tail_read(sent_at, self.offset)
+
+    def fold_entries(self, entries: tuple[Entry, ...]) -> None:
+        """Fold entries that follow on; those folded before are passed over."""
+        for entry in entries:
+            if entry.offset == self.offset:
+                self._fold_entry(entry)
+            elif entry.offset > self.offset:
+                break
+        self._signal()
+
+    def _fold_entry(self, entry: Entry) -> None:
+        try:
+            records = decode_batch(entry.data)
+        except msgspec.DecodeError as exc:
+            logger.error("entry %d of the log is damaged: %s", entry.offset, exc)
+            records = ()
+        verdicts = fold_batch(self._tables, entry.offset, records)
+        self.recent.append(entry)
+        self._folded_at.append((entry.offset, self._clock.now()))
+        for record, verdict in zip(records, verdicts, strict=True):
+            self._settle(record, verdict)
+            for listener in self._listeners:
+                listener(record, verdict)
+
+    def _settle(self, record: Record, verdict: Verdict) -> None:
+        pending = self._pending.pop(record.id, None)
+        if pending is not None:
+            pending.verdict = verdict
+            pending.done.set()
+
+    def _signal(self) -> None:
+        self._advanced.set()
+        self._advanced = anyio.Event()
+
+    async def advanced(self) -> None:
+        """Wait until more of the log has been folded."""
+        await self._advanced.wait()
+
+    async def submit(self, record: Record) -> Result[Revision, Refusal | LogFailure]:
+        """Append ``record``, fold up to it and return its verdict.
+
+        On cancellation a record that was sent may still take effect later. An
+        edit set that was sent is seen through to its verdict in any case.
+        """
+        pending = _Pending(record, anyio.Event())
+        self._pending[record.id] = pending
+        self._waiting.append(pending)
+        self._wake.set()
+        try:
+            await pending.done.wait()
+        finally:
+            self._withdraw(pending)
+        if pending.verdict is None or _is_repeat(pending.verdict):
+            return Err(pending.error or LogFailure(LogError.UNKNOWN))
+        return pending.verdict
+
+    def _withdraw(self, pending: _Pending) -> None:
+        if isinstance(pending.record, EditSet) and pending.sent:
+            return
+        pending.withdrawn = True
+        self._pending.pop(pending.record.id, None)
+
+    async def append(self) -> None:
+        """Append waiting records until cancelled, many in one append."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            await anyio.sleep(BATCH_PAUSE_SECONDS)
+            while batch := self._next_batch():
+                await self._append_batch(batch)
+
+    def _next_batch(self) -> list[_Pending]:
+        batch: list[_Pending] = []
+        while self._waiting and len(batch) < BATCH_RECORDS:
+            pending = self._waiting.popleft()
+            if not pending.withdrawn and not pending.done.is_set():
+                batch.append(pending)
+        return batch
+
+    async def _append_batch(self, batch: list[_Pending]) -> None:
+        sent_before = {pending.record.id for pending in batch if pending.sent}
+        for pending in batch:
+            pending.sent = True
+        data = encode_batch(tuple(pending.record for pending in batch))
+        match await self._log.append(CONTROL_STREAM, data):
+            case Ok():
+                return
+            case Err(LogFailure(LogError.UNKNOWN)):
+                self._append_again(batch)
+            case Err(failure):
+                for pending in batch:
+                    pending.sent = pending.record.id in sent_before
+                self._fail(batch, failure)
+        await anyio.sleep(ERROR_PAUSE_SECONDS)
+
+    def _append_again(self, batch: list[_Pending]) -> None:
+        """Send the same records once more: the first with an id counts."""
+        self._waiting.extend(batch)
+        self._wake.set()
+
+    def _fail(self, batch: list[_Pending], failure: LogFailure) -> None:
+        for pending in batch:
+            if pending.sent:
+                self._append_again([pending])
+            else:
+                self._pending.pop(pending.record.id, None)
+                pending.error = failure
+                pending.done.set()
+
+    def has_edit_under_way(self) -> bool:
+        """Return whether an edit set of this node may yet enter the log."""
+        return any(isinstance(p.record, EditSet) for p in self._pending.values())
+
+    def note_confirmed(self, peer: Incarnation, offset: int) -> None:
+        """Note that ``peer`` has folded the log up to ``offset``."""
+        self._confirmed[peer] = max(offset, self._confirmed.get(peer, 0))
+
+    def waiting_for(self, offset: int) -> tuple[NodeId, ...]:
+        """Return the live nodes that may not have folded ``offset`` yet."""
+        if self.offset <= offset:
+            return tuple(row.node for row in self._tables.live_nodes())
+        if self._must_have_stopped(offset):
+            return ()
+        return tuple(
+            row.node
+            for row in self._tables.nodes.values()
+            if row.state is NodeState.LIVE
+            and row.incarnation != self.incarnation
+            and self._confirmed.get(row.incarnation, 0) <= offset
+        )
+
+    def _must_have_stopped(self, offset: int) -> bool:
+        for folded, at in self._folded_at:
+            if folded == offset:
+                return self.freshness.in_force_by(at) <= self._clock.now()
+        return bool(self._folded_at) and offset < self._folded_at[0][0]
