Add queues of waiting work and the placement of runs on endpoints

Picks cost time in proportion to the teams that wait and the endpoints of one pool. Endpoints that fail what others run are ejected under a cap; a task that fails on three sound endpoints is given up and counts against none of them.

--- /dev/null
+++ b/hickoryplank/core/placement.py
@@ -0,0 +1,371 @@
+"""Table of endpoints, and the choice of the endpoint that runs an item.
+
+An endpoint is judged by what it fails that others run. A failure stays open
+until its task ends elsewhere: a run elsewhere confirms it against the endpoint,
+failures on ``GIVE_UP_WORKERS`` sound endpoints withdraw it and give the task up.
+"""
+
+from collections.abc import Collection
+from enum import Enum
+
+import msgspec
+
+from hickoryplank.core.ids import PoolId, QueueId, Rack, TaskId, VmId, Zone
+from hickoryplank.core.runtimes import RunTimes
+
+__all__ = ["EndpointRow", "EndpointTable", "RunResult", "Verdict"]
+
+#: Distinct sound endpoints on which a task fails before it is given up.
+GIVE_UP_WORKERS = 3
+#: Confirmed failures in a row that eject an endpoint.
+EJECT_CONFIRMED = 2
+#: Failures in a row, open or confirmed, that eject an endpoint.
+EJECT_FAILURES = 3
+#: Largest part of a pool's endpoints in service that may be ejected at once.
+MAX_EJECTED_FRACTION = 0.34
+#: How long the first ejection lasts; each one that follows lasts twice as long.
+FIRST_EJECTION_SECONDS = 10.0
+#: How long an ejection lasts at most.
+LONGEST_EJECTION_SECONDS = 160.0
+#: Runs that an endpoint finishes at its learned capacity before it grows by one.
+GROW_AFTER_RUNS = 8
+#: Runs that an endpoint which has proved nothing may have at once, in the end.
+TRIAL_RUNS = 4
+#: Time after its first start in which that number doubles from one.
+TRIAL_SECONDS = 0.5
+#: Weight of the newest run in an endpoint's slowdown.
+SLOWDOWN_GAIN = 0.1
+
+
+class RunResult(Enum):
+    """How a run on an endpoint ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    SILENT = "silent"
+    BUSY = "busy"
+    STOPPED = "stopped"
+
+
+class Verdict(Enum):
+    """What becomes of a task after a run."""
+
+    DONE = "done"
+    RETRY = "retry"
+    GIVE_UP = "give_up"
+
+
+class EndpointRow(msgspec.Struct, kw_only=True):
+    """One endpoint as the dispatcher sees it.
+
+    :param slots: what the endpoint declares to run at once.
+    :param capacity: what it was learned to run at once, from 1 to ``slots``; a new
+        row takes over ``slots``.
+    :param open_failures: tasks that failed here since the last run that was
+        done, and that are not settled.
+    :param confirmed: failures since the last run that was done, of tasks that
+        others ran.
+    :param proved: whether a run has been done here since the VM came into service.
+    :param first_start: when the first run started on a VM not yet proved.
+    :param slowdown: run times here as a multiple of the queue's mean.
+    :param ejected_until: end of the ejection, in seconds; ``None`` if not ejected.
+    :param ejections: ejections since the endpoint last proved sound.
+    """
+
+    vm: VmId
+    pool: PoolId
+    zone: Zone
+    rack: Rack
+    slots: int
+    in_service: bool = True
+    capacity: int = 0
+    running: int = 0
+    proved: bool = False
+    first_start: float | None = None
+    open_failures: set[TaskId] = msgspec.field(default_factory=set)
+    confirmed: int = 0
+    slowdown: float = 1.0
+    runs_at_capacity: int = 0
+    ejected_until: float | None = None
+    ejections: int = 0
+
+    @property
+    def suspect(self) -> bool:
+        """Whether the newest run that counts has failed."""
+        return bool(self.open_failures) or self.confirmed > 0
+
+    def room(self, now: float) -> int:
+        """Return how many more runs may start here."""
+        if not self.in_service or (self.ejected_until or 0.0) > now:
+            return 0
+        return max(self._allowed(now) - self.running, 0)
+
+    def probing(self, now: float) -> bool:
+        """Return whether an ejection has passed and one run may prove the VM."""
+        return self.ejected_until is not None and self.ejected_until <= now
+
+    def _allowed(self, now: float) -> int:
+        if self.suspect or self.probing(now):
+            return 1
+        if self.proved:
+            return self.capacity
+        tried = 0.0 if self.first_start is None else now - self.first_start
+        trial = 2 ** min(int(tried / TRIAL_SECONDS), 8)
+        return min(trial, TRIAL_RUNS, self.capacity)
+
+    def load(self) -> float:
+        """Return the load that one more run would give, 1.0 at capacity."""
+        return (self.running + 1) * self.slowdown / self.capacity
+
+
+class EndpointTable:
+    """Endpoints of all pools, with what was learned of each."""
+
+    def __init__(self) -> None:
+        self.run_times = RunTimes()
+        self._rows: dict[VmId, EndpointRow] = {}
+        self._pools: dict[PoolId, dict[VmId, EndpointRow]] = {}
+        self._failed_on: dict[TaskId, set[VmId]] = {}
+
+    def row(self, vm: VmId) -> EndpointRow | None:
+        """Return the row of ``vm``."""
+        return self._rows.get(vm)
+
+    def members(self, pool: PoolId) -> list[EndpointRow]:
+        """Return the endpoints of ``pool``."""
+        return list(self._pools.get(pool, {}).values())
+
+    def put(self, row: EndpointRow) -> None:
+        """Add an endpoint, or take over what the configuration says of it.
+
+        What was learned stays, but for a VM that comes back into service, which
+        has to prove itself again.
+        """
+        old = self._rows.get(row.vm)
+        if old is None:
+            self._rows[row.vm] = old = row
+            old.capacity = row.slots
+        else:
+            del self._pools[old.pool][old.vm]
+            _take_over(old, row)
+        self._pools.setdefault(old.pool, {})[old.vm] = old
+
+    def remove(self, vm: VmId) -> None:
+        """Forget an endpoint."""
+        row = self._rows.pop(vm, None)
+        if row is not None:
+            del self._pools[row.pool][vm]
+
+    def pick(
+        self,
+        pool: PoolId,
+        exclude: Collection[VmId],
+        now: float,
+        may_probe: bool = True,
+    ) -> VmId | None:
+        """Return the endpoint that one more run should start on.
+
+        An endpoint whose ejection has passed gets one run to prove itself,
+        before all others. Otherwise the least loaded is taken; among equals that
+        of the least loaded zone, then rack.
+
+        :param exclude: endpoints that the task has failed on.
+        :param may_probe: whether the run may be risked on a suspect endpoint.
+        """
+        rows = [
+            row
+            for row in self._pools.get(pool, {}).values()
+            if row.vm not in exclude and row.room(now) > 0
+        ]
+        if not may_probe:
+            rows = [r for r in rows if not r.suspect and not r.probing(now)] or rows
+        if not rows:
+            return None
+        zones, racks = self._domain_loads(pool)
+        return min(
+            rows,
+            key=lambda row: (
+                not (may_probe and row.probing(now)),
+                row.suspect,
+                row.load(),
+                zones[row.zone],
+                racks[row.rack],
+                row.vm,
+            ),
+        ).vm
+
+    def note_start(self, vm: VmId, now: float) -> None:
+        """Count a run that starts on ``vm``."""
+        row = self._rows.get(vm)
+        if row is not None:
+            row.running += 1
+            if row.first_start is None:
+                row.first_start = now
+
+    def note_progress(self, vm: VmId) -> None:
+        """Take a worker's report that a run makes progress as proof that it can."""
+        row = self._rows.get(vm)
+        if row is not None and not row.suspect:
+            row.proved = True
+
+    def note_finish(
+        self,
+        vm: VmId,
+        task: TaskId,
+        queue: QueueId,
+        result: RunResult,
+        seconds: float,
+        now: float,
+    ) -> Verdict:
+        """Count the end of a run, learn from it, and judge task and endpoint.
+
+        :param seconds: how long the run took.
+        """
+        row = self._rows.get(vm)
+        if row is None:
+            return Verdict.DONE if result is RunResult.DONE else Verdict.RETRY
+        at_capacity = row.running >= row.capacity
+        row.running = max(row.running - 1, 0)
+        match result:
+            case RunResult.DONE:
+                self._learn_run(row, queue, seconds, at_capacity)
+                self._confirm(task, vm, now)
+                return Verdict.DONE
+            case RunResult.BUSY:
+                row.capacity = max(min(row.running, row.capacity - 1), 1)
+                row.runs_at_capacity = 0
+            case RunResult.FAILED:
+                return self._judge_failure(row, task, now)
+            case RunResult.SILENT:
+                row.open_failures.add(task)
+                self._eject_if_due(row, now)
+            case RunResult.STOPPED:
+                pass
+        return Verdict.RETRY
+
+    def forget_task(self, task: TaskId) -> None:
+        """Drop what is kept of a task that will not run again."""
+        self._failed_on.pop(task, None)
+
+    def failed_on(self, task: TaskId) -> frozenset[VmId]:
+        """Return the endpoints that ``task`` has failed on."""
+        return frozenset(self._failed_on.get(task, ()))
+
+    def _domain_loads(
+        self, pool: PoolId
+    ) -> tuple[dict[Zone, float], dict[Rack, float]]:
+        zones: dict[Zone, tuple[int, int]] = {}
+        racks: dict[Rack, tuple[int, int]] = {}
+        for row in self._pools[pool].values():
+            if not row.in_service:
+                continue
+            running, slots = zones.get(row.zone, (0, 0))
+            zones[row.zone] = (running + row.running, slots + row.capacity)
+            running, slots = racks.get(row.rack, (0, 0))
+            racks[row.rack] = (running + row.running, slots + row.capacity)
+        return (
+            {zone: running / slots for zone, (running, slots) in zones.items()},
+            {rack: running / slots for rack, (running, slots) in racks.items()},
+        )
+
+    def _learn_run(
+        self, row: EndpointRow, queue: QueueId, seconds: float, at_capacity: bool
+    ) -> None:
+        mean = self.run_times.of(queue).mean
+        if self.run_times.of(queue).observed:
+            row.slowdown += SLOWDOWN_GAIN * (seconds / mean - row.slowdown)
+            row.slowdown = min(max(row.slowdown, 0.5), 4.0)
+        self.run_times.observe(queue, seconds)
+        _prove(row, at_capacity)
+
+    def _confirm(self, task: TaskId, done_on: VmId, now: float) -> None:
+        for vm in self._failed_on.pop(task, ()):
+            row = self._rows.get(vm)
+            if row is None or vm == done_on or task not in row.open_failures:
+                continue
+            row.open_failures.discard(task)
+            row.confirmed += 1
+            self._eject_if_due(row, now)
+
+    def _judge_failure(self, row: EndpointRow, task: TaskId, now: float) -> Verdict:
+        failed_on = self._failed_on.setdefault(task, set())
+        failed_on.add(row.vm)
+        row.open_failures.add(task)
+        sound = [vm for vm in failed_on if self._is_sound(vm)]
+        if len(sound) >= GIVE_UP_WORKERS:
+            self._withdraw(task)
+            return Verdict.GIVE_UP
+        self._eject_if_due(row, now)
+        return Verdict.RETRY
+
+    def _is_sound(self, vm: VmId) -> bool:
+        row = self._rows.get(vm)
+        return row is not None and row.proved and row.confirmed == 0
+
+    def _withdraw(self, task: TaskId) -> None:
+        for vm in self._failed_on.pop(task, ()):
+            row = self._rows.get(vm)
+            if row is None or task not in row.open_failures:
+                continue
+            row.open_failures.discard(task)
+            if row.ejected_until is not None and not _eject_due(row):
+                row.ejected_until = None
+                row.ejections = max(row.ejections - 1, 0)
+
+    def _eject_if_due(self, row: EndpointRow, now: float) -> None:
+        again = row.probing(now)
+        if row.ejected_until is not None and not again:
+            return
+        if not again and (not _eject_due(row) or not self._may_eject(row.pool)):
+            return
+        length = FIRST_EJECTION_SECONDS * 2**row.ejections
+        row.ejected_until = now + min(length, LONGEST_EJECTION_SECONDS)
+        row.ejections += 1
+
+    def _may_eject(self, pool: PoolId) -> bool:
+        rows = [row for row in self._pools[pool].values() if row.in_service]
+        ejected = sum(row.ejected_until is not None for row in rows)
+        return ejected < _ejection_cap(len(rows))
+
+
+def _ejection_cap(members: int) -> int:
+    if members < 2:
+        return 0
+    return max(int(members * MAX_EJECTED_FRACTION), 1)
+
+
+def _eject_due(row: EndpointRow) -> bool:
+    if row.confirmed >= EJECT_CONFIRMED:
+        return True
+    return row.confirmed + len(row.open_failures) >= EJECT_FAILURES
+
+
+def _prove(row: EndpointRow, at_capacity: bool) -> None:
+    """Clear what stood against an endpoint that has finished a run."""
+    returned = row.ejected_until is not None
+    row.proved = True
+    row.open_failures.clear()
+    row.confirmed = 0
+    row.ejected_until = None
+    if not returned:
+        row.ejections = 0
+    row.runs_at_capacity += at_capacity
+    if row.capacity < row.slots and row.runs_at_capacity >= GROW_AFTER_RUNS:
+        row.runs_at_capacity = 0
+        row.capacity += 1
+
+
+def _take_over(row: EndpointRow, new: EndpointRow) -> None:
+    back = new.in_service and not row.in_service
+    row.pool, row.zone, row.rack = new.pool, new.zone, new.rack
+    row.in_service = new.in_service
+    if back or row.capacity == row.slots:
+        row.capacity = new.slots
+    row.slots = new.slots
+    row.capacity = min(row.capacity, row.slots)
+    if back:
+        row.proved = False
+        row.first_start = row.ejected_until = None
+        row.open_failures.clear()
+        row.confirmed = row.ejections = row.runs_at_capacity = 0
+        row.slowdown = 1.0
--- /dev/null
+++ b/hickoryplank/core/queues.py
@@ -0,0 +1,243 @@
+"""Table of waiting work, and the choice of what starts next.
+
+Work of one pool waits in lanes, one for each class and team. A pick costs time
+in proportion to the teams that wait in the pool, not to the work that waits;
+adding, cancelling and expiring cost a heap operation at most.
+"""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from itertools import count
+
+import msgspec
+
+from hickoryplank.core.ids import PoolId, QueueId, RequestId, TaskId, TeamId
+from hickoryplank.core.objects import WorkClass
+
+__all__ = ["DEFAULT_BOUNDS", "MIN_WEIGHT", "Bounds", "WorkItem", "WorkQueues"]
+
+#: Weight of a team without a share, in percent of the fleet.
+MIN_WEIGHT = 0.01
+#: Longest time for which urgent work may keep all batch work of a pool waiting.
+BATCH_PATIENCE_SECONDS = 20.0
+
+
+class WorkItem(msgspec.Struct, frozen=True, kw_only=True):
+    """One request that waits for a slot.
+
+    :param arrived: when the request reached the owner, in seconds.
+    :param deadline: when it has to have started, in seconds.
+    """
+
+    request: RequestId
+    task: TaskId
+    team: TeamId
+    queue: QueueId
+    pool: PoolId
+    work_class: WorkClass
+    arrived: float
+    deadline: float
+    idempotent: bool = True
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """How much may wait in one pool before some of it is shed.
+
+    :param urgent: items of urgent work.
+    :param batch: items of batch work.
+    """
+
+    urgent: int = 512
+    batch: int = 4096
+
+    def of(self, work_class: WorkClass) -> int:
+        """Return the bound for ``work_class``."""
+        return self.urgent if work_class is WorkClass.URGENT else self.batch
+
+
+DEFAULT_BOUNDS = Bounds()
+
+_Lane = OrderedDict[RequestId, WorkItem]
+
+
+class _Lanes:
+    """The work of one class in one pool, by team; empty lanes are dropped."""
+
+    def __init__(self) -> None:
+        self.teams: dict[TeamId, _Lane] = {}
+        self.size = 0
+
+    def add(self, item: WorkItem) -> None:
+        self.teams.setdefault(item.team, OrderedDict())[item.request] = item
+        self.size += 1
+
+    def remove(self, item: WorkItem) -> None:
+        lane = self.teams[item.team]
+        del lane[item.request]
+        self.size -= 1
+        if not lane:
+            del self.teams[item.team]
+
+
+class _PoolQueue:
+    """What waits for one pool."""
+
+    def __init__(self) -> None:
+        self.lanes = {work_class: _Lanes() for work_class in WorkClass}
+        self.batch_passed_since: float | None = None
+
+
+class WorkQueues:
+    """Waiting work of all pools that this node owns.
+
+    :param bounds: how much may wait in each pool.
+    """
+
+    def __init__(self, bounds: Bounds = DEFAULT_BOUNDS) -> None:
+        self._bounds = bounds
+        self._pools: dict[PoolId, _PoolQueue] = {}
+        self._items: dict[RequestId, WorkItem] = {}
+        self._deadlines: list[tuple[float, int, RequestId]] = []
+        self._serial = count()
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __contains__(self, request: RequestId) -> bool:
+        return request in self._items
+
+    def push(self, item: WorkItem, shares: Mapping[TeamId, float]) -> WorkItem | None:
+        """Let ``item`` wait; return the item shed for it, which may be itself.
+
+        When more work of the class waits than the bound, the newest item of the
+        team with the most waiting for its share is shed.
+
+        :param shares: each team's share, in percent of the fleet.
+        """
+        if item.request in self._items:
+            return None
+        lanes = self._pools.setdefault(item.pool, _PoolQueue()).lanes[item.work_class]
+        lanes.add(item)
+        self._items[item.request] = item
+        entry = (item.deadline, next(self._serial), item.request)
+        heapq.heappush(self._deadlines, entry)
+        if lanes.size <= self._bounds.of(item.work_class):
+            return None
+        victim = _newest_of_longest(lanes, shares)
+        self._remove(victim)
+        return victim
+
+    def cancel(self, request: RequestId) -> WorkItem | None:
+        """Remove and return a waiting item; ``None`` if it does not wait."""
+        item = self._items.get(request)
+        if item is not None:
+            self._remove(item)
+        return item
+
+    def expire(self, now: float) -> list[WorkItem]:
+        """Remove and return the items whose deadline has passed: not run."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            deadline, _, request = heapq.heappop(self._deadlines)
+            item = self._items.get(request)
+            if item is not None and item.deadline == deadline:
+                self._remove(item)
+                expired.append(item)
+        return expired
+
+    def next_deadline(self) -> float | None:
+        """Return when the next item expires, in seconds."""
+        while self._deadlines and self._deadlines[0][2] not in self._items:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def next_item(
+        self,
+        pool: PoolId,
+        shares: Mapping[TeamId, float],
+        running: Mapping[TeamId, int],
+        may_start: Callable[[TeamId], bool],
+        now: float,
+    ) -> WorkItem | None:
+        """Remove and return the item that starts next in ``pool``.
+
+        Urgent work goes first, but batch work that could start is passed over
+        for ``BATCH_PATIENCE_SECONDS`` at most. Within a class the team with the
+        least running for its share goes first, and its oldest item.
+
+        :param shares: each team's share, in percent of the fleet.
+        :param running: what each team runs across the fleet, in units.
+        :param may_start: whether this node holds a free unit of the team.
+        """
+        waiting = self._pools.get(pool)
+        if waiting is None:
+            return None
+        for work_class in _class_order(waiting, now):
+            teams = waiting.lanes[work_class].teams
+            team = _least_served(teams, shares, running, may_start)
+            if team is not None:
+                item = next(iter(teams[team].values()))
+                self._remove(item)
+                _note_pick(waiting, work_class, now)
+                return item
+        return None
+
+    def waiting(self, pool: PoolId, work_class: WorkClass) -> dict[TeamId, int]:
+        """Return how many items of each team wait in ``pool``."""
+        queue = self._pools.get(pool)
+        if queue is None:
+            return {}
+        teams = queue.lanes[work_class].teams
+        return {team: len(lane) for team, lane in teams.items()}
+
+    def oldest(self, pool: PoolId, work_class: WorkClass) -> float | None:
+        """Return when the oldest waiting item arrived, in seconds."""
+        queue = self._pools.get(pool)
+        if queue is None:
+            return None
+        lanes = queue.lanes[work_class].teams.values()
+        return min((next(iter(lane.values())).arrived for lane in lanes), default=None)
+
+    def _remove(self, item: WorkItem) -> None:
+        del self._items[item.request]
+        self._pools[item.pool].lanes[item.work_class].remove(item)
+
+
+def _weight(shares: Mapping[TeamId, float], team: TeamId) -> float:
+    return max(shares.get(team, 0.0), MIN_WEIGHT)
+
+
+def _least_served(
+    teams: Iterable[TeamId],
+    shares: Mapping[TeamId, float],
+    running: Mapping[TeamId, int],
+    may_start: Callable[[TeamId], bool],
+) -> TeamId | None:
+    ready = (team for team in teams if may_start(team))
+    return min(
+        ready,
+        key=lambda team: (running.get(team, 0) + 1) / _weight(shares, team),
+        default=None,
+    )
+
+
+def _newest_of_longest(lanes: _Lanes, shares: Mapping[TeamId, float]) -> WorkItem:
+    longest = max(
+        lanes.teams, key=lambda team: len(lanes.teams[team]) / _weight(shares, team)
+    )
+    return next(reversed(lanes.teams[longest].values()))
+
+
+def _class_order(waiting: _PoolQueue, now: float) -> tuple[WorkClass, WorkClass]:
+    since = waiting.batch_passed_since
+    if since is not None and now - since >= BATCH_PATIENCE_SECONDS:
+        return WorkClass.BATCH, WorkClass.URGENT
+    return WorkClass.URGENT, WorkClass.BATCH
+
+
+def _note_pick(waiting: _PoolQueue, work_class: WorkClass, now: float) -> None:
+    if work_class is WorkClass.BATCH or not waiting.lanes[WorkClass.BATCH].size:
+        waiting.batch_passed_since = None
+    elif waiting.batch_passed_since is None:
+        waiting.batch_passed_since = now
