--- a/hickoryplank/core/claims.py
+++ b/hickoryplank/core/claims.py
@@ -41,6 +41,7 @@
         holder=record.holder,
         request=record.request,
         expires=record.expires,
+        durable=record.durable,
         content_type=record.content_type,
         body=record.body,
     )
--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -86,10 +86,14 @@
 
 
 class Proof(Enum):
-    """Why an earlier attempt is known not to have run, and never to run."""
+    """Why an earlier attempt does not run, and never will again.
+
+    After ``CHECKPOINTED`` the next attempt goes on where the earlier one stopped.
+    """
 
     REFUSED = "refused"
     START_MISSED = "start_missed"
+    CHECKPOINTED = "checkpointed"
 
 
 class Put(msgspec.Struct, frozen=True, tag="put"):
@@ -189,6 +193,8 @@
 
     :param request: digest of the request, so that one idempotency key cannot
         stand for two different requests.
+    :param durable: whether the request was accepted for good; another node then
+        runs it from ``body`` if its holder goes before it is dispatched.
     :param expires: when the claim may be forgotten, in seconds since the epoch.
     """
 
@@ -199,6 +205,7 @@
     holder: Incarnation
     request: str
     expires: float
+    durable: bool = False
     content_type: str = ""
     body: bytes = b""
 
--- a/hickoryplank/core/tables.py
+++ b/hickoryplank/core/tables.py
@@ -93,6 +93,7 @@
     holder: Incarnation
     request: str
     expires: float
+    durable: bool
     content_type: str
     body: bytes
     attempt: int = 0
--- /dev/null
+++ b/hickoryplank/shell/attempts.py
@@ -0,0 +1,127 @@
+"""One attempt of a job on a VM, idempotent or claimed in the log."""
+
+import logging
+from typing import assert_never
+
+import anyio
+from result import Err, Ok
+
+from hickoryplank.core.ids import VmId
+from hickoryplank.core.placement import EndpointTable, RunResult, Verdict
+from hickoryplank.core.work import Completed, Failed
+from hickoryplank.platform.errors import RefusedStart, StartFailure, StartLost
+from hickoryplank.platform.worker import Answer, Start, Worker
+from hickoryplank.shell.claims import Claims
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.jobs import Again, Closed, Job, Step
+from hickoryplank.shell.replica import Replica
+from hickoryplank.shell.workers import LEASE_SECONDS, WorkerPool
+
+__all__ = ["Attempts", "completed"]
+
+logger = logging.getLogger(__name__)
+
+START_SECONDS = 1.0
+RETRY_PAUSE_SECONDS = 0.02
+SERVER_ERROR = 500
+
+
+def completed(answer: Answer) -> Completed:
+    """Return the caller's answer from the worker's."""
+    return Completed(
+        status=answer.status, content_type=answer.content_type, body=answer.body
+    )
+
+
+class Attempts:
+    """Runs attempts and tells the table of endpoints how they ended."""
+
+    def __init__(
+        self, replica: Replica, workers: WorkerPool, claims: Claims, clock: Clock
+    ):
+        self._replica = replica
+        self._workers = workers
+        self._claims = claims
+        self._clock = clock
+
+    async def run(self, job: Job, vm: VmId, endpoints: EndpointTable) -> Step:
+        """Run one attempt of ``job`` on ``vm``."""
+        began = self._clock.now()
+        worker = self._workers.client(self._replica.tables, vm)
+        if worker is None:
+            endpoints.note_finish(
+                vm, job.request.task, job.queue.name, RunResult.STOPPED, 0.0, began
+            )
+            return Again(RETRY_PAUSE_SECONDS)
+        if job.request.claim is None:
+            result, step = await self._run_idempotent(job, vm, worker)
+        else:
+            result, step = await self._claims.run(job, vm, worker)
+        now = self._clock.now()
+        verdict = endpoints.note_finish(
+            vm, job.request.task, job.queue.name, result, now - began, now
+        )
+        return self._judge(job, step, verdict)
+
+    def _judge(self, job: Job, step: Step, verdict: Verdict) -> Step:
+        match step:
+            case Closed(Completed(status=status)) if (
+                status >= SERVER_ERROR
+                and job.queue.idempotent
+                and verdict is Verdict.RETRY
+                and self._clock.now() < job.deadline
+            ):
+                return Again(RETRY_PAUSE_SECONDS)
+            case _:
+                return step
+
+    async def _run_idempotent(
+        self, job: Job, vm: VmId, worker: Worker
+    ) -> tuple[RunResult, Step]:
+        known = await self._workers.clock_of(worker, vm)
+        if known.is_err():
+            return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+        now = self._clock.now()
+        fresh = self._replica.freshness.fresh_until() - now
+        start = Start(
+            task=job.request.task,
+            attempt=job.attempts,
+            boot=known.unwrap().boot,
+            start_by=known.unwrap().at(now) + min(START_SECONDS, fresh),
+            lease=LEASE_SECONDS,
+            content_type=job.request.content_type,
+            body=job.request.body,
+            traceparent=job.request.traceparent,
+        )
+        with anyio.move_on_after(job.deadline - now) as job.scope:
+            return self._read(job, vm, await self._workers.run(worker, start))
+        await self._stop(worker, job)
+        return RunResult.STOPPED, Closed(
+            Failed(detail="no answer came before the deadline")
+        )
+
+    async def _stop(self, worker: Worker, job: Job) -> None:
+        with anyio.move_on_after(START_SECONDS):
+            await worker.stop(job.request.task)
+
+    def _read(
+        self, job: Job, vm: VmId, answer: Ok[Answer] | Err[StartFailure | StartLost]
+    ) -> tuple[RunResult, Step]:
+        match answer:
+            case Ok(whole):
+                failed = whole.status >= SERVER_ERROR
+                result = RunResult.FAILED if failed else RunResult.DONE
+                return result, Closed(completed(whole))
+            case Err(StartFailure(RefusedStart.BUSY)):
+                return RunResult.BUSY, Again(RETRY_PAUSE_SECONDS)
+            case Err(StartFailure(refusal)):
+                self._workers.forget(vm)
+                job.avoided.add(vm)
+                result = RunResult.SILENT if refusal is None else RunResult.STOPPED
+                return result, Again(RETRY_PAUSE_SECONDS)
+            case Err(StartLost()):
+                self._workers.forget(vm)
+                job.avoided.add(vm)
+                return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+            case other:
+                assert_never(other)
--- /dev/null
+++ b/hickoryplank/shell/claims.py
@@ -0,0 +1,411 @@
+"""Claims: non-idempotent requests run at most once, whoever handles them."""
+
+import hashlib
+import logging
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok, Result
+
+from hickoryplank.core.errors import FaultCode, Refusal
+from hickoryplank.core.fold import Verdict
+from hickoryplank.core.ids import ClaimId, VmId
+from hickoryplank.core.placement import RunResult
+from hickoryplank.core.records import (
+    Claim,
+    Dispatch,
+    Outcome,
+    OutcomeKind,
+    Proof,
+    Record,
+)
+from hickoryplank.core.tables import ClaimRow
+from hickoryplank.core.work import (
+    Completed,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    WorkAnswer,
+    WorkRequest,
+)
+from hickoryplank.platform.errors import (
+    LogFailure,
+    RefusedStart,
+    StartFailure,
+)
+from hickoryplank.platform.worker import Answer, Start, TaskReport, TaskState, Worker
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.jobs import Again, Closed, Job, Step
+from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.workers import LEASE_SECONDS, WorkerClock, WorkerPool
+
+__all__ = ["CLAIM_SECONDS", "Claims", "answer_of", "digest_of"]
+
+logger = logging.getLogger(__name__)
+
+CLAIM_SECONDS = 24 * 3600.0
+START_SECONDS = 5.0
+LOG_PAUSE_SECONDS = 0.1
+FIND_PAUSE_SECONDS = 0.25
+RESOLVE_SECONDS = 30.0
+RETRY_PAUSE_SECONDS = 0.02
+
+
+def digest_of(request: WorkRequest) -> str:
+    """Return what tells two requests under one idempotency key apart."""
+    digest = hashlib.sha256()
+    for part in (request.queue, request.content_type):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+def answer_of(outcome: Outcome) -> WorkAnswer:
+    """Return the answer that an outcome in the log stands for."""
+    match outcome.kind:
+        case OutcomeKind.DONE:
+            return Completed(
+                status=outcome.status,
+                content_type=outcome.content_type,
+                body=outcome.body,
+            )
+        case OutcomeKind.NOT_RUN:
+            return NotRun(reason=NotRunReason.REFUSED, detail=outcome.detail)
+        case OutcomeKind.UNKNOWN:
+            return Unknown(detail=outcome.detail)
+
+
+class Claims:
+    """Claims that this node holds, and waiting for those of others."""
+
+    def __init__(
+        self, replica: Replica, workers: WorkerPool, group: TaskGroup, clock: Clock
+    ):
+        self._replica = replica
+        self._workers = workers
+        self._group = group
+        self._clock = clock
+        self._open: set[ClaimId] = set()
+        self._active: set[ClaimId] = set()
+        self._settled: dict[ClaimId, anyio.Event] = {}
+        self._unsaved = 0
+        replica.subscribe(self._note_record)
+
+    @property
+    def unsaved(self) -> int:
+        """How many outcomes are not in the log yet."""
+        return self._unsaved
+
+    def rebuild(self) -> None:
+        """Find the open claims anew after the tables were replaced."""
+        claims = self._replica.tables.claims
+        self._open = {claim for claim, row in claims.items() if row.outcome is None}
+        for claim in list(self._settled):
+            if claim not in self._open and claim in claims:
+                self._settled.pop(claim).set()
+
+    def orphans(self) -> list[ClaimRow]:
+        """Return open claims that no live process of any node works on."""
+        tables = self._replica.tables
+        rows = [tables.claims[claim] for claim in self._open - self._active]
+        me = self._replica.incarnation
+        return [
+            row for row in rows if row.holder == me or not tables.is_live(row.holder)
+        ]
+
+    def _note_record(self, record: Record, verdict: Verdict) -> None:
+        if verdict.is_err():
+            return
+        match record:
+            case Claim(claim=claim):
+                self._open.add(claim)
+            case Outcome(claim=claim):
+                self._open.discard(claim)
+                event = self._settled.pop(claim, None)
+                if event is not None:
+                    event.set()
+
+    async def acquire(
+        self, request: WorkRequest, expires: float, durable: bool, deadline: float
+    ) -> Result[None, WorkAnswer]:
+        """Claim a request, or wait for the outcome of whoever holds it.
+
+        :param expires: when the claim may be forgotten, in seconds since the
+            epoch.
+        :param deadline: when the caller gives up, on this node's clock.
+        :return: ``Ok`` if this node is to run the request, else the answer.
+        """
+        record = Claim(
+            id=new_record_id(),
+            claim=request.claim,
+            team=request.team,
+            queue=request.queue,
+            holder=self._replica.incarnation,
+            request=digest_of(request),
+            expires=expires,
+            durable=durable,
+            content_type=request.content_type,
+            body=request.body if durable else b"",
+        )
+        while True:
+            known = await self._wait_for_other(record, deadline)
+            if known is not None:
+                return Err(known)
+            claimed = await self._try_claim(record, deadline)
+            if claimed is None or claimed.is_err():
+                return claimed or Err(
+                    NotRun(
+                        reason=NotRunReason.LOG_DOWN,
+                        detail="the claim could not be logged before the deadline",
+                    )
+                )
+            if claimed.unwrap():
+                return Ok(None)
+            record = _renamed(record)
+
+    async def _try_claim(
+        self, record: Claim, deadline: float
+    ) -> Result[bool, WorkAnswer] | None:
+        """Return whether the claim was won, or ``None`` at the deadline."""
+        self._active.add(record.claim)
+        claimed = None
+        with anyio.move_on_after(deadline - self._clock.now()):
+            claimed = await self._submit_claim(record)
+        if claimed != Ok(True):
+            self._active.discard(record.claim)
+        return claimed
+
+    async def _submit_claim(self, record: Claim) -> Result[bool, WorkAnswer]:
+        while True:
+            match await self._replica.submit(record):
+                case Ok():
+                    return Ok(True)
+                case Err(Refusal(faults)):
+                    codes = {fault.code for fault in faults}
+                    if FaultCode.REQUEST_MISMATCH in codes:
+                        return Err(_mismatch())
+                    if FaultCode.NOT_LIVE in codes:
+                        detail = "this node was replaced"
+                        return Err(NotRun(reason=NotRunReason.STOPPING, detail=detail))
+                    return Ok(False)
+                case Err(LogFailure()):
+                    await anyio.sleep(LOG_PAUSE_SECONDS)
+
+    async def _wait_for_other(
+        self, record: Claim, deadline: float
+    ) -> WorkAnswer | None:
+        """Return the outcome of a claim that another holds, if there is one."""
+        while (row := self._replica.tables.claims.get(record.claim)) is not None:
+            if row.request != record.request:
+                return _mismatch()
+            if row.outcome is not None:
+                if row.outcome.kind is OutcomeKind.NOT_RUN:
+                    return None
+                return answer_of(row.outcome)
+            held = self._replica.tables.is_live(row.holder)
+            if not held and not row.durable and row.attempt == 0:
+                return None
+            if not await self._outcome_by(record.claim, deadline):
+                return Unknown(detail="the first request is still under way")
+        return None
+
+    async def _outcome_by(self, claim: ClaimId, deadline: float) -> bool:
+        event = self._settled.setdefault(claim, anyio.Event())
+        with anyio.move_on_after(deadline - self._clock.now()):
+            await event.wait()
+            return True
+        return False
+
+    def adopt(self, claim: ClaimId) -> None:
+        """Note that a job on this node works on ``claim``."""
+        self._active.add(claim)
+
+    def release(self, claim: ClaimId) -> None:
+        """Note that no job on this node works on ``claim`` any more."""
+        self._active.discard(claim)
+
+    def settle_not_run(self, claim: ClaimId, detail: str) -> None:
+        """Log that a claim of this node did not run."""
+        self._save(claim, OutcomeKind.NOT_RUN, detail=detail)
+
+    def _save(
+        self,
+        claim: ClaimId,
+        kind: OutcomeKind,
+        answer: Answer | None = None,
+        detail: str = "",
+    ) -> None:
+        record = Outcome(
+            id=new_record_id(),
+            claim=claim,
+            holder=self._replica.incarnation,
+            kind=kind,
+            status=answer.status if answer else 0,
+            content_type=answer.content_type if answer else "",
+            body=answer.body if answer else b"",
+            detail=detail,
+        )
+        self._unsaved += 1
+        self._group.start_soon(self._save_outcome, record)
+
+    async def _save_outcome(self, record: Outcome) -> None:
+        try:
+            while isinstance(await self._failure_of(record), LogFailure):
+                await anyio.sleep(LOG_PAUSE_SECONDS)
+        finally:
+            self._unsaved -= 1
+            self.release(record.claim)
+
+    async def _failure_of(self, record: Record) -> Refusal | LogFailure | None:
+        submitted = await self._replica.submit(record)
+        return submitted.err()
+
+    async def run(self, job: Job, vm: VmId, worker: Worker) -> tuple[RunResult, Step]:
+        """Dispatch a claimed job once, and find out how it ended."""
+        claim = job.request.claim
+        row = self._replica.tables.claims.get(claim)
+        if row is None or row.outcome is not None:
+            answer = answer_of(row.outcome) if row else _forgotten()
+            return RunResult.STOPPED, Closed(answer)
+        known = await self._workers.clock_of(worker, vm)
+        if known.is_err():
+            return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+        start = self._start_of(job, row, known.unwrap())
+        refused = await self._log_dispatch(job, vm, start)
+        if refused is not None:
+            return RunResult.STOPPED, refused
+        if known.unwrap().at(self._clock.now()) > start.start_by:
+            job.proof = Proof.START_MISSED
+            return RunResult.STOPPED, Again()
+        return await self._send(job, vm, worker, start)
+
+    def _start_of(self, job: Job, row: ClaimRow, known: WorkerClock) -> Start:
+        return Start(
+            task=job.request.task,
+            attempt=row.attempt + 1,
+            boot=known.boot,
+            start_by=known.at(self._clock.now()) + START_SECONDS,
+            lease=LEASE_SECONDS,
+            content_type=job.request.content_type,
+            body=job.request.body,
+            traceparent=job.request.traceparent,
+        )
+
+    async def _log_dispatch(self, job: Job, vm: VmId, start: Start) -> Again | None:
+        """Log the attempt before it is sent; say why it must not be sent."""
+        record = Dispatch(
+            id=new_record_id(),
+            claim=job.request.claim,
+            holder=self._replica.incarnation,
+            attempt=start.attempt,
+            vm=vm,
+            boot=start.boot,
+            start_by=start.start_by,
+            proof=job.proof,
+        )
+        failure: Refusal | LogFailure | None = LogFailure
+        with anyio.move_on_after(START_SECONDS):
+            failure = await self._failure_of(record)
+        if failure is None:
+            return None
+        job.proof = job.proof or Proof.REFUSED
+        return Again(LOG_PAUSE_SECONDS)
+
+    async def _send(
+        self, job: Job, vm: VmId, worker: Worker, start: Start
+    ) -> tuple[RunResult, Step]:
+        sent = await self._workers.run(worker, start)
+        match sent:
+            case Ok(answer):
+                return RunResult.DONE, self._finish(job, answer)
+            case Err(StartFailure(refusal)):
+                job.proof = Proof.REFUSED
+                self._workers.forget(vm)
+                if refusal is RefusedStart.BUSY:
+                    return RunResult.BUSY, Again(RETRY_PAUSE_SECONDS)
+                return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+            case _:
+                self._workers.forget(vm)
+                step = await self._resolve(job, vm, worker, start)
+                return RunResult.SILENT, step
+
+    def _finish(self, job: Job, answer: Answer) -> Closed:
+        self._save(job.request.claim, OutcomeKind.DONE, answer)
+        return Closed(
+            Completed(
+                status=answer.status,
+                content_type=answer.content_type,
+                body=answer.body,
+            )
+        )
+
+    async def resume(self, job: Job, row: ClaimRow, worker: Worker) -> Step:
+        """Find out what became of an attempt that another process had sent."""
+        sent = Start(
+            task=job.request.task,
+            attempt=row.attempt,
+            boot=row.boot,
+            start_by=row.start_by,
+            lease=LEASE_SECONDS,
+        )
+        return await self._resolve(job, row.vm, worker, sent)
+
+    async def _resolve(self, job: Job, vm: VmId, worker: Worker, sent: Start) -> Step:
+        """Ask the worker until it is known whether an attempt ran.
+
+        The caller gets ``unknown`` at its deadline; the claim goes on.
+        """
+        until = self._clock.now() + RESOLVE_SECONDS
+        while self._clock.now() < until:
+            if self._clock.now() > job.deadline:
+                job.close(Unknown(detail="the worker's answer was lost"))
+            found = await worker.find(job.request.task)
+            step = None
+            if found.is_ok():
+                step = await self._read_report(job, vm, worker, sent, found.unwrap())
+            if step is not None:
+                return step
+            await anyio.sleep(FIND_PAUSE_SECONDS)
+        return self._give_up(job, "the worker could not be asked")
+
+    async def _read_report(
+        self, job: Job, vm: VmId, worker: Worker, sent: Start, report: TaskReport
+    ) -> Step | None:
+        if report.boot != sent.boot:
+            return self._give_up(job, "the worker restarted in between")
+        match report.state:
+            case TaskState.DONE if report.answer is not None:
+                return self._finish(job, report.answer)
+            case TaskState.CHECKPOINTED:
+                job.proof = Proof.CHECKPOINTED
+                job.pinned = vm
+                return Again(FIND_PAUSE_SECONDS)
+            case TaskState.NEVER_SEEN if report.clock > sent.start_by:
+                job.proof = Proof.START_MISSED
+                return Again(RETRY_PAUSE_SECONDS)
+            case TaskState.RUNNING:
+                await worker.renew(job.request.task, sent.attempt, LEASE_SECONDS)
+        return None
+
+    def _give_up(self, job: Job, detail: str) -> Closed:
+        self._save(job.request.claim, OutcomeKind.UNKNOWN, detail=detail)
+        return Closed(Unknown(detail=detail))
+
+
+def _mismatch() -> NotRun:
+    return NotRun(
+        reason=NotRunReason.KEY_REUSED,
+        detail="the idempotency key was used before for another request",
+    )
+
+
+def _forgotten() -> Unknown:
+    return Unknown(detail="the claim is no longer kept")
+
+
+def _renamed(record: Claim) -> Claim:
+    return Claim(**{**_fields(record), "id": new_record_id()})
+
+
+def _fields(record: Claim) -> dict[str, object]:
+    return {name: getattr(record, name) for name in record.__struct_fields__}
--- /dev/null
+++ b/hickoryplank/shell/dispatcher.py
@@ -0,0 +1,236 @@
+"""The dispatcher: gives waiting jobs a unit of their team's limit and a slot."""
+
+import logging
+from collections import Counter
+
+import anyio
+from anyio.abc import TaskGroup
+
+from hickoryplank.core.escrow import Escrow
+from hickoryplank.core.ids import PoolId, RequestId, TeamId, VmId
+from hickoryplank.core.objects import Kind, Share
+from hickoryplank.core.placement import EndpointRow, EndpointTable
+from hickoryplank.core.queues import WorkQueues
+from hickoryplank.core.tables import Tables, VmRow
+from hickoryplank.core.work import Completed, NotRun, NotRunReason
+from hickoryplank.shell.attempts import Attempts
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.jobs import Again, Closed, Job
+from hickoryplank.shell.replica import Replica
+
+__all__ = ["Dispatcher"]
+
+logger = logging.getLogger(__name__)
+
+BEAT_SECONDS = 0.05
+OVERLOAD_RETRY_SECONDS = 2.0
+
+
+class Dispatcher:
+    """Queues and starts the work of the pools that this node owns.
+
+    Another node may own a pool at the same time; units of the escrow and the
+    workers' own slots bound what both start.
+    """
+
+    def __init__(
+        self, replica: Replica, escrow: Escrow, attempts: Attempts, clock: Clock
+    ):
+        self._replica = replica
+        self._escrow = escrow
+        self._attempts = attempts
+        self._clock = clock
+        self._queues = WorkQueues()
+        self._jobs: dict[RequestId, Job] = {}
+        self._shares: dict[TeamId, float] = {}
+        self._shares_revision = -1
+        self._pools: Counter[PoolId] = Counter()
+        self._vms_seen: dict[VmId, VmRow] = {}
+        self._group: TaskGroup | None = None
+        self._wake = anyio.Event()
+        self.endpoints = EndpointTable()
+        self.running: Counter[TeamId] = Counter()
+        self.peers_running: dict[TeamId, int] = {}
+
+    @property
+    def queues(self) -> WorkQueues:
+        """Work that waits on this node."""
+        return self._queues
+
+    @property
+    def busy(self) -> bool:
+        """Whether any job waits or runs here."""
+        return bool(self._jobs)
+
+    async def serve(self) -> None:
+        """Start jobs as units and slots come free, until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                self._tick()
+                with anyio.move_on_after(BEAT_SECONDS):
+                    await self._wake.wait()
+                self._wake = anyio.Event()
+
+    def wake(self) -> None:
+        """Look for work to start soon."""
+        self._wake.set()
+
+    def submit(self, job: Job) -> None:
+        """Queue a job; its ``done`` is set with the answer."""
+        self._jobs[job.request.id] = job
+        self._pools[job.queue.pool] += 1
+        shed = self._queues.push(job.item(), self._current_shares())
+        if shed is not None:
+            detail = "more work waits than the queue holds"
+            self._close_waiting(shed.request, NotRunReason.OVERLOAD, detail)
+        self.wake()
+
+    def cancel(self, request: RequestId) -> None:
+        """Withdraw a job that waits, or stop it if it can be stopped."""
+        job = self._jobs.get(request)
+        if job is None:
+            return
+        if self._queues.cancel(request) is not None:
+            self._close(job, NotRun(reason=NotRunReason.CANCELLED))
+        elif job.scope is not None:
+            job.scope.cancel()
+
+    def _tick(self) -> None:
+        for item in self._queues.expire(self._clock.now()):
+            detail = "no slot came free before the deadline"
+            self._close_waiting(item.request, NotRunReason.DEADLINE, detail)
+        self._follow_vms()
+        for pool in list(self._pools):
+            self._start_in(pool)
+
+    def _close_waiting(
+        self, request: RequestId, reason: NotRunReason, detail: str
+    ) -> None:
+        job = self._jobs.get(request)
+        if job is not None:
+            answer = NotRun(
+                reason=reason, detail=detail, retry_after=OVERLOAD_RETRY_SECONDS
+            )
+            self._close(job, job.answer or answer)
+
+    def _close(self, job: Job, answer: Completed | NotRun) -> None:
+        self._forget(job)
+        job.close(answer)
+
+    def _forget(self, job: Job) -> None:
+        if self._jobs.pop(job.request.id, None) is None:
+            return
+        self.endpoints.forget_task(job.request.task)
+        self._pools[job.queue.pool] -= 1
+        if not self._pools[job.queue.pool]:
+            del self._pools[job.queue.pool]
+
+    def _start_in(self, pool: PoolId) -> None:
+        now = self._clock.now()
+        if not self._replica.freshness.is_fresh(now):
+            return
+        while self.endpoints.pick(pool, (), now) is not None:
+            item = self._queues.next_item(
+                pool,
+                self._current_shares(),
+                self._all_running(),
+                self._may_start,
+                now,
+            )
+            if item is None:
+                return
+            job = self._jobs[item.request]
+            vm = self._place(job, now)
+            if vm is None:
+                self._queues.push(item, self._current_shares())
+                return
+            self._start(job, vm, now)
+
+    def _may_start(self, team: TeamId) -> bool:
+        return self._escrow.usable(self._replica.tables, team) > 0
+
+    def _place(self, job: Job, now: float) -> VmId | None:
+        pool = job.queue.pool
+        if job.pinned is not None:
+            row = self.endpoints.row(job.pinned)
+            return job.pinned if row is not None and row.room(now) > 0 else None
+        avoided = job.avoided | self.endpoints.failed_on(job.request.task)
+        may_probe = job.queue.idempotent and not job.attempts
+        found = self.endpoints.pick(pool, avoided, now, may_probe)
+        return found or self.endpoints.pick(pool, (), now, may_probe)
+
+    def _start(self, job: Job, vm: VmId, now: float) -> None:
+        team = job.request.team
+        if not self._escrow.start(self._replica.tables, team):
+            self._queues.push(job.item(), self._current_shares())
+            return
+        self.running[team] += 1
+        self.endpoints.note_start(vm, now)
+        job.attempts += 1
+        self._group.start_soon(self._run, job, vm)
+
+    async def _run(self, job: Job, vm: VmId) -> None:
+        try:
+            step = await self._attempts.run(job, vm, self.endpoints)
+        finally:
+            self.running[job.request.team] -= 1
+            self._escrow.finish(job.request.team)
+            self.wake()
+        match step:
+            case Closed(answer):
+                self._close(job, answer)
+            case Again(pause):
+                await anyio.sleep(pause)
+                self._try_again(job)
+
+    def _try_again(self, job: Job) -> None:
+        if job.request.id in self._jobs:
+            self._queues.push(job.item(), self._current_shares())
+            self.wake()
+
+    def _current_shares(self) -> dict[TeamId, float]:
+        tables = self._replica.tables
+        if self._shares_revision != tables.revision:
+            self._shares_revision = tables.revision
+            self._shares = _shares(tables)
+        return self._shares
+
+    def _all_running(self) -> dict[TeamId, int]:
+        if not self.peers_running:
+            return self.running
+        return self.running + Counter(self.peers_running)
+
+    def _follow_vms(self) -> None:
+        tables = self._replica.tables
+        for vm in set(self._vms_seen) - set(tables.vms):
+            del self._vms_seen[vm]
+            self.endpoints.remove(vm)
+        for vm, row in tables.vms.items():
+            if row.pool in self._pools or vm in self._vms_seen:
+                self._follow_vm(tables, row)
+
+    def _follow_vm(self, tables: Tables, row: VmRow) -> None:
+        endpoint = tables.endpoint_of(row.vm)
+        state = (row.revision, endpoint)
+        if endpoint is None or self._vms_seen.get(row.vm) == state:
+            return
+        self._vms_seen[row.vm] = state
+        self.endpoints.put(
+            EndpointRow(
+                vm=row.vm,
+                pool=row.pool,
+                zone=endpoint.zone,
+                rack=endpoint.rack,
+                slots=endpoint.slots,
+                in_service=row.in_service,
+            )
+        )
+
+
+def _shares(tables: Tables) -> dict[TeamId, float]:
+    return {
+        name: row.obj.percent
+        for name, row in tables.objects[Kind.SHARE].items()
+        if isinstance(row.obj, Share)
+    }
--- /dev/null
+++ b/hickoryplank/shell/jobs.py
@@ -0,0 +1,79 @@
+"""Jobs: requests in the hands of the dispatcher."""
+
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+
+from hickoryplank.core.ids import VmId
+from hickoryplank.core.objects import Queue, WorkClass
+from hickoryplank.core.queues import WorkItem
+from hickoryplank.core.records import Proof
+from hickoryplank.core.work import WorkAnswer, WorkRequest
+
+__all__ = ["Again", "Closed", "Job", "Step"]
+
+
+@dataclass(eq=False)
+class Job:
+    """One request from its arrival at this node to its answer.
+
+    :param deadline: when the caller gives up, on this node's clock in seconds.
+    :param proof: why the attempt before the next one did not run.
+    :param pinned: the only VM that the next attempt may run on.
+    :param durable: whether the request was accepted for good, so that it is
+        finished whatever becomes of its caller.
+    """
+
+    request: WorkRequest
+    queue: Queue
+    arrived: float
+    deadline: float
+    durable: bool = False
+    proof: Proof | None = None
+    pinned: VmId | None = None
+    attempts: int = 0
+    avoided: set[VmId] = field(default_factory=set)
+    answer: WorkAnswer | None = None
+    scope: anyio.CancelScope | None = None
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+    def close(self, answer: WorkAnswer) -> None:
+        """Set the answer, once."""
+        if self.answer is None:
+            self.answer = answer
+            self.done.set()
+
+    def item(self) -> WorkItem:
+        """Return the job's row in the table of waiting work."""
+        return WorkItem(
+            request=self.request.id,
+            task=self.request.task,
+            team=self.request.team,
+            queue=self.queue.name,
+            pool=self.queue.pool,
+            work_class=self.queue.work_class,
+            arrived=self.arrived,
+            deadline=self.deadline,
+            idempotent=self.queue.idempotent,
+        )
+
+    @property
+    def urgent(self) -> bool:
+        """Whether the work belongs to the urgent class."""
+        return self.queue.work_class is WorkClass.URGENT
+
+
+class Closed(msgspec.Struct, frozen=True):
+    """An attempt has settled its job."""
+
+    answer: WorkAnswer
+
+
+class Again(msgspec.Struct, frozen=True):
+    """An attempt did not settle its job, which may be tried again."""
+
+    pause: float = 0.0
+
+
+Step = Closed | Again
--- /dev/null
+++ b/hickoryplank/shell/workers.py
@@ -0,0 +1,96 @@
+"""What this node knows of workers' clocks, and leases of running tasks."""
+
+import logging
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.core.ids import TaskId, VmId
+from hickoryplank.core.tables import Tables
+from hickoryplank.platform.errors import StartFailure, StartLost, WorkerFailure
+from hickoryplank.platform.worker import Answer, Start, Worker, Workers
+from hickoryplank.shell.clock import Clock
+
+__all__ = ["LEASE_SECONDS", "WorkerClock", "WorkerPool"]
+
+logger = logging.getLogger(__name__)
+
+LEASE_SECONDS = 6.0
+RENEW_SECONDS = 2.0
+STATUS_SECONDS = 30.0
+
+
+class WorkerClock(msgspec.Struct, frozen=True):
+    """A worker's boot id and clock reading, and when the reading arrived here.
+
+    :param received: this node's clock reading, in seconds.
+    """
+
+    boot: str
+    reading: float
+    received: float
+
+    def at(self, now: float) -> float:
+        """Return a reading that the worker's clock has surely passed by ``now``."""
+        return self.reading + (now - self.received)
+
+
+class WorkerPool:
+    """Clients of the workers on all VMs, by VM."""
+
+    def __init__(self, workers: Workers, clock: Clock):
+        self._workers = workers
+        self._clock = clock
+        self._clocks: dict[VmId, WorkerClock] = {}
+        self._addresses: dict[VmId, str] = {}
+
+    def client(self, tables: Tables, vm: VmId) -> Worker | None:
+        """Return the client of the worker on ``vm``."""
+        endpoint = tables.endpoint_of(vm)
+        if endpoint is None:
+            return None
+        if self._addresses.get(vm) != endpoint.address:
+            self._clocks.pop(vm, None)
+            self._addresses[vm] = endpoint.address
+        return self._workers.at(endpoint.address)
+
+    async def clock_of(
+        self, worker: Worker, vm: VmId
+    ) -> Result[WorkerClock, WorkerFailure]:
+        """Return the worker's clock, asked for anew once it is old."""
+        known = self._clocks.get(vm)
+        if known is not None and self._clock.now() - known.received < STATUS_SECONDS:
+            return Ok(known)
+        match await worker.status():
+            case Ok(status):
+                known = WorkerClock(status.boot, status.clock, self._clock.now())
+                self._clocks[vm] = known
+                return Ok(known)
+            case Err(failure):
+                return Err(failure)
+
+    def forget(self, vm: VmId) -> None:
+        """Ask the worker on ``vm`` for its clock before the next start."""
+        self._clocks.pop(vm, None)
+
+    async def run(
+        self, worker: Worker, start: Start
+    ) -> Result[Answer, StartFailure | StartLost]:
+        """Start a task and renew its lease until its answer is there."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(keep_lease, worker, start.task, start.attempt)
+            answer = await worker.start(start)
+            group.cancel_scope.cancel()
+        return answer
+
+
+async def keep_lease(worker: Worker, task: TaskId, attempt: int) -> None:
+    """Renew the lease of a task until cancelled."""
+    while True:
+        await anyio.sleep(RENEW_SECONDS)
+        renewed = await worker.renew(task, attempt, LEASE_SECONDS)
+        if renewed.is_err():
+            logger.info(
+                "lease of %s not renewed: %s", task, renewed.unwrap_err().detail
+            )
