--- /dev/null
+++ b/hickoryplank/core/escrow.py
@@ -0,0 +1,275 @@
+"""One node's use of the escrow units that the log's ledger gives it.
+
+The ledger in the tables may run behind the log, and that is safe: units leave a
+node only by records that the node appends itself, and it lowers its own use
+before each of them. Units that come to it count once they are folded.
+"""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+import msgspec
+
+from hickoryplank.core.ids import Incarnation, RecordId, TeamId
+from hickoryplank.core.records import Record, UnitsMoved, UnitsReturned, UnitsTaken
+from hickoryplank.core.tables import Tables
+from hickoryplank.core.units import excess, free_units, surplus
+
+__all__ = [
+    "REQUEST_SECONDS",
+    "TURN_SECONDS",
+    "Escrow",
+    "UnitsRecord",
+    "UnitsWanted",
+]
+
+REQUEST_SECONDS = 1.0
+TURN_SECONDS = 0.2
+
+UnitsRecord = UnitsTaken | UnitsMoved | UnitsReturned
+_Record = TypeVar("_Record", UnitsTaken, UnitsMoved, UnitsReturned)
+
+
+class UnitsWanted(msgspec.Struct, frozen=True):
+    """A node tells a holder how much work it has for a team.
+
+    :param demand: units for the work that it runs and the work that waits there.
+    """
+
+    team: TeamId
+    node: Incarnation
+    demand: int
+
+
+@dataclass
+class _Request:
+    demand: int
+    since: float
+    renewed: float
+
+
+@dataclass
+class _Team:
+    """What the node does with the units of one team."""
+
+    running: int = 0
+    pending: dict[RecordId, UnitsRecord] = field(default_factory=dict)
+    requests: dict[Incarnation, _Request] = field(default_factory=dict)
+
+
+@dataclass
+class Escrow:
+    """The units that one incarnation may use.
+
+    :param me: the node's own incarnation.
+    :param new_id: gives the id of a new record.
+    """
+
+    me: Incarnation
+    new_id: Callable[[], RecordId]
+    _teams: dict[TeamId, _Team] = field(default_factory=dict)
+
+    def running(self, team: TeamId) -> int:
+        """Return how many units the node's work of ``team`` uses."""
+        return self._team(team).running
+
+    def held(self, tables: Tables, team: TeamId) -> int:
+        """Return the units in the ledger that the node has not given away."""
+        if not tables.is_live(self.me):
+            return 0
+        held = tables.units.get(team, {}).get(self.me, 0)
+        return held - self._lowered(team)
+
+    def owed(self, tables: Tables, team: TeamId) -> int:
+        """Return the units to give back, since the limit was lowered."""
+        return max(0, surplus(tables, team, self.me) - self._lowered(team))
+
+    def usable(self, tables: Tables, team: TeamId) -> int:
+        """Return how much more work of ``team`` the node may start now.
+
+        While more units are held than a lowered limit allows, nobody starts any,
+        for others may still use all that they hold.
+        """
+        if excess(tables, team) > 0:
+            return 0
+        return max(0, self.held(tables, team) - self.running(team))
+
+    def start(self, tables: Tables, team: TeamId) -> bool:
+        """Use one unit for work that starts; tell whether there was one."""
+        if self.usable(tables, team) == 0:
+            return False
+        self._team(team).running += 1
+        return True
+
+    def finish(self, team: TeamId) -> None:
+        """Free the unit of work that has ended, or whose lease has lapsed."""
+        state = self._team(team)
+        if state.running == 0:
+            raise ValueError(f"no work of team {team} is running")
+        state.running -= 1
+
+    def offer(
+        self, tables: Tables, team: TeamId, receiver: Incarnation, units: int
+    ) -> UnitsMoved | None:
+        """Stop using ``units`` and return the record that moves them."""
+        if not 0 < units <= self.usable(tables, team):
+            return None
+        record = UnitsMoved(
+            id=self.new_id(),
+            team=team,
+            giver=self.me,
+            receiver=receiver,
+            units=units,
+        )
+        return self._add(record)
+
+    def give_back(self, tables: Tables, team: TeamId) -> UnitsReturned | None:
+        """Return the record for units to give back after a limit was lowered.
+
+        A node gives back its surplus first. Where others still use theirs, it
+        gives back what else is idle, so that their work holds up nobody.
+        """
+        over = excess(tables, team)
+        idle = self.held(tables, team) - self.running(team)
+        units = min(idle, self.owed(tables, team) or over)
+        if over <= 0 or units <= 0 or self._lowered(team):
+            return None
+        record = UnitsReturned(id=self.new_id(), team=team, holder=self.me, units=units)
+        return self._add(record)
+
+    def take(self, tables: Tables, team: TeamId, queued: int) -> UnitsTaken | None:
+        """Return the record that asks for free units, one at a time per team.
+
+        :param queued: units that the waiting work of the team needs.
+        """
+        lacking = queued - self.usable(tables, team)
+        units = min(lacking, free_units(tables, team))
+        if units <= 0 or self._is_taking(team) or not tables.is_live(self.me):
+            return None
+        record = UnitsTaken(id=self.new_id(), team=team, holder=self.me, units=units)
+        return self._add(record)
+
+    def ask(self, tables: Tables, team: TeamId, queued: int) -> UnitsWanted | None:
+        """Return what to tell the other holders while the node lacks units."""
+        if queued <= self.usable(tables, team) or free_units(tables, team):
+            return None
+        return UnitsWanted(team, self.me, self.running(team) + queued)
+
+    def note_wanted(self, wanted: UnitsWanted, now: float) -> None:
+        """Note that another node lacks units; it repeats this while it does."""
+        requests = self._team(wanted.team).requests
+        known = requests.get(wanted.node)
+        since = known.since if known and not _expired(known, now) else now
+        requests[wanted.node] = _Request(wanted.demand, since, now)
+
+    def answer(
+        self, tables: Tables, team: TeamId, queued: int, now: float
+    ) -> list[UnitsMoved]:
+        """Return the moves that share the idle units fairly among those in need.
+
+        Each gets the same, as far as it has work for it. What cannot be divided
+        goes to who has waited longest; the node itself keeps it for a turn. So a
+        limit below the number of nodes goes round among them.
+
+        :param queued: units that the node's own waiting work needs.
+        :param now: the node's clock, in seconds.
+        """
+        requests = self._team(team).requests
+        for node in [n for n, r in requests.items() if _expired(r, now)]:
+            del requests[node]
+        asking = [node for node in requests if tables.is_live(node)]
+        if not asking:
+            return []
+        due = self._fair_split(tables, team, asking, queued, now)
+        records = []
+        for node in sorted(asking, key=lambda n: (requests[n].since, n)):
+            lacking = due[node] - tables.units.get(team, {}).get(node, 0)
+            units = min(lacking, self.usable(tables, team))
+            record = self.offer(tables, team, node, units)
+            if record is not None:
+                del requests[node]
+                records.append(record)
+        return records
+
+    def settle(self, record: Record) -> None:
+        """Note that a record was folded, whether accepted or refused.
+
+        It is called for each record of a batch before any work starts, so the
+        ledger and the node's own count change together.
+        """
+        if isinstance(record, UnitsRecord):
+            self._team(record.team).pending.pop(record.id, None)
+
+    def unsettled(self) -> list[UnitsRecord]:
+        """Return the records not folded yet, which may be appended again."""
+        return [
+            record
+            for state in self._teams.values()
+            for record in state.pending.values()
+        ]
+
+    def teams(self) -> Collection[TeamId]:
+        """Return the teams that the node has had to do with."""
+        return self._teams.keys()
+
+    def _team(self, team: TeamId) -> _Team:
+        return self._teams.setdefault(team, _Team())
+
+    def _add(self, record: _Record) -> _Record:
+        self._team(record.team).pending[record.id] = record
+        return record
+
+    def _lowered(self, team: TeamId) -> int:
+        return sum(
+            record.units
+            for record in self._team(team).pending.values()
+            if not isinstance(record, UnitsTaken)
+        )
+
+    def _is_taking(self, team: TeamId) -> bool:
+        pending = self._team(team).pending.values()
+        return any(isinstance(record, UnitsTaken) for record in pending)
+
+    def _fair_split(
+        self,
+        tables: Tables,
+        team: TeamId,
+        asking: list[Incarnation],
+        queued: int,
+        now: float,
+    ) -> dict[Incarnation, int]:
+        """Return the units that each node is due, this one included."""
+        state = self._team(team)
+        ledger = tables.units.get(team, {})
+        mine = self.held(tables, team)
+        demands = {node: state.requests[node].demand for node in asking}
+        demands[self.me] = state.running + queued
+        waits = {node: now - state.requests[node].since for node in asking}
+        waits[self.me] = TURN_SECONDS
+        total = mine + sum(ledger.get(node, 0) for node in asking)
+        return _share_out(total, demands, waits)
+
+
+def _expired(request: _Request, now: float) -> bool:
+    return now - request.renewed > REQUEST_SECONDS
+
+
+def _share_out(
+    total: int, demands: dict[Incarnation, int], waits: dict[Incarnation, float]
+) -> dict[Incarnation, int]:
+    """Return a max-min fair split of ``total``, the longest wait served first."""
+    due = dict.fromkeys(demands, 0)
+    hungry = sorted(demands, key=lambda node: (-waits[node], node))
+    while total > 0 and hungry:
+        each = total // len(hungry)
+        if each == 0:
+            for node in hungry[:total]:
+                due[node] += 1
+            break
+        for node in hungry:
+            part = min(each, demands[node] - due[node])
+            due[node] += part
+            total -= part
+        hungry = [node for node in hungry if due[node] < demands[node]]
+    return due
--- a/hickoryplank/core/units.py
+++ b/hickoryplank/core/units.py
@@ -5,13 +5,24 @@
 from hickoryplank.core.records import UnitsMoved, UnitsReturned, UnitsTaken
 from hickoryplank.core.tables import Tables
 
-__all__ = ["apply_moved", "apply_returned", "apply_taken", "free_units", "surplus"]
+__all__ = [
+    "apply_moved",
+    "apply_returned",
+    "apply_taken",
+    "excess",
+    "free_units",
+    "surplus",
+]
 
 
 def free_units(tables: Tables, team: TeamId) -> int:
     """Return how many units of the team's limit nobody holds."""
-    held = sum(tables.units.get(team, {}).values())
-    return max(0, tables.limit_of(team) - held)
+    return max(0, -excess(tables, team))
+
+
+def excess(tables: Tables, team: TeamId) -> int:
+    """Return how many more units are held than the limit allows; below 0, fewer."""
+    return sum(tables.units.get(team, {}).values()) - tables.limit_of(team)
 
 
 def surplus(tables: Tables, team: TeamId, holder: Incarnation) -> int:
@@ -20,13 +31,13 @@
     The largest holders give back first, so that all nodes reckon alike.
     """
     held = dict(tables.units.get(team, {}))
-    excess = sum(held.values()) - tables.limit_of(team)
-    if excess <= 0 or holder not in held:
+    if excess(tables, team) <= 0 or holder not in held:
         return 0
-    level = _level(sorted(held.values()), sum(held.values()) - excess)
+    limit = tables.limit_of(team)
+    level = _level(sorted(held.values()), limit)
     above = {inc: units - level for inc, units in held.items() if units > level}
     kept = sum(min(units, level) for units in held.values())
-    spare = sum(held.values()) - excess - kept
+    spare = limit - kept
     keepers = sorted(above)[:spare]
     return max(0, above.get(holder, 0) - (1 if holder in keepers else 0))
 
