--- a/hickoryplank/core/edits.py
+++ b/hickoryplank/core/edits.py
@@ -183,7 +183,7 @@
             case Delete(ref):
                 del tables.objects[ref.kind][ref.name]
                 if ref.kind is Kind.ENDPOINT:
-                    tables.vms.pop(ref.name, None)
+                    tables.drop_vm(ref.name)
     tables.revision = revision
 
 
@@ -191,10 +191,16 @@
     ref = ref_of(obj)
     tables.objects[ref.kind][ref.name] = ObjectRow(obj, revision)
     if isinstance(obj, Endpoint) and obj.name not in tables.vms:
-        tables.vms[obj.name] = VmRow(
-            vm=obj.name,
-            pool=obj.pool,
-            state=VmState.ACTIVE,
-            healthy=True,
-            revision=revision,
-        )
+        tables.add_vm(_new_vm(obj, revision))
+    if isinstance(obj, Pool):
+        tables.vm_index.touch(obj.name, tables.sequence)
+
+
+def _new_vm(end: Endpoint, revision: Revision) -> VmRow:
+    return VmRow(
+        vm=end.name,
+        pool=end.pool,
+        state=VmState.ACTIVE,
+        healthy=True,
+        revision=revision,
+    )
--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -253,6 +253,8 @@
 
     :param revision: the revision of the VM's row that the proposer read.
     :param wave: the maintenance wave that the step belongs to, if any.
+    :param target: for a VM that leaves to change pools, the pool that it joins.
+    :param boot: for a reboot, the boot id that the worker reported last.
     """
 
     id: RecordId
@@ -260,6 +262,8 @@
     revision: Revision
     state: VmState
     wave: WaveId | None = None
+    target: PoolId | None = None
+    boot: str = ""
 
 
 class VmMoved(msgspec.Struct, frozen=True, tag="vm_moved", kw_only=True):
--- a/hickoryplank/core/tables.py
+++ b/hickoryplank/core/tables.py
@@ -20,6 +20,7 @@
 )
 from hickoryplank.core.objects import ConfigObject, Endpoint, Kind, Limit, Ref
 from hickoryplank.core.records import Outcome, VmState, WaveState
+from hickoryplank.core.vmindex import VmIndex
 
 __all__ = [
     "ClaimRow",
@@ -60,7 +61,12 @@
 
 
 class VmRow(msgspec.Struct):
-    """The pool and the maintenance state of a VM."""
+    """The pool and the maintenance state of a VM.
+
+    :param target: the pool that the VM joins once drained, if it is on a move.
+    :param boot: the worker's boot id before the reboot that was asked for.
+    :param reboots: reboots since the VM left service.
+    """
 
     vm: VmId
     pool: PoolId
@@ -68,6 +74,9 @@
     healthy: bool
     revision: Revision
     wave: WaveId | None = None
+    target: PoolId | None = None
+    boot: str = ""
+    reboots: int = 0
 
     @property
     def in_service(self) -> bool:
@@ -102,7 +111,7 @@
     outcome: Outcome | None = None
 
 
-class Tables(msgspec.Struct):
+class Tables(msgspec.Struct, dict=True):
     """Everything that nodes must agree on.
 
     :param sequence: how many records have been folded.
@@ -138,9 +147,31 @@
         row = self.objects[Kind.ENDPOINT].get(vm)
         return row.obj if row and isinstance(row.obj, Endpoint) else None
 
+    @property
+    def vm_index(self) -> VmIndex:
+        """The VMs by pool; it follows from ``vms`` and is not encoded."""
+        index = self.__dict__.get("_vm_index")
+        if index is None or index.size != len(self.vms):
+            index = VmIndex(self.vms.values(), self.sequence)
+            self.__dict__["_vm_index"] = index
+        return index
+
     def members(self, pool: PoolId) -> list[VmRow]:
-        """Return the VMs of ``pool``."""
-        return [row for row in self.vms.values() if row.pool == pool]
+        """Return the VMs of ``pool``, in no particular order."""
+        return self.vm_index.members(pool)
+
+    def add_vm(self, row: VmRow) -> None:
+        """Take in a new VM."""
+        index = self.vm_index
+        self.vms[row.vm] = row
+        index.add(row, self.sequence)
+
+    def drop_vm(self, vm: VmId) -> None:
+        """Forget a VM, if there is one."""
+        index = self.vm_index
+        row = self.vms.pop(vm, None)
+        if row is not None:
+            index.drop(row, self.sequence)
 
     def live_nodes(self) -> list[NodeRow]:
         """Return the incarnations that may still run."""
--- /dev/null
+++ b/hickoryplank/core/vmindex.py
@@ -0,0 +1,76 @@
+"""An index of the VMs by pool, kept beside the tables and never encoded."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING
+
+from hickoryplank.core.ids import PoolId, VmId
+from hickoryplank.core.records import VmState
+
+if TYPE_CHECKING:
+    from hickoryplank.core.tables import VmRow
+
+__all__ = ["VmIndex"]
+
+
+class VmIndex:
+    """VMs by pool, VMs out of rotation, and the pools that changed last.
+
+    The index follows from the rows; a node that starts from a snapshot builds
+    it anew. The order of the members is not part of it.
+
+    :param sequence: the sequence number of the tables that ``rows`` come from.
+    """
+
+    def __init__(self, rows: Iterable[VmRow], sequence: int) -> None:
+        self.size = 0
+        self.away: dict[VmId, VmRow] = {}
+        self._members: dict[PoolId, dict[VmId, VmRow]] = {}
+        self._changed: dict[PoolId, int] = {}
+        for row in rows:
+            self.add(row, sequence)
+
+    def members(self, pool: PoolId) -> list[VmRow]:
+        """Return the VMs of ``pool``."""
+        return list(self._members.get(pool, {}).values())
+
+    def add(self, row: VmRow, sequence: int) -> None:
+        """Take in a new VM."""
+        self._members.setdefault(row.pool, {})[row.vm] = row
+        self.size += 1
+        self.note(row, sequence)
+
+    def drop(self, row: VmRow, sequence: int) -> None:
+        """Forget a VM."""
+        del self._members[row.pool][row.vm]
+        self.away.pop(row.vm, None)
+        self.size -= 1
+        self.touch(row.pool, sequence)
+
+    def move(self, row: VmRow, old: PoolId, sequence: int) -> None:
+        """Follow a VM that has left pool ``old`` for the pool in its row."""
+        del self._members[old][row.vm]
+        self._members.setdefault(row.pool, {})[row.vm] = row
+        self.touch(old, sequence)
+        self.touch(row.pool, sequence)
+
+    def note(self, row: VmRow, sequence: int) -> None:
+        """Follow a change of a VM's state or health."""
+        if row.state is VmState.ACTIVE:
+            self.away.pop(row.vm, None)
+        else:
+            self.away[row.vm] = row
+        self.touch(row.pool, sequence)
+
+    def touch(self, pool: PoolId, sequence: int) -> None:
+        """Mark ``pool`` as changed."""
+        self._changed.pop(pool, None)
+        self._changed[pool] = sequence
+
+    def changed_since(self, sequence: int) -> Iterator[PoolId]:
+        """Yield the pools that changed after ``sequence``, the last one first."""
+        for pool in reversed(self._changed):
+            if self._changed[pool] <= sequence:
+                return
+            yield pool
--- a/hickoryplank/core/vms.py
+++ b/hickoryplank/core/vms.py
@@ -60,18 +60,29 @@
     if record.state not in _NEXT_STATES[row.state]:
         message = f"VM {row.vm} cannot go from {row.state.value} to"
         return [Fault(FaultCode.WRONG_STATE, f"{message} {record.state.value}")]
-    if record.state is VmState.LEAVING:
-        faults = _check_leave(tables, row, record)
-        if faults:
-            return faults
-        row.wave = record.wave
-    if record.state is VmState.ACTIVE:
-        _finish(tables, row)
+    faults = _check_wave(tables, record) or _check_leave(tables, row, record)
+    if faults:
+        return faults
+    _take_step(tables, row, record)
     row.state = record.state
     row.revision = revision
+    tables.vm_index.note(row, tables.sequence)
     return []
 
 
+def _take_step(tables: Tables, row: VmRow, record: VmStep) -> None:
+    match record.state:
+        case VmState.LEAVING:
+            row.wave = record.wave
+            row.target = record.target
+        case VmState.REBOOTING:
+            row.wave = record.wave or row.wave
+            row.boot = record.boot
+            row.reboots += 1
+        case VmState.ACTIVE:
+            _finish(tables, row)
+
+
 def _check_read(row: VmRow | None, revision: Revision, vm: str) -> list[Fault]:
     if row is None:
         return [Fault(FaultCode.MISSING_REFERENCE, f"VM {vm} does not exist")]
@@ -81,12 +92,22 @@
     return []
 
 
+def _check_wave(tables: Tables, record: VmStep) -> list[Fault]:
+    if record.wave is None:
+        return []
+    wave = tables.waves.get(record.wave)
+    if wave is None or wave.state is not WaveState.RUNNING:
+        message = f"wave {record.wave} is not running"
+        return [Fault(FaultCode.WRONG_STATE, message)]
+    return []
+
+
 def _check_leave(tables: Tables, row: VmRow, record: VmStep) -> list[Fault]:
-    if record.wave is not None:
-        wave = tables.waves.get(record.wave)
-        if wave is None or wave.state is not WaveState.RUNNING:
-            message = f"wave {record.wave} is not running"
-            return [Fault(FaultCode.WRONG_STATE, message)]
+    if record.state is not VmState.LEAVING:
+        return []
+    if record.target is not None and record.target not in tables.objects[Kind.POOL]:
+        message = f"pool {record.target} does not exist"
+        return [Fault(FaultCode.MISSING_REFERENCE, message)]
     available = in_service(tables, row.pool)
     budget = budget_of(tables, row.pool)
     if row.in_service and available - 1 < budget:
@@ -103,6 +124,9 @@
     if wave is not None and row.state is VmState.PROBING:
         wave.done.append(row.vm)
     row.wave = None
+    row.target = None
+    row.boot = ""
+    row.reboots = 0
 
 
 def apply_move(tables: Tables, record: VmMoved, revision: Revision) -> list[Fault]:
@@ -122,8 +146,10 @@
     if left and left <= budget or left < budget:
         message = f"pool {row.pool} would keep {left} VMs for a budget of {budget}"
         return [Fault(FaultCode.BUDGET, message)]
-    row.pool = record.pool
+    old, row.pool = row.pool, record.pool
+    row.target = record.pool
     row.revision = revision
+    tables.vm_index.move(row, old, tables.sequence)
     end = tables.endpoint_of(row.vm)
     moved = msgspec.structs.replace(end, pool=record.pool)
     tables.objects[Kind.ENDPOINT][row.vm] = ObjectRow(moved, revision)
@@ -138,6 +164,7 @@
     if row.healthy != record.healthy:
         row.healthy = record.healthy
         row.revision = revision
+        tables.vm_index.note(row, tables.sequence)
     return []
 
 
