Add in-memory and HTTP clients of the platform, and stand-ins

The first whole path needs a log, a VM list and workers to talk to. Each interface gets a version in memory, with fault switches, and one over httpx. The stand-in programs serve the in-memory objects over HTTP, so both follow one model. The state of a worker's task follows from the clock at each look: a task of the event loop for each started task was ruled out, because a caller that goes away would have cancelled its work.

--- /dev/null
+++ b/hickoryplank/platform/log_memory.py
@@ -0,0 +1,106 @@
+"""A log service in memory, with fault switches."""
+
+import time
+from collections import defaultdict, deque
+from collections.abc import Callable
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
+from hickoryplank.platform.faults import LogFaults
+from hickoryplank.platform.log import Entry, Log, Page
+
+__all__ = ["MemoryLog"]
+
+_OUTAGE = LogFailure(LogError.UNAVAILABLE, "outage")
+_LOST = LogFailure(LogError.UNKNOWN, "the answer was lost")
+
+
+class _Record(msgspec.Struct, frozen=True):
+    entry: Entry
+    time: float
+
+
+class _Stream:
+    """The kept records of one stream."""
+
+    def __init__(self) -> None:
+        self.records: deque[_Record] = deque()
+        self.tail = 0
+        self.changed = anyio.Event()
+
+    @property
+    def first(self) -> int:
+        return self.records[0].entry.offset if self.records else self.tail
+
+    def append(self, data: bytes, now: float) -> int:
+        offset = self.tail
+        self.records.append(_Record(Entry(offset, data), now))
+        self.tail += 1
+        self.wake()
+        return offset
+
+    def page(self, start: int, limit: int) -> Page:
+        skip = start - self.first
+        stop = min(skip + limit, len(self.records))
+        entries = tuple(self.records[i].entry for i in range(skip, stop))
+        return Page(entries, self.tail, self.first)
+
+    def trim(self, faults: LogFaults, now: float) -> None:
+        if faults.keep_records is not None:
+            while len(self.records) > faults.keep_records:
+                self.records.popleft()
+        if faults.keep_seconds is not None:
+            while self.records and self.records[0].time < now - faults.keep_seconds:
+                self.records.popleft()
+
+    def wake(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+class MemoryLog(Log):
+    """A log service in memory.
+
+    :param clock: gives the time in seconds by which records age.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.faults = LogFaults()
+        self._clock = clock
+        self._streams: defaultdict[str, _Stream] = defaultdict(_Stream)
+
+    def set_faults(self, faults: LogFaults) -> None:
+        """Replace the faults and wake readers that wait at a tail."""
+        self.faults = faults
+        for stream in self._streams.values():
+            stream.wake()
+
+    async def append(self, stream: str, data: bytes) -> Result[int, LogFailure]:
+        """Append one record and return its offset."""
+        await anyio.sleep(self.faults.slow_seconds)
+        if self.faults.outage:
+            return Err(_OUTAGE)
+        offset = self._streams[stream].append(data, self._clock())
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return Err(_LOST)
+        return Ok(offset)
+
+    async def read(
+        self, stream: str, start: int, limit: int, wait: float
+    ) -> Result[Page, LogFailure | Trimmed]:
+        """Read from ``start``; at the tail, wait up to ``wait`` seconds for more."""
+        await anyio.sleep(self.faults.slow_seconds)
+        records = self._streams[stream]
+        with anyio.move_on_after(wait):
+            while start >= records.tail and not self.faults.outage:
+                await records.changed.wait()
+        if self.faults.outage:
+            return Err(_OUTAGE)
+        records.trim(self.faults, self._clock())
+        if start < records.first:
+            return Err(Trimmed(records.first))
+        return Ok(records.page(start, limit))
--- a/hickoryplank/platform/vmlist.py
+++ b/hickoryplank/platform/vmlist.py
@@ -41,5 +41,11 @@
         """Return the list as it is known now, some seconds late."""
 
     @abstractmethod
-    async def reboot(self, vm: VmId) -> Result[None, VmListFailure]:
-        """Ask the platform to reboot ``vm``; asking twice for one boot is harmless."""
+    async def reboot(
+        self, vm: VmId, generation: int | None = None
+    ) -> Result[None, VmListFailure]:
+        """Ask the platform to reboot ``vm``; asking twice for one boot is harmless.
+
+        :param generation: the generation to end; a VM past it is left alone. Without
+            it, a second request that comes after the reboot causes another.
+        """
--- /dev/null
+++ b/hickoryplank/platform/vmlist_http.py
@@ -0,0 +1,59 @@
+"""A client of the VM list over HTTP."""
+
+from http import HTTPStatus
+
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.core.ids import VmId
+from hickoryplank.platform import wire
+from hickoryplank.platform.channel import Channel, ChannelOptions, Reply
+from hickoryplank.platform.errors import VmListFailure
+from hickoryplank.platform.vmlist import ListedVm, VmList
+
+__all__ = ["HttpVmList"]
+
+
+class HttpVmList(VmList):
+    """A client of the VM list.
+
+    :param address: the service's ``host:port``.
+    """
+
+    def __init__(self, address: str, options: ChannelOptions | None = None) -> None:
+        self._channel = Channel(address, options or ChannelOptions())
+
+    async def read(self) -> Result[tuple[ListedVm, ...], VmListFailure]:
+        """Return the list as it is known now, some seconds late."""
+        called = await self._call("GET", "/vms")
+        return called.and_then(_rows)
+
+    async def reboot(
+        self, vm: VmId, generation: int | None = None
+    ) -> Result[None, VmListFailure]:
+        """Ask the platform to reboot ``vm``; asking twice for one boot is harmless."""
+        body = msgspec.msgpack.encode(wire.RebootRequest(vm, generation))
+        return (await self._call("POST", "/reboot", body)).map(lambda _: None)
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._channel.aclose()
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b""
+    ) -> Result[Reply, VmListFailure]:
+        called = await self._channel.call(method, path, body=body)
+        match called:
+            case Ok(Reply(HTTPStatus.OK) as reply):
+                return Ok(reply)
+            case Ok(reply):
+                return Err(VmListFailure(f"status {reply.status}"))
+            case Err(failure):
+                return Err(VmListFailure(failure.detail))
+
+
+def _rows(reply: Reply) -> Result[tuple[ListedVm, ...], VmListFailure]:
+    try:
+        return Ok(msgspec.msgpack.decode(reply.body, type=tuple[ListedVm, ...]))
+    except msgspec.DecodeError as exc:
+        return Err(VmListFailure(str(exc)))
--- /dev/null
+++ b/hickoryplank/platform/vmlist_memory.py
@@ -0,0 +1,104 @@
+"""A VM list in memory, with fault switches."""
+
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.core.ids import VmId
+from hickoryplank.platform.errors import VmListFailure
+from hickoryplank.platform.faults import VmListFaults
+from hickoryplank.platform.vmlist import ListedState, ListedVm, VmList
+
+__all__ = ["MemoryVmList"]
+
+_HISTORY_SECONDS = 600.0
+
+
+class _Version(msgspec.Struct, frozen=True):
+    time: float
+    rows: dict[VmId, ListedVm]
+
+
+class MemoryVmList(VmList):
+    """A VM list in memory.
+
+    :param reboot_seconds: how long a reboot takes.
+    :param clock: gives the time in seconds.
+    """
+
+    def __init__(
+        self,
+        rows: Iterable[ListedVm] = (),
+        reboot_seconds: float = 0.0,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.faults = VmListFaults()
+        self._reboot_seconds = reboot_seconds
+        self._clock = clock
+        self._reboots: dict[VmId, float] = {}
+        self._history = [_Version(clock(), {row.vm: row for row in rows})]
+
+    def set_faults(self, faults: VmListFaults) -> None:
+        """Replace the faults."""
+        self.faults = faults
+
+    def now(self) -> tuple[ListedVm, ...]:
+        """Return the true list, without its lag."""
+        self._finish_reboots()
+        return tuple(self._history[-1].rows.values())
+
+    def put(self, row: ListedVm) -> None:
+        """Add a VM, or change what is true of it from now on."""
+        self._finish_reboots()
+        self._put(row, self._clock())
+
+    def _put(self, row: ListedVm, when: float) -> None:
+        rows = {**self._history[-1].rows, row.vm: row}
+        self._history.append(_Version(when, rows))
+        while self._history[1].time < when - _HISTORY_SECONDS:
+            self._history.pop(0)
+
+    def _finish_reboots(self) -> None:
+        due = sorted((end, vm) for vm, end in self._reboots.items())
+        for end, vm in due:
+            if end > self._clock():
+                return
+            del self._reboots[vm]
+            row = self._history[-1].rows[vm]
+            if row.state is not ListedState.GONE:
+                live = msgspec.structs.replace(
+                    row, state=ListedState.LIVE, generation=row.generation + 1
+                )
+                self._put(live, end)
+
+    async def read(self) -> Result[tuple[ListedVm, ...], VmListFailure]:
+        """Return the list as it was ``lag_seconds`` ago."""
+        if self.faults.outage:
+            return Err(VmListFailure("outage"))
+        self._finish_reboots()
+        seen = self._clock() - self.faults.lag_seconds
+        past = [version for version in self._history if version.time <= seen]
+        version = past[-1] if past else self._history[0]
+        return Ok(tuple(version.rows.values()))
+
+    async def reboot(
+        self, vm: VmId, generation: int | None = None
+    ) -> Result[None, VmListFailure]:
+        """Reboot ``vm``, unless it is rebooting or past ``generation``."""
+        if self.faults.outage:
+            return Err(VmListFailure("outage"))
+        self._finish_reboots()
+        row = self._history[-1].rows.get(vm)
+        if row is None or row.state is ListedState.GONE:
+            return Err(VmListFailure(f"no VM {vm}"))
+        if vm not in self._reboots and generation in (None, row.generation):
+            self._put(
+                msgspec.structs.replace(row, state=ListedState.LEAVING), self._clock()
+            )
+            self._reboots[vm] = self._clock() + self._reboot_seconds
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return Err(VmListFailure("the answer was lost"))
+        return Ok(None)
--- /dev/null
+++ b/hickoryplank/platform/worker_engine.py
@@ -0,0 +1,341 @@
+"""What a worker does with its tasks: slots, leases, attempts and kept answers.
+
+No task of the event loop runs for a started task. Its state follows from the clock
+whenever it is looked at, so a caller that goes away leaves the work untouched.
+"""
+
+import hashlib
+import math
+import time
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from uuid import uuid4
+
+import anyio
+import msgspec
+
+from hickoryplank.core.ids import TaskId
+from hickoryplank.platform.errors import RefusedStart
+from hickoryplank.platform.faults import WorkerFaults
+from hickoryplank.platform.worker import (
+    Answer,
+    Start,
+    TaskReport,
+    TaskState,
+    WorkerStatus,
+)
+
+__all__ = ["Effects", "Interrupted", "Sent", "Work", "WorkerEngine", "answer_body"]
+
+_OK = 200
+_FAILED = 500
+
+
+class Work(msgspec.Struct, kw_only=True):
+    """What the JSON body of a start may ask for; any other body asks for nothing.
+
+    :param seconds: service time; ``None`` takes the worker's own.
+    :param effect: the name under which the effect is counted, besides the task id.
+    """
+
+    seconds: float | None = None
+    effect: str = ""
+
+
+class Effects(msgspec.Struct, kw_only=True):
+    """What a worker has done since it was made, reboots included.
+
+    :param starts: executions begun, by task; resuming from a checkpoint is not one.
+    :param tasks: effects, by task.
+    :param effects: effects, by the name that the body gave.
+    :param cut_off: tasks that a restart ended while they ran.
+    """
+
+    starts: Counter[str]
+    tasks: Counter[str]
+    effects: Counter[str]
+    cut_off: int = 0
+
+
+class Sent(msgspec.Struct, frozen=True):
+    """An answer as sent, and the length that it had before the network touched it.
+
+    :param length: bytes of the whole body.
+    """
+
+    answer: Answer
+    length: int
+
+
+class Interrupted(Enum):
+    """Why a start that was taken has no answer."""
+
+    CHECKPOINTED = "checkpointed"
+    STOPPED = "stopped"
+    RESTARTED = "restarted"
+    SUPERSEDED = "superseded"
+    ANSWER_LOST = "answer_lost"
+
+
+class _Run(msgspec.Struct, kw_only=True):
+    attempt: int
+    state: TaskState
+    work: Work
+    content_type: str = ""
+    body: bytes = b""
+    finish_at: float = math.inf
+    lease_end: float = math.inf
+    remaining: float = 0.0
+    stopped: bool = False
+    attempts: set[int] = msgspec.field(default_factory=set)
+    answers: dict[int, Answer] = msgspec.field(default_factory=dict)
+
+
+def answer_body(body: bytes) -> bytes:
+    """Return the body that answers a start with ``body``."""
+    return b"answer %s %s" % (hashlib.sha256(body).hexdigest().encode(), body)
+
+
+class WorkerEngine:
+    """One worker.
+
+    :param slots: tasks that run at the same time.
+    :param seconds: service time of a task that names none.
+    :param clock: gives the worker's monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        slots: int = 8,
+        seconds: float = 0.0,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.faults = WorkerFaults()
+        self.boot = uuid4().hex
+        self._slots = slots
+        self._seconds = seconds
+        self._clock = clock
+        self._runs: dict[TaskId, _Run] = {}
+        self._running: set[TaskId] = set()
+        self._paused_at: float | None = None
+        self._changed = anyio.Event()
+        self._effects = Effects(starts=Counter(), tasks=Counter(), effects=Counter())
+
+    def set_faults(self, faults: WorkerFaults) -> None:
+        """Replace the faults."""
+        self._settle()
+        self.faults = faults
+        if faults.paused and self._paused_at is None:
+            self._paused_at = self._clock()
+        if not faults.paused and self._paused_at is not None:
+            self._shift(self._clock() - self._paused_at)
+            self._paused_at = None
+        self._wake()
+
+    def restart(self) -> None:
+        """Start again under a new boot id, with all tasks and answers lost."""
+        self._settle()
+        self._effects.cut_off += len(self._running)
+        self._runs.clear()
+        self._running.clear()
+        self.boot = uuid4().hex
+        self._wake()
+
+    def effects(self) -> Effects:
+        """Return what the worker has done so far."""
+        self._settle()
+        return self._effects
+
+    async def status(self) -> WorkerStatus:
+        """Return the boot id, clock and load."""
+        await self._resumed()
+        return WorkerStatus(
+            boot=self.boot,
+            clock=self._clock(),
+            running=len(self._running),
+            slots=self._slots,
+        )
+
+    async def start(self, start: Start) -> Sent | RefusedStart | Interrupted:
+        """Run a task to its end; a repeated attempt joins the earlier one."""
+        await self._resumed()
+        boot = self.boot
+        refusal = self._take(start)
+        if refusal is not None:
+            return refusal
+        outcome = await self._outcome(start, boot)
+        await anyio.sleep(self.faults.late_seconds)
+        await self._resumed()
+        return self._sent(outcome) if isinstance(outcome, Answer) else outcome
+
+    async def renew(self, task: TaskId, attempt: int, lease: float) -> bool:
+        """Extend a lease; return whether the attempt is running."""
+        await self._resumed()
+        run = self._runs.get(task)
+        if run is None or run.state is not TaskState.RUNNING or run.attempt != attempt:
+            return False
+        run.lease_end = self._clock() + lease
+        self._wake()
+        return True
+
+    async def find(self, task: TaskId) -> TaskReport:
+        """Return what is known of a task."""
+        await self._resumed()
+        run = self._runs.get(task)
+        return TaskReport(
+            task=task,
+            state=run.state if run else TaskState.NEVER_SEEN,
+            boot=self.boot,
+            clock=self._clock(),
+            attempt=run.attempt if run else 0,
+            answer=run.answers.get(run.attempt) if run else None,
+        )
+
+    async def checkpoint(self, task: TaskId) -> None:
+        """Stop a running task so that a later attempt resumes it."""
+        await self._resumed()
+        if task in self._running:
+            self._checkpoint(task, self._clock())
+        self._wake()
+
+    async def stop(self, task: TaskId) -> None:
+        """Stop a task for good, also one that has not arrived yet."""
+        await self._resumed()
+        new = _Run(attempt=0, state=TaskState.DONE, work=Work())
+        run = self._runs.setdefault(task, new)
+        run.stopped = True
+        run.state = TaskState.DONE
+        self._running.discard(task)
+        self._wake()
+
+    def _take(self, start: Start) -> RefusedStart | None:
+        run = self._runs.get(start.task)
+        if run is not None and start.attempt in run.attempts:
+            return None
+        refusal = self._refusal(start, run)
+        if refusal is None:
+            self._begin(start, run)
+        return refusal
+
+    def _refusal(self, start: Start, run: _Run | None) -> RefusedStart | None:
+        if start.boot and start.boot != self.boot:
+            return RefusedStart.OTHER_BOOT
+        if run is not None and (run.stopped or run.attempt > start.attempt):
+            return RefusedStart.SUPERSEDED
+        if self._clock() > start.start_by:
+            return RefusedStart.LATE
+        if self.faults.refuse is not None:
+            return self.faults.refuse
+        if start.task not in self._running and len(self._running) >= self._slots:
+            return RefusedStart.BUSY
+        return None
+
+    def _begin(self, start: Start, run: _Run | None) -> None:
+        now = self._clock()
+        if run is not None and run.state is TaskState.RUNNING:
+            self._checkpoint(start.task, now)
+        if run is None or run.state is TaskState.DONE:
+            work = _work_of(start.body)
+            seconds = self._seconds if work.seconds is None else work.seconds
+            old = run or _Run(attempt=0, state=TaskState.NEVER_SEEN, work=work)
+            run = msgspec.structs.replace(old, work=work, remaining=seconds)
+            self._runs[start.task] = run
+            self._effects.starts[start.task] += 1
+        run.attempt = start.attempt
+        run.attempts.add(start.attempt)
+        run.state = TaskState.RUNNING
+        run.content_type = start.content_type
+        run.body = start.body
+        run.finish_at = now + run.remaining
+        run.lease_end = now + start.lease
+        self._running.add(start.task)
+        self._wake()
+
+    async def _outcome(self, start: Start, boot: str) -> Answer | Interrupted:
+        while True:
+            self._settle()
+            if self.boot != boot:
+                return Interrupted.RESTARTED
+            run = self._runs[start.task]
+            if start.attempt in run.answers:
+                return run.answers[start.attempt]
+            if run.attempt != start.attempt:
+                return Interrupted.SUPERSEDED
+            if run.stopped:
+                return Interrupted.STOPPED
+            if run.state is TaskState.CHECKPOINTED:
+                return Interrupted.CHECKPOINTED
+            changed = self._changed
+            with anyio.move_on_after(self._until_next(run)):
+                await changed.wait()
+
+    def _until_next(self, run: _Run) -> float:
+        if self._paused_at is not None:
+            return math.inf
+        return max(0.0, min(run.finish_at, run.lease_end) - self._clock())
+
+    def _sent(self, answer: Answer) -> Sent | Interrupted:
+        faults, length = self.faults, len(answer.body)
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            return Interrupted.ANSWER_LOST
+        if faults.cross_answers > 0:
+            faults.cross_answers -= 1
+            other = TaskId(f"{answer.task}-other")
+            answer = msgspec.structs.replace(answer, task=other)
+        if faults.shorten_answers > 0:
+            faults.shorten_answers -= 1
+            answer = msgspec.structs.replace(answer, body=answer.body[:-1])
+        return Sent(answer, length)
+
+    async def _resumed(self) -> None:
+        while self._paused_at is not None:
+            await self._changed.wait()
+        self._settle()
+
+    def _settle(self) -> None:
+        if self._paused_at is not None:
+            return
+        now = self._clock()
+        for task in list(self._running):
+            run = self._runs[task]
+            if run.finish_at <= min(now, run.lease_end):
+                self._finish(task, run)
+            elif run.lease_end <= now:
+                self._checkpoint(task, run.lease_end)
+
+    def _finish(self, task: TaskId, run: _Run) -> None:
+        self._running.discard(task)
+        run.state = TaskState.DONE
+        run.answers[run.attempt] = Answer(
+            task=task,
+            status=_FAILED if self.faults.fail else _OK,
+            content_type=run.content_type,
+            body=answer_body(run.body),
+        )
+        if not self.faults.fail:
+            self._effects.tasks[task] += 1
+            if run.work.effect:
+                self._effects.effects[run.work.effect] += 1
+
+    def _checkpoint(self, task: TaskId, when: float) -> None:
+        self._running.discard(task)
+        run = self._runs[task]
+        run.state = TaskState.CHECKPOINTED
+        run.remaining = max(0.0, run.finish_at - when)
+
+    def _shift(self, seconds: float) -> None:
+        for task in self._running:
+            self._runs[task].finish_at += seconds
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+def _work_of(body: bytes) -> Work:
+    try:
+        return msgspec.json.decode(body, type=Work)
+    except msgspec.DecodeError:
+        return Work()
--- /dev/null
+++ b/hickoryplank/platform/worker_http.py
@@ -0,0 +1,255 @@
+"""Clients of workers over HTTP."""
+
+from http import HTTPStatus
+from typing import TypeVar
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.core.ids import TaskId
+from hickoryplank.platform import wire
+from hickoryplank.platform.channel import (
+    CallError,
+    CallFailure,
+    Channel,
+    ChannelOptions,
+    Reply,
+    make_tls_context,
+)
+from hickoryplank.platform.errors import (
+    RefusedStart,
+    StartFailure,
+    StartLost,
+    WorkerFailure,
+)
+from hickoryplank.platform.worker import (
+    Answer,
+    Start,
+    TaskReport,
+    TaskState,
+    Worker,
+    Workers,
+    WorkerStatus,
+)
+
+__all__ = ["HttpWorker", "HttpWorkers"]
+
+READ_TIMEOUT_SECONDS = 2.0
+PROBE_SECONDS = 1.0
+MAX_PROBE_SECONDS = 5.0
+MAX_MISSED_PROBES = 3
+
+# The probes of a start bound its silence, however long the task runs.
+_START_READ_SECONDS = 86_400.0
+
+_T = TypeVar("_T")
+_Outcome = Result[Answer, StartFailure | StartLost]
+
+
+class HttpWorker(Worker):
+    """A client of one worker.
+
+    :param probe_seconds: how long a start may be silent before the worker is asked,
+        over another connection, what became of the task.
+    """
+
+    def __init__(self, channel: Channel, probe_seconds: float = PROBE_SECONDS) -> None:
+        self._channel = channel
+        self._probe_seconds = probe_seconds
+
+    async def status(self) -> Result[WorkerStatus, WorkerFailure]:
+        """Return the worker's boot id, clock and load."""
+        reply = await self._call("GET", "/status")
+        return reply.and_then(lambda whole: _decoded(whole, WorkerStatus))
+
+    async def start(self, start: Start) -> _Outcome:
+        """Run a task and return its answer; a repeated attempt runs once."""
+        outcomes: list[_Outcome] = []
+        async with anyio.create_task_group() as group:
+
+            async def first(call) -> None:
+                outcomes.append(await call(start))
+                group.cancel_scope.cancel()
+
+            group.start_soon(first, self._post)
+            group.start_soon(first, self._watch)
+        return outcomes[0]
+
+    async def renew(
+        self, task: TaskId, attempt: int, lease: float
+    ) -> Result[None, WorkerFailure]:
+        """Extend the lease of a running task to ``lease`` seconds from now."""
+        body = msgspec.msgpack.encode(wire.Renewal(attempt, lease))
+        return (await self._call("POST", "/renew", task, body)).map(_nothing)
+
+    async def find(self, task: TaskId) -> Result[TaskReport, WorkerFailure]:
+        """Return what the worker knows of a task."""
+        reply = await self._call("GET", "/task", task)
+        found = reply.and_then(lambda whole: _decoded(whole, TaskReport))
+        return found.and_then(lambda report: _of_task(report, task))
+
+    async def checkpoint(self, task: TaskId) -> Result[None, WorkerFailure]:
+        """Stop a task at a point from which a later attempt resumes."""
+        return (await self._call("POST", "/checkpoint", task)).map(_nothing)
+
+    async def stop(self, task: TaskId) -> Result[None, WorkerFailure]:
+        """Stop a task for good."""
+        return (await self._call("POST", "/stop", task)).map(_nothing)
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._channel.aclose()
+
+    async def _call(
+        self, method: str, path: str, task: TaskId | None = None, body: bytes = b""
+    ) -> Result[Reply, WorkerFailure]:
+        headers = {} if task is None else {wire.TASK: wire.to_header(task)}
+        called = await self._channel.call(method, path, headers=headers, body=body)
+        match called:
+            case Ok(Reply(HTTPStatus.OK) as reply):
+                return Ok(reply)
+            case Ok(reply):
+                return Err(WorkerFailure(f"status {reply.status}"))
+            case Err(failure):
+                return Err(WorkerFailure(failure.detail))
+
+    async def _post(self, start: Start) -> _Outcome:
+        called = await self._channel.call(
+            "POST",
+            "/start",
+            headers=_start_headers(start),
+            body=start.body,
+            read_seconds=_START_READ_SECONDS,
+        )
+        match called:
+            case Ok(reply):
+                return _answer(reply, start)
+            case Err(CallFailure(CallError.NOT_SENT, detail)):
+                return Err(StartFailure(None, detail))
+            case Err(failure):
+                return Err(StartLost(failure.detail))
+
+    async def _watch(self, start: Start) -> _Outcome:
+        """Return once the worker shows that no answer will come to the start."""
+        pause, missed, boot = self._probe_seconds, 0, start.boot
+        while missed < MAX_MISSED_PROBES:
+            await anyio.sleep(pause)
+            found = await self.find(start.task)
+            match found:
+                case Ok(report):
+                    boot = boot or report.boot
+                    outcome = _settled(report, start, boot)
+                    if outcome is not None:
+                        await self._channel.renew()
+                        return outcome
+                    missed, pause = 0, min(2 * pause, MAX_PROBE_SECONDS)
+                case Err(_):
+                    missed, pause = missed + 1, self._probe_seconds
+        return Err(StartLost("the worker is silent"))
+
+
+class HttpWorkers(Workers):
+    """Clients of workers, one for each address.
+
+    :param options: bounds of the connections to each worker.
+    """
+
+    def __init__(
+        self,
+        options: ChannelOptions | None = None,
+        probe_seconds: float = PROBE_SECONDS,
+    ) -> None:
+        self._options = options or ChannelOptions(read_seconds=READ_TIMEOUT_SECONDS)
+        self._probe_seconds = probe_seconds
+        self._context = make_tls_context(self._options.tls)
+        self._workers: dict[str, HttpWorker] = {}
+
+    def at(self, address: str) -> Worker:
+        """Return the client for ``address``, as ``host:port``."""
+        if address not in self._workers:
+            channel = Channel(address, self._options, self._context)
+            self._workers[address] = HttpWorker(channel, self._probe_seconds)
+        return self._workers[address]
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        for worker in self._workers.values():
+            await worker.aclose()
+        self._workers.clear()
+
+
+def _start_headers(start: Start) -> dict[str, str | bytes]:
+    headers: dict[str, str | bytes] = {
+        wire.TASK: wire.to_header(start.task),
+        wire.ATTEMPT: str(start.attempt),
+        wire.BOOT: wire.to_header(start.boot),
+        wire.START_BY: repr(start.start_by),
+        wire.LEASE: repr(start.lease),
+    }
+    if start.content_type:
+        headers["content-type"] = start.content_type.encode("latin-1", "replace")
+    if start.traceparent:
+        headers["traceparent"] = start.traceparent.encode("latin-1", "replace")
+    return headers
+
+
+def _answer(reply: Reply, start: Start) -> _Outcome:
+    headers = reply.headers
+    if wire.from_header(headers.get(wire.TASK, "")) != start.task:
+        return Err(StartLost("the answer is to another task"))
+    if headers.get(wire.ATTEMPT) != str(start.attempt):
+        return Err(StartLost("the answer is to another attempt"))
+    if wire.INTERRUPTED in headers:
+        return Err(StartLost(headers[wire.INTERRUPTED]))
+    if wire.REFUSAL in headers:
+        return _refusal(headers[wire.REFUSAL])
+    return Ok(
+        Answer(
+            task=start.task,
+            status=reply.status,
+            content_type=headers.get("content-type", ""),
+            body=reply.body,
+        )
+    )
+
+
+def _refusal(value: str) -> _Outcome:
+    try:
+        return Err(StartFailure(RefusedStart(value)))
+    except ValueError:
+        return Err(StartLost(f"unknown refusal {value!r}"))
+
+
+def _settled(report: TaskReport, start: Start, boot: str) -> _Outcome | None:
+    """Return the outcome of a start that a report proves to be over."""
+    if report.boot != boot:
+        return Err(StartLost("the worker restarted"))
+    if report.state is TaskState.NEVER_SEEN or report.attempt < start.attempt:
+        late = report.clock > start.start_by
+        return Err(StartLost("the start was not taken")) if late else None
+    if report.attempt > start.attempt:
+        return Err(StartLost("superseded"))
+    if report.state is TaskState.RUNNING:
+        return None
+    if report.answer is None:
+        return Err(StartLost(report.state.value))
+    return Ok(report.answer)
+
+
+def _decoded(reply: Reply, kind: type[_T]) -> Result[_T, WorkerFailure]:
+    try:
+        return Ok(msgspec.msgpack.decode(reply.body, type=kind))
+    except msgspec.DecodeError as exc:
+        return Err(WorkerFailure(str(exc)))
+
+
+def _of_task(report: TaskReport, task: TaskId) -> Result[TaskReport, WorkerFailure]:
+    answer = report.answer
+    if report.task != task or answer is not None and answer.task != task:
+        return Err(WorkerFailure("the report is of another task"))
+    return Ok(report)
+
+
+def _nothing(_: Reply) -> None:
+    return None
--- /dev/null
+++ b/hickoryplank/platform/worker_memory.py
@@ -0,0 +1,113 @@
+"""Workers in memory, with fault switches."""
+
+import anyio
+from result import Err, Ok, Result
+
+from hickoryplank.core.ids import TaskId
+from hickoryplank.platform.errors import (
+    RefusedStart,
+    StartFailure,
+    StartLost,
+    WorkerFailure,
+)
+from hickoryplank.platform.worker import (
+    Answer,
+    Start,
+    TaskReport,
+    Worker,
+    Workers,
+    WorkerStatus,
+)
+from hickoryplank.platform.worker_engine import Interrupted, Sent, WorkerEngine
+
+__all__ = ["MemoryWorker", "MemoryWorkers"]
+
+SILENCE_SECONDS = 5.0
+
+_SILENT = WorkerFailure("no answer")
+
+
+class MemoryWorker(Worker):
+    """A client of a worker in memory.
+
+    :param silence_seconds: how long a worker that answers nothing is waited for.
+    """
+
+    def __init__(
+        self, engine: WorkerEngine, silence_seconds: float = SILENCE_SECONDS
+    ) -> None:
+        self.engine = engine
+        self._silence_seconds = silence_seconds
+
+    async def status(self) -> Result[WorkerStatus, WorkerFailure]:
+        """Return the worker's boot id, clock and load."""
+        with anyio.move_on_after(self._silence_seconds):
+            return Ok(await self.engine.status())
+        return Err(_SILENT)
+
+    async def start(self, start: Start) -> Result[Answer, StartFailure | StartLost]:
+        """Run a task and return its answer; a repeated attempt runs once."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_when_silent, group.cancel_scope)
+            outcome = await self.engine.start(start)
+            group.cancel_scope.cancel()
+            return _result(start, outcome)
+        return Err(StartLost("no answer"))
+
+    async def _cancel_when_silent(self, scope: anyio.CancelScope) -> None:
+        while (await self.status()).is_ok():
+            await anyio.sleep(self._silence_seconds)
+        scope.cancel()
+
+    async def renew(
+        self, task: TaskId, attempt: int, lease: float
+    ) -> Result[None, WorkerFailure]:
+        """Extend the lease of a running task to ``lease`` seconds from now."""
+        with anyio.move_on_after(self._silence_seconds):
+            if await self.engine.renew(task, attempt, lease):
+                return Ok(None)
+            return Err(WorkerFailure("not running"))
+        return Err(_SILENT)
+
+    async def find(self, task: TaskId) -> Result[TaskReport, WorkerFailure]:
+        """Return what the worker knows of a task."""
+        with anyio.move_on_after(self._silence_seconds):
+            return Ok(await self.engine.find(task))
+        return Err(_SILENT)
+
+    async def checkpoint(self, task: TaskId) -> Result[None, WorkerFailure]:
+        """Stop a task at a point from which a later attempt resumes."""
+        with anyio.move_on_after(self._silence_seconds):
+            return Ok(await self.engine.checkpoint(task))
+        return Err(_SILENT)
+
+    async def stop(self, task: TaskId) -> Result[None, WorkerFailure]:
+        """Stop a task for good."""
+        with anyio.move_on_after(self._silence_seconds):
+            return Ok(await self.engine.stop(task))
+        return Err(_SILENT)
+
+
+def _result(
+    start: Start, outcome: Sent | RefusedStart | Interrupted
+) -> Result[Answer, StartFailure | StartLost]:
+    match outcome:
+        case Sent(answer, length):
+            if answer.task != start.task or len(answer.body) != length:
+                return Err(StartLost("crossed or short answer"))
+            return Ok(answer)
+        case RefusedStart():
+            return Err(StartFailure(outcome))
+        case Interrupted():
+            return Err(StartLost(outcome.value))
+
+
+class MemoryWorkers(Workers):
+    """Workers in memory, by address."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, WorkerEngine] = {}
+
+    def at(self, address: str) -> Worker:
+        """Return the client for ``address``; an unknown one gets a new worker."""
+        return MemoryWorker(self.engines.setdefault(address, WorkerEngine()))
--- /dev/null
+++ b/tests/standins/vms.py
@@ -0,0 +1,71 @@
+"""Stand-in for the VM list."""
+
+import httpx
+import msgspec
+from starlette.applications import Starlette
+from starlette.background import BackgroundTask
+from starlette.requests import Request
+from starlette.routing import Route
+
+from hickoryplank.platform import wire
+from hickoryplank.platform.vmlist import ListedState, ListedVm
+from hickoryplank.platform.vmlist_memory import MemoryVmList
+from tests.standins import service
+
+
+def make_app(vms: MemoryVmList, reboot_seconds: float = 0.0) -> service.Connections:
+    """Return the HTTP interface of ``vms``.
+
+    A reboot restarts the worker stand-in at the VM's address, if that has a port.
+    """
+
+    async def restart(address: str) -> None:
+        async with httpx.AsyncClient(trust_env=False) as client:
+            body = {"seconds": reboot_seconds}
+            await client.post(f"http://{address}/restart", json=body)
+
+    async def read(_: Request):
+        rows = await vms.read()
+        return service.packed(rows.ok()) if rows.is_ok() else service.reply(status=503)
+
+    async def reboot(request: Request):
+        asked = msgspec.msgpack.decode(await request.body(), type=wire.RebootRequest)
+        before = {row.vm: row for row in vms.now()}
+        done = await vms.reboot(asked.vm, asked.generation)
+        response = service.reply(status=200 if done.is_ok() else 503)
+        row = {row.vm: row for row in vms.now()}.get(asked.vm)
+        if row != before.get(asked.vm) and ":" in row.address:
+            response.background = BackgroundTask(restart, row.address)
+        return response
+
+    async def put(request: Request):
+        vms.put(msgspec.json.decode(await request.body(), type=ListedVm))
+        return service.reply()
+
+    async def fault(request: Request):
+        vms.set_faults(await service.changed_faults(request, vms.faults))
+        return service.reply(msgspec.json.encode(vms.faults))
+
+    routes = [
+        Route("/vms", read),
+        Route("/vms", put, methods=["PUT"]),
+        Route("/reboot", reboot, methods=["POST"]),
+        Route("/fault", fault, methods=["POST"]),
+    ]
+    return service.Connections(Starlette(routes=routes))
+
+
+def main() -> None:
+    """Serve a list of the VMs named on the command line."""
+    options = service.parser(__doc__)
+    options.add_argument("--vm", action="append", default=[], help="NAME=ADDRESS")
+    options.add_argument("--reboot-seconds", type=float, default=1.0)
+    args = options.parse_args()
+    named = (vm.split("=", 1) for vm in args.vm)
+    rows = [ListedVm(vm, address, ListedState.LIVE, 1) for vm, address in named]
+    vms = MemoryVmList(rows, args.reboot_seconds)
+    service.run(make_app(vms, args.reboot_seconds), args.bind)
+
+
+if __name__ == "__main__":
+    main()
