--- a/hickoryplank/core/claims.py
+++ b/hickoryplank/core/claims.py
@@ -27,6 +27,7 @@
         return []
     faults = _check_takeover(tables, row, record)
     if not faults:
+        row.reopened = row.outcome is not None
         row.holder = record.holder
         row.outcome = None
         row.expires = max(row.expires, record.expires)
@@ -72,10 +73,11 @@
     if record.attempt != row.attempt + 1:
         message = f"attempt {record.attempt} does not follow attempt {row.attempt}"
         return [Fault(FaultCode.STALE, message)]
-    if row.attempt > 0 and record.proof is None:
+    if row.attempt > 0 and record.proof is None and not row.reopened:
         message = f"attempt {row.attempt} may have run; a second one needs proof"
         return [Fault(FaultCode.PROOF_MISSING, message)]
     row.attempt = record.attempt
+    row.reopened = False
     row.vm = record.vm
     row.boot = record.boot
     row.start_by = record.start_by
--- a/hickoryplank/core/freshness.py
+++ b/hickoryplank/core/freshness.py
@@ -93,6 +93,10 @@
             self._heard[member] = _Heard(sent_at, view)
             self._use_view(self._heard[member])
 
+    def note_confirmed(self, member: Incarnation, offset: int) -> None:
+        """Note that ``member`` folds ``offset`` next, or a later one."""
+        self._confirmed[member] = max(offset, self._confirmed.get(member, 0))
+
     def forget(self, members: Collection[Incarnation]) -> None:
         """Drop what was heard from all but ``members``."""
         for heard in (self._heard, self._confirmed):
--- a/hickoryplank/core/messages.py
+++ b/hickoryplank/core/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from hickoryplank.core.freshness import PeerView
 from hickoryplank.core.ids import Incarnation, PoolId, RequestId, TeamId
 from hickoryplank.core.work import WorkAnswer, WorkRequest
 
@@ -18,7 +19,7 @@
     "Message",
     "PoolDemand",
     "Running",
-    "UnitsWanted",
+    "UnitsAsked",
 ]
 
 
@@ -52,7 +53,10 @@
 
 
 class Inquiry(msgspec.Struct, frozen=True, tag="inq", array_like=True):
-    """A node that cannot read the log asks a peer for what it knows."""
+    """A node that cannot read the log asks a peer for what it knows.
+
+    :param offset: the offset that the sender folds next.
+    """
 
     id: int
     offset: int
@@ -66,20 +70,10 @@
 
 
 class InquiryAnswer(msgspec.Struct, frozen=True, tag="ans", array_like=True):
-    """What a peer knows of the log.
-
-    :param reads: whether the peer's own read reached the tail after the inquiry
-        came.
-    :param quiet: whether the peer cannot read the log either, has no append
-        under way and starts no edit for ``QUIET_SECONDS``.
-    :param offset: the offset that the peer folds next.
-    :param entries: entries from the asker's offset on.
-    """
+    """What a peer knows of the log, with entries from the asker's offset on."""
 
     id: int
-    reads: bool
-    quiet: bool
-    offset: int
+    view: PeerView
     entries: tuple[LogEntry, ...] = ()
 
 
@@ -108,11 +102,14 @@
     request: RequestId
 
 
-class UnitsWanted(msgspec.Struct, frozen=True, tag="want", array_like=True):
-    """The sender has waiting work and no units of a team."""
+class UnitsAsked(msgspec.Struct, frozen=True, tag="want", array_like=True):
+    """The sender lacks units of a team.
+
+    :param demand: units for the work that it runs and that waits there.
+    """
 
     team: TeamId
-    units: int
+    demand: int
 
 
 Message = (
@@ -125,7 +122,7 @@
     | Accepted
     | Answered
     | Cancel
-    | UnitsWanted
+    | UnitsAsked
 )
 
 
--- a/hickoryplank/core/tables.py
+++ b/hickoryplank/core/tables.py
@@ -94,7 +94,10 @@
 
 
 class ClaimRow(msgspec.Struct):
-    """A claimed request, its last dispatch and its outcome."""
+    """A claimed request, its last dispatch and its outcome.
+
+    :param reopened: whether the last attempt was settled as not run.
+    """
 
     claim: ClaimId
     team: TeamId
@@ -106,6 +109,7 @@
     content_type: str
     body: bytes
     attempt: int = 0
+    reopened: bool = False
     vm: VmId | None = None
     boot: str = ""
     start_by: float = 0.0
--- a/hickoryplank/core/work.py
+++ b/hickoryplank/core/work.py
@@ -11,6 +11,7 @@
     "Failed",
     "NotRun",
     "NotRunReason",
+    "Queued",
     "Unknown",
     "WorkAnswer",
     "WorkRequest",
@@ -37,7 +38,8 @@
     """One request, as the caller's entry node hands it to the queue's owner.
 
     :param patience: seconds left until the caller's deadline.
-    :param claim: the claim under which non-idempotent work runs at most once.
+    :param claim: the claim under which the work runs at most once.
+    :param durable: whether to accept the request for good and answer at once.
     """
 
     id: RequestId
@@ -48,6 +50,7 @@
     content_type: str = ""
     body: bytes = b""
     claim: ClaimId | None = None
+    durable: bool = False
     traceparent: str = ""
 
 
@@ -82,4 +85,10 @@
     detail: str
 
 
-WorkAnswer = Completed | NotRun | Failed | Unknown
+class Queued(msgspec.Struct, frozen=True, tag="queued", kw_only=True):
+    """The request was accepted for good and will be finished."""
+
+    claim: ClaimId
+
+
+WorkAnswer = Completed | NotRun | Failed | Unknown | Queued
--- a/hickoryplank/shell/claims.py
+++ b/hickoryplank/shell/claims.py
@@ -4,12 +4,13 @@
 import logging
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
 from hickoryplank.core.errors import FaultCode, Refusal
 from hickoryplank.core.fold import Verdict
-from hickoryplank.core.ids import ClaimId, VmId
+from hickoryplank.core.ids import ClaimId, QueueId, TaskId, TeamId, VmId
 from hickoryplank.core.placement import RunResult
 from hickoryplank.core.records import (
     Claim,
@@ -29,6 +30,7 @@
     WorkRequest,
 )
 from hickoryplank.platform.errors import (
+    LogError,
     LogFailure,
     RefusedStart,
     StartFailure,
@@ -39,11 +41,12 @@
 from hickoryplank.shell.replica import Replica, new_record_id
 from hickoryplank.shell.workers import LEASE_SECONDS, WorkerClock, WorkerPool
 
-__all__ = ["CLAIM_SECONDS", "Claims", "answer_of", "digest_of"]
+__all__ = ["CLAIM_SECONDS", "Claims", "answer_of", "claim_of", "digest_of", "task_of"]
 
 logger = logging.getLogger(__name__)
 
 CLAIM_SECONDS = 24 * 3600.0
+CLAIM_ID_DIGITS = 40
 START_SECONDS = 5.0
 LOG_PAUSE_SECONDS = 0.1
 FIND_PAUSE_SECONDS = 0.25
@@ -51,6 +54,17 @@
 RETRY_PAUSE_SECONDS = 0.02
 
 
+def claim_of(team: TeamId, queue: QueueId, key: str) -> ClaimId:
+    """Return the claim that stands for a caller's idempotency key."""
+    text = "\0".join((team, queue, key))
+    return ClaimId(hashlib.sha256(text.encode()).hexdigest()[:CLAIM_ID_DIGITS])
+
+
+def task_of(claim: ClaimId) -> TaskId:
+    """Return the task that a claim runs, the same on every node."""
+    return TaskId(f"claim-{claim}")
+
+
 def digest_of(request: WorkRequest) -> str:
     """Return what tells two requests under one idempotency key apart."""
     digest = hashlib.sha256()
@@ -145,7 +159,7 @@
             expires=expires,
             durable=durable,
             content_type=request.content_type,
-            body=request.body if durable else b"",
+            body=request.body,
         )
         while True:
             known = await self._wait_for_other(record, deadline)
@@ -260,6 +274,22 @@
         submitted = await self._replica.submit(record)
         return submitted.err()
 
+    async def take_over(self, row: ClaimRow) -> bool:
+        """Claim what a process that is gone left open; tell whether it worked."""
+        record = Claim(
+            id=new_record_id(),
+            claim=row.claim,
+            team=row.team,
+            queue=row.queue,
+            holder=self._replica.incarnation,
+            request=row.request,
+            expires=row.expires,
+        )
+        failure = await self._failure_of(record)
+        if failure is not None:
+            self.release(row.claim)
+        return failure is None
+
     async def run(self, job: Job, vm: VmId, worker: Worker) -> tuple[RunResult, Step]:
         """Dispatch a claimed job once, and find out how it ended."""
         claim = job.request.claim
@@ -291,7 +321,7 @@
             traceparent=job.request.traceparent,
         )
 
-    async def _log_dispatch(self, job: Job, vm: VmId, start: Start) -> Again | None:
+    async def _log_dispatch(self, job: Job, vm: VmId, start: Start) -> Step | None:
         """Log the attempt before it is sent; say why it must not be sent."""
         record = Dispatch(
             id=new_record_id(),
@@ -303,14 +333,20 @@
             start_by=start.start_by,
             proof=job.proof,
         )
-        failure: Refusal | LogFailure | None = LogFailure
+        failure: Refusal | LogFailure | None = LogFailure(LogError.UNKNOWN)
         with anyio.move_on_after(START_SECONDS):
             failure = await self._failure_of(record)
         if failure is None:
             return None
+        if isinstance(failure, Refusal) and not self._holds(job.request.claim):
+            return Closed(Unknown(detail="another node has taken the request over"))
         job.proof = job.proof or Proof.REFUSED
         return Again(LOG_PAUSE_SECONDS)
 
+    def _holds(self, claim: ClaimId) -> bool:
+        row = self._replica.tables.claims.get(claim)
+        return row is not None and row.holder == self._replica.incarnation
+
     async def _send(
         self, job: Job, vm: VmId, worker: Worker, start: Start
     ) -> tuple[RunResult, Step]:
@@ -348,12 +384,17 @@
             start_by=row.start_by,
             lease=LEASE_SECONDS,
         )
-        return await self._resolve(job, row.vm, worker, sent)
+        return await self._resolve(job, row.vm, worker, sent, renew=False)
 
-    async def _resolve(self, job: Job, vm: VmId, worker: Worker, sent: Start) -> Step:
+    async def _resolve(
+        self, job: Job, vm: VmId, worker: Worker, sent: Start, renew: bool = True
+    ) -> Step:
         """Ask the worker until it is known whether an attempt ran.
 
         The caller gets ``unknown`` at its deadline; the claim goes on.
+
+        :param renew: whether this node holds a unit for the attempt, and so may
+            renew its lease; else the lease lapses and the work is resumed.
         """
         until = self._clock.now() + RESOLVE_SECONDS
         while self._clock.now() < until:
@@ -362,17 +403,19 @@
             found = await worker.find(job.request.task)
             step = None
             if found.is_ok():
-                step = await self._read_report(job, vm, worker, sent, found.unwrap())
+                step = self._read_report(job, vm, sent, found.unwrap())
+                if renew and found.unwrap().state is TaskState.RUNNING:
+                    await worker.renew(job.request.task, sent.attempt, LEASE_SECONDS)
             if step is not None:
                 return step
             await anyio.sleep(FIND_PAUSE_SECONDS)
-        return self._give_up(job, "the worker could not be asked")
+        return self.give_up(job.request.claim, "the worker could not be asked")
 
-    async def _read_report(
-        self, job: Job, vm: VmId, worker: Worker, sent: Start, report: TaskReport
+    def _read_report(
+        self, job: Job, vm: VmId, sent: Start, report: TaskReport
     ) -> Step | None:
         if report.boot != sent.boot:
-            return self._give_up(job, "the worker restarted in between")
+            return self.give_up(job.request.claim, "the worker restarted in between")
         match report.state:
             case TaskState.DONE if report.answer is not None:
                 return self._finish(job, report.answer)
@@ -383,12 +426,11 @@
             case TaskState.NEVER_SEEN if report.clock > sent.start_by:
                 job.proof = Proof.START_MISSED
                 return Again(RETRY_PAUSE_SECONDS)
-            case TaskState.RUNNING:
-                await worker.renew(job.request.task, sent.attempt, LEASE_SECONDS)
         return None
 
-    def _give_up(self, job: Job, detail: str) -> Closed:
-        self._save(job.request.claim, OutcomeKind.UNKNOWN, detail=detail)
+    def give_up(self, claim: ClaimId, detail: str) -> Closed:
+        """Log that nobody can tell whether a request ran."""
+        self._save(claim, OutcomeKind.UNKNOWN, detail=detail)
         return Closed(Unknown(detail=detail))
 
 
@@ -404,8 +446,4 @@
 
 
 def _renamed(record: Claim) -> Claim:
-    return Claim(**{**_fields(record), "id": new_record_id()})
-
-
-def _fields(record: Claim) -> dict[str, object]:
-    return {name: getattr(record, name) for name in record.__struct_fields__}
+    return msgspec.structs.replace(record, id=new_record_id())
--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -11,10 +11,10 @@
 
 from hickoryplank.core.errors import FaultCode, Refusal
 from hickoryplank.core.fold import Verdict, fold_batch
-from hickoryplank.core.freshness import Freshness
+from hickoryplank.core.freshness import Freshness, PeerView
 from hickoryplank.core.ids import Incarnation, NodeId, RecordId, Revision
 from hickoryplank.core.records import EditSet, Record, decode_batch, encode_batch
-from hickoryplank.core.tables import NodeState, Tables
+from hickoryplank.core.tables import Tables
 from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
 from hickoryplank.platform.log import Entry, Log, Page
 from hickoryplank.shell.clock import Clock
@@ -76,9 +76,9 @@
         self._wake = anyio.Event()
         self._advanced = anyio.Event()
         self._listeners: list[Listener] = []
-        self._confirmed: dict[Incarnation, int] = {}
+        self._appended = 0
         self._folded_at: deque[tuple[int, float]] = deque(maxlen=RECENT_ENTRIES)
-        self.recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
+        self._entries: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
         self.freshness = freshness
         self.incarnation = Incarnation(0)
         self.reading = False
@@ -102,7 +102,7 @@
         if tables.next_offset <= self.offset:
             return False
         self._tables = tables
-        self.recent.clear()
+        self._entries.clear()
         self._signal()
         return True
 
@@ -144,7 +144,8 @@
             logger.error("entry %d of the log is damaged: %s", entry.offset, exc)
             records = ()
         verdicts = fold_batch(self._tables, entry.offset, records)
-        self.recent.append(entry)
+        self.freshness.note_folded(self.offset)
+        self._entries.append(entry)
         self._folded_at.append((entry.offset, self._clock.now()))
         for record, verdict in zip(records, verdicts, strict=True):
             self._settle(record, verdict)
@@ -171,6 +172,9 @@
         On cancellation a record that was sent may still take effect later. An
         edit set that was sent is seen through to its verdict in any case.
         """
+        if isinstance(record, EditSet) and self.freshness.unaware(self.others()):
+            detail = "some node does not know of this one yet; publish elsewhere"
+            return Err(LogFailure(LogError.UNAVAILABLE, detail))
         pending = _Pending(record, anyio.Event())
         self._pending[record.id] = pending
         self._waiting.append(pending)
@@ -212,7 +216,8 @@
             pending.sent = True
         data = encode_batch(tuple(pending.record for pending in batch))
         match await self._log.append(CONTROL_STREAM, data):
-            case Ok():
+            case Ok(offset):
+                self._appended = max(self._appended, offset + 1)
                 return
             case Err(LogFailure(LogError.UNKNOWN)):
                 self._append_again(batch)
@@ -241,25 +246,39 @@
         return any(isinstance(p.record, EditSet) for p in self._pending.values())
 
     def note_confirmed(self, peer: Incarnation, offset: int) -> None:
-        """Note that ``peer`` has folded the log up to ``offset``."""
-        self._confirmed[peer] = max(offset, self._confirmed.get(peer, 0))
+        """Note that ``peer`` folds ``offset`` next."""
+        self.freshness.note_confirmed(peer, offset)
+
+    def others(self) -> list[Incarnation]:
+        """Return the live incarnations but this node's own."""
+        return [
+            row.incarnation
+            for row in self._tables.live_nodes()
+            if row.incarnation != self.incarnation
+        ]
+
+    def view(self) -> PeerView:
+        """Return what this node knows of the log, for a peer."""
+        quiet = not self.has_edit_under_way()
+        return self.freshness.view(self._clock.now(), quiet, self._appended)
+
+    def entries_from(self, offset: int, most: int) -> list[Entry]:
+        """Return entries that were folded lately, from ``offset`` on."""
+        kept = [entry for entry in self._entries if entry.offset >= offset]
+        return kept[:most] if kept and kept[0].offset == offset else []
 
     def waiting_for(self, offset: int) -> tuple[NodeId, ...]:
         """Return the live nodes that may not have folded ``offset`` yet."""
         if self.offset <= offset:
             return tuple(row.node for row in self._tables.live_nodes())
-        if self._must_have_stopped(offset):
-            return ()
-        return tuple(
-            row.node
-            for row in self._tables.nodes.values()
-            if row.state is NodeState.LIVE
-            and row.incarnation != self.incarnation
-            and self._confirmed.get(row.incarnation, 0) <= offset
+        behind = self.freshness.waiting_for(
+            self.others(), offset + 1, self._read_back_at(offset), self._clock.now()
         )
+        return tuple(self._tables.nodes[peer].node for peer in behind)
 
-    def _must_have_stopped(self, offset: int) -> bool:
+    def _read_back_at(self, offset: int) -> float:
+        """Return when ``offset`` was folded here, at the latest."""
         for folded, at in self._folded_at:
-            if folded == offset:
-                return self.freshness.in_force_by(at) <= self._clock.now()
-        return bool(self._folded_at) and offset < self._folded_at[0][0]
+            if folded >= offset:
+                return at
+        return self._clock.now()
--- /dev/null
+++ b/hickoryplank/shell/service.py
@@ -0,0 +1,196 @@
+"""Work on this node: from a request to its answer, and what others left open."""
+
+import logging
+import time
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err
+
+from hickoryplank.core.ids import RequestId
+from hickoryplank.core.objects import Kind, Queue
+from hickoryplank.core.records import Proof
+from hickoryplank.core.tables import ClaimRow, Tables
+from hickoryplank.core.work import (
+    Failed,
+    NotRun,
+    NotRunReason,
+    Queued,
+    Unknown,
+    WorkAnswer,
+    WorkRequest,
+)
+from hickoryplank.shell.claims import CLAIM_SECONDS, Claims, task_of
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.dispatcher import Dispatcher
+from hickoryplank.shell.jobs import Again, Closed, Job
+from hickoryplank.shell.members import Members
+from hickoryplank.shell.replica import Replica
+from hickoryplank.shell.workers import WorkerPool
+
+__all__ = ["Service", "find_queue"]
+
+logger = logging.getLogger(__name__)
+
+ORPHAN_SECONDS = 0.5
+ANSWER_GRACE_SECONDS = 0.5
+
+
+def find_queue(tables: Tables, name: str) -> Queue | None:
+    """Return the queue object of that name."""
+    row = tables.objects[Kind.QUEUE].get(name)
+    return row.obj if row and isinstance(row.obj, Queue) else None
+
+
+class Service:
+    """Takes requests for the pools that this node owns."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        members: Members,
+        dispatcher: Dispatcher,
+        claims: Claims,
+        workers: WorkerPool,
+        group: TaskGroup,
+        clock: Clock,
+    ):
+        self._replica = replica
+        self._members = members
+        self._dispatcher = dispatcher
+        self._claims = claims
+        self._workers = workers
+        self._group = group
+        self._clock = clock
+
+    async def handle(self, request: WorkRequest) -> WorkAnswer:
+        """Run a request and return its answer; cancelling stops it if possible."""
+        queue = find_queue(self._replica.tables, request.queue)
+        if queue is None:
+            return NotRun(reason=NotRunReason.UNKNOWN_QUEUE)
+        now = self._clock.now()
+        if not self._replica.freshness.is_fresh(now):
+            return _stale()
+        deadline = now + request.patience
+        if request.claim is None:
+            return await self._run(self._job(request, queue, deadline))
+        if request.durable:
+            return await self._accept(request, queue, deadline)
+        return await self._run_claimed(request, queue, deadline)
+
+    def _job(self, request: WorkRequest, queue: Queue, deadline: float) -> Job:
+        return Job(request, queue, self._clock.now(), deadline)
+
+    async def _run(self, job: Job) -> WorkAnswer:
+        self._dispatcher.submit(job)
+        try:
+            with anyio.move_on_after(self._grace(job)):
+                await job.done.wait()
+        finally:
+            if job.answer is None:
+                self._dispatcher.cancel(job.request.id)
+        return job.answer or Failed(detail="no answer came before the deadline")
+
+    def _grace(self, job: Job) -> float:
+        return job.deadline - self._clock.now() + ANSWER_GRACE_SECONDS
+
+    async def _run_claimed(
+        self, request: WorkRequest, queue: Queue, deadline: float
+    ) -> WorkAnswer:
+        expires = time.time() + CLAIM_SECONDS
+        claimed = await self._claims.acquire(request, expires, False, deadline)
+        if isinstance(claimed, Err):
+            return claimed.unwrap_err()
+        job = self._job(request, queue, deadline)
+        self._group.start_soon(self._finish_claimed, job)
+        with anyio.move_on_after(self._grace(job)):
+            await job.done.wait()
+        return job.answer or Unknown(detail="the endpoint has not answered yet")
+
+    async def _finish_claimed(self, job: Job) -> None:
+        """See a claimed job through, whatever becomes of its caller."""
+        self._claims.adopt(job.request.claim)
+        self._dispatcher.submit(job)
+        await job.done.wait()
+        match job.answer:
+            case NotRun(detail=detail):
+                self._claims.settle_not_run(job.request.claim, detail)
+
+    async def _accept(
+        self, request: WorkRequest, queue: Queue, deadline: float
+    ) -> WorkAnswer:
+        expires = time.time() + CLAIM_SECONDS
+        known = self._replica.tables.claims.get(request.claim)
+        if known is not None and known.outcome is None:
+            return Queued(claim=request.claim)
+        claimed = await self._claims.acquire(request, expires, True, deadline)
+        if isinstance(claimed, Err):
+            return claimed.unwrap_err()
+        self._launch(request, queue)
+        return Queued(claim=request.claim)
+
+    def _launch(self, request: WorkRequest, queue: Queue) -> None:
+        job = self._job(request, queue, self._clock.now() + CLAIM_SECONDS)
+        job.durable = True
+        self._group.start_soon(self._finish_claimed, job)
+
+    def cancel(self, request: RequestId) -> None:
+        """Withdraw a request that nobody waits for any more."""
+        self._dispatcher.cancel(request)
+
+    async def adopt_orphans(self) -> None:
+        """Take over open claims of processes that are gone, until cancelled."""
+        while True:
+            await anyio.sleep(ORPHAN_SECONDS)
+            for row in self._claims.orphans():
+                queue = find_queue(self._replica.tables, row.queue)
+                if queue is not None and self._is_ours(queue, row):
+                    self._claims.adopt(row.claim)
+                    self._group.start_soon(self._adopt, row, queue)
+
+    def _is_ours(self, queue: Queue, row: ClaimRow) -> bool:
+        me = self._members.me
+        return row.holder == me or self._members.owner_of(queue.pool) == me
+
+    async def _adopt(self, row: ClaimRow, queue: Queue) -> None:
+        request = WorkRequest(
+            id=RequestId(task_of(row.claim)),
+            task=task_of(row.claim),
+            queue=row.queue,
+            team=row.team,
+            patience=CLAIM_SECONDS,
+            content_type=row.content_type,
+            body=row.body,
+            claim=row.claim,
+            durable=row.durable,
+        )
+        if row.holder != self._members.me and not await self._claims.take_over(row):
+            return
+        job = self._job(request, queue, self._clock.now() + CLAIM_SECONDS)
+        job.durable = row.durable
+        if row.attempt > 0 and not row.reopened:
+            await self._ask_worker(job, row)
+        if job.answer is not None:
+            self._claims.release(row.claim)
+        elif row.durable or job.proof is Proof.CHECKPOINTED:
+            self._group.start_soon(self._finish_claimed, job)
+        else:
+            self._claims.settle_not_run(row.claim, "its first holder was lost")
+
+    async def _ask_worker(self, job: Job, row: ClaimRow) -> None:
+        worker = self._workers.client(self._replica.tables, row.vm)
+        if worker is None:
+            job.close(self._claims.give_up(row.claim, "its VM is gone").answer)
+            return
+        match await self._claims.resume(job, row, worker):
+            case Closed(answer):
+                job.close(answer)
+            case Again():
+                logger.info("claim %s goes on after attempt %d", row.claim, row.attempt)
+
+
+def _stale() -> NotRun:
+    return NotRun(
+        reason=NotRunReason.STALE_NODE,
+        detail="this node has lost touch with the configuration",
+    )
--- /dev/null
+++ b/hickoryplank/shell/units.py
@@ -0,0 +1,97 @@
+"""Moves escrow units to where work waits for them."""
+
+from collections.abc import Callable, Mapping
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err
+
+from hickoryplank.core.escrow import Escrow, UnitsRecord, UnitsWanted
+from hickoryplank.core.fold import Verdict
+from hickoryplank.core.ids import Incarnation, TeamId
+from hickoryplank.core.messages import UnitsAsked
+from hickoryplank.core.records import Record
+from hickoryplank.platform.errors import LogFailure
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.peers import Peers
+from hickoryplank.shell.replica import Replica
+
+__all__ = ["UnitsKeeper"]
+
+BEAT_SECONDS = 0.05
+REVIEW_BEATS = 10
+LOG_PAUSE_SECONDS = 0.2
+
+Waiting = Callable[[], Mapping[TeamId, int]]
+
+
+class UnitsKeeper:
+    """Takes, gives and returns units by records in the log.
+
+    :param waiting: how much work of each team waits on this node.
+    """
+
+    def __init__(
+        self,
+        escrow: Escrow,
+        replica: Replica,
+        peers: Peers,
+        waiting: Waiting,
+        group: TaskGroup,
+        clock: Clock,
+    ):
+        self._escrow = escrow
+        self._replica = replica
+        self._peers = peers
+        self._waiting = waiting
+        self._group = group
+        self._clock = clock
+        replica.subscribe(self._note_record)
+
+    def _note_record(self, record: Record, verdict: Verdict) -> None:
+        self._escrow.settle(record)
+
+    def note_asked(self, sender: Incarnation, asked: UnitsAsked) -> None:
+        """Note that a peer lacks units."""
+        wanted = UnitsWanted(asked.team, sender, asked.demand)
+        self._escrow.note_wanted(wanted, self._clock.now())
+
+    async def serve(self) -> None:
+        """Look after the units until cancelled."""
+        beat = 0
+        while True:
+            await anyio.sleep(BEAT_SECONDS)
+            waiting = self._waiting()
+            beat += 1
+            known = set(self._escrow.teams()) if beat % REVIEW_BEATS == 0 else set()
+            for team in known | set(waiting):
+                self._look_after(team, waiting.get(team, 0))
+
+    def _look_after(self, team: TeamId, queued: int) -> None:
+        tables = self._replica.tables
+        now = self._clock.now()
+        records = self._escrow.answer(tables, team, queued, now)
+        for record in (
+            self._escrow.give_back(tables, team),
+            self._escrow.take(tables, team, queued),
+            *records,
+        ):
+            if record is not None:
+                self._group.start_soon(self._submit, record)
+        wanted = self._escrow.ask(tables, team, queued)
+        if wanted is not None:
+            self._ask_holders(team, wanted.demand)
+
+    def _ask_holders(self, team: TeamId, demand: int) -> None:
+        for holder in self._replica.tables.units.get(team, {}):
+            if holder != self._replica.incarnation:
+                self._peers.send(holder, UnitsAsked(team, demand))
+
+    async def _submit(self, record: UnitsRecord) -> None:
+        """See a record into the log: until then its units are not used."""
+        while True:
+            match await self._replica.submit(record):
+                case Err(LogFailure()):
+                    await anyio.sleep(LOG_PAUSE_SECONDS)
+                case _:
+                    return
--- /dev/null
+++ b/hickoryplank/shell/witness.py
@@ -0,0 +1,73 @@
+"""Freshness while the log cannot be read: what the peers know of it."""
+
+from itertools import count
+
+import anyio
+
+from hickoryplank.core.ids import Incarnation
+from hickoryplank.core.messages import Inquiry, InquiryAnswer, LogEntry
+from hickoryplank.platform.log import Entry
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.peers import Peers
+from hickoryplank.shell.replica import Replica
+
+__all__ = ["Witness"]
+
+BEAT_SECONDS = 0.3
+INQUIRE_AFTER_SECONDS = 0.8
+PASSED_ON_ENTRIES = 64
+KEPT_INQUIRIES = 64
+
+
+class Witness:
+    """Asks peers for evidence, and gives it to those who ask."""
+
+    def __init__(self, replica: Replica, peers: Peers, clock: Clock):
+        self._replica = replica
+        self._peers = peers
+        self._clock = clock
+        self._ids = count(1)
+        self._sent: dict[int, float] = {}
+
+    async def serve(self) -> None:
+        """Inquire whenever the own view grows old, until cancelled."""
+        while True:
+            await anyio.sleep(BEAT_SECONDS)
+            freshness = self._replica.freshness
+            others = self._replica.others()
+            freshness.forget(others)
+            if freshness.as_of is None:
+                continue
+            if self._clock.now() - freshness.as_of > INQUIRE_AFTER_SECONDS:
+                self._inquire()
+                self._conclude(others)
+
+    def _inquire(self) -> None:
+        inquiry = Inquiry(next(self._ids), self._replica.offset)
+        self._sent[inquiry.id] = self._clock.now()
+        if len(self._sent) > KEPT_INQUIRIES:
+            del self._sent[next(iter(self._sent))]
+        self._peers.broadcast(inquiry)
+
+    def answer(self, sender: Incarnation, inquiry: Inquiry) -> None:
+        """Tell a peer what this node knows of the log."""
+        entries = (
+            LogEntry(entry.offset, entry.data)
+            for entry in self._replica.entries_from(inquiry.offset, PASSED_ON_ENTRIES)
+        )
+        view = self._replica.view()
+        self._peers.send(sender, InquiryAnswer(inquiry.id, view, tuple(entries)))
+
+    def note_answer(self, sender: Incarnation, answer: InquiryAnswer) -> None:
+        """Use what a peer knows: entries first, then the age of its view."""
+        sent_at = self._sent.get(answer.id)
+        if sent_at is None:
+            return
+        entries = tuple(Entry(entry.offset, entry.data) for entry in answer.entries)
+        self._replica.fold_entries(entries)
+        self._replica.freshness.note_answer(sender, sent_at, answer.view)
+        self._conclude(self._replica.others())
+
+    def _conclude(self, others: list[Incarnation]) -> None:
+        quiet = not self._replica.has_edit_under_way()
+        self._replica.freshness.note_outage(self._clock.now(), others, quiet)
