--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -21,6 +21,8 @@
 EJECT_CONFIRMED = 2
 #: Failures in a row, open or confirmed, that eject an endpoint.
 EJECT_FAILURES = 3
+#: Open failures of one endpoint that are kept.
+MOST_OPEN_FAILURES = 16
 #: Largest part of a pool's endpoints in service that may be ejected at once.
 MAX_EJECTED_FRACTION = 0.34
 #: How long the first ejection lasts; each one that follows lasts twice as long.
@@ -59,8 +61,9 @@
     """One endpoint as the dispatcher sees it.
 
     :param slots: what the endpoint declares to run at once.
-    :param capacity: what it was learned to run at once, from 1 to ``slots``; a new
-        row takes over ``slots``.
+    :param capacity: units that it was learned to run at once, from 1 to ``slots``;
+        a new row takes over ``slots``.
+    :param used: units that its runs are believed to take.
     :param open_failures: tasks that failed here since the last run that was
         done, and that are not settled.
     :param confirmed: failures since the last run that was done, of tasks that
@@ -78,8 +81,9 @@
     rack: Rack
     slots: int
     in_service: bool = True
-    capacity: int = 0
+    capacity: float = 0.0
     running: int = 0
+    used: float = 0.0
     proved: bool = False
     first_start: float | None = None
     open_failures: set[TaskId] = msgspec.field(default_factory=set)
@@ -94,28 +98,34 @@
         """Whether the newest run that counts has failed."""
         return bool(self.open_failures) or self.confirmed > 0
 
-    def room(self, now: float) -> int:
-        """Return how many more runs may start here."""
+    def has_room(self, units: float, now: float) -> bool:
+        """Return whether one more run that takes ``units`` may start here.
+
+        A run larger than the capacity may start where nothing else runs.
+        """
         if not self.in_service or (self.ejected_until or 0.0) > now:
-            return 0
-        return max(self._allowed(now) - self.running, 0)
+            return False
+        if self.running >= self._allowed(now):
+            return False
+        return self.running == 0 or self.used + units <= self.capacity
 
     def probing(self, now: float) -> bool:
         """Return whether an ejection has passed and one run may prove the VM."""
         return self.ejected_until is not None and self.ejected_until <= now
 
     def _allowed(self, now: float) -> int:
+        """Return how many runs the endpoint may have at once."""
         if self.suspect or self.probing(now):
             return 1
         if self.proved:
-            return self.capacity
+            return self.slots
         tried = 0.0 if self.first_start is None else now - self.first_start
         trial = 2 ** min(int(tried / TRIAL_SECONDS), 8)
-        return min(trial, TRIAL_RUNS, self.capacity)
+        return min(trial, TRIAL_RUNS, self.slots)
 
     def load(self) -> float:
         """Return the load that one more run would give, 1.0 at capacity."""
-        return (self.running + 1) * self.slowdown / self.capacity
+        return (self.used + 1.0) * self.slowdown / self.capacity
 
 
 class EndpointTable:
@@ -161,6 +171,7 @@
         pool: PoolId,
         exclude: Collection[VmId],
         now: float,
+        units: float = 1.0,
         may_probe: bool = True,
     ) -> VmId | None:
         """Return the endpoint that one more run should start on.
@@ -170,12 +181,13 @@
         of the least loaded zone, then rack.
 
         :param exclude: endpoints that the task has failed on.
+        :param units: what the run is expected to take, in units.
         :param may_probe: whether the run may be risked on a suspect endpoint.
         """
         rows = [
             row
             for row in self._pools.get(pool, {}).values()
-            if row.vm not in exclude and row.room(now) > 0
+            if row.vm not in exclude and row.has_room(units, now)
         ]
         if not may_probe:
             rows = [r for r in rows if not r.suspect and not r.probing(now)] or rows
@@ -194,14 +206,25 @@
             ),
         ).vm
 
-    def note_start(self, vm: VmId, now: float) -> None:
+    def note_start(self, vm: VmId, now: float, units: float = 1.0) -> None:
         """Count a run that starts on ``vm``."""
         row = self._rows.get(vm)
         if row is not None:
             row.running += 1
+            row.used += units
             if row.first_start is None:
                 row.first_start = now
 
+    def note_silence(self, vm: VmId, task: TaskId, now: float) -> None:
+        """Hold against ``vm`` that a run's connection has gone silent.
+
+        The run still counts as running there until it is finished or given up.
+        """
+        row = self._rows.get(vm)
+        if row is not None:
+            self._failed_on.setdefault(task, set()).add(vm)
+            self._hold_against(row, task, now)
+
     def note_progress(self, vm: VmId) -> None:
         """Take a worker's report that a run makes progress as proof that it can."""
         row = self._rows.get(vm)
@@ -216,29 +239,31 @@
         result: RunResult,
         seconds: float,
         now: float,
+        units: float = 1.0,
     ) -> Verdict:
         """Count the end of a run, learn from it, and judge task and endpoint.
 
         :param seconds: how long the run took.
+        :param units: what ``note_start`` was told.
         """
         row = self._rows.get(vm)
         if row is None:
             return Verdict.DONE if result is RunResult.DONE else Verdict.RETRY
-        at_capacity = row.running >= row.capacity
+        at_capacity = row.used + units > row.capacity
         row.running = max(row.running - 1, 0)
+        row.used = max(row.used - units, 0.0) if row.running else 0.0
         match result:
             case RunResult.DONE:
                 self._learn_run(row, queue, seconds, at_capacity)
                 self._confirm(task, vm, now)
                 return Verdict.DONE
             case RunResult.BUSY:
-                row.capacity = max(min(row.running, row.capacity - 1), 1)
+                row.capacity = max(min(row.used, row.capacity - 1.0), 1.0)
                 row.runs_at_capacity = 0
             case RunResult.FAILED:
                 return self._judge_failure(row, task, now)
             case RunResult.SILENT:
-                row.open_failures.add(task)
-                self._eject_if_due(row, now)
+                self._hold_against(row, task, now)
             case RunResult.STOPPED:
                 pass
         return Verdict.RETRY
@@ -254,15 +279,15 @@
     def _domain_loads(
         self, pool: PoolId
     ) -> tuple[dict[Zone, float], dict[Rack, float]]:
-        zones: dict[Zone, tuple[int, int]] = {}
-        racks: dict[Rack, tuple[int, int]] = {}
+        zones: dict[Zone, tuple[float, float]] = {}
+        racks: dict[Rack, tuple[float, float]] = {}
         for row in self._pools[pool].values():
             if not row.in_service:
                 continue
-            running, slots = zones.get(row.zone, (0, 0))
-            zones[row.zone] = (running + row.running, slots + row.capacity)
-            running, slots = racks.get(row.rack, (0, 0))
-            racks[row.rack] = (running + row.running, slots + row.capacity)
+            running, slots = zones.get(row.zone, (0.0, 0.0))
+            zones[row.zone] = (running + row.used, slots + row.capacity)
+            running, slots = racks.get(row.rack, (0.0, 0.0))
+            racks[row.rack] = (running + row.used, slots + row.capacity)
         return (
             {zone: running / slots for zone, (running, slots) in zones.items()},
             {rack: running / slots for rack, (running, slots) in racks.items()},
@@ -290,14 +315,18 @@
     def _judge_failure(self, row: EndpointRow, task: TaskId, now: float) -> Verdict:
         failed_on = self._failed_on.setdefault(task, set())
         failed_on.add(row.vm)
-        row.open_failures.add(task)
         sound = [vm for vm in failed_on if self._is_sound(vm)]
         if len(sound) >= GIVE_UP_WORKERS:
             self._withdraw(task)
             return Verdict.GIVE_UP
-        self._eject_if_due(row, now)
+        self._hold_against(row, task, now)
         return Verdict.RETRY
 
+    def _hold_against(self, row: EndpointRow, task: TaskId, now: float) -> None:
+        if len(row.open_failures) < MOST_OPEN_FAILURES:
+            row.open_failures.add(task)
+        self._eject_if_due(row, now)
+
     def _is_sound(self, vm: VmId) -> bool:
         row = self._rows.get(vm)
         return row is not None and row.proved and row.confirmed == 0
@@ -352,7 +381,7 @@
     row.runs_at_capacity += at_capacity
     if row.capacity < row.slots and row.runs_at_capacity >= GROW_AFTER_RUNS:
         row.runs_at_capacity = 0
-        row.capacity += 1
+        row.capacity = min(row.capacity + 1.0, float(row.slots))
 
 
 def _take_over(row: EndpointRow, new: EndpointRow) -> None:
--- /dev/null
+++ b/hickoryplank/core/preemption.py
@@ -0,0 +1,243 @@
+"""Which running work makes room for work that has waited too long.
+
+Urgent work takes room from batch work, and a team below its entitlement takes
+back what was lent to teams above theirs. A team at or below its entitlement
+gives room to its own urgent work only.
+"""
+
+from collections.abc import Iterable, Mapping
+from enum import IntEnum
+
+import msgspec
+
+from hickoryplank.core.ids import TaskId, TeamId, VmId
+from hickoryplank.core.objects import WorkClass
+
+__all__ = [
+    "Checkpoint",
+    "Decision",
+    "Demand",
+    "Preemption",
+    "RunningTask",
+    "Stop",
+    "Throttle",
+]
+
+#: How long work waits for runs to end by themselves before it takes room.
+PATIENCE_SECONDS = 0.3
+#: How long a checkpoint may take before the task is stopped instead.
+CHECKPOINT_SECONDS = 0.6
+#: Units that a team may be above or below its entitlement without preemption.
+TOLERANCE_UNITS = 1.0
+
+
+class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
+    """A run that may have to make room.
+
+    :param started: when it started, in seconds.
+    :param units: what it takes, in units of the scarcest resource.
+    :param checkpoints: whether it can resume from a checkpoint.
+    """
+
+    task: TaskId
+    team: TeamId
+    vm: VmId
+    work_class: WorkClass
+    started: float
+    units: float = 1.0
+    checkpoints: bool = False
+    idempotent: bool = True
+
+
+class Demand(msgspec.Struct, frozen=True, kw_only=True):
+    """Work of one team and class that waits in a pool and may start.
+
+    :param units: what it would take, in units.
+    :param oldest: when the oldest of it arrived, in seconds.
+    """
+
+    team: TeamId
+    work_class: WorkClass
+    units: float
+    oldest: float
+
+
+class Checkpoint(msgspec.Struct, frozen=True, tag="checkpoint"):
+    """Save a task and free its slot; it resumes later."""
+
+    task: TaskId
+    vm: VmId
+
+
+class Stop(msgspec.Struct, frozen=True, tag="stop"):
+    """End an idempotent task; it waits again and runs from its start."""
+
+    task: TaskId
+    vm: VmId
+
+
+class Throttle(msgspec.Struct, frozen=True, tag="throttle"):
+    """Slow down a task that can neither be saved nor stopped.
+
+    This frees processor time for the runs beside it, but not its slot.
+    """
+
+    task: TaskId
+    vm: VmId
+
+
+Decision = Checkpoint | Stop | Throttle
+
+
+class _Cost(IntEnum):
+    """What making room by a task costs, cheapest first."""
+
+    CHECKPOINT = 0
+    STOP_BATCH = 1
+    STOP_URGENT = 2
+    THROTTLE = 3
+
+
+class _Pending(msgspec.Struct):
+    decision: Decision
+    run: RunningTask
+    at: float
+
+
+class _Balance:
+    """Units that teams run and are due, as decisions change them."""
+
+    def __init__(
+        self, running: Mapping[TeamId, float], due: Mapping[TeamId, float]
+    ) -> None:
+        self._running = dict(running)
+        self._due = due
+
+    def surplus(self, team: TeamId) -> float:
+        return self._running.get(team, 0.0) - self._due.get(team, 0.0)
+
+    def move(self, units: float, giver: TeamId, taker: TeamId) -> None:
+        self._running[giver] = self._running.get(giver, 0.0) - units
+        self._running[taker] = self._running.get(taker, 0.0) + units
+
+
+class Preemption:
+    """Decisions to make room in one pool, and those still under way."""
+
+    def __init__(self) -> None:
+        self._pending: dict[TaskId, _Pending] = {}
+
+    def note_finish(self, task: TaskId) -> None:
+        """Forget a task that no longer runs."""
+        self._pending.pop(task, None)
+
+    def decide(
+        self,
+        demands: Iterable[Demand],
+        tasks: Iterable[RunningTask],
+        free: float,
+        running: Mapping[TeamId, float],
+        due: Mapping[TeamId, float],
+        now: float,
+    ) -> list[Decision]:
+        """Return what to do now, so that waiting work can start.
+
+        :param tasks: what runs in the pool.
+        :param free: units that are free in the pool.
+        :param running: units that each team runs across the fleet.
+        :param due: units that each team is entitled to across the fleet.
+        """
+        decisions = self._escalate(now)
+        late = [d for d in demands if now - d.oldest >= PATIENCE_SECONDS]
+        if not late:
+            return decisions
+        late.sort(key=lambda d: (d.work_class is WorkClass.BATCH, d.oldest))
+        balance = _Balance(running, due)
+        room = free + self._coming(balance)
+        victims = sorted(
+            (run for run in tasks if run.task not in self._pending), key=_order
+        )
+        for demand in late:
+            room = self._make_room(demand, victims, room, balance, now, decisions)
+        return decisions
+
+    def _coming(self, balance: _Balance) -> float:
+        """Return the units that decisions under way will free."""
+        units = 0.0
+        for pending in self._pending.values():
+            if not isinstance(pending.decision, Throttle):
+                units += pending.run.units
+                balance.move(pending.run.units, pending.run.team, TeamId(""))
+        return units
+
+    def _make_room(
+        self,
+        demand: Demand,
+        victims: list[RunningTask],
+        room: float,
+        balance: _Balance,
+        now: float,
+        decisions: list[Decision],
+    ) -> float:
+        """Decide for one demand; return the room that is left for the next."""
+        needed = demand.units - room
+        for run in list(victims):
+            if needed <= 0:
+                break
+            if not _gives_way(run, demand, balance):
+                continue
+            victims.remove(run)
+            decision = _decision(run)
+            decisions.append(decision)
+            self._pending[run.task] = _Pending(decision, run, now)
+            if not isinstance(decision, Throttle):
+                needed -= run.units
+                balance.move(run.units, run.team, demand.team)
+        return max(-needed, 0.0)
+
+    def _escalate(self, now: float) -> list[Decision]:
+        """Stop what has not finished its checkpoint in time."""
+        decisions: list[Decision] = []
+        for pending in self._pending.values():
+            if not isinstance(pending.decision, Checkpoint):
+                continue
+            if pending.run.idempotent and now - pending.at >= CHECKPOINT_SECONDS:
+                pending.decision = Stop(pending.run.task, pending.run.vm)
+                decisions.append(pending.decision)
+        return decisions
+
+
+def _cost(run: RunningTask) -> _Cost:
+    if run.checkpoints:
+        return _Cost.CHECKPOINT
+    if not run.idempotent:
+        return _Cost.THROTTLE
+    urgent = run.work_class is WorkClass.URGENT
+    return _Cost.STOP_URGENT if urgent else _Cost.STOP_BATCH
+
+
+def _order(run: RunningTask) -> tuple[_Cost, float]:
+    """Order victims by cost, then by the work that is lost: newest first."""
+    return _cost(run), -run.started
+
+
+def _gives_way(run: RunningTask, demand: Demand, balance: _Balance) -> bool:
+    """Return whether ``run`` has to make room for ``demand``."""
+    urgent_first = (
+        demand.work_class is WorkClass.URGENT and run.work_class is WorkClass.BATCH
+    )
+    if run.team == demand.team:
+        return urgent_first
+    lent = balance.surplus(run.team) >= TOLERANCE_UNITS
+    returns = balance.surplus(demand.team) <= -TOLERANCE_UNITS
+    return lent and (returns or urgent_first)
+
+
+def _decision(run: RunningTask) -> Decision:
+    match _cost(run):
+        case _Cost.CHECKPOINT:
+            return Checkpoint(run.task, run.vm)
+        case _Cost.THROTTLE:
+            return Throttle(run.task, run.vm)
+        case _:
+            return Stop(run.task, run.vm)
--- a/hickoryplank/core/queues.py
+++ b/hickoryplank/core/queues.py
@@ -19,8 +19,13 @@
 
 #: Weight of a team without a share, in percent of the fleet.
 MIN_WEIGHT = 0.01
+#: Added to what a team runs when teams are compared, which keeps each within one
+#: unit of its share among few teams (the method of Sainte-Laguë).
+HALF_UNIT = 0.5
 #: Longest time for which urgent work may keep all batch work of a pool waiting.
 BATCH_PATIENCE_SECONDS = 20.0
+#: Heap entries of work that no longer waits that are kept at least.
+MOST_STALE_ENTRIES = 1024
 
 
 class WorkItem(msgspec.Struct, frozen=True, kw_only=True):
@@ -119,15 +124,22 @@
             return None
         lanes = self._pools.setdefault(item.pool, _PoolQueue()).lanes[item.work_class]
         lanes.add(item)
-        self._items[item.request] = item
-        entry = (item.deadline, next(self._serial), item.request)
-        heapq.heappush(self._deadlines, entry)
+        self._register(item)
         if lanes.size <= self._bounds.of(item.work_class):
             return None
         victim = _newest_of_longest(lanes, shares)
         self._remove(victim)
         return victim
 
+    def put_back(self, item: WorkItem) -> None:
+        """Let an item that was taken wait again, before its team's other work."""
+        if item.request in self._items:
+            return
+        lanes = self._pools.setdefault(item.pool, _PoolQueue()).lanes[item.work_class]
+        lanes.add(item)
+        lanes.teams[item.team].move_to_end(item.request, last=False)
+        self._register(item)
+
     def cancel(self, request: RequestId) -> WorkItem | None:
         """Remove and return a waiting item; ``None`` if it does not wait."""
         item = self._items.get(request)
@@ -156,7 +168,7 @@
         self,
         pool: PoolId,
         shares: Mapping[TeamId, float],
-        running: Mapping[TeamId, int],
+        running: Mapping[TeamId, float],
         may_start: Callable[[TeamId], bool],
         now: float,
     ) -> WorkItem | None:
@@ -199,6 +211,15 @@
         lanes = queue.lanes[work_class].teams.values()
         return min((next(iter(lane.values())).arrived for lane in lanes), default=None)
 
+    def _register(self, item: WorkItem) -> None:
+        self._items[item.request] = item
+        entry = (item.deadline, next(self._serial), item.request)
+        heapq.heappush(self._deadlines, entry)
+        if len(self._deadlines) > 2 * len(self._items) + MOST_STALE_ENTRIES:
+            waiting = (e for e in self._deadlines if e[2] in self._items)
+            self._deadlines = list(waiting)
+            heapq.heapify(self._deadlines)
+
     def _remove(self, item: WorkItem) -> None:
         del self._items[item.request]
         self._pools[item.pool].lanes[item.work_class].remove(item)
@@ -211,13 +232,13 @@
 def _least_served(
     teams: Iterable[TeamId],
     shares: Mapping[TeamId, float],
-    running: Mapping[TeamId, int],
+    running: Mapping[TeamId, float],
     may_start: Callable[[TeamId], bool],
 ) -> TeamId | None:
     ready = (team for team in teams if may_start(team))
     return min(
         ready,
-        key=lambda team: (running.get(team, 0) + 1) / _weight(shares, team),
+        key=lambda team: (running.get(team, 0) + HALF_UNIT) / _weight(shares, team),
         default=None,
     )
 
--- /dev/null
+++ b/hickoryplank/core/shares.py
@@ -0,0 +1,107 @@
+"""What each team is due while the fleet is full, and how far it is from that."""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from hickoryplank.core.ids import TeamId
+from hickoryplank.core.queues import MIN_WEIGHT
+
+__all__ = ["ShareMeter", "TeamDemand", "entitlements"]
+
+#: Time over which distance from entitlement is averaged, in seconds.
+WINDOW_SECONDS = 10.0
+
+
+class TeamDemand(msgspec.Struct, frozen=True, kw_only=True):
+    """What one team would run if it could.
+
+    :param weight: the team's share, in percent of the fleet.
+    :param limit: the team's upper limit, in units.
+    :param wants: units that run and wait, on pools that it can use.
+    """
+
+    team: TeamId
+    weight: float
+    limit: float
+    wants: float
+
+    @property
+    def cap(self) -> float:
+        """The most that the team can be due, in units."""
+        return max(min(self.limit, self.wants), 0.0)
+
+
+def entitlements(demands: Iterable[TeamDemand], capacity: float) -> dict[TeamId, float]:
+    """Return the weighted max-min allocation of ``capacity``, in units.
+
+    No team is due more than it wants or may have, and what one leaves goes to
+    the others by weight.
+    """
+    rows = sorted(demands, key=lambda row: row.cap / _weight(row))
+    left = max(capacity, 0.0)
+    due = {}
+    for index, row in enumerate(rows):
+        weights = sum(_weight(other) for other in rows[index:])
+        due[row.team] = min(row.cap, left * _weight(row) / weights)
+        left -= due[row.team]
+    return due
+
+
+def _weight(row: TeamDemand) -> float:
+    return max(row.weight, MIN_WEIGHT)
+
+
+class _Sample(msgspec.Struct):
+    at: float
+    seconds: float
+    gaps: dict[TeamId, float]
+
+
+class ShareMeter:
+    """Distance of each team from its entitlement, averaged over time.
+
+    :param window: time over which to average, in seconds.
+    """
+
+    def __init__(self, window: float = WINDOW_SECONDS) -> None:
+        self._window = window
+        self._samples: deque[_Sample] = deque()
+        self._sums: dict[TeamId, float] = {}
+        self._seconds = 0.0
+        self._last: float | None = None
+
+    def observe(
+        self,
+        now: float,
+        running: Mapping[TeamId, float],
+        due: Mapping[TeamId, float],
+    ) -> None:
+        """Take what was running, and due, since the last observation."""
+        if self._last is not None and now > self._last:
+            teams = running.keys() | due.keys()
+            gaps = {t: running.get(t, 0.0) - due.get(t, 0.0) for t in teams}
+            self._add(_Sample(now, now - self._last, gaps), 1)
+        self._last = now
+        while self._samples and self._samples[0].at <= now - self._window:
+            self._add(self._samples.popleft(), -1)
+
+    def distance(self, team: TeamId) -> float:
+        """Return how far ``team`` was above its entitlement on average, in units.
+
+        A negative distance means that it was below.
+        """
+        return self._sums.get(team, 0.0) / self._seconds if self._seconds else 0.0
+
+    def worst(self) -> float:
+        """Return the largest distance of any team, in units."""
+        return max((abs(self.distance(team)) for team in self._sums), default=0.0)
+
+    def _add(self, sample: _Sample, sign: int) -> None:
+        if sign > 0:
+            self._samples.append(sample)
+        self._seconds += sign * sample.seconds
+        for team, gap in sample.gaps.items():
+            total = self._sums.get(team, 0.0) + sign * sample.seconds * gap
+            self._sums[team] = total
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,176 @@
+"""Tests of the choice of endpoints and of their ejection."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hickoryplank.core.placement import (
+    FIRST_EJECTION_SECONDS,
+    LONGEST_EJECTION_SECONDS,
+    MAX_EJECTED_FRACTION,
+    EndpointRow,
+    EndpointTable,
+    RunResult,
+    Verdict,
+)
+
+DONE, FAILED = RunResult.DONE, RunResult.FAILED
+
+
+def endpoint(number, in_service=True, pool="p"):
+    return EndpointRow(
+        vm=f"vm-{number}",
+        pool=pool,
+        zone=f"zone-{number % 3}",
+        rack=f"rack-{number // 4}",
+        slots=8,
+        in_service=in_service,
+    )
+
+
+def fleet(size=6, proved=True):
+    table = EndpointTable()
+    for number in range(size):
+        table.put(endpoint(number))
+        if proved:
+            finish(table, f"vm-{number}", f"first-{number}", DONE)
+    return table
+
+
+def finish(table, vm, task, result, now=0.0):
+    table.note_start(vm, now)
+    return table.note_finish(vm, task, "q", result, 1.0, now)
+
+
+def ejected(table, pool="p"):
+    return [row.vm for row in table.members(pool) if row.ejected_until is not None]
+
+
+def fill(table, now=0.0, **how):
+    started = []
+    while vm := table.pick("p", (), now, **how):
+        table.note_start(vm, now)
+        started.append(vm)
+    return started
+
+
+def test_work_spreads_over_zones_and_racks_and_fills_every_slot():
+    started = fill(fleet())
+    assert len(started) == 48
+    assert {vm[-1] for vm in started[:3]} in ({"0", "4", "5"}, {"0", "4", "2"})
+    assert all(started.count(f"vm-{i}") == 8 for i in range(6))
+
+
+@pytest.mark.parametrize("units", [2.0, 4.0])
+def test_large_runs_take_the_room_that_they_need(units):
+    table = fleet(1)
+    starts = 0
+    while table.pick("p", (), 0.0, units=units):
+        table.note_start("vm-0", 0.0, units)
+        starts += 1
+    assert starts == 8 / units
+
+
+def test_a_new_endpoint_gets_few_runs_until_one_is_done():
+    table = fleet(1, proved=False)
+    assert len(fill(table)) == 1
+    assert len(fill(table, 10.0)) == 3
+    table.note_progress("vm-0")
+    assert len(fill(table, 10.0)) == 4
+
+
+def test_a_vm_out_of_service_gets_nothing_and_comes_back_unproved():
+    table = fleet(1)
+    table.put(endpoint(0, in_service=False))
+    assert table.pick("p", (), 0.0) is None
+    table.put(endpoint(0))
+    assert len(fill(table)) == 1
+
+
+def test_a_moved_vm_serves_its_new_pool_only():
+    table = fleet(1)
+    table.put(endpoint(0, pool="q"))
+    assert table.pick("p", (), 0.0) is None
+    assert table.pick("q", (), 0.0) == "vm-0"
+
+
+def test_busy_refusals_lower_capacity_and_finished_runs_raise_it():
+    table = fleet(1)
+    assert len(fill(table)) == 8
+    table.note_finish("vm-0", "t", "q", RunResult.BUSY, 0.0, 0.0)
+    assert table.row("vm-0").capacity == 7
+    for number in range(8):
+        table.note_finish("vm-0", f"t{number}", "q", DONE, 1.0, 0.0)
+        table.note_start("vm-0", 0.0)
+    assert table.row("vm-0").capacity == 8
+
+
+def test_a_worker_that_fails_what_others_run_is_ejected():
+    table = fleet()
+    for number in range(2):
+        assert finish(table, "vm-0", f"t{number}", FAILED) is Verdict.RETRY
+        assert finish(table, "vm-1", f"t{number}", DONE) is Verdict.DONE
+    assert ejected(table) == ["vm-0"]
+    assert "vm-0" not in fill(table)
+
+
+@pytest.mark.parametrize("apart", [True, False])
+def test_tasks_that_never_run_are_given_up_and_eject_nobody(apart):
+    table = fleet()
+    tasks = [f"bad-{i}" for i in range(2 if apart else 5)]
+    for task in tasks:
+        for vm in ("vm-0", "vm-1"):
+            assert finish(table, vm, task, FAILED) is Verdict.RETRY
+        if not apart:
+            assert finish(table, "vm-2", task, FAILED) is Verdict.GIVE_UP
+    for task in tasks if apart else ():
+        assert finish(table, "vm-2", task, FAILED) is Verdict.GIVE_UP
+    assert ejected(table) == []
+    assert not any(row.suspect for row in table.members("p"))
+
+
+def test_failures_on_workers_that_run_nothing_do_not_give_a_task_up():
+    table = fleet(proved=False)
+    verdicts = {finish(table, f"vm-{i}", "t", FAILED) for i in range(6)}
+    assert verdicts == {Verdict.RETRY}
+
+
+def test_ejections_last_twice_as_long_each_time_and_one_run_ends_them():
+    table, now, lengths = fleet(), 0.0, []
+    for number in range(3):
+        finish(table, "vm-0", f"t{number}", FAILED)
+    for number in range(8):
+        lengths.append(table.row("vm-0").ejected_until - now)
+        now = table.row("vm-0").ejected_until
+        assert table.pick("p", (), now - 0.1) != "vm-0"
+        assert table.pick("p", (), now) == "vm-0"
+        assert table.pick("p", (), now, may_probe=False) != "vm-0"
+        finish(table, "vm-0", f"probe-{number}", FAILED, now)
+    doubled = [FIRST_EJECTION_SECONDS * 2**i for i in range(8)]
+    assert lengths == [min(length, LONGEST_EJECTION_SECONDS) for length in doubled]
+    finish(table, "vm-0", "good", DONE, now)
+    assert ejected(table) == []
+
+
+@given(
+    st.integers(1, 9),
+    st.lists(
+        st.tuples(
+            st.integers(0, 8),
+            st.integers(0, 12),
+            st.sampled_from(RunResult),
+            st.floats(0, 15),
+        ),
+        max_size=80,
+    ),
+)
+def test_the_cap_on_ejections_holds_and_the_pool_keeps_serving(size, runs):
+    table, now = fleet(size), 0.0
+    for number, task, result, seconds in runs:
+        now += seconds
+        vm = f"vm-{number % size}"
+        table.note_start(vm, now)
+        table.note_finish(vm, f"t{task}", "q", result, 0.1, now)
+        assert len(ejected(table)) <= max(size * MAX_EJECTED_FRACTION, size > 1)
+        assert table.pick("p", (), now) is not None
+        assert all(1 <= row.capacity <= row.slots for row in table.members("p"))
--- /dev/null
+++ b/tests/core/test_shares.py
@@ -0,0 +1,151 @@
+"""Tests of entitlements, of distance from them, and of making room."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hickoryplank.core.objects import WorkClass
+from hickoryplank.core.preemption import (
+    CHECKPOINT_SECONDS,
+    Checkpoint,
+    Demand,
+    Preemption,
+    RunningTask,
+    Stop,
+    Throttle,
+)
+from hickoryplank.core.shares import ShareMeter, TeamDemand, entitlements
+from hickoryplank.core.sizes import SizeTable, Usage, units_of
+
+URGENT, BATCH = WorkClass.URGENT, WorkClass.BATCH
+UNITS = st.floats(0, 300)
+ROWS = st.lists(st.tuples(st.floats(0, 100), UNITS, UNITS), min_size=1, max_size=8).map(
+    lambda rows: [
+        TeamDemand(team=f"t{i}", weight=weight, limit=limit, wants=wants)
+        for i, (weight, limit, wants) in enumerate(rows)
+    ]
+)
+
+
+@given(ROWS, UNITS)
+def test_entitlements_are_weighted_max_min(rows, capacity):
+    due = entitlements(rows, capacity)
+    assert all(due[row.team] <= row.cap + 1e-6 for row in rows)
+    wanted = min(sum(row.cap for row in rows), capacity)
+    assert sum(due.values()) == pytest.approx(wanted, abs=1e-6)
+    level = {row.team: due[row.team] / max(row.weight, 0.01) for row in rows}
+    for row in rows:
+        if due[row.team] < row.cap - 1e-6:
+            assert level[row.team] >= max(level.values()) * (1 - 1e-6) - 1e-6
+
+
+def test_meter_averages_over_its_window():
+    meter = ShareMeter(window=10.0)
+    for second in range(31):
+        running = 8.0 if second <= 20 else 6.0
+        meter.observe(float(second), {"a": running}, {"a": 5.0, "b": 1.0})
+    assert meter.distance("a") == pytest.approx(1.0)
+    assert meter.distance("b") == pytest.approx(-1.0)
+    assert meter.worst() == pytest.approx(1.0)
+
+
+def test_size_is_the_largest_part_of_a_slot_and_is_learned():
+    slot = Usage(cores=2.0, memory=4000.0)
+    assert units_of(Usage(cores=1.0), slot) == 1.0
+    assert units_of(Usage(cores=2.0, memory=16000.0), slot) == 4.0
+    sizes = SizeTable()
+    assert sizes.of("q", "a", declared=1.0) == 1.0
+    for _ in range(3):
+        sizes.observe("q", "a", 4.0)
+    assert sizes.of("q", "a", declared=1.0) == 4.0
+
+
+def run(name, team, work_class=BATCH, started=0.0, checkpoints=False, idempotent=True):
+    return RunningTask(
+        task=name,
+        team=team,
+        vm="vm-0",
+        work_class=work_class,
+        started=started,
+        checkpoints=checkpoints,
+        idempotent=idempotent,
+    )
+
+
+def decide(preemption, demands, tasks, due, now=1.0):
+    running = {}
+    for task in tasks:
+        running[task.team] = running.get(task.team, 0.0) + task.units
+    return preemption.decide(demands, tasks, 0.0, running, due, now)
+
+
+def urgent(team, units=1.0, oldest=0.0, work_class=URGENT):
+    return Demand(team=team, work_class=work_class, units=units, oldest=oldest)
+
+
+LENT = [run(f"l{i}", "lender", started=float(i)) for i in range(4)]
+DUE = {"lender": 2.0, "owner": 2.0}
+
+
+@pytest.mark.parametrize(
+    ("demand", "due", "stopped"),
+    [
+        (urgent("owner", 3), DUE, ["l3", "l2"]),
+        (urgent("owner", 1), DUE, ["l3"]),
+        (urgent("owner", 2, work_class=BATCH), DUE, ["l3", "l2"]),
+        (urgent("owner", 2, oldest=0.9), DUE, []),
+        (urgent("owner", 2), {"lender": 4.0, "owner": 0.0}, []),
+        (urgent("lender", 2), {"lender": 4.0}, ["l3", "l2"]),
+        (urgent("lender", 2, work_class=BATCH), {"lender": 4.0}, []),
+    ],
+)
+def test_room_is_taken_from_lent_units_and_own_batch_only(demand, due, stopped):
+    decisions = decide(Preemption(), [demand], LENT, due)
+    assert decisions == [Stop(task, "vm-0") for task in stopped]
+
+
+@pytest.mark.parametrize(
+    ("task", "decision"),
+    [
+        (run("t", "lender", checkpoints=True, idempotent=False), Checkpoint),
+        (run("t", "lender", checkpoints=True), Checkpoint),
+        (run("t", "lender", URGENT), Stop),
+        (run("t", "lender", idempotent=False), Throttle),
+    ],
+)
+def test_a_task_that_may_run_once_is_never_stopped(task, decision):
+    due = {"lender": 0.0, "owner": 1.0}
+    decisions = decide(Preemption(), [urgent("owner")], [task], due)
+    assert decisions == [decision("t", "vm-0")]
+
+
+@pytest.mark.parametrize(("idempotent", "stops"), [(True, 1), (False, 0)])
+def test_a_late_checkpoint_becomes_a_stop_once(idempotent, stops):
+    preemption = Preemption()
+    task = run("t", "lender", checkpoints=True, idempotent=idempotent)
+    due = {"lender": 0.0, "owner": 1.0}
+    assert len(decide(preemption, [urgent("owner")], [task], due, 1.0)) == 1
+    later = 1.0 + CHECKPOINT_SECONDS
+    assert decide(preemption, [urgent("owner")], [task], due, 1.1) == []
+    assert len(decide(preemption, [urgent("owner")], [task], due, later)) == stops
+    assert decide(preemption, [urgent("owner")], [task], due, later + 1) == []
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("abc"), st.sampled_from(WorkClass)), max_size=30
+    ),
+    st.lists(st.tuples(st.sampled_from("abc"), st.integers(1, 9)), max_size=3),
+    st.tuples(*[st.integers(0, 12)] * 3),
+)
+def test_nobody_is_pushed_below_their_entitlement_for_another(runs, demands, due):
+    due = dict(zip("abc", map(float, due), strict=True))
+    tasks = [run(f"t{i}", *spec) for i, spec in enumerate(runs)]
+    wanted = [urgent(team, units) for team, units in demands]
+    stopped = {d.task for d in decide(Preemption(), wanted, tasks, due)}
+    asked = {team for team, _ in demands}
+    for team in set("abc") - asked:
+        before = sum(task.team == team for task in tasks)
+        after = sum(task.team == team and task.task not in stopped for task in tasks)
+        assert after == before or after >= due[team]
+    assert len(stopped) <= sum(units for _, units in demands)
