--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions, in virtual time and on one machine."""
--- /dev/null
+++ b/hickoryplank/core/maintenance.py
@@ -0,0 +1,390 @@
+"""The maintenance system: proposes the next step of each VM out of rotation.
+
+All that must last stands in the tables. A ``Planner`` keeps only what spares it
+work, so any node may run one, several at once, or a new one at any time; the
+fold refuses what comes too late.
+"""
+
+from collections.abc import Callable, Iterator, Mapping
+from enum import Enum
+
+import msgspec
+
+from hickoryplank.core.ids import OperatorId, PoolId, RecordId, Revision, VmId, WaveId
+from hickoryplank.core.objects import Kind
+from hickoryplank.core.records import (
+    VmMoved,
+    VmReport,
+    VmState,
+    VmStep,
+    WaveChange,
+    WaveState,
+)
+from hickoryplank.core.tables import Tables, VmRow
+from hickoryplank.core.vms import budget_of, in_service
+from hickoryplank.core.waves import WaveView, is_standby
+
+__all__ = [
+    "CheckpointBatch",
+    "MaintenancePolicy",
+    "Planner",
+    "Probe",
+    "Proposal",
+    "RebootVm",
+    "VmEvidence",
+    "WorkerReport",
+    "is_drained",
+    "overdue",
+]
+
+_PLANNER = OperatorId("maintenance")
+
+
+class MaintenancePolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """Durations, in seconds, and tries of maintenance.
+
+    :param fresh: after a VM is folded as leaving, the time within which a node
+        with an older view may still start work on it.
+    :param drain_deadline: after which batch work is checkpointed.
+    :param silent: after which a failed VM that reports nothing counts as
+        drained; longer than the longest lease.
+    :param reboot_timeout: after which a VM that does not come back is reported
+        as failed.
+    :param probe_timeout: after which a missing answer is a failed probe.
+    :param backoff: wait before the second reboot; doubles with each further one.
+    :param max_backoff: the longest such wait.
+    :param max_reboots: failed reboots after which a VM is reported as failed.
+    :param retry: wait before the same proposal is made again.
+    """
+
+    fresh: float = 2.5
+    drain_deadline: float = 30.0
+    silent: float = 120.0
+    reboot_timeout: float = 600.0
+    probe_timeout: float = 60.0
+    backoff: float = 15.0
+    max_backoff: float = 900.0
+    max_reboots: int = 3
+    retry: float = 5.0
+
+
+class Probe(Enum):
+    """What the last probe of a rebooted VM showed."""
+
+    PENDING = "pending"
+    OK = "ok"
+    FAILED = "failed"
+
+
+class WorkerReport(msgspec.Struct, frozen=True, kw_only=True):
+    """A worker's answer to an inquiry.
+
+    :param age: seconds since the inquiry was sent.
+    """
+
+    boot: str
+    running: int
+    age: float
+
+
+class VmEvidence(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node knows of a VM that is out of rotation.
+
+    :param since: seconds since the node folded the VM's last step.
+    :param report: the worker's last answer, if there is any.
+    :param probe: the last probe since then.
+    """
+
+    since: float
+    report: WorkerReport | None = None
+    probe: Probe = Probe.PENDING
+
+
+class RebootVm(msgspec.Struct, frozen=True, tag="reboot_vm"):
+    """Ask the platform to reboot a VM, unless it has left boot ``boot``."""
+
+    vm: VmId
+    boot: str
+
+
+class CheckpointBatch(msgspec.Struct, frozen=True, tag="checkpoint_batch"):
+    """Checkpoint the batch work that this node runs on a VM."""
+
+    vm: VmId
+
+
+Proposal = VmStep | VmMoved | VmReport | WaveChange | RebootVm
+
+
+def is_drained(row: VmRow, evidence: VmEvidence, policy: MaintenancePolicy) -> bool:
+    """Return whether a leaving VM runs nothing and can get nothing more.
+
+    The report must answer an inquiry that was sent after the last moment at
+    which a node with an older view may have started work.
+    """
+    report = evidence.report
+    if report is not None and evidence.since - report.age >= policy.fresh:
+        return report.running == 0
+    return not row.healthy and evidence.since >= policy.silent
+
+
+def overdue(
+    tables: Tables, evidence: Mapping[VmId, VmEvidence], policy: MaintenancePolicy
+) -> list[CheckpointBatch]:
+    """Return the VMs whose batch work each node checkpoints now.
+
+    Every node acts on this for the work that it runs itself; urgent work is
+    waited for.
+    """
+    late = []
+    for vm, row in tables.vm_index.away.items():
+        if row.state is not VmState.LEAVING or vm not in evidence:
+            continue
+        due = evidence[vm].since >= policy.drain_deadline
+        if due and not is_paused(tables, row):
+            late.append(CheckpointBatch(vm))
+    return late
+
+
+def is_paused(tables: Tables, row: VmRow) -> bool:
+    """Return whether the VM's wave is paused."""
+    return _wave_state(tables, row) is WaveState.PAUSED
+
+
+def _wave_state(tables: Tables, row: VmRow) -> WaveState | None:
+    wave = tables.waves.get(row.wave) if row.wave else None
+    return wave.state if wave else None
+
+
+class Planner:
+    """Proposes maintenance records; work grows with what changed, not the fleet.
+
+    :param new_id: gives a record id that no other record has.
+    """
+
+    def __init__(
+        self, policy: MaintenancePolicy, new_id: Callable[[], RecordId]
+    ) -> None:
+        self._policy = policy
+        self._new_id = new_id
+        self._sequence = -1
+        self._views: dict[WaveId, WaveView] = {}
+        self._made: dict[VmId, tuple[Revision, float]] = {}
+        self._asked: dict[VmId, float] = {}
+        self._ended: dict[WaveId, float] = {}
+
+    def tick(
+        self, tables: Tables, evidence: Mapping[VmId, VmEvidence], now: float
+    ) -> list[Proposal]:
+        """Return what to append to the log and to ask of the platform now.
+
+        :param evidence: for each VM that is not in state ``ACTIVE``.
+        :param now: monotonic time, in seconds.
+        """
+        self._forget(tables, now)
+        proposals = list(self._return_for_budget(tables, now))
+        for vm, row in list(tables.vm_index.away.items()):
+            if vm in evidence and not self._in_flight(row):
+                proposals.extend(self._next(tables, row, evidence[vm], now))
+        proposals.extend(self._run_waves(tables, evidence, now))
+        self._sequence = tables.sequence
+        return proposals
+
+    def _forget(self, tables: Tables, now: float) -> None:
+        for vm, (revision, made) in list(self._made.items()):
+            row = tables.vms.get(vm)
+            if row is not None and row.revision == revision:
+                if now - made < self._policy.retry:
+                    continue
+                for view in self._views.values():
+                    view.look_again(row.pool)
+            del self._made[vm]
+
+    def _in_flight(self, row: VmRow) -> bool:
+        made = self._made.get(row.vm)
+        return made is not None and made[0] == row.revision
+
+    def _note(self, row: VmRow, now: float) -> None:
+        self._made[row.vm] = (row.revision, now)
+
+    def _step(
+        self,
+        row: VmRow,
+        state: VmState,
+        now: float,
+        wave: WaveId | None = None,
+        boot: str = "",
+    ) -> VmStep:
+        self._note(row, now)
+        return VmStep(
+            id=self._new_id(),
+            vm=row.vm,
+            revision=row.revision,
+            state=state,
+            wave=wave,
+            boot=boot,
+        )
+
+    def _report(self, row: VmRow, healthy: bool, now: float) -> VmReport:
+        self._note(row, now)
+        return VmReport(id=self._new_id(), vm=row.vm, healthy=healthy)
+
+    def _return_for_budget(self, tables: Tables, now: float) -> Iterator[VmStep]:
+        """Call back VMs that still can return, where failures broke a budget."""
+        missing: dict[PoolId, int] = {}
+        for row in tables.vm_index.away.values():
+            if not _can_return(row) or self._in_flight(row):
+                continue
+            if row.pool not in missing:
+                budget = budget_of(tables, row.pool)
+                missing[row.pool] = budget - in_service(tables, row.pool)
+            if missing[row.pool] > 0:
+                missing[row.pool] -= 1
+                yield self._step(row, VmState.ACTIVE, now)
+
+    def _next(
+        self, tables: Tables, row: VmRow, seen: VmEvidence, now: float
+    ) -> Iterator[Proposal]:
+        match row.state:
+            case VmState.LEAVING:
+                if _wave_state(tables, row) is WaveState.CANCELLED:
+                    yield self._step(row, VmState.ACTIVE, now)
+                elif is_drained(row, seen, self._policy) and not is_paused(tables, row):
+                    yield self._step(row, VmState.DRAINED, now)
+            case VmState.DRAINED:
+                yield from self._from_drained(tables, row, seen, now)
+            case VmState.REBOOTING:
+                yield from self._from_rebooting(row, seen, now)
+            case VmState.PROBING:
+                yield from self._from_probing(row, seen, now)
+
+    def _from_drained(
+        self, tables: Tables, row: VmRow, seen: VmEvidence, now: float
+    ) -> Iterator[Proposal]:
+        match _wave_state(tables, row):
+            case WaveState.RUNNING | WaveState.DONE:
+                boot = _boot(seen)
+                yield self._step(row, VmState.REBOOTING, now, boot=boot)
+            case WaveState.CANCELLED:
+                yield self._step(row, VmState.ACTIVE, now)
+            case None if row.target is not None:
+                yield from self._follow_target(tables, row, now)
+
+    def _follow_target(
+        self, tables: Tables, row: VmRow, now: float
+    ) -> Iterator[VmStep | VmMoved]:
+        pool = tables.objects[Kind.POOL].get(row.target)
+        if row.target == row.pool:
+            if pool is None or not pool.obj.spare:
+                yield self._step(row, VmState.ACTIVE, now)
+            return
+        left = len(tables.members(row.pool)) - 1
+        if pool is None or left <= budget_of(tables, row.pool):
+            yield self._step(row, VmState.ACTIVE, now)
+            return
+        self._note(row, now)
+        yield VmMoved(
+            id=self._new_id(), vm=row.vm, revision=row.revision, pool=row.target
+        )
+
+    def _from_rebooting(
+        self, row: VmRow, seen: VmEvidence, now: float
+    ) -> Iterator[Proposal]:
+        if _has_rebooted(row, seen):
+            yield self._step(row, VmState.PROBING, now)
+        elif row.healthy and seen.since >= self._policy.reboot_timeout:
+            yield self._report(row, False, now)
+        elif now - self._asked.get(row.vm, -self._policy.retry) >= self._policy.retry:
+            self._asked[row.vm] = now
+            yield RebootVm(row.vm, row.boot)
+
+    def _from_probing(
+        self, row: VmRow, seen: VmEvidence, now: float
+    ) -> Iterator[Proposal]:
+        if seen.probe is Probe.OK:
+            if not row.healthy:
+                yield self._report(row, True, now)
+            elif seen.since >= self._settling(row):
+                yield self._step(row, VmState.ACTIVE, now)
+            return
+        silent = seen.since >= self._policy.probe_timeout
+        if seen.probe is not Probe.FAILED and not silent:
+            return
+        if row.healthy and row.reboots >= self._policy.max_reboots:
+            yield self._report(row, False, now)
+        elif seen.since >= self._backoff(row.reboots):
+            yield self._step(row, VmState.REBOOTING, now, boot=_boot(seen))
+
+    def _settling(self, row: VmRow) -> float:
+        """Return how long a request to reboot the VM may still be under way.
+
+        Without a boot id from before, nothing tells whether it was carried out.
+        """
+        return self._policy.fresh if row.boot else self._policy.silent
+
+    def _backoff(self, reboots: int) -> float:
+        wait = self._policy.backoff * 2 ** min(max(0, reboots - 1), 16)
+        return min(wait, self._policy.max_backoff)
+
+    def _given_up(self, row: VmRow) -> bool:
+        out = row.state in (VmState.REBOOTING, VmState.PROBING)
+        return out and not row.healthy
+
+    def _run_waves(
+        self, tables: Tables, evidence: Mapping[VmId, VmEvidence], now: float
+    ) -> Iterator[Proposal]:
+        changed = list(tables.vm_index.changed_since(self._sequence))
+        for wave in tables.waves.values():
+            if wave.state in (WaveState.CANCELLED, WaveState.DONE):
+                self._views.pop(wave.wave, None)
+                self._ended.pop(wave.wave, None)
+                continue
+            if wave.wave not in self._views:
+                self._views[wave.wave] = WaveView(wave, self._given_up)
+            view = self._views[wave.wave]
+            view.refresh(wave, changed)
+            for row in view.leaving(tables, self._in_flight):
+                yield from self._leave(row, wave.wave, evidence, now)
+                view.look_again(row.pool)
+            if view.finished and wave.state is WaveState.RUNNING:
+                yield from self._end(wave.wave, now)
+
+    def _leave(
+        self,
+        row: VmRow,
+        wave: WaveId,
+        evidence: Mapping[VmId, VmEvidence],
+        now: float,
+    ) -> Iterator[VmStep]:
+        if not is_standby(row):
+            yield self._step(row, VmState.LEAVING, now, wave=wave)
+        elif row.vm in evidence:
+            boot = _boot(evidence[row.vm])
+            yield self._step(row, VmState.REBOOTING, now, wave=wave, boot=boot)
+
+    def _end(self, wave: WaveId, now: float) -> Iterator[WaveChange]:
+        if now - self._ended.get(wave, -self._policy.retry) < self._policy.retry:
+            return
+        self._ended[wave] = now
+        yield WaveChange(
+            id=self._new_id(), wave=wave, operator=_PLANNER, state=WaveState.DONE
+        )
+
+
+def _can_return(row: VmRow) -> bool:
+    """Return whether a healthy VM was taken out by a plan and not yet stopped."""
+    planned = row.wave is not None or row.target is not None
+    stopped = row.state not in (VmState.LEAVING, VmState.DRAINED)
+    return row.healthy and planned and not stopped
+
+
+def _boot(seen: VmEvidence) -> str:
+    return seen.report.boot if seen.report else ""
+
+
+def _has_rebooted(row: VmRow, seen: VmEvidence) -> bool:
+    """Return whether an answer asked for since the step shows another boot."""
+    report = seen.report
+    if report is None or report.age >= seen.since:
+        return False
+    return bool(report.boot) and report.boot != row.boot
--- /dev/null
+++ b/tests/core/fake_vms.py
@@ -0,0 +1,181 @@
+"""A small fake of VMs under maintenance, in virtual time, with lagging planners."""
+
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from hickoryplank.core.fold import Verdict, fold
+from hickoryplank.core.ids import RecordId, VmId
+from hickoryplank.core.maintenance import (
+    MaintenancePolicy,
+    Planner,
+    Probe,
+    RebootVm,
+    VmEvidence,
+    WorkerReport,
+    overdue,
+)
+from hickoryplank.core.records import Record, VmState, VmStep
+from hickoryplank.core.tables import Tables, decode_tables, encode_tables
+from hickoryplank.core.vms import budget_of, in_service
+
+__all__ = ["FakeVm", "FakeVms", "Node"]
+
+STALE_SECONDS = 2.0
+BATCH_SHARE = 0.1
+BATCH_SECONDS = 600.0
+_NODE_NUMBERS = count()
+
+
+@dataclass
+class Task:
+    """Work on a VM, known by the time at which it ends."""
+
+    end: float
+    batch: bool = False
+
+
+@dataclass
+class FakeVm:
+    """A VM, its boot and the work that it still has while it leaves."""
+
+    boot: int = 1
+    tasks: list[Task] = field(default_factory=list)
+    up_at: float = 0.0
+    bad_probes: int = 0
+
+    def running(self, now: float) -> int:
+        """Return how many tasks run at ``now``."""
+        return sum(task.end > now for task in self.tasks)
+
+
+class Node:
+    """One planner and its own, perhaps lagging, copy of the tables.
+
+    :param lag: seconds by which the node reads the log late.
+    """
+
+    def __init__(self, tables: Tables, policy: MaintenancePolicy, lag: float) -> None:
+        self.tables = tables
+        self.lag = lag
+        self.read = 0
+        self.folded_at: dict[VmId, float] = {}
+        number, ids = next(_NODE_NUMBERS), count()
+        self.planner = Planner(policy, lambda: RecordId(f"n{number}-{next(ids)}"))
+
+
+class FakeVms:
+    """VMs that take work, reboot and fail probes at random from a seed.
+
+    :param reboot: shortest and longest time of a reboot, in seconds.
+    :param bad_probe: chance that a boot fails its first probe.
+    """
+
+    def __init__(
+        self,
+        tables: Tables,
+        rng: Random,
+        policy: MaintenancePolicy,
+        lags: tuple[float, ...] = (0.0,),
+        reboot: tuple[float, float] = (60.0, 120.0),
+        bad_probe: float = 0.0,
+    ) -> None:
+        self.tables = tables
+        self.policy = policy
+        self.now = 0.0
+        self.cut_off = 0
+        self.over_budget = 0
+        self.accepted = 0
+        self.refused = 0
+        self._rng = rng
+        self._reboot = reboot
+        self.bad_probe = bad_probe
+        self._log: list[tuple[float, Record]] = []
+        self.vms = {vm: FakeVm() for vm in tables.vms}
+        self.nodes = [self.new_node(lag) for lag in lags]
+
+    def new_node(self, lag: float) -> Node:
+        """Return a node that starts from the tables as they are now."""
+        tables = decode_tables(encode_tables(self.tables)) if lag else self.tables
+        node = Node(tables, self.policy, lag)
+        node.read = len(self._log)
+        node.folded_at = dict.fromkeys(tables.vm_index.away, self.now)
+        return node
+
+    def append(self, record: Record) -> Verdict:
+        """Fold a record into the true tables and keep it for lagging nodes."""
+        self._log.append((self.now, record))
+        row = self.tables.vms.get(getattr(record, "vm", None))
+        counted = row is not None and row.in_service
+        verdict = fold(self.tables, record)
+        self.accepted += verdict.is_ok()
+        self.refused += verdict.is_err()
+        if verdict.is_ok() and isinstance(record, VmStep):
+            self._on_step(record, counted)
+        return verdict
+
+    def _on_step(self, step: VmStep, counted: bool) -> None:
+        pool = self.tables.vms[step.vm].pool
+        if step.state is VmState.LEAVING:
+            self.vms[step.vm].tasks = self._tasks()
+            short = in_service(self.tables, pool) < budget_of(self.tables, pool)
+            self.over_budget += counted and short
+
+    def _tasks(self) -> list[Task]:
+        """Return what runs, and what nodes with an older view still start."""
+        starts = [self.now] * 4 + [
+            self.now + self._rng.uniform(0, STALE_SECONDS) for _ in range(4)
+        ]
+        tasks = [Task(start + self._rng.expovariate(1.0)) for start in starts]
+        if self._rng.random() < BATCH_SHARE:
+            tasks.append(Task(self.now + BATCH_SECONDS, batch=True))
+        return tasks
+
+    def _ask_reboot(self, ask: RebootVm) -> None:
+        vm = self.vms[ask.vm]
+        if self.now < vm.up_at or ask.boot not in ("", str(vm.boot)):
+            return
+        state = self.tables.vms[ask.vm].state
+        self.cut_off += vm.running(self.now) + (state is VmState.ACTIVE)
+        vm.boot += 1
+        vm.tasks = []
+        vm.up_at = self.now + self._rng.uniform(*self._reboot)
+        vm.bad_probes = self._rng.random() < self.bad_probe
+
+    def _evidence(self, node: Node) -> dict[VmId, VmEvidence]:
+        seen = {}
+        for name in node.tables.vm_index.away:
+            vm = self.vms[name]
+            report, probe = None, Probe.PENDING
+            if self.now >= vm.up_at:
+                running = vm.running(self.now)
+                report = WorkerReport(boot=str(vm.boot), running=running, age=0.1)
+                probe = Probe.FAILED if vm.bad_probes else Probe.OK
+            since = self.now - node.folded_at.get(name, self.now)
+            seen[name] = VmEvidence(since=since, report=report, probe=probe)
+        return seen
+
+    def _catch_up(self, node: Node) -> None:
+        while node.read < len(self._log):
+            at, record = self._log[node.read]
+            if at + node.lag > self.now:
+                return
+            node.read += 1
+            accepted = fold(node.tables, record).is_ok() if node.lag else True
+            if accepted and isinstance(record, VmStep):
+                node.folded_at[record.vm] = self.now
+
+    def step(self, seconds: float = 1.0) -> None:
+        """Let time pass and each node plan once."""
+        self.now += seconds
+        for node in self.nodes:
+            self._catch_up(node)
+            seen = self._evidence(node)
+            for late in overdue(node.tables, seen, self.policy):
+                tasks = self.vms[late.vm].tasks
+                self.vms[late.vm].tasks = [task for task in tasks if not task.batch]
+            for proposal in node.planner.tick(node.tables, seen, self.now):
+                if isinstance(proposal, RebootVm):
+                    self._ask_reboot(proposal)
+                else:
+                    self.append(proposal)
--- /dev/null
+++ b/tests/core/test_maintenance.py
@@ -0,0 +1,245 @@
+"""Tests of maintenance waves: budgets, drains, races, failures, cancellation."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hickoryplank.core.maintenance import (
+    MaintenancePolicy,
+    Probe,
+    VmEvidence,
+    WorkerReport,
+    is_drained,
+)
+from hickoryplank.core.objects import Endpoint, Pool
+from hickoryplank.core.records import (
+    VmMoved,
+    VmReport,
+    VmState,
+    VmStep,
+    WaveChange,
+    WaveState,
+)
+from hickoryplank.core.tables import VmRow
+from hickoryplank.core.vms import budget_of, in_service
+from tests.core.build import folded, new_id
+from tests.core.fake_vms import FakeVms
+
+POLICY = MaintenancePolicy()
+POOLS = ("farmdesk", "ruteplan", "smaatt")
+LONG_ENOUGH_SECONDS = 4000
+
+
+def fleet(size: int = 4, budget: int = 2):
+    objects = [
+        Pool(name=pool, min_available=budget, spare=pool == "smaatt") for pool in POOLS
+    ]
+    for i in range(size * len(POOLS)):
+        objects.append(
+            Endpoint(
+                name=f"vm-{i}",
+                address=f"127.0.0.1:{9000 + i}",
+                pool=POOLS[i % len(POOLS)],
+                zone=f"bergen-{'abc'[i // 4 % 3]}",
+                rack=f"rack-{i // 4}",
+            )
+        )
+    return folded(objects)
+
+
+def wave(name: str, state: WaveState, pools=POOLS) -> WaveChange:
+    return WaveChange(id=new_id(), wave=name, operator="olga", state=state, pools=pools)
+
+
+def leave(fake: FakeVms, vm: str, target: str | None = None) -> None:
+    revision = fake.tables.vms[vm].revision
+    fake.append(
+        VmStep(
+            id=new_id(),
+            vm=vm,
+            revision=revision,
+            state=VmState.LEAVING,
+            target=target,
+        )
+    ).unwrap()
+
+
+def run(fake: FakeVms, seconds: int) -> None:
+    for _ in range(seconds):
+        fake.step()
+
+
+def run_until_done(fake: FakeVms, *waves: str) -> None:
+    for _ in range(LONG_ENOUGH_SECONDS):
+        fake.step()
+        if all(fake.tables.waves[w].state is WaveState.DONE for w in waves):
+            return
+    raise AssertionError("a wave did not end")
+
+
+def check_safe(fake: FakeVms) -> None:
+    assert fake.cut_off == 0
+    assert fake.over_budget == 0
+
+
+@given(
+    seed=st.integers(0, 2**32),
+    lags=st.lists(st.sampled_from([0.0, 0.5, 1.9, 7.0]), min_size=1, max_size=3),
+    failures=st.lists(st.tuples(st.integers(0, 300), st.integers(0, 11)), max_size=3),
+)
+@settings(max_examples=40)
+def test_waves_end_within_budgets_whatever_fails_and_whoever_proposes(
+    seed, lags, failures
+):
+    fake = FakeVms(
+        fleet(), Random(seed), POLICY, tuple(lags), reboot=(5.0, 30.0), bad_probe=0.2
+    )
+    fake.append(wave("w1", WaveState.RUNNING)).unwrap()
+    fake.append(wave("w2", WaveState.RUNNING, POOLS[:2])).unwrap()
+    for second in range(400):
+        for at, i in failures:
+            if second in (at, at + 60):
+                healthy = second != at
+                fake.append(VmReport(id=new_id(), vm=f"vm-{i}", healthy=healthy))
+        fake.step()
+    run_until_done(fake, "w1", "w2")
+    check_safe(fake)
+    assert sorted(fake.tables.waves["w1"].done) == sorted(fake.tables.vms)
+    assert len(fake.tables.waves["w2"].done) == 8
+
+
+@given(seed=st.integers(0, 2**32), at=st.integers(1, 60), every=st.integers(1, 40))
+@settings(max_examples=25)
+def test_replacing_every_node_loses_nothing(seed, at, every):
+    fake = FakeVms(fleet(), Random(seed), POLICY, (0.0, 1.0), reboot=(5.0, 30.0))
+    fake.append(wave("w1", WaveState.RUNNING)).unwrap()
+    for second in range(300):
+        if second >= at and (second - at) % every == 0 and second < at + 3 * every:
+            fake.nodes = [fake.new_node(1.0), fake.new_node(0.0)]
+        fake.step()
+    run_until_done(fake, "w1")
+    check_safe(fake)
+
+
+@given(seed=st.integers(0, 2**32), at=st.integers(1, 120))
+@settings(max_examples=25)
+def test_cancelled_wave_returns_its_vms_and_stops_no_reboot(seed, at):
+    fake = FakeVms(fleet(), Random(seed), POLICY, (0.0, 1.9), reboot=(5.0, 30.0))
+    fake.append(wave("w1", WaveState.RUNNING)).unwrap()
+    run(fake, at)
+    fake.append(wave("w1", WaveState.CANCELLED))
+    run(fake, 120)
+    check_safe(fake)
+    assert not fake.tables.vm_index.away
+
+
+def test_paused_wave_takes_out_no_further_vm_and_goes_on():
+    fake = FakeVms(fleet(), Random(1), POLICY, reboot=(5.0, 30.0))
+    fake.append(wave("w1", WaveState.RUNNING)).unwrap()
+    run(fake, 20)
+    fake.append(wave("w1", WaveState.PAUSED)).unwrap()
+    run(fake, 60)
+    states = {row.state for row in fake.tables.vm_index.away.values()}
+    done = len(fake.tables.waves["w1"].done)
+    assert states <= {VmState.LEAVING, VmState.DRAINED}
+    run(fake, 60)
+    assert len(fake.tables.waves["w1"].done) == done < 12
+    fake.append(wave("w1", WaveState.RUNNING)).unwrap()
+    run_until_done(fake, "w1")
+    check_safe(fake)
+
+
+def test_failures_call_leaving_vms_back():
+    fake = FakeVms(fleet(), Random(1), POLICY)
+    fake.append(wave("w1", WaveState.RUNNING, ("farmdesk",))).unwrap()
+    run(fake, 1)
+    assert in_service(fake.tables, "farmdesk") == budget_of(fake.tables, "farmdesk")
+    serving = [row.vm for row in fake.tables.members("farmdesk") if row.in_service]
+    fake.append(VmReport(id=new_id(), vm=serving[0], healthy=False)).unwrap()
+    run(fake, 1)
+    assert in_service(fake.tables, "farmdesk") == budget_of(fake.tables, "farmdesk")
+
+
+def test_operators_drain_stays_until_undrained():
+    fake = FakeVms(fleet(), Random(1), POLICY)
+    leave(fake, "vm-0")
+    run(fake, 100)
+    row = fake.tables.vms["vm-0"]
+    assert row.state is VmState.DRAINED
+    back = VmStep(id=new_id(), vm="vm-0", revision=row.revision, state=VmState.ACTIVE)
+    fake.append(back).unwrap()
+    run(fake, 10)
+    assert row.in_service
+
+
+@pytest.mark.parametrize(
+    ("target", "state"),
+    [("ruteplan", VmState.ACTIVE), ("smaatt", VmState.DRAINED)],
+)
+def test_vm_on_a_move_joins_its_target(target, state):
+    fake = FakeVms(fleet(), Random(1), POLICY, (0.0, 1.0))
+    leave(fake, "vm-0", target)
+    run(fake, 60)
+    row = fake.tables.vms["vm-0"]
+    assert (row.pool, row.state) == (target, state)
+    check_safe(fake)
+
+
+def test_standby_vms_are_rebooted_by_a_wave_without_a_drain():
+    fake = FakeVms(fleet(), Random(1), POLICY)
+    leave(fake, "vm-0", "smaatt")
+    run(fake, 60)
+    fake.append(wave("w1", WaveState.RUNNING, ("smaatt",))).unwrap()
+    run_until_done(fake, "w1")
+    assert "vm-0" in fake.tables.waves["w1"].done
+    check_safe(fake)
+
+
+def test_wave_halts_while_rebooted_vms_fail_and_ends_once_they_recover():
+    fake = FakeVms(fleet(), Random(1), POLICY, reboot=(5.0, 6.0), bad_probe=1.0)
+    fake.append(wave("w1", WaveState.RUNNING, ("farmdesk",))).unwrap()
+    run(fake, 1000)
+    rows = fake.tables.members("farmdesk")
+    assert [row.healthy for row in rows].count(False) == 2
+    assert in_service(fake.tables, "farmdesk") == budget_of(fake.tables, "farmdesk")
+    assert all(row.reboots > POLICY.max_reboots for row in rows if not row.healthy)
+    fake.bad_probe = 0.0
+    run_until_done(fake, "w1")
+    check_safe(fake)
+    assert all(row.in_service for row in rows)
+
+
+@pytest.mark.parametrize(
+    ("since", "running", "age", "healthy", "drained"),
+    [
+        (1.0, 0, 0.1, True, False),
+        (3.0, 0, 0.1, True, True),
+        (3.0, 1, 0.1, True, False),
+        (3.0, 0, 1.0, True, False),
+        (900.0, None, 0.0, True, False),
+        (900.0, None, 0.0, False, True),
+        (60.0, None, 0.0, False, False),
+    ],
+)
+def test_drained_needs_a_report_from_after_the_last_start(
+    since, running, age, healthy, drained
+):
+    row = VmRow(vm="vm-0", pool="p", state=VmState.LEAVING, healthy=healthy, revision=1)
+    report = None
+    if running is not None:
+        report = WorkerReport(boot="1", running=running, age=age)
+    seen = VmEvidence(since=since, report=report, probe=Probe.PENDING)
+    assert is_drained(row, seen, POLICY) is drained
+
+
+def test_move_into_a_pool_that_has_gone_returns_the_vm():
+    fake = FakeVms(fleet(size=3, budget=1), Random(1), POLICY)
+    leave(fake, "vm-0", "smaatt")
+    del fake.tables.objects[next(iter(fake.tables.objects))]["smaatt"]
+    run(fake, 30)
+    row = fake.tables.vms["vm-0"]
+    assert (row.pool, row.state) == ("farmdesk", VmState.ACTIVE)
+    moved = VmMoved(id=new_id(), vm="vm-0", revision=row.revision, pool="ruteplan")
+    assert fake.append(moved).is_err()
