--- /dev/null
+++ b/hickoryplank/ini_text.py
@@ -0,0 +1,115 @@
+"""Text of INI files to sections, with every structural fault at once."""
+
+import configparser
+import re
+
+import msgspec
+
+__all__ = ["IniFault", "IniText", "Section", "read_sections"]
+
+_MAX_STRUCTURAL_FAULTS = 50
+_DUPLICATE_HEADER = "\x00duplicate"
+
+
+class IniFault(msgspec.Struct, frozen=True):
+    """One thing that is wrong in an INI file, and what would be right.
+
+    :param file: the name under which the file was given.
+    :param section: the header of the section, without brackets.
+    :param key: the key within the section, if one is at fault.
+    """
+
+    file: str
+    section: str
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        section = f" [{self.section}]" if self.section else ""
+        key = f" {self.key}" if self.key else ""
+        return f"{self.file}:{section}{key}: {self.message}"
+
+
+class Section(msgspec.Struct, frozen=True):
+    """One section, its keys in the order of the file."""
+
+    header: str
+    values: dict[str, str]
+
+
+class IniText(msgspec.Struct, frozen=True):
+    """The sections that could be read, and what is wrong with the others."""
+
+    sections: tuple[Section, ...]
+    faults: tuple[IniFault, ...]
+
+
+class _Parser(configparser.RawConfigParser):
+    SECTCRE = re.compile(r"\[(?P<header>[^\]]+)\]\s*$")
+
+    def __init__(self) -> None:
+        super().__init__(
+            strict=True,
+            interpolation=None,
+            delimiters=("=",),
+            comment_prefixes=("#", ";"),
+            empty_lines_in_values=False,
+            default_section="",
+        )
+
+    def optionxform(self, optionstr: str) -> str:
+        return optionstr
+
+
+def read_sections(text: str, file: str) -> IniText:
+    """Return the sections of ``text``; lines at fault are left out and listed.
+
+    :param file: the name that faults give for the file.
+    """
+    lines = text.split("\n")
+    faults: list[IniFault] = []
+    while len(faults) < _MAX_STRUCTURAL_FAULTS:
+        parser = _Parser()
+        try:
+            parser.read_string("\n".join(lines), file)
+        except configparser.Error as exc:
+            faults.extend(_leave_out(exc, lines, file))
+        else:
+            return IniText(_sections(parser), tuple(faults))
+    message = "further lines are at fault; mend these first"
+    return IniText((), (*faults, IniFault(file, "", "", message)))
+
+
+def _sections(parser: _Parser) -> tuple[Section, ...]:
+    return tuple(
+        Section(header.strip(), dict(parser[header]))
+        for header in parser.sections()
+        if not header.startswith(_DUPLICATE_HEADER)
+    )
+
+
+def _leave_out(exc: configparser.Error, lines: list[str], file: str) -> list[IniFault]:
+    """Take the lines that ``exc`` names out of ``lines`` and return the faults."""
+    match exc:
+        case configparser.DuplicateSectionError():
+            lines[exc.lineno - 1] = f"[{_DUPLICATE_HEADER}{exc.lineno}]"
+            message = f"line {exc.lineno}: the section is there twice; keep one"
+            return [IniFault(file, exc.section, "", message)]
+        case configparser.DuplicateOptionError():
+            lines[exc.lineno - 1] = ""
+            message = f"line {exc.lineno}: the key is there twice; keep one"
+            return [IniFault(file, exc.section, exc.option, message)]
+        case configparser.MissingSectionHeaderError():
+            lines[exc.lineno - 1] = ""
+            message = f"line {exc.lineno}: stands before the first [section]"
+            return [IniFault(file, "", "", message)]
+        case configparser.ParsingError():
+            return [_leave_out_line(lineno, lines, file) for lineno, _ in exc.errors]
+        case _:
+            raise exc
+
+
+def _leave_out_line(lineno: int, lines: list[str], file: str) -> IniFault:
+    lines[lineno - 1] = ""
+    message = f"line {lineno}: is neither '[section]' nor 'key = value'"
+    return IniFault(file, "", "", message)
--- /dev/null
+++ b/hickoryplank/ini_values.py
@@ -0,0 +1,140 @@
+"""Values of INI keys: text to the type of a field, and back."""
+
+import math
+import re
+from collections.abc import Mapping
+from enum import Enum
+from typing import Any
+
+import msgspec
+from msgspec import inspect
+from result import Err, Ok, Result
+
+from hickoryplank.ini_text import IniFault
+
+__all__ = ["build_struct", "format_value", "parse_value"]
+
+_WHOLE = re.compile(r"[+-]?[0-9]{1,15}")
+_TRUE = ("true", "yes", "on")
+_FALSE = ("false", "no", "off")
+
+Value = str | int | float | bool | Enum | tuple | None
+
+
+def build_struct(
+    cls: type[msgspec.Struct],
+    values: Mapping[str, str],
+    file: str,
+    section: str,
+    fixed: Mapping[str, str] | None = None,
+) -> Result[Any, tuple[IniFault, ...]]:
+    """Return a ``cls`` made from the keys of one section, or every fault.
+
+    :param values: the keys as written in the section.
+    :param fixed: fields that the section's header gives, which are no keys.
+    """
+    fixed = fixed or {}
+    fields = {field.name: field for field in inspect.type_info(cls).fields}
+    keys = [name for name in fields if name not in fixed]
+    faults = []
+    built: dict[str, Value] = dict(fixed)
+    for key, text in values.items():
+        if key not in keys:
+            right = f"unknown key; this section takes: {', '.join(keys) or 'no key'}"
+            faults.append(IniFault(file, section, key, right))
+            continue
+        match parse_value(fields[key].type, text):
+            case Ok(value):
+                built[key] = value
+            case Err(right):
+                faults.append(IniFault(file, section, key, f"must be {right}"))
+    for key in keys:
+        if fields[key].required and key not in values:
+            right = f"is missing; it must be {_describe(fields[key].type)}"
+            faults.append(IniFault(file, section, key, right))
+    return Err(tuple(faults)) if faults else Ok(cls(**built))
+
+
+def parse_value(kind: inspect.Type, text: str) -> Result[Value, str]:
+    """Return the value that ``text`` stands for, or what would be right."""
+    parsed = _parse(kind, text)
+    return Err(f"{_describe(kind)}, not {text!r}") if parsed is _WRONG else Ok(parsed)
+
+
+_WRONG = object()
+
+
+def _parse(kind: inspect.Type, text: str) -> Any:
+    match kind:
+        case inspect.BoolType():
+            return _parse_flag(text)
+        case inspect.IntType():
+            return int(text) if _WHOLE.fullmatch(text) else _WRONG
+        case inspect.FloatType():
+            return _parse_number(text)
+        case inspect.EnumType(cls=cls):
+            values = {member.value: member for member in cls}
+            return values.get(text, _WRONG)
+        case inspect.VarTupleType(item_type=item):
+            parts = tuple(_parse(item, part) for part in _split(text))
+            return _WRONG if _WRONG in parts else parts
+        case inspect.UnionType():
+            return _parse(_present(kind), text)
+        case _:
+            return text if text and "\n" not in text else _WRONG
+
+
+def _parse_flag(text: str) -> Any:
+    if text.lower() in _TRUE:
+        return True
+    return False if text.lower() in _FALSE else _WRONG
+
+
+def _parse_number(text: str) -> Any:
+    try:
+        number = float(text)
+    except ValueError:
+        return _WRONG
+    return number if math.isfinite(number) and "_" not in text else _WRONG
+
+
+def _split(text: str) -> list[str]:
+    return text.replace(",", " ").split()
+
+
+def _present(kind: inspect.UnionType) -> inspect.Type:
+    """Return the type of an optional field when it is there."""
+    return next(t for t in kind.types if not isinstance(t, inspect.NoneType))
+
+
+def _describe(kind: inspect.Type) -> str:
+    match kind:
+        case inspect.BoolType():
+            return "true or false"
+        case inspect.IntType():
+            return "a whole number"
+        case inspect.FloatType():
+            return "a number"
+        case inspect.EnumType(cls=cls):
+            return " or ".join(member.value for member in cls)
+        case inspect.VarTupleType():
+            return "names separated by commas"
+        case inspect.UnionType():
+            return _describe(_present(kind))
+        case _:
+            return "a text of one line"
+
+
+def format_value(value: Value) -> str:
+    """Return the text that ``parse_value`` reads as ``value``."""
+    match value:
+        case bool():
+            return "true" if value else "false"
+        case float():
+            return f"{value:g}" if float(f"{value:g}") == value else repr(value)
+        case Enum():
+            return value.value
+        case tuple():
+            return ", ".join(format_value(item) for item in value)
+        case _:
+            return str(value)
