--- /dev/null
+++ b/hickoryplank/cli/fleet_commands.py
@@ -0,0 +1,124 @@
+"""Commands on the running fleet: status, VMs, waves and claims."""
+
+from argparse import Namespace
+from pathlib import Path
+
+from hickoryplank import client
+from hickoryplank.cli.edit_commands import publish, with_session
+from hickoryplank.cli.output import ExitCode, Reply, json_text, reply_of
+from hickoryplank.cli.tables import claim_tables, status_tables
+from hickoryplank.core.ids import ClaimId, PoolId, VmId, WaveId
+from hickoryplank.core.records import OutcomeKind
+from hickoryplank.operator_api import ClaimState, SettleRequest, WaveAction
+
+__all__ = [
+    "claims_list",
+    "claims_settle",
+    "drain",
+    "move",
+    "report",
+    "status",
+    "undrain",
+    "wave",
+]
+
+
+def status(args: Namespace) -> Reply:
+    """Show the fleet as an entry has it."""
+    return with_session(
+        args,
+        lambda session: reply_of(
+            client.get_status(session), args.format, status_tables
+        ),
+    )
+
+
+def report(args: Namespace) -> Reply:
+    """Show the measures of the policies, as JSON."""
+
+    def command(session: client.Session) -> Reply:
+        result = client.get_report(session)
+        reply = reply_of(result, args.format, lambda answer: ())
+        text = json_text(result.ok()) if result.is_ok() else ""
+        return Reply(reply.code, text, reply.errors)
+
+    return with_session(args, command)
+
+
+def drain(args: Namespace) -> Reply:
+    """Take a VM out of service."""
+    return with_session(
+        args,
+        lambda session: publish(args, session, client.drain_vm(session, VmId(args.vm))),
+    )
+
+
+def undrain(args: Namespace) -> Reply:
+    """Put a VM back in service."""
+    return with_session(
+        args,
+        lambda session: publish(
+            args, session, client.undrain_vm(session, VmId(args.vm))
+        ),
+    )
+
+
+def move(args: Namespace) -> Reply:
+    """Move a drained VM to another pool."""
+    return with_session(
+        args,
+        lambda session: publish(
+            args, session, client.move_vm(session, VmId(args.vm), PoolId(args.pool))
+        ),
+    )
+
+
+def wave(args: Namespace) -> Reply:
+    """Start, pause, resume or cancel a maintenance wave."""
+    pools = tuple(PoolId(pool) for pool in getattr(args, "pools", ()))
+    action = WaveAction(args.action)
+    return with_session(
+        args,
+        lambda session: publish(
+            args,
+            session,
+            client.change_wave(session, WaveId(args.name), action, pools),
+        ),
+    )
+
+
+def claims_list(args: Namespace) -> Reply:
+    """List claimed requests."""
+    state = ClaimState(args.state) if args.state else None
+    return with_session(
+        args,
+        lambda session: reply_of(
+            client.get_claims(session, state), args.format, claim_tables
+        ),
+    )
+
+
+def claims_settle(args: Namespace) -> Reply:
+    """Settle a claim whose outcome is unknown."""
+    body = ""
+    if args.body_file:
+        try:
+            body = Path(args.body_file).read_text("utf-8")
+        except (OSError, UnicodeDecodeError):
+            errors = f"{args.body_file}: cannot be read as UTF-8 text\n"
+            return Reply(ExitCode.USAGE, errors=errors)
+    settlement = SettleRequest(
+        kind=OutcomeKind(args.outcome),
+        detail=args.detail,
+        status=args.status,
+        content_type=args.content_type,
+        body=body,
+    )
+    return with_session(
+        args,
+        lambda session: publish(
+            args,
+            session,
+            client.settle_claim(session, ClaimId(args.claim), settlement),
+        ),
+    )
--- /dev/null
+++ b/hickoryplank/cli/output.py
@@ -0,0 +1,144 @@
+"""What commands write: tables or JSON, errors, and exit codes."""
+
+from collections.abc import Iterable, Sequence
+from enum import Enum, IntEnum
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.client import ClientError, Refused, Unreachable
+from hickoryplank.core.errors import Fault
+from hickoryplank.core.objects import Ref
+from hickoryplank.ini import IniFault
+from hickoryplank.operator_api import ProblemOutcome
+
+__all__ = [
+    "ExitCode",
+    "Output",
+    "Reply",
+    "Table",
+    "error_reply",
+    "fault_lines",
+    "format_table",
+    "ini_reply",
+    "json_text",
+    "show",
+]
+
+_UNAUTHORIZED = 401
+
+
+class ExitCode(IntEnum):
+    """Exit codes that scripts can rely on."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    UNREACHABLE = 3
+    PUBLISHED = 4
+    UNKNOWN = 5
+    NOT_OPERATOR = 6
+
+
+class Output(Enum):
+    """How a command writes what it found."""
+
+    TABLE = "table"
+    JSON = "json"
+    INI = "ini"
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """What a command writes and returns."""
+
+    code: ExitCode
+    text: str = ""
+    errors: str = ""
+
+
+class Table(msgspec.Struct, frozen=True):
+    """Rows under one header line."""
+
+    header: tuple[str, ...]
+    rows: tuple[tuple[str, ...], ...]
+
+
+def format_table(table: Table) -> str:
+    """Return the table as lines with aligned columns."""
+    widths = [
+        max(len(row[column]) for row in (table.header, *table.rows))
+        for column in range(len(table.header))
+    ]
+    return "".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        + "\n"
+        for row in (table.header, *table.rows)
+    )
+
+
+def json_text(message: Any) -> str:
+    """Return a message as indented JSON."""
+    data = msgspec.json.encode(message)
+    return msgspec.json.format(data, indent=2).decode() + "\n"
+
+
+def show(output: Output, message: Any, tables: Iterable[Table]) -> str:
+    """Return a message as JSON, or the tables that stand for it."""
+    if output is Output.JSON:
+        return json_text(message)
+    return "\n".join(format_table(table) for table in tables if table.rows)
+
+
+def ini_reply(faults: Sequence[IniFault]) -> Reply:
+    """Return the reply for files that are at fault."""
+    errors = "".join(f"{fault}\n" for fault in faults)
+    return Reply(ExitCode.USAGE, errors=errors)
+
+
+def fault_lines(faults: Iterable[Fault], files: dict[Ref, str] | None = None) -> str:
+    """Return one line for each fault, with the file that holds the object."""
+    return "".join(f"{_fault_line(fault, files or {})}\n" for fault in faults)
+
+
+def _fault_line(fault: Fault, files: dict[Ref, str]) -> str:
+    file = files.get(fault.ref) if fault.ref else None
+    if file is None:
+        return f"{fault.code.value}: {fault.message}"
+    key = f" {fault.key}" if fault.key else ""
+    return f"{file}: [{fault.ref}]{key}: {fault.message}"
+
+
+def error_reply(error: ClientError, files: dict[Ref, str] | None = None) -> Reply:
+    """Return the reply for a request that an entry refused or never answered."""
+    match error:
+        case Unreachable(detail, ProblemOutcome.UNKNOWN):
+            errors = f"the request may have taken effect: {detail}\n"
+            return Reply(ExitCode.UNKNOWN, errors=errors)
+        case Unreachable(detail):
+            return Reply(ExitCode.UNREACHABLE, errors=f"no entry answers: {detail}\n")
+        case Refused(problem):
+            errors = f"{problem.title}: {problem.detail}\n"
+            if problem.faults:
+                errors = f"{problem.title}:\n{fault_lines(problem.faults, files)}"
+            return Reply(_code(problem.status, problem.outcome), errors=errors)
+
+
+def _code(status: int, outcome: ProblemOutcome) -> ExitCode:
+    if outcome is ProblemOutcome.UNKNOWN:
+        return ExitCode.UNKNOWN
+    return ExitCode.NOT_OPERATOR if status == _UNAUTHORIZED else ExitCode.REFUSED
+
+
+def reply_of(result: Result[Any, ClientError], output: Output, tables: Any) -> Reply:
+    """Return the reply for an answer.
+
+    :param tables: a function from the answer to its tables.
+    """
+    match result:
+        case Ok(answer):
+            return Reply(ExitCode.OK, show(output, answer, tables(answer)))
+        case Err(error):
+            return error_reply(error)
--- /dev/null
+++ b/hickoryplank/cli/parser.py
@@ -0,0 +1,195 @@
+"""The arguments of every command."""
+
+import argparse
+from argparse import ArgumentParser
+from collections.abc import Callable
+
+from hickoryplank.cli import edit_commands, fleet_commands, node_commands
+from hickoryplank.cli.output import Output, Reply
+from hickoryplank.core.objects import Kind
+from hickoryplank.operator_api import ClaimState, WaveAction
+
+__all__ = ["build_parser"]
+
+_WAIT_SECONDS = 10.0
+_OK_STATUS = 200
+
+_EPILOG = """\
+examples:
+  hickoryplank check fleet.ini
+  hickoryplank --entry http://192.0.2.7:8080 --token-file token plan fleet.ini
+  hickoryplank --client-file client.ini apply fleet.ini --wait
+  hickoryplank --client-file client.ini key create rutas-2 rutas
+  hickoryplank --client-file client.ini wave start june rondas-norte socios
+
+exit codes:
+  0  done, and in force where something was published
+  1  refused; nothing has taken effect
+  2  bad arguments or files
+  3  no entry answers; nothing has taken effect
+  4  published, and not yet in force on every node
+  5  the outcome is unknown; look at 'history' before you repeat it
+  6  the entry does not accept the operator's token
+"""
+
+Run = Callable[[argparse.Namespace], Reply]
+
+
+def build_parser() -> ArgumentParser:
+    """Return the parser; each command leaves its function in ``run``."""
+    parser = ArgumentParser(
+        prog="hickoryplank",
+        description="Manage fleet capacity and maintenance.",
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--entry",
+        action="append",
+        metavar="URL",
+        help="an entry to ask; may be given again for others to try next",
+    )
+    parser.add_argument("--token-file", metavar="FILE", help="the operator's token")
+    parser.add_argument(
+        "--ca-file", metavar="FILE", help="certificates that vouch for the entries"
+    )
+    parser.add_argument(
+        "--client-file", metavar="FILE", help="INI file that gives the above"
+    )
+    commands = parser.add_subparsers(metavar="COMMAND", required=True)
+    _add_edit_commands(commands)
+    _add_key_commands(commands)
+    _add_vm_commands(commands)
+    _add_wave_commands(commands)
+    _add_claim_commands(commands)
+    _add_node_commands(commands)
+    return parser
+
+
+def _add(commands, name: str, run: Run, text: str) -> ArgumentParser:
+    parser = commands.add_parser(name, help=text, description=f"{text.capitalize()}.")
+    _add_format(parser, (Output.TABLE, Output.JSON))
+    parser.set_defaults(run=run)
+    return parser
+
+
+def _add_format(parser: ArgumentParser, outputs: tuple[Output, ...]) -> None:
+    parser.add_argument(
+        "--format",
+        choices=outputs,
+        type=Output,
+        default=Output.TABLE,
+        metavar="|".join(output.value for output in outputs),
+        help="how to write the answer",
+    )
+
+
+def _add_publish(commands, name: str, run: Run, text: str) -> ArgumentParser:
+    parser = _add(commands, name, run, text)
+    parser.add_argument(
+        "--wait", action="store_true", help="wait until it is in force on every node"
+    )
+    parser.add_argument(
+        "--timeout",
+        type=float,
+        default=_WAIT_SECONDS,
+        metavar="SECONDS",
+        help="the longest wait",
+    )
+    return parser
+
+
+def _add_group(commands, name: str, text: str):
+    parser = commands.add_parser(name, help=text, description=f"{text.capitalize()}.")
+    return parser.add_subparsers(metavar="ACTION", required=True)
+
+
+def _add_edit_commands(commands) -> None:
+    text = "check files of objects without asking an entry"
+    check = _add(commands, "check", edit_commands.check, text)
+    check.add_argument("files", nargs="+", metavar="FILE")
+    check.add_argument(
+        "--complete",
+        action="store_true",
+        help="the files are the whole configuration, so nothing may be missing",
+    )
+    text = "show what files of objects would change"
+    plan = _add(commands, "plan", edit_commands.plan, text)
+    plan.add_argument("files", nargs="+", metavar="FILE")
+    text = "publish files of objects as one set"
+    apply = _add_publish(commands, "apply", edit_commands.apply, text)
+    apply.add_argument("files", nargs="+", metavar="FILE")
+    apply.add_argument(
+        "--dry-run", action="store_true", help="only show what would change"
+    )
+    get = commands.add_parser("get", help="show the objects in force")
+    _add_format(get, (Output.TABLE, Output.JSON, Output.INI))
+    get.set_defaults(run=edit_commands.get)
+    get.add_argument("kind", nargs="?", choices=[kind.value for kind in Kind])
+    get.add_argument("name", nargs="?")
+    text = "show operators' records and their verdicts"
+    _add(commands, "history", edit_commands.history, text)
+
+
+def _add_key_commands(commands) -> None:
+    keys = _add_group(commands, "key", "create, withdraw and list callers' keys")
+    text = "create a key and print its secret once"
+    create = _add_publish(keys, "create", edit_commands.key_create, text)
+    create.add_argument("name")
+    create.add_argument("team")
+    withdraw = _add_publish(
+        keys, "withdraw", edit_commands.key_withdraw, "withdraw a key"
+    )
+    withdraw.add_argument("name")
+    _add(keys, "list", edit_commands.key_list, "list the keys in force")
+
+
+def _add_vm_commands(commands) -> None:
+    text = "show nodes, pools, VMs, waves and teams"
+    _add(commands, "status", fleet_commands.status, text)
+    text = "show the measures of the policies, as JSON"
+    _add(commands, "report", fleet_commands.report, text)
+    text = "take a VM out of service once its work has finished"
+    drain = _add_publish(commands, "drain", fleet_commands.drain, text)
+    drain.add_argument("vm")
+    text = "put a VM back in service"
+    undrain = _add_publish(commands, "undrain", fleet_commands.undrain, text)
+    undrain.add_argument("vm")
+    text = "move a drained VM to another pool"
+    move = _add_publish(commands, "move", fleet_commands.move, text)
+    move.add_argument("vm")
+    move.add_argument("pool")
+
+
+def _add_wave_commands(commands) -> None:
+    waves = _add_group(commands, "wave", "run maintenance waves over pools")
+    for action in WaveAction:
+        text = f"{action.value} a maintenance wave"
+        parser = _add_publish(waves, action.value, fleet_commands.wave, text)
+        parser.set_defaults(action=action.value)
+        parser.add_argument("name")
+        if action is WaveAction.START:
+            parser.add_argument("pools", nargs="+", metavar="POOL")
+
+
+def _add_claim_commands(commands) -> None:
+    claims = _add_group(commands, "claims", "look at claimed requests and settle them")
+    listing = _add(claims, "list", fleet_commands.claims_list, "list claimed requests")
+    listing.add_argument("--state", choices=[state.value for state in ClaimState])
+    text = "settle a claim whose outcome is unknown"
+    settle = _add_publish(claims, "settle", fleet_commands.claims_settle, text)
+    settle.add_argument("claim")
+    settle.add_argument("outcome", choices=["done", "not_run"])
+    settle.add_argument("--detail", required=True, help="how the outcome was found out")
+    settle.add_argument("--status", type=int, default=_OK_STATUS)
+    settle.add_argument("--content-type", default="text/plain")
+    settle.add_argument("--body-file", metavar="FILE", help="the answer's body")
+
+
+def _add_node_commands(commands) -> None:
+    text = "show the effective settings with their sources"
+    settings = _add(commands, "settings", node_commands.settings, text)
+    settings.add_argument("file", metavar="FILE")
+    serve = commands.add_parser("serve", help="run a node until it is told to stop")
+    serve.set_defaults(run=node_commands.serve)
+    serve.add_argument("file", metavar="FILE")
--- /dev/null
+++ b/hickoryplank/cli/tables.py
@@ -0,0 +1,202 @@
+"""Tables that stand for the answers of the operator API."""
+
+from datetime import UTC, datetime
+
+from hickoryplank.cli.output import Table
+from hickoryplank.core.objects import ref_of
+from hickoryplank.core.tables import NodeState
+from hickoryplank.ini_values import format_value
+from hickoryplank.operator_api import (
+    Change,
+    ClaimsAnswer,
+    HistoryAnswer,
+    HistoryEntry,
+    ObjectsAnswer,
+    ObjectView,
+    PlanAnswer,
+    Published,
+    StatusAnswer,
+)
+
+__all__ = [
+    "claim_tables",
+    "history_tables",
+    "key_tables",
+    "object_tables",
+    "plan_tables",
+    "published_tables",
+    "status_tables",
+]
+
+
+def object_tables(answer: ObjectsAnswer) -> list[Table]:
+    """Return the objects in force, one line each."""
+    rows = tuple(_object_row(view) for view in answer.objects)
+    return [Table(("KIND", "NAME", "REVISION", "FIELDS"), rows)]
+
+
+def _object_row(view: ObjectView) -> tuple[str, ...]:
+    ref = ref_of(view.obj)
+    fields = {key: getattr(view.obj, key) for key in view.obj.__struct_fields__}
+    text = " ".join(
+        f"{key}={format_value(value)}"
+        for key, value in fields.items()
+        if key != "name" and value is not None and value != ()
+    )
+    return ref.kind.value, ref.name, str(view.revision), text
+
+
+def key_tables(answer: ObjectsAnswer) -> list[Table]:
+    """Return the keys without their digests."""
+    rows = tuple(
+        (view.obj.name, view.obj.team, str(view.revision)) for view in answer.objects
+    )
+    return [Table(("KEY", "TEAM", "REVISION"), rows)]
+
+
+def plan_tables(answer: PlanAnswer) -> list[Table]:
+    """Return what a set would change, one line for each field."""
+    rows = tuple(row for change in answer.changes for row in _change_rows(change))
+    return [Table(("CHANGE", "OBJECT", "FIELD", "OLD", "NEW"), rows)]
+
+
+def _change_rows(change: Change) -> list[tuple[str, ...]]:
+    head = (change.kind.value, str(change.ref))
+    if not change.fields:
+        return [(*head, "", "", "")]
+    return [(*head, each.key, each.old or "", each.new or "") for each in change.fields]
+
+
+def published_tables(published: Published) -> list[Table]:
+    """Return how far a record has come."""
+    row = (
+        published.state.value,
+        str(published.revision),
+        str(published.offset),
+        ", ".join(published.waiting_for),
+    )
+    return [Table(("STATE", "REVISION", "OFFSET", "WAITS FOR"), (row,))]
+
+
+def history_tables(answer: HistoryAnswer) -> list[Table]:
+    """Return operators' records, oldest first."""
+    rows = tuple(_history_row(entry) for entry in answer.entries)
+    return [Table(("TIME", "OPERATOR", "VERDICT", "REVISION", "WHAT"), rows)]
+
+
+def _history_row(entry: HistoryEntry) -> tuple[str, ...]:
+    accepted = entry.revision is not None
+    what = "; ".join(entry.summary)
+    if not accepted:
+        what += f" ({'; '.join(fault.message for fault in entry.faults)})"
+    return (
+        datetime.fromtimestamp(entry.at, UTC).strftime("%Y-%m-%dT%H:%M:%SZ"),
+        entry.operator,
+        "accepted" if accepted else "refused",
+        str(entry.revision) if accepted else "",
+        what,
+    )
+
+
+def claim_tables(answer: ClaimsAnswer) -> list[Table]:
+    """Return claimed requests, one line each."""
+    rows = tuple(
+        (
+            view.claim,
+            view.team,
+            view.queue,
+            view.state.value,
+            str(view.attempt),
+            view.vm or "",
+            view.detail,
+        )
+        for view in answer.claims
+    )
+    header = ("CLAIM", "TEAM", "QUEUE", "STATE", "ATTEMPT", "VM", "DETAIL")
+    return [Table(header, rows)]
+
+
+def status_tables(answer: StatusAnswer) -> list[Table]:
+    """Return the fleet as tables of nodes, pools, VMs, waves and teams."""
+    return [
+        Table(("REVISION", "OFFSET", "UNKNOWN CLAIMS"), (_status_row(answer),)),
+        _node_table(answer),
+        _pool_table(answer),
+        _vm_table(answer),
+        _wave_table(answer),
+        _team_table(answer),
+        _published_table(answer),
+    ]
+
+
+def _status_row(answer: StatusAnswer) -> tuple[str, ...]:
+    return str(answer.revision), str(answer.offset), str(answer.unknown_claims)
+
+
+def _node_table(answer: StatusAnswer) -> Table:
+    rows = tuple(
+        (view.node, str(view.incarnation), view.zone, view.api, view.state.value)
+        for view in sorted(answer.nodes, key=lambda view: view.state is NodeState.GONE)
+    )
+    return Table(("NODE", "INCARNATION", "ZONE", "ADDRESS", "STATE"), rows)
+
+
+def _pool_table(answer: StatusAnswer) -> Table:
+    rows = tuple(
+        (
+            view.pool,
+            str(view.vms),
+            str(view.in_service),
+            str(view.min_available),
+            "spare" if view.spare else "",
+        )
+        for view in answer.pools
+    )
+    return Table(("POOL", "VMS", "IN SERVICE", "BUDGET", ""), rows)
+
+
+def _vm_table(answer: StatusAnswer) -> Table:
+    rows = tuple(
+        (
+            view.vm,
+            view.pool,
+            view.zone or "",
+            view.rack or "",
+            view.state.value,
+            "healthy" if view.healthy else "failed",
+            view.wave or "",
+        )
+        for view in answer.out_of_service
+    )
+    header = ("VM OUT OF SERVICE", "POOL", "ZONE", "RACK", "STATE", "HEALTH", "WAVE")
+    return Table(header, rows)
+
+
+def _wave_table(answer: StatusAnswer) -> Table:
+    rows = tuple(
+        (view.wave, view.state.value, str(view.done), ", ".join(view.pools))
+        for view in answer.waves
+    )
+    return Table(("WAVE", "STATE", "VMS DONE", "POOLS"), rows)
+
+
+def _team_table(answer: StatusAnswer) -> Table:
+    rows = tuple(
+        (
+            view.team,
+            f"{view.percent:g}%",
+            str(view.limit),
+            str(view.held),
+            str(view.free),
+        )
+        for view in answer.teams
+    )
+    return Table(("TEAM", "SHARE", "LIMIT", "UNITS HELD", "UNITS FREE"), rows)
+
+
+def _published_table(answer: StatusAnswer) -> Table:
+    rows = tuple(
+        (str(one.revision), str(one.offset), ", ".join(one.waiting_for))
+        for one in answer.published
+    )
+    return Table(("PUBLISHED REVISION", "OFFSET", "WAITS FOR"), rows)
--- a/hickoryplank/ini_values.py
+++ b/hickoryplank/ini_values.py
@@ -58,7 +58,7 @@
 def parse_value(kind: inspect.Type, text: str) -> Result[Value, str]:
     """Return the value that ``text`` stands for, or what would be right."""
     parsed = _parse(kind, text)
-    return Err(f"{_describe(kind)}, not {text!r}") if parsed is _WRONG else Ok(parsed)
+    return Err(_describe(kind)) if parsed is _WRONG else Ok(parsed)
 
 
 _WRONG = object()
--- /dev/null
+++ b/hickoryplank/operator_api.py
@@ -0,0 +1,352 @@
+"""Messages of the operator HTTP API, which the entry and its clients share."""
+
+from enum import Enum
+
+import msgspec
+
+from hickoryplank.core.errors import Fault
+from hickoryplank.core.ids import (
+    ClaimId,
+    Incarnation,
+    NodeId,
+    OperatorId,
+    PoolId,
+    QueueId,
+    Rack,
+    RecordId,
+    Revision,
+    TeamId,
+    VmId,
+    WaveId,
+    Zone,
+)
+from hickoryplank.core.objects import ConfigObject, Ref
+from hickoryplank.core.records import (
+    BaseRevision,
+    Delete,
+    OutcomeKind,
+    Put,
+    VmState,
+    WaveState,
+)
+from hickoryplank.core.tables import NodeState
+
+__all__ = [
+    "PREFIX",
+    "Action",
+    "Change",
+    "ChangeKind",
+    "ClaimState",
+    "ClaimView",
+    "ClaimsAnswer",
+    "EditRequest",
+    "FieldChange",
+    "HistoryAnswer",
+    "HistoryEntry",
+    "MoveRequest",
+    "NodeView",
+    "ObjectView",
+    "ObjectsAnswer",
+    "PlanAnswer",
+    "PlanRequest",
+    "PoolView",
+    "Problem",
+    "ProblemOutcome",
+    "PublishState",
+    "Published",
+    "SettleRequest",
+    "StatusAnswer",
+    "TeamView",
+    "VmRequest",
+    "VmView",
+    "WaveAction",
+    "WaveRequest",
+    "WaveView",
+]
+
+PREFIX = "/operator/v1"
+
+
+class PublishState(Enum):
+    """How far an accepted record has come."""
+
+    PUBLISHED = "published"
+    IN_FORCE = "in_force"
+
+
+class ChangeKind(Enum):
+    """What an edit does to an object."""
+
+    CREATE = "create"
+    REPLACE = "replace"
+    DELETE = "delete"
+    NONE = "none"
+
+
+class WaveAction(Enum):
+    """What an operator asks of a maintenance wave."""
+
+    START = "start"
+    PAUSE = "pause"
+    RESUME = "resume"
+    CANCEL = "cancel"
+
+
+class ClaimState(Enum):
+    """Where a claimed request stands."""
+
+    OPEN = "open"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class ProblemOutcome(Enum):
+    """Whether a request that failed has taken effect."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class EditRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A set of edits and the revisions that its author read."""
+
+    base: tuple[BaseRevision, ...]
+    edits: tuple[Put | Delete, ...]
+
+
+class PlanRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A set of edits to check; without a base, against what is in force now."""
+
+    edits: tuple[Put | Delete, ...]
+    base: tuple[BaseRevision, ...] | None = None
+
+
+class VmRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A drain or its end.
+
+    :param revision: the revision of the VM that was read; ``None`` for any.
+    """
+
+    revision: Revision | None = None
+
+
+class MoveRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A move of a drained VM to another pool."""
+
+    pool: PoolId
+    revision: Revision | None = None
+
+
+class WaveRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An action on a maintenance wave.
+
+    :param pools: the pools that a new wave goes through.
+    """
+
+    action: WaveAction
+    pools: tuple[PoolId, ...] = ()
+
+
+class SettleRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an operator found out about a request whose outcome is unknown.
+
+    :param status: HTTP status of the answer that the caller gets.
+    """
+
+    kind: OutcomeKind
+    detail: str
+    status: int = 0
+    content_type: str = ""
+    body: str = ""
+
+
+class Published(msgspec.Struct, frozen=True):
+    """An accepted record.
+
+    :param offset: the log offset from which on every reader has seen it.
+    :param waiting_for: nodes that may not have folded it yet.
+    """
+
+    state: PublishState
+    revision: Revision
+    offset: int
+    waiting_for: tuple[NodeId, ...] = ()
+
+
+class FieldChange(msgspec.Struct, frozen=True):
+    """One field of an object, before and after; ``None`` for absent."""
+
+    key: str
+    old: str | None
+    new: str | None
+
+
+class Change(msgspec.Struct, frozen=True):
+    """What an edit set does to one object."""
+
+    ref: Ref
+    kind: ChangeKind
+    fields: tuple[FieldChange, ...]
+
+
+class PlanAnswer(msgspec.Struct, frozen=True):
+    """What an edit set would change now.
+
+    :param base: the revisions that the check was made against.
+    """
+
+    base: tuple[BaseRevision, ...]
+    changes: tuple[Change, ...]
+
+
+class ObjectView(msgspec.Struct, frozen=True):
+    """An object in force and the revision that last changed it."""
+
+    obj: ConfigObject
+    revision: Revision
+
+
+class ObjectsAnswer(msgspec.Struct, frozen=True):
+    """Objects in force at one offset of the log."""
+
+    revision: Revision
+    offset: int
+    objects: tuple[ObjectView, ...]
+
+
+class Action(Enum):
+    """What kind of record an operator had published."""
+
+    EDIT = "edit"
+    VM = "vm"
+    WAVE = "wave"
+    SETTLE = "settle"
+
+
+class HistoryEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """An operator's record and its verdict.
+
+    :param at: when this node folded the record, in seconds since the epoch.
+    :param revision: the sequence number of an accepted record.
+    """
+
+    id: RecordId
+    operator: OperatorId
+    action: Action
+    summary: tuple[str, ...]
+    at: float
+    offset: int
+    revision: Revision | None
+    faults: tuple[Fault, ...] = ()
+
+
+class HistoryAnswer(msgspec.Struct, frozen=True):
+    """Operators' records that this node has seen, oldest first."""
+
+    entries: tuple[HistoryEntry, ...]
+
+
+class NodeView(msgspec.Struct, frozen=True):
+    """One incarnation of a node."""
+
+    node: NodeId
+    incarnation: Incarnation
+    api: str
+    zone: Zone
+    state: NodeState
+
+
+class PoolView(msgspec.Struct, frozen=True, kw_only=True):
+    """A pool's VMs against its availability budget."""
+
+    pool: PoolId
+    spare: bool
+    vms: int
+    in_service: int
+    min_available: int
+
+
+class VmView(msgspec.Struct, frozen=True, kw_only=True):
+    """A VM that is not in service."""
+
+    vm: VmId
+    pool: PoolId
+    zone: Zone | None
+    rack: Rack | None
+    state: VmState
+    healthy: bool
+    revision: Revision
+    wave: WaveId | None
+
+
+class WaveView(msgspec.Struct, frozen=True):
+    """A maintenance wave."""
+
+    wave: WaveId
+    pools: tuple[PoolId, ...]
+    state: WaveState
+    done: int
+
+
+class TeamView(msgspec.Struct, frozen=True, kw_only=True):
+    """A team's share, limit and the units that nodes hold of the limit."""
+
+    team: TeamId
+    percent: float
+    limit: int
+    held: int
+    free: int
+
+
+class StatusAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The fleet as one node has folded it.
+
+    :param unknown_claims: claims whose outcome an operator has to settle.
+    :param published: accepted records that some node may not have folded yet.
+    """
+
+    revision: Revision
+    offset: int
+    nodes: tuple[NodeView, ...]
+    pools: tuple[PoolView, ...]
+    out_of_service: tuple[VmView, ...]
+    waves: tuple[WaveView, ...]
+    teams: tuple[TeamView, ...]
+    unknown_claims: int
+    published: tuple[Published, ...]
+
+
+class ClaimView(msgspec.Struct, frozen=True, kw_only=True):
+    """A claimed request without its body."""
+
+    claim: ClaimId
+    team: TeamId
+    queue: QueueId
+    state: ClaimState
+    holder: Incarnation
+    attempt: int
+    vm: VmId | None
+    expires: float
+    detail: str
+
+
+class ClaimsAnswer(msgspec.Struct, frozen=True):
+    """Claims in the order of the log."""
+
+    claims: tuple[ClaimView, ...]
+
+
+class Problem(msgspec.Struct, frozen=True, kw_only=True):
+    """Problem details as in RFC 9457.
+
+    :param outcome: whether the request has taken effect.
+    :param faults: everything that was found wrong.
+    """
+
+    title: str
+    status: int
+    detail: str = ""
+    type: str = "about:blank"
+    outcome: ProblemOutcome = ProblemOutcome.NOT_RUN
+    faults: tuple[Fault, ...] = ()
--- /dev/null
+++ b/hickoryplank/shell/history.py
@@ -0,0 +1,114 @@
+"""Operators' records that this node has folded, with their verdicts."""
+
+from collections import OrderedDict
+
+from result import Ok
+
+from hickoryplank.core.fold import Verdict
+from hickoryplank.core.ids import OperatorId, RecordId
+from hickoryplank.core.objects import ref_of
+from hickoryplank.core.records import (
+    Delete,
+    EditSet,
+    Outcome,
+    Put,
+    Record,
+    VmMoved,
+    VmStep,
+    WaveChange,
+)
+from hickoryplank.operator_api import Action, HistoryEntry
+
+__all__ = ["History", "operator_of", "operator_record_id"]
+
+_MAX_ENTRIES = 512
+_PREFIX = "operator"
+
+
+def operator_record_id(operator: OperatorId, unique: str) -> RecordId:
+    """Return the id of a record that ``operator`` proposes."""
+    return RecordId(f"{_PREFIX}:{operator}:{unique}")
+
+
+def operator_of(record_id: RecordId) -> OperatorId | None:
+    """Return the operator who proposed a record; ``None`` for other records."""
+    match record_id.split(":"):
+        case [prefix, operator, _] if prefix == _PREFIX:
+            return OperatorId(operator)
+        case _:
+            return None
+
+
+class History:
+    """The newest records of operators, by id."""
+
+    def __init__(self, max_entries: int = _MAX_ENTRIES) -> None:
+        self._max_entries = max_entries
+        self._entries: OrderedDict[RecordId, HistoryEntry] = OrderedDict()
+
+    def note(self, record: Record, verdict: Verdict, offset: int, at: float) -> None:
+        """Keep a folded record if an operator proposed it; the first one counts.
+
+        :param offset: the log offset that the record stands at.
+        :param at: the time of the fold, in seconds since the epoch.
+        """
+        operator = operator_of(record.id)
+        if operator is None or record.id in self._entries:
+            return
+        accepted = isinstance(verdict, Ok)
+        self._entries[record.id] = HistoryEntry(
+            id=record.id,
+            operator=operator,
+            action=_action(record),
+            summary=_summary(record),
+            at=at,
+            offset=offset,
+            revision=verdict.ok(),
+            faults=() if accepted else verdict.unwrap_err().faults,
+        )
+        if len(self._entries) > self._max_entries:
+            self._entries.popitem(last=False)
+
+    def find(self, record_id: RecordId) -> HistoryEntry | None:
+        """Return the entry of a record that was folded here."""
+        return self._entries.get(record_id)
+
+    def entries(self) -> tuple[HistoryEntry, ...]:
+        """Return all entries, oldest first."""
+        return tuple(self._entries.values())
+
+
+def _action(record: Record) -> Action:
+    match record:
+        case EditSet():
+            return Action.EDIT
+        case WaveChange():
+            return Action.WAVE
+        case Outcome():
+            return Action.SETTLE
+        case _:
+            return Action.VM
+
+
+def _summary(record: Record) -> tuple[str, ...]:
+    match record:
+        case EditSet(edits=edits):
+            return tuple(_edit_summary(edit) for edit in edits)
+        case VmStep(vm=vm, state=state):
+            return (f"vm {vm} {state.value}",)
+        case VmMoved(vm=vm, pool=pool):
+            return (f"vm {vm} to pool {pool}",)
+        case WaveChange(wave=wave, state=state):
+            return (f"wave {wave} {state.value}",)
+        case Outcome(claim=claim, kind=kind):
+            return (f"claim {claim} {kind.value}",)
+        case _:
+            return ()
+
+
+def _edit_summary(edit: Put | Delete) -> str:
+    match edit:
+        case Put(obj):
+            return f"put {ref_of(obj)}"
+        case Delete(ref):
+            return f"delete {ref}"
--- /dev/null
+++ b/hickoryplank/shell/operator_http.py
@@ -0,0 +1,229 @@
+"""HTTP around the operator handlers: who asks, the body, answers and problems."""
+
+import hashlib
+import hmac
+import uuid
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from hickoryplank.core.errors import Fault, FaultCode, Refusal
+from hickoryplank.core.ids import OperatorId, RecordId
+from hickoryplank.operator_api import Problem, ProblemOutcome
+from hickoryplank.platform.errors import LogFailure
+from hickoryplank.shell.history import operator_record_id
+
+__all__ = [
+    "Handler",
+    "OperatorRequest",
+    "OperatorSecurity",
+    "Reply",
+    "decode_body",
+    "forgotten_problem",
+    "log_problem",
+    "operator_route",
+    "refusal_problem",
+]
+
+T = TypeVar("T")
+Reply = Result[msgspec.Struct, Problem]
+
+_MAX_IDEMPOTENCY_KEY = 200
+_CONFLICTS = {
+    FaultCode.CONFLICT,
+    FaultCode.DUPLICATE,
+    FaultCode.IN_SERVICE,
+    FaultCode.SETTLED,
+    FaultCode.STALE,
+    FaultCode.WRONG_STATE,
+}
+
+
+class OperatorSecurity(msgspec.Struct, frozen=True):
+    """Who may use the operator API, and how much they may send.
+
+    :param operators: SHA-256 of each operator's token, in hexadecimal.
+    :param body_bytes: the longest request body.
+    """
+
+    operators: Mapping[OperatorId, str]
+    body_bytes: int
+
+    def operator_of(self, token: str) -> OperatorId | None:
+        """Return whose token it is, comparing every digest in constant time."""
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        found = None
+        for operator, expected in self.operators.items():
+            if hmac.compare_digest(digest, expected):
+                found = operator
+        return found
+
+
+class OperatorRequest(msgspec.Struct, frozen=True):
+    """An authenticated request.
+
+    :param record_id: id of the record that the request may propose; equal for
+        equal requests under one ``Idempotency-Key``.
+    """
+
+    operator: OperatorId
+    record_id: RecordId
+    path: Mapping[str, str]
+    query: Mapping[str, str]
+    body: bytes
+
+
+Handler = Callable[[OperatorRequest], Awaitable[Reply]]
+
+
+def operator_route(
+    path: str, method: str, handler: Handler, security: OperatorSecurity
+) -> Route:
+    """Return a route that authenticates, reads the body and encodes the reply."""
+
+    async def endpoint(req: Request) -> Response:
+        match await _read(req, security):
+            case Err(problem):
+                return _problem_response(problem)
+            case Ok(operator_req):
+                return _response(await handler(operator_req))
+
+    return Route(path, endpoint, methods=[method])
+
+
+async def _read(
+    req: Request, security: OperatorSecurity
+) -> Result[OperatorRequest, Problem]:
+    scheme, _, token = req.headers.get("authorization", "").partition(" ")
+    operator = security.operator_of(token.strip())
+    if scheme.lower() != "bearer" or operator is None:
+        detail = "send an operator's token as 'Authorization: Bearer TOKEN'"
+        return Err(Problem(title="Not an operator", status=401, detail=detail))
+    key = req.headers.get("idempotency-key", "")
+    if len(key) > _MAX_IDEMPOTENCY_KEY:
+        detail = f"Idempotency-Key may have {_MAX_IDEMPOTENCY_KEY} characters"
+        return Err(Problem(title="Bad header", status=400, detail=detail))
+    body = await _read_body(req, security.body_bytes)
+    return body.map(
+        lambda data: OperatorRequest(
+            operator=operator,
+            record_id=_record_id(operator, key, req.url.path, data),
+            path=req.path_params,
+            query=dict(req.query_params),
+            body=data,
+        )
+    )
+
+
+async def _read_body(req: Request, limit: int) -> Result[bytes, Problem]:
+    body = bytearray()
+    async for chunk in req.stream():
+        body += chunk
+        if len(body) > limit:
+            detail = f"the body may have {limit} bytes"
+            return Err(Problem(title="Body too large", status=413, detail=detail))
+    return Ok(bytes(body))
+
+
+def _record_id(operator: OperatorId, key: str, path: str, body: bytes) -> RecordId:
+    if not key:
+        return operator_record_id(operator, uuid.uuid4().hex)
+    digest = hashlib.sha256("\x00".join((operator, key, path)).encode())
+    digest.update(body)
+    return operator_record_id(operator, digest.hexdigest()[:32])
+
+
+def decode_body(body: bytes, cls: type[T]) -> Result[T, Problem]:
+    """Return the message in ``body``, or a problem that says where it is wrong."""
+    try:
+        message = msgspec.json.decode(body or b"{}", type=cls)
+        unknown = _unknown_field(msgspec.json.decode(body or b"{}"), message)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        return Err(_bad_body(str(exc)))
+    if unknown:
+        return Err(_bad_body(f"unknown field {unknown}"))
+    return Ok(message)
+
+
+def _bad_body(detail: str) -> Problem:
+    return Problem(title="Malformed request body", status=400, detail=detail)
+
+
+def _unknown_field(raw: Any, message: Any) -> str:
+    """Return the path of a field that decoding dropped, or an empty string."""
+    return _find_unknown(raw, msgspec.to_builtins(message), "$")
+
+
+def _find_unknown(raw: Any, known: Any, path: str) -> str:
+    match raw, known:
+        case dict(), dict():
+            for key, value in raw.items():
+                found = f"{path}.{key}"
+                if key in known:
+                    found = _find_unknown(value, known[key], f"{path}.{key}")
+                if found:
+                    return found
+        case list(), list() | tuple():
+            for index, (value, kept) in enumerate(zip(raw, known, strict=False)):
+                found = _find_unknown(value, kept, f"{path}[{index}]")
+                if found:
+                    return found
+    return ""
+
+
+def refusal_problem(faults: tuple[Fault, ...]) -> Problem:
+    """Return the problem for a record that does not take effect."""
+    refusal = Refusal(faults)
+    if any(fault.code in _CONFLICTS for fault in faults):
+        title, status = "In conflict with the current state", 409
+    else:
+        title, status = "Does not hold together", 422
+    return Problem(title=title, status=status, detail=str(refusal), faults=faults)
+
+
+def forgotten_problem() -> Problem:
+    """Return the problem for a repeated record whose verdict is not kept here."""
+    return Problem(
+        title="Outcome unknown",
+        status=503,
+        detail="the request came by before; this node no longer knows its verdict",
+        outcome=ProblemOutcome.UNKNOWN,
+    )
+
+
+def log_problem(failure: LogFailure) -> Problem:
+    """Return the problem for a record whose verdict could not be read."""
+    detail = (
+        f"the log is {failure.error.value}; the request may still take effect;"
+        " repeat it with the same Idempotency-Key to learn its outcome"
+    )
+    return Problem(
+        title="Outcome unknown",
+        status=503,
+        detail=detail,
+        outcome=ProblemOutcome.UNKNOWN,
+    )
+
+
+def _response(reply: Reply) -> Response:
+    match reply:
+        case Ok(message):
+            data = msgspec.json.encode(message)
+            return Response(data, media_type="application/json")
+        case Err(problem):
+            return _problem_response(problem)
+
+
+def _problem_response(problem: Problem) -> Response:
+    headers = {"WWW-Authenticate": "Bearer"} if problem.status == 401 else {}
+    return Response(
+        msgspec.json.encode(problem),
+        status_code=problem.status,
+        media_type="application/problem+json",
+        headers=headers,
+    )
