--- a/hickoryplank/cli/connection.py
+++ b/hickoryplank/cli/connection.py
@@ -57,7 +57,7 @@
     if not (token.isascii() and token.isprintable() and token):
         return Err((IniFault(token_file, "", "", "must hold a token in one line"),))
     ca_file = args.ca_file or file.ca_file
-    return Ok(Session(entries, token, ca_file, file.timeout_seconds))
+    return Ok(Session(entries, token, ca_file, file.timeout_seconds, args.transport))
 
 
 def _missing(option: str, key: str) -> IniFault:
--- a/hickoryplank/cli/node_commands.py
+++ b/hickoryplank/cli/node_commands.py
@@ -6,7 +6,8 @@
 from result import Err, Ok
 
 from hickoryplank.cli.output import ExitCode, Reply, Table, ini_reply, show
-from hickoryplank.settings import Settings, load_settings
+from hickoryplank.settings import Settings
+from hickoryplank.settings_file import load_settings
 
 __all__ = ["serve", "settings"]
 
--- a/hickoryplank/shell/operator_http.py
+++ b/hickoryplank/shell/operator_http.py
@@ -34,6 +34,10 @@
 Reply = Result[msgspec.Struct, Problem]
 
 _MAX_IDEMPOTENCY_KEY = 200
+_PROBLEM_HEADERS = {
+    401: {"WWW-Authenticate": "Bearer"},
+    503: {"Retry-After": "1"},
+}
 _CONFLICTS = {
     FaultCode.CONFLICT,
     FaultCode.DUPLICATE,
@@ -220,7 +224,7 @@
 
 
 def _problem_response(problem: Problem) -> Response:
-    headers = {"WWW-Authenticate": "Bearer"} if problem.status == 401 else {}
+    headers = _PROBLEM_HEADERS.get(problem.status, {})
     return Response(
         msgspec.json.encode(problem),
         status_code=problem.status,
--- /dev/null
+++ b/tests/operators.py
@@ -0,0 +1,98 @@
+"""A ``Control`` in memory and the operator API on it, for tests."""
+
+import hashlib
+
+import anyio
+import httpx
+from result import Err, Result
+from starlette.applications import Starlette
+
+from hickoryplank.client import Session
+from hickoryplank.core.errors import Refusal
+from hickoryplank.core.fold import fold_batch
+from hickoryplank.core.ids import NodeId, Revision
+from hickoryplank.core.records import Record
+from hickoryplank.core.tables import Tables
+from hickoryplank.platform.errors import LogError, LogFailure
+from hickoryplank.shell.control import Control
+from hickoryplank.shell.history import History
+from hickoryplank.shell.operator_http import OperatorSecurity
+from hickoryplank.shell.operators import operator_routes
+
+TOKEN = "olga-token"  # noqa: S105
+ENTRY = "http://192.0.2.7:8080"
+BODY_BYTES = 65_536
+
+
+class FakeControl(Control):
+    """Folds locally.
+
+    :ivar failure: what the next call of ``submit`` fails with.
+    :ivar lose_answer: whether a failing append takes effect all the same.
+    :ivar waiting: the nodes that have not folded anything yet.
+    """
+
+    def __init__(self, tables: Tables) -> None:
+        self._tables = tables
+        self.history = History()
+        self.failure: LogError | None = None
+        self.lose_answer = False
+        self.waiting: tuple[NodeId, ...] = ()
+
+    @property
+    def tables(self) -> Tables:
+        return self._tables
+
+    @property
+    def offset(self) -> int:
+        return self._tables.next_offset
+
+    async def submit(self, record: Record) -> Result[Revision, Refusal | LogFailure]:
+        failure, self.failure = self.failure, None
+        if failure and not self.lose_answer:
+            return Err(LogFailure(failure))
+        offset = self.offset
+        (verdict,) = fold_batch(self._tables, offset, (record,))
+        self.history.note(record, verdict, offset, at=0.0)
+        return Err(LogFailure(failure)) if failure else verdict
+
+    def waiting_for(self, offset: int) -> tuple[NodeId, ...]:
+        return self.waiting
+
+
+def operator_app(control: FakeControl) -> Starlette:
+    """Return the operator API over ``control``; its operator is ``olga``."""
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    security = OperatorSecurity({"olga": digest}, BODY_BYTES)
+    routes = operator_routes(control, control.history, security, now=lambda: 0.0)
+    return Starlette(routes=routes)
+
+
+class AppTransport(httpx.BaseTransport):
+    """Calls applications in place of the network, by host; others are down."""
+
+    def __init__(self, apps: dict[str, Starlette]) -> None:
+        self._apps = apps
+
+    def handle_request(self, request: httpx.Request) -> httpx.Response:
+        """Answer one request."""
+        app = self._apps.get(request.url.host)
+        if app is None:
+            raise httpx.ConnectError("connection refused", request=request)
+        return anyio.run(_call, app, request)
+
+
+async def _call(app: Starlette, request: httpx.Request) -> httpx.Response:
+    transport = httpx.ASGITransport(app)
+    async with httpx.AsyncClient(transport=transport) as http:
+        content = request.read()
+        res = await http.request(
+            request.method, request.url, content=content, headers=request.headers
+        )
+    return httpx.Response(res.status_code, headers=res.headers, content=res.content)
+
+
+def session_on(control: FakeControl, entries: tuple[str, ...] = (ENTRY,)) -> Session:
+    """Return a session with the entry that serves ``control``."""
+    transport = AppTransport({"192.0.2.7": operator_app(control)})
+    return Session(entries, TOKEN, transport=transport)
