--- a/hickoryplank/cli/fleet_commands.py
+++ b/hickoryplank/cli/fleet_commands.py
@@ -9,7 +9,8 @@
 from hickoryplank.cli.tables import claim_tables, status_tables
 from hickoryplank.core.ids import ClaimId, PoolId, VmId, WaveId
 from hickoryplank.core.records import OutcomeKind
-from hickoryplank.operator_api import ClaimState, SettleRequest, WaveAction
+from hickoryplank.operator_api import SettleRequest, WaveAction
+from hickoryplank.operator_status import ClaimState
 
 __all__ = [
     "claims_list",
--- a/hickoryplank/cli/parser.py
+++ b/hickoryplank/cli/parser.py
@@ -7,7 +7,8 @@
 from hickoryplank.cli import edit_commands, fleet_commands, node_commands
 from hickoryplank.cli.output import Output, Reply
 from hickoryplank.core.objects import Kind
-from hickoryplank.operator_api import ClaimState, WaveAction
+from hickoryplank.operator_api import WaveAction
+from hickoryplank.operator_status import ClaimState
 
 __all__ = ["build_parser"]
 
--- a/hickoryplank/cli/tables.py
+++ b/hickoryplank/cli/tables.py
@@ -8,15 +8,14 @@
 from hickoryplank.ini_values import format_value
 from hickoryplank.operator_api import (
     Change,
-    ClaimsAnswer,
     HistoryAnswer,
     HistoryEntry,
     ObjectsAnswer,
     ObjectView,
     PlanAnswer,
     Published,
-    StatusAnswer,
 )
+from hickoryplank.operator_status import ClaimsAnswer, StatusAnswer
 
 __all__ = [
     "claim_tables",
--- a/hickoryplank/client.py
+++ b/hickoryplank/client.py
@@ -30,8 +30,6 @@
 from hickoryplank.core.tables import Tables
 from hickoryplank.operator_api import (
     ChangeKind,
-    ClaimsAnswer,
-    ClaimState,
     EditRequest,
     HistoryAnswer,
     MoveRequest,
@@ -42,11 +40,11 @@
     Published,
     PublishState,
     SettleRequest,
-    StatusAnswer,
     VmRequest,
     WaveAction,
     WaveRequest,
 )
+from hickoryplank.operator_status import ClaimsAnswer, ClaimState, StatusAnswer
 
 __all__ = [
     "ClientError",
--- a/hickoryplank/operator_api.py
+++ b/hickoryplank/operator_api.py
@@ -6,19 +6,11 @@
 
 from hickoryplank.core.errors import Fault
 from hickoryplank.core.ids import (
-    ClaimId,
-    Incarnation,
     NodeId,
     OperatorId,
     PoolId,
-    QueueId,
-    Rack,
     RecordId,
     Revision,
-    TeamId,
-    VmId,
-    WaveId,
-    Zone,
 )
 from hickoryplank.core.objects import ConfigObject, Ref
 from hickoryplank.core.records import (
@@ -26,42 +18,30 @@
     Delete,
     OutcomeKind,
     Put,
-    VmState,
-    WaveState,
 )
-from hickoryplank.core.tables import NodeState
 
 __all__ = [
     "PREFIX",
     "Action",
     "Change",
     "ChangeKind",
-    "ClaimState",
-    "ClaimView",
-    "ClaimsAnswer",
     "EditRequest",
     "FieldChange",
     "HistoryAnswer",
     "HistoryEntry",
     "MoveRequest",
-    "NodeView",
     "ObjectView",
     "ObjectsAnswer",
     "PlanAnswer",
     "PlanRequest",
-    "PoolView",
     "Problem",
     "ProblemOutcome",
     "PublishState",
     "Published",
     "SettleRequest",
-    "StatusAnswer",
-    "TeamView",
     "VmRequest",
-    "VmView",
     "WaveAction",
     "WaveRequest",
-    "WaveView",
 ]
 
 PREFIX = "/operator/v1"
@@ -92,15 +72,6 @@
     CANCEL = "cancel"
 
 
-class ClaimState(Enum):
-    """Where a claimed request stands."""
-
-    OPEN = "open"
-    DONE = "done"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-
-
 class ProblemOutcome(Enum):
     """Whether a request that failed has taken effect."""
 
@@ -247,96 +218,6 @@
     entries: tuple[HistoryEntry, ...]
 
 
-class NodeView(msgspec.Struct, frozen=True):
-    """One incarnation of a node."""
-
-    node: NodeId
-    incarnation: Incarnation
-    api: str
-    zone: Zone
-    state: NodeState
-
-
-class PoolView(msgspec.Struct, frozen=True, kw_only=True):
-    """A pool's VMs against its availability budget."""
-
-    pool: PoolId
-    spare: bool
-    vms: int
-    in_service: int
-    min_available: int
-
-
-class VmView(msgspec.Struct, frozen=True, kw_only=True):
-    """A VM that is not in service."""
-
-    vm: VmId
-    pool: PoolId
-    zone: Zone | None
-    rack: Rack | None
-    state: VmState
-    healthy: bool
-    revision: Revision
-    wave: WaveId | None
-
-
-class WaveView(msgspec.Struct, frozen=True):
-    """A maintenance wave."""
-
-    wave: WaveId
-    pools: tuple[PoolId, ...]
-    state: WaveState
-    done: int
-
-
-class TeamView(msgspec.Struct, frozen=True, kw_only=True):
-    """A team's share, limit and the units that nodes hold of the limit."""
-
-    team: TeamId
-    percent: float
-    limit: int
-    held: int
-    free: int
-
-
-class StatusAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """The fleet as one node has folded it.
-
-    :param unknown_claims: claims whose outcome an operator has to settle.
-    :param published: accepted records that some node may not have folded yet.
-    """
-
-    revision: Revision
-    offset: int
-    nodes: tuple[NodeView, ...]
-    pools: tuple[PoolView, ...]
-    out_of_service: tuple[VmView, ...]
-    waves: tuple[WaveView, ...]
-    teams: tuple[TeamView, ...]
-    unknown_claims: int
-    published: tuple[Published, ...]
-
-
-class ClaimView(msgspec.Struct, frozen=True, kw_only=True):
-    """A claimed request without its body."""
-
-    claim: ClaimId
-    team: TeamId
-    queue: QueueId
-    state: ClaimState
-    holder: Incarnation
-    attempt: int
-    vm: VmId | None
-    expires: float
-    detail: str
-
-
-class ClaimsAnswer(msgspec.Struct, frozen=True):
-    """Claims in the order of the log."""
-
-    claims: tuple[ClaimView, ...]
-
-
 class Problem(msgspec.Struct, frozen=True, kw_only=True):
     """Problem details as in RFC 9457.
 
--- /dev/null
+++ b/hickoryplank/operator_status.py
@@ -0,0 +1,133 @@
+"""Messages of the operator HTTP API that show the state of the fleet."""
+
+from enum import Enum
+
+import msgspec
+
+from hickoryplank.core.ids import (
+    ClaimId,
+    Incarnation,
+    NodeId,
+    PoolId,
+    QueueId,
+    Rack,
+    Revision,
+    TeamId,
+    VmId,
+    WaveId,
+    Zone,
+)
+from hickoryplank.core.records import VmState, WaveState
+from hickoryplank.core.tables import NodeState
+from hickoryplank.operator_api import Published
+
+__all__ = [
+    "ClaimState",
+    "ClaimView",
+    "ClaimsAnswer",
+    "NodeView",
+    "PoolView",
+    "StatusAnswer",
+    "TeamView",
+    "VmView",
+    "WaveView",
+]
+
+
+class ClaimState(Enum):
+    """Where a claimed request stands."""
+
+    OPEN = "open"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class NodeView(msgspec.Struct, frozen=True):
+    """One incarnation of a node."""
+
+    node: NodeId
+    incarnation: Incarnation
+    api: str
+    zone: Zone
+    state: NodeState
+
+
+class PoolView(msgspec.Struct, frozen=True, kw_only=True):
+    """A pool's VMs against its availability budget."""
+
+    pool: PoolId
+    spare: bool
+    vms: int
+    in_service: int
+    min_available: int
+
+
+class VmView(msgspec.Struct, frozen=True, kw_only=True):
+    """A VM that is not in service."""
+
+    vm: VmId
+    pool: PoolId
+    zone: Zone | None
+    rack: Rack | None
+    state: VmState
+    healthy: bool
+    revision: Revision
+    wave: WaveId | None
+
+
+class WaveView(msgspec.Struct, frozen=True):
+    """A maintenance wave."""
+
+    wave: WaveId
+    pools: tuple[PoolId, ...]
+    state: WaveState
+    done: int
+
+
+class TeamView(msgspec.Struct, frozen=True, kw_only=True):
+    """A team's share, limit and the units that nodes hold of the limit."""
+
+    team: TeamId
+    percent: float
+    limit: int
+    held: int
+    free: int
+
+
+class StatusAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The fleet as one node has folded it.
+
+    :param unknown_claims: claims whose outcome an operator has to settle.
+    :param published: accepted records that some node may not have folded yet.
+    """
+
+    revision: Revision
+    offset: int
+    nodes: tuple[NodeView, ...]
+    pools: tuple[PoolView, ...]
+    out_of_service: tuple[VmView, ...]
+    waves: tuple[WaveView, ...]
+    teams: tuple[TeamView, ...]
+    unknown_claims: int
+    published: tuple[Published, ...]
+
+
+class ClaimView(msgspec.Struct, frozen=True, kw_only=True):
+    """A claimed request without its body."""
+
+    claim: ClaimId
+    team: TeamId
+    queue: QueueId
+    state: ClaimState
+    holder: Incarnation
+    attempt: int
+    vm: VmId | None
+    expires: float
+    detail: str
+
+
+class ClaimsAnswer(msgspec.Struct, frozen=True):
+    """Claims in the order of the log."""
+
+    claims: tuple[ClaimView, ...]
--- /dev/null
+++ b/hickoryplank/shell/operator_fleet.py
@@ -0,0 +1,167 @@
+"""Handlers of the operator API for the running fleet."""
+
+from result import Err, Ok, Result
+
+from hickoryplank.core.ids import ClaimId, Revision, VmId, WaveId
+from hickoryplank.core.records import (
+    Outcome,
+    OutcomeKind,
+    VmMoved,
+    VmState,
+    VmStep,
+    WaveChange,
+    WaveState,
+)
+from hickoryplank.core.tables import VmRow
+from hickoryplank.operator_api import (
+    MoveRequest,
+    Problem,
+    PublishState,
+    SettleRequest,
+    VmRequest,
+    WaveAction,
+    WaveRequest,
+)
+from hickoryplank.operator_status import ClaimsAnswer, ClaimState
+from hickoryplank.shell.operator_http import OperatorRequest, Reply, decode_body
+from hickoryplank.shell.operator_views import claim_views, status_of
+from hickoryplank.shell.problems import bad_parameter, conflict, not_found
+from hickoryplank.shell.publisher import Publisher
+
+__all__ = ["FleetHandlers"]
+
+_WAVE_STATES = {
+    WaveAction.START: WaveState.RUNNING,
+    WaveAction.RESUME: WaveState.RUNNING,
+    WaveAction.PAUSE: WaveState.PAUSED,
+    WaveAction.CANCEL: WaveState.CANCELLED,
+}
+
+
+class FleetHandlers:
+    """Show the fleet; drain and move VMs, run waves, settle claims."""
+
+    def __init__(self, publisher: Publisher) -> None:
+        self._publisher = publisher
+
+    async def status(self, req: OperatorRequest) -> Reply:
+        """Show nodes, pools, drains, waves, teams and what is under way."""
+        published = tuple(
+            self._publisher.published(entry.revision, entry.offset + 1)
+            for entry in self._publisher.entries()
+            if entry.revision is not None
+        )
+        waiting = (one for one in published if one.state is PublishState.PUBLISHED)
+        return Ok(status_of(self._publisher.tables, tuple(waiting)))
+
+    async def drain(self, req: OperatorRequest) -> Reply:
+        """Take a VM out of service once its work has finished."""
+        return await self._step(req, VmState.LEAVING)
+
+    async def undrain(self, req: OperatorRequest) -> Reply:
+        """Put a VM back in service."""
+        return await self._step(req, VmState.ACTIVE)
+
+    async def _step(self, req: OperatorRequest, state: VmState) -> Reply:
+        match decode_body(req.body, VmRequest), self._vm(req):
+            case (Err(problem), _) | (_, Err(problem)):
+                return Err(problem)
+            case Ok(body), Ok(row):
+                return await self._publisher.publish(
+                    VmStep(
+                        id=req.record_id,
+                        vm=row.vm,
+                        revision=_read_revision(body, row),
+                        state=state,
+                    )
+                )
+
+    async def move(self, req: OperatorRequest) -> Reply:
+        """Move a drained VM to another pool."""
+        match decode_body(req.body, MoveRequest), self._vm(req):
+            case (Err(problem), _) | (_, Err(problem)):
+                return Err(problem)
+            case Ok(body), Ok(row):
+                return await self._publisher.publish(
+                    VmMoved(
+                        id=req.record_id,
+                        vm=row.vm,
+                        revision=_read_revision(body, row),
+                        pool=body.pool,
+                    )
+                )
+
+    def _vm(self, req: OperatorRequest) -> Result[VmRow, Problem]:
+        vm = VmId(req.path["vm"])
+        row = self._publisher.tables.vms.get(vm)
+        if row is None:
+            return Err(not_found(f"VM {vm} does not exist"))
+        return Ok(row)
+
+    async def wave(self, req: OperatorRequest) -> Reply:
+        """Start, pause, resume or cancel a maintenance wave."""
+        match decode_body(req.body, WaveRequest):
+            case Err(problem):
+                return Err(problem)
+            case Ok(body):
+                return await self._change_wave(req, body)
+
+    async def _change_wave(self, req: OperatorRequest, body: WaveRequest) -> Reply:
+        wave = WaveId(req.path["wave"])
+        exists = wave in self._publisher.tables.waves
+        starts = body.action is WaveAction.START
+        if not self._publisher.folded(req.record_id) and starts == exists:
+            if not exists:
+                return Err(not_found(f"wave {wave} does not exist; start it first"))
+            return Err(conflict(f"wave {wave} exists; give a new one another name"))
+        record = WaveChange(
+            id=req.record_id,
+            wave=wave,
+            operator=req.operator,
+            state=_WAVE_STATES[body.action],
+            pools=body.pools,
+        )
+        return await self._publisher.publish(record)
+
+    async def claims(self, req: OperatorRequest) -> Reply:
+        """List claimed requests."""
+        state = req.query.get("state")
+        states = [each.value for each in ClaimState]
+        if state is not None and state not in states:
+            return Err(bad_parameter("state", states))
+        wanted = ClaimState(state) if state else None
+        return Ok(ClaimsAnswer(claim_views(self._publisher.tables, wanted)))
+
+    async def settle(self, req: OperatorRequest) -> Reply:
+        """Settle a claim whose outcome is unknown."""
+        match decode_body(req.body, SettleRequest):
+            case Err(problem):
+                return Err(problem)
+            case Ok(body):
+                return await self._settle(req, body)
+
+    async def _settle(self, req: OperatorRequest, body: SettleRequest) -> Reply:
+        claim = ClaimId(req.path["claim"])
+        row = self._publisher.tables.claims.get(claim)
+        if row is None:
+            return Err(not_found(f"claim {claim} does not exist"))
+        if body.kind is OutcomeKind.UNKNOWN:
+            return Err(bad_parameter("kind", ["done", "not_run"]))
+        unknown = row.outcome is not None and row.outcome.kind is OutcomeKind.UNKNOWN
+        if not unknown and not self._publisher.folded(req.record_id):
+            return Err(conflict(f"the outcome of claim {claim} is not unknown"))
+        record = Outcome(
+            id=req.record_id,
+            claim=claim,
+            holder=None,
+            kind=body.kind,
+            status=body.status,
+            content_type=body.content_type,
+            body=body.body.encode(),
+            detail=body.detail,
+        )
+        return await self._publisher.publish(record)
+
+
+def _read_revision(body: VmRequest | MoveRequest, row: VmRow) -> Revision:
+    return row.revision if body.revision is None else body.revision
--- a/hickoryplank/shell/operator_http.py
+++ b/hickoryplank/shell/operator_http.py
@@ -12,10 +12,8 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from hickoryplank.core.errors import Fault, FaultCode, Refusal
 from hickoryplank.core.ids import OperatorId, RecordId
-from hickoryplank.operator_api import Problem, ProblemOutcome
-from hickoryplank.platform.errors import LogFailure
+from hickoryplank.operator_api import Problem
 from hickoryplank.shell.history import operator_record_id
 
 __all__ = [
@@ -24,10 +22,7 @@
     "OperatorSecurity",
     "Reply",
     "decode_body",
-    "forgotten_problem",
-    "log_problem",
     "operator_route",
-    "refusal_problem",
 ]
 
 T = TypeVar("T")
@@ -38,14 +33,6 @@
     401: {"WWW-Authenticate": "Bearer"},
     503: {"Retry-After": "1"},
 }
-_CONFLICTS = {
-    FaultCode.CONFLICT,
-    FaultCode.DUPLICATE,
-    FaultCode.IN_SERVICE,
-    FaultCode.SETTLED,
-    FaultCode.STALE,
-    FaultCode.WRONG_STATE,
-}
 
 
 class OperatorSecurity(msgspec.Struct, frozen=True):
@@ -180,40 +167,6 @@
     return ""
 
 
-def refusal_problem(faults: tuple[Fault, ...]) -> Problem:
-    """Return the problem for a record that does not take effect."""
-    refusal = Refusal(faults)
-    if any(fault.code in _CONFLICTS for fault in faults):
-        title, status = "In conflict with the current state", 409
-    else:
-        title, status = "Does not hold together", 422
-    return Problem(title=title, status=status, detail=str(refusal), faults=faults)
-
-
-def forgotten_problem() -> Problem:
-    """Return the problem for a repeated record whose verdict is not kept here."""
-    return Problem(
-        title="Outcome unknown",
-        status=503,
-        detail="the request came by before; this node no longer knows its verdict",
-        outcome=ProblemOutcome.UNKNOWN,
-    )
-
-
-def log_problem(failure: LogFailure) -> Problem:
-    """Return the problem for a record whose verdict could not be read."""
-    detail = (
-        f"the log is {failure.error.value}; the request may still take effect;"
-        " repeat it with the same Idempotency-Key to learn its outcome"
-    )
-    return Problem(
-        title="Outcome unknown",
-        status=503,
-        detail=detail,
-        outcome=ProblemOutcome.UNKNOWN,
-    )
-
-
 def _response(reply: Reply) -> Response:
     match reply:
         case Ok(message):
--- a/hickoryplank/shell/operator_views.py
+++ b/hickoryplank/shell/operator_views.py
@@ -12,13 +12,15 @@
 from hickoryplank.operator_api import (
     Change,
     ChangeKind,
+    FieldChange,
+    ObjectView,
+    Published,
+)
+from hickoryplank.operator_status import (
     ClaimState,
     ClaimView,
-    FieldChange,
     NodeView,
-    ObjectView,
     PoolView,
-    Published,
     StatusAnswer,
     TeamView,
     VmView,
--- /dev/null
+++ b/hickoryplank/shell/problems.py
@@ -0,0 +1,74 @@
+"""Problems of the operator API: why a request is refused."""
+
+from hickoryplank.core.errors import Fault, FaultCode, Refusal
+from hickoryplank.operator_api import Problem, ProblemOutcome
+from hickoryplank.platform.errors import LogFailure
+
+__all__ = [
+    "bad_parameter",
+    "conflict",
+    "forgotten_problem",
+    "log_problem",
+    "not_found",
+    "refusal_problem",
+]
+
+_CONFLICTS = {
+    FaultCode.CONFLICT,
+    FaultCode.DUPLICATE,
+    FaultCode.IN_SERVICE,
+    FaultCode.SETTLED,
+    FaultCode.STALE,
+    FaultCode.WRONG_STATE,
+}
+
+
+def refusal_problem(faults: tuple[Fault, ...]) -> Problem:
+    """Return the problem for a record that does not take effect."""
+    refusal = Refusal(faults)
+    if any(fault.code in _CONFLICTS for fault in faults):
+        title, status = "In conflict with the current state", 409
+    else:
+        title, status = "Does not hold together", 422
+    return Problem(title=title, status=status, detail=str(refusal), faults=faults)
+
+
+def forgotten_problem() -> Problem:
+    """Return the problem for a repeated record whose verdict is not kept here."""
+    return Problem(
+        title="Outcome unknown",
+        status=503,
+        detail="the request came by before; this node no longer knows its verdict",
+        outcome=ProblemOutcome.UNKNOWN,
+    )
+
+
+def log_problem(failure: LogFailure) -> Problem:
+    """Return the problem for a record whose verdict could not be read."""
+    detail = (
+        f"the log is {failure.error.value}; the request may still take effect;"
+        " repeat it with the same Idempotency-Key to learn its outcome"
+    )
+    return Problem(
+        title="Outcome unknown",
+        status=503,
+        detail=detail,
+        outcome=ProblemOutcome.UNKNOWN,
+    )
+
+
+def bad_parameter(key: str, right: list[str]) -> Problem:
+    """Return the problem for a parameter that is none of ``right``."""
+    detail = f"{key} must be {' or '.join(right)}"
+    return Problem(title="Bad parameter", status=400, detail=detail)
+
+
+def not_found(detail: str) -> Problem:
+    """Return the problem for something that does not exist."""
+    return Problem(title="Not found", status=404, detail=detail)
+
+
+def conflict(detail: str) -> Problem:
+    """Return the problem for a request that the current state rules out."""
+    title = "In conflict with the current state"
+    return Problem(title=title, status=409, detail=detail)
--- /dev/null
+++ b/hickoryplank/shell/publisher.py
@@ -0,0 +1,79 @@
+"""Publishing of operators' records, each with one verdict however often it comes."""
+
+from result import Err, Ok
+
+from hickoryplank.core.errors import FaultCode, Refusal
+from hickoryplank.core.ids import RecordId, Revision
+from hickoryplank.core.records import Record
+from hickoryplank.core.tables import Tables
+from hickoryplank.operator_api import HistoryEntry, Published, PublishState
+from hickoryplank.platform.errors import LogFailure
+from hickoryplank.shell.control import Control
+from hickoryplank.shell.history import History
+from hickoryplank.shell.operator_http import Reply
+from hickoryplank.shell.problems import (
+    forgotten_problem,
+    log_problem,
+    refusal_problem,
+)
+
+__all__ = ["Publisher"]
+
+
+class Publisher:
+    """Submits records and tells how far they have come."""
+
+    def __init__(self, control: Control, history: History) -> None:
+        self._control = control
+        self._history = history
+
+    @property
+    def tables(self) -> Tables:
+        """The tables as folded so far."""
+        return self._control.tables
+
+    @property
+    def offset(self) -> int:
+        """The log offset that is folded next."""
+        return self._control.offset
+
+    def entries(self) -> tuple[HistoryEntry, ...]:
+        """Return the operators' records that this node has seen."""
+        return self._history.entries()
+
+    def folded(self, record_id: RecordId) -> bool:
+        """Return whether a record came by before, under the same id."""
+        return record_id in self._control.tables.recent
+
+    async def publish(self, record: Record) -> Reply:
+        """Submit a record; one that was folded before keeps its first verdict."""
+        if self.folded(record.id):
+            return self._first_verdict(record.id)
+        match await self._control.submit(record):
+            case Ok(revision):
+                return Ok(self.published(revision, self._control.offset))
+            case Err(Refusal(faults)):
+                if any(fault.code is FaultCode.DUPLICATE for fault in faults):
+                    return self._first_verdict(record.id)
+                return Err(refusal_problem(faults))
+            case Err(LogFailure() as failure):
+                return Err(log_problem(failure))
+
+    def _first_verdict(self, record_id: RecordId) -> Reply:
+        match self._history.find(record_id):
+            case None:
+                return Err(forgotten_problem())
+            case HistoryEntry(revision=None, faults=faults):
+                return Err(refusal_problem(faults))
+            case HistoryEntry(revision=revision, offset=offset):
+                return Ok(self.published(revision, offset + 1))
+
+    def published(self, revision: Revision, offset: int) -> Published:
+        """Return how far an accepted record has come.
+
+        :param offset: the log offset from which on every reader has seen it.
+        """
+        waiting = self._control.waiting_for(offset)
+        done = not waiting and self._control.offset >= offset
+        state = PublishState.IN_FORCE if done else PublishState.PUBLISHED
+        return Published(state, revision, offset, waiting)
