--- a/hickoryplank/core/checks.py
+++ b/hickoryplank/core/checks.py
@@ -18,7 +18,7 @@
     ref_of,
 )
 
-__all__ = ["Objects", "check_objects"]
+__all__ = ["Objects", "check_objects", "is_name"]
 
 Objects = Mapping[Kind, Mapping[str, ConfigObject]]
 
@@ -28,6 +28,13 @@
 _FULL_SHARE_PERCENT = 100.0
 _MAX_UNITS = 1_000_000
 _MAX_SLOTS = 10_000
+_MAX_POOL_VMS = 100_000
+_NAME_FORM = "lower-case letters, digits, '.', '_' and '-', 63 characters at most"
+
+
+def is_name(text: str) -> bool:
+    """Return whether ``text`` can name an object, a zone, a rack or a wave."""
+    return _NAME.fullmatch(text) is not None
 
 
 def check_objects(objects: Objects) -> list[Fault]:
@@ -42,13 +49,8 @@
 
 def _check_object(obj: ConfigObject, objects: Objects) -> Iterator[Fault]:
     ref = ref_of(obj)
-    if not _NAME.fullmatch(obj.name):
-        yield Fault(
-            FaultCode.BAD_NAME,
-            f"{ref}: names are lower-case letters, digits, '.', '_' and '-',"
-            " 63 characters at most",
-            ref,
-        )
+    if not is_name(obj.name):
+        yield Fault(FaultCode.BAD_NAME, f"{ref}: names are {_NAME_FORM}", ref)
     match obj:
         case Pool():
             yield from _check_pool(obj, ref)
@@ -74,8 +76,8 @@
 
 
 def _check_pool(pool: Pool, ref: Ref) -> Iterator[Fault]:
-    if pool.min_available < 0:
-        yield _bad(ref, "min_available", "0 or more")
+    if not 0 <= pool.min_available <= _MAX_POOL_VMS:
+        yield _bad(ref, "min_available", f"between 0 and {_MAX_POOL_VMS}")
 
 
 def _check_team(team: Team, ref: Ref, objects: Objects) -> Iterator[Fault]:
@@ -117,6 +119,9 @@
         yield _missing(ref, "pool", Kind.POOL, end.pool)
     if not _ADDRESS.fullmatch(end.address):
         yield _bad(ref, "address", "an IP address and a port, as 192.0.2.7:8080")
+    for key in ("zone", "rack"):
+        if not is_name(getattr(end, key)):
+            yield _bad(ref, key, _NAME_FORM)
     if not 1 <= end.slots <= _MAX_SLOTS:
         yield _bad(ref, "slots", f"between 1 and {_MAX_SLOTS}")
 
--- a/hickoryplank/shell/operator_fleet.py
+++ b/hickoryplank/shell/operator_fleet.py
@@ -2,6 +2,7 @@
 
 from result import Err, Ok, Result
 
+from hickoryplank.core.checks import is_name
 from hickoryplank.core.ids import ClaimId, Revision, VmId, WaveId
 from hickoryplank.core.records import (
     Outcome,
@@ -108,6 +109,8 @@
 
     async def _change_wave(self, req: OperatorRequest, body: WaveRequest) -> Reply:
         wave = WaveId(req.path["wave"])
+        if not is_name(wave):
+            return Err(bad_parameter("wave", ["a name like that of a pool"]))
         exists = wave in self._publisher.tables.waves
         starts = body.action is WaveAction.START
         if not self._publisher.folded(req.record_id) and starts == exists:
