--- a/hickoryplank/shell/problems.py
+++ b/hickoryplank/shell/problems.py
@@ -1,81 +1,74 @@
-"""Problem details (RFC 9457) whose outcome is true."""
-
-import math
-
-import msgspec
-from starlette.responses import Response
-
-from hickoryplank.core.work import Failed, NotRun, NotRunReason, Unknown
-
-__all__ = ["OUTCOME_HEADER", "Problem", "problem_of", "refusal"]
+"""Problems of the operator API: why a request is refused."""
+
+from hickoryplank.core.errors import Fault, FaultCode, Refusal
+from hickoryplank.operator_api import Problem, ProblemOutcome
+from hickoryplank.platform.errors import LogFailure
+
+__all__ = [
+    "bad_parameter",
+    "conflict",
+    "forgotten_problem",
+    "log_problem",
+    "not_found",
+    "refusal_problem",
+]
+
+_CONFLICTS = {
+    FaultCode.CONFLICT,
+    FaultCode.DUPLICATE,
+    FaultCode.IN_SERVICE,
+    FaultCode.SETTLED,
+    FaultCode.STALE,
+    FaultCode.WRONG_STATE,
+}
 
-OUTCOME_HEADER = "Hickoryplank-Outcome"
-_MEDIA_TYPE = "application/problem+json"
 
-_STATUS = {
-    NotRunReason.UNKNOWN_QUEUE: 404,
-    NotRunReason.KEY_REUSED: 422,
-    NotRunReason.CANCELLED: 409,
-    NotRunReason.REFUSED: 409,
-    NotRunReason.OVERLOAD: 429,
-}
-_UNAVAILABLE = 503
-_GATEWAY_TIMEOUT = 504
-_RETRYABLE = (429, 503)
+def refusal_problem(faults: tuple[Fault, ...]) -> Problem:
+    """Return the problem for a record that does not take effect."""
+    refusal = Refusal(faults)
+    if any(fault.code in _CONFLICTS for fault in faults):
+        title, status = "In conflict with the current state", 409
+    else:
+        title, status = "Does not hold together", 422
+    return Problem(title=title, status=status, detail=str(refusal), faults=faults)
 
 
-class Problem(msgspec.Struct, frozen=True, kw_only=True):
-    """The body of an error response.
+def forgotten_problem() -> Problem:
+    """Return the problem for a repeated record whose verdict is not kept here."""
+    return Problem(
+        title="Outcome unknown",
+        status=503,
+        detail="the request came by before; this node no longer knows its verdict",
+        outcome=ProblemOutcome.UNKNOWN,
+    )
 
-    :param outcome: ``not_run``, ``failed`` or ``unknown``.
-    """
 
-    status: int
-    title: str
-    detail: str
-    outcome: str
-    type: str = "about:blank"
+def log_problem(failure: LogFailure) -> Problem:
+    """Return the problem for a record whose verdict could not be read."""
+    detail = (
+        f"the log is {failure.error.value}; the request may still take effect;"
+        " repeat it with the same Idempotency-Key to learn its outcome"
+    )
+    return Problem(
+        title="Outcome unknown",
+        status=503,
+        detail=detail,
+        outcome=ProblemOutcome.UNKNOWN,
+    )
 
 
-def refusal(
-    status: int, title: str, detail: str = "", retry_after: float = 0.0
-) -> Response:
-    """Return the response to a request that was refused and not run."""
-    problem = Problem(status=status, title=title, detail=detail, outcome="not_run")
-    return _response(problem, retry_after)
+def bad_parameter(key: str, right: list[str]) -> Problem:
+    """Return the problem for a parameter that is none of ``right``."""
+    detail = f"{key} must be {' or '.join(right)}"
+    return Problem(title="Bad parameter", status=400, detail=detail)
 
 
-def problem_of(answer: NotRun | Failed | Unknown) -> Response:
-    """Return the response for work that gave no answer."""
-    match answer:
-        case NotRun(reason=reason, detail=detail, retry_after=retry_after):
-            status = _STATUS.get(reason, _UNAVAILABLE)
-            title = f"not run: {reason.value}"
-            return refusal(status, title, detail, retry_after)
-        case Failed(detail=detail):
-            problem = Problem(
-                status=_GATEWAY_TIMEOUT,
-                title="no answer in time",
-                detail=detail,
-                outcome="failed",
-            )
-        case Unknown(detail=detail):
-            problem = Problem(
-                status=_GATEWAY_TIMEOUT,
-                title="not known whether it ran",
-                detail=detail,
-                outcome="unknown",
-            )
-    return _response(problem, 0.0)
+def not_found(detail: str) -> Problem:
+    """Return the problem for something that does not exist."""
+    return Problem(title="Not found", status=404, detail=detail)
 
 
-def _response(problem: Problem, retry_after: float) -> Response:
-    headers = {OUTCOME_HEADER: problem.outcome}
-    if retry_after and problem.status in _RETRYABLE:
-        headers["Retry-After"] = str(math.ceil(retry_after))
-    return Response(
-        msgspec.json.encode(problem),
-        problem.status,
-        headers=headers,
-        media_type=_MEDIA_TYPE,
-    )
+def conflict(detail: str) -> Problem:
+    """Return the problem for a request that the current state rules out."""
+    title = "In conflict with the current state"
+    return Problem(title=title, status=409, detail=detail)
