Serve work end to end through three entries over real sockets

Cause: the parts had no composition root. shell/serve.py and shell/node.py wire replica, peers, escrow, dispatcher, claims, caller and operator API. Ruled out: an offset that means the record itself in waiting_for, seen as a set that never came in force; it is the offset after the record throughout.

--- a/hickoryplank/shell/control.py
+++ b/hickoryplank/shell/control.py
@@ -38,5 +38,7 @@
     def waiting_for(self, offset: int) -> tuple[NodeId, ...]:
         """Return the live nodes that may not have folded up to ``offset`` yet.
 
+        :param offset: the offset after the record in question.
+
         A node that must have stopped serving by now is not waited for.
         """
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -7,8 +7,9 @@
 from anyio.abc import TaskGroup
 
 from hickoryplank.core.escrow import Escrow
-from hickoryplank.core.ids import PoolId, RequestId, TeamId, VmId
-from hickoryplank.core.objects import Kind, Share
+from hickoryplank.core.ids import Incarnation, PoolId, RequestId, TeamId, VmId
+from hickoryplank.core.messages import Running
+from hickoryplank.core.objects import Kind, Share, WorkClass
 from hickoryplank.core.placement import EndpointRow, EndpointTable
 from hickoryplank.core.queues import WorkQueues
 from hickoryplank.core.tables import Tables, VmRow
@@ -50,7 +51,19 @@
         self._wake = anyio.Event()
         self.endpoints = EndpointTable()
         self.running: Counter[TeamId] = Counter()
-        self.peers_running: dict[TeamId, int] = {}
+        self._peers_running: dict[Incarnation, Running] = {}
+
+    def note_running(self, peer: Incarnation, running: Running) -> None:
+        """Note how much a peer runs for each team."""
+        self._peers_running[peer] = running
+
+    def waiting(self) -> Counter[TeamId]:
+        """Return how much work of each team waits here."""
+        total: Counter[TeamId] = Counter()
+        for pool in self._pools:
+            for work_class in WorkClass:
+                total.update(self._queues.waiting(pool, work_class))
+        return total
 
     @property
     def queues(self) -> WorkQueues:
@@ -197,9 +210,11 @@
         return self._shares
 
     def _all_running(self) -> dict[TeamId, int]:
-        if not self.peers_running:
-            return self.running
-        return self.running + Counter(self.peers_running)
+        total = Counter(self.running)
+        for peer, running in self._peers_running.items():
+            if self._replica.tables.is_live(peer):
+                total.update(running.counts)
+        return total
 
     def _follow_vms(self) -> None:
         tables = self._replica.tables
--- /dev/null
+++ b/hickoryplank/shell/node.py
@@ -0,0 +1,195 @@
+"""One node's parts, wired together around its replica."""
+
+import time
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+from hickoryplank.core.escrow import Escrow
+from hickoryplank.core.fold import Verdict
+from hickoryplank.core.ids import NodeId
+from hickoryplank.core.messages import (
+    Accepted,
+    Answered,
+    Cancel,
+    Envelope,
+    Forward,
+    Heartbeat,
+    Inquiry,
+    InquiryAnswer,
+    Running,
+    UnitsAsked,
+)
+from hickoryplank.core.records import Record
+from hickoryplank.platform.log import Log
+from hickoryplank.platform.vmlist import VmList
+from hickoryplank.platform.worker import Workers
+from hickoryplank.settings import Settings
+from hickoryplank.shell.api import CallerApi, CallerLimits
+from hickoryplank.shell.attempts import Attempts
+from hickoryplank.shell.claims import Claims
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.dispatcher import Dispatcher
+from hickoryplank.shell.edge import Edge
+from hickoryplank.shell.history import History
+from hickoryplank.shell.members import HEARTBEAT_SECONDS, Members
+from hickoryplank.shell.operator_http import OperatorSecurity
+from hickoryplank.shell.operators import operator_routes
+from hickoryplank.shell.peers import Peers
+from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.service import Service
+from hickoryplank.shell.units import UnitsKeeper
+from hickoryplank.shell.witness import Witness
+from hickoryplank.shell.workers import WorkerPool
+
+__all__ = ["Node", "Platform"]
+
+
+@dataclass(frozen=True)
+class Platform:
+    """Clients of the platform's services."""
+
+    log: Log
+    vms: VmList
+    workers: Workers
+
+
+class Node:
+    """Everything that one incarnation runs."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        platform: Platform,
+        replica: Replica,
+        group: TaskGroup,
+        clock: Clock,
+    ):
+        self.name: NodeId = cfg.node.name
+        self._replica = replica
+        self._group = group
+        self._clock = clock
+        secret = cfg.security.cluster_secret.reveal()
+        self._peers = Peers(cfg.node.peer_bind, secret, replica.incarnation)
+        self._members = Members(replica, self._peers, clock)
+        self._witness = Witness(replica, self._peers, clock)
+        self._workers = WorkerPool(platform.workers, clock)
+        self._claims = Claims(replica, self._workers, group, clock)
+        escrow = Escrow(replica.incarnation, new_record_id)
+        attempts = Attempts(replica, self._workers, self._claims, clock)
+        self._dispatcher = Dispatcher(replica, escrow, attempts, clock)
+        self._units = UnitsKeeper(
+            escrow, replica, self._peers, self._dispatcher.waiting, group, clock
+        )
+        self._service = Service(
+            replica,
+            self._members,
+            self._dispatcher,
+            self._claims,
+            self._workers,
+            group,
+            clock,
+        )
+        self._edge = Edge(replica, self._members, self._peers, self._service, clock)
+        limits = CallerLimits(
+            body_bytes=cfg.limits.body_bytes,
+            wait_seconds=cfg.limits.request_timeout_seconds,
+        )
+        self._api = CallerApi(replica, self._edge, limits, clock)
+        self._history = History()
+        replica.subscribe(self._note_record)
+        self.app = self._make_app(cfg)
+
+    def _make_app(self, cfg: Settings) -> Starlette:
+        security = OperatorSecurity(cfg.security.operators, cfg.limits.body_bytes)
+        return Starlette(
+            routes=[
+                *self._api.routes(),
+                *operator_routes(self._replica, self._history, security),
+                Route("/health", self._health),
+                Route("/ready", self._ready),
+            ]
+        )
+
+    async def start(self) -> None:
+        """Start the node's tasks."""
+        await self._group.start(self._peers.serve, self._receive)
+        for task in (
+            self._beat,
+            self._witness.serve,
+            self._dispatcher.serve,
+            self._units.serve,
+            self._service.adopt_orphans,
+        ):
+            self._group.start_soon(task)
+
+    def begin_leaving(self) -> None:
+        """Take no ownership any more, and tell balancer and peers."""
+        self._members.leaving = True
+        self._members.beat()
+
+    @property
+    def busy(self) -> bool:
+        """Whether work is under way that leaving would cut off."""
+        return bool(
+            self._dispatcher.busy
+            or self._edge.hosted
+            or self._claims.unsaved
+            or self._api.open_requests
+        )
+
+    async def replaced(self) -> None:
+        """Wait until the log says that this incarnation is gone."""
+        while self._replica.tables.is_live(self._replica.incarnation):
+            await self._replica.advanced()
+
+    async def _beat(self) -> None:
+        while True:
+            self._members.beat()
+            await anyio.sleep(HEARTBEAT_SECONDS)
+
+    def _note_record(self, record: Record, verdict: Verdict) -> None:
+        self._history.note(record, verdict, self._replica.offset - 1, time.time())
+
+    async def _receive(self, envelope: Envelope) -> None:
+        sender = envelope.sender
+        match envelope.message:
+            case Heartbeat() as heartbeat:
+                self._members.note_heartbeat(sender, heartbeat)
+            case Forward(request):
+                self._group.start_soon(self._edge.host, sender, request)
+            case Accepted() as accepted:
+                self._edge.note_accepted(sender, accepted)
+            case Answered() as answered:
+                self._edge.note_answered(sender, answered)
+            case Cancel() as cancel:
+                self._edge.note_cancelled(cancel)
+            case _:
+                self._receive_control(envelope)
+
+    def _receive_control(self, envelope: Envelope) -> None:
+        sender = envelope.sender
+        match envelope.message:
+            case Inquiry() as inquiry:
+                self._witness.answer(sender, inquiry)
+            case InquiryAnswer() as answer:
+                self._witness.note_answer(sender, answer)
+            case UnitsAsked() as asked:
+                self._units.note_asked(sender, asked)
+            case Running() as running:
+                self._dispatcher.note_running(sender, running)
+
+    async def _health(self, _: Request) -> Response:
+        return PlainTextResponse("alive\n")
+
+    async def _ready(self, _: Request) -> Response:
+        fresh = self._replica.freshness.is_fresh(self._clock.now())
+        ready = fresh and not self._members.leaving
+        return PlainTextResponse(
+            "ready\n" if ready else "not ready\n", 200 if ready else 503
+        )
--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -67,7 +67,7 @@
 class Replica(Control):
     """The tables of this node, kept up with the log."""
 
-    def __init__(self, log: Log, clock: Clock, freshness: Freshness):
+    def __init__(self, log: Log, clock: Clock):
         self._log = log
         self._clock = clock
         self._tables = Tables()
@@ -77,9 +77,10 @@
         self._advanced = anyio.Event()
         self._listeners: list[Listener] = []
         self._appended = 0
+        self._adopted_at = clock.now()
         self._folded_at: deque[tuple[int, float]] = deque(maxlen=RECENT_ENTRIES)
         self._entries: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
-        self.freshness = freshness
+        self.freshness = Freshness()
         self.incarnation = Incarnation(0)
         self.reading = False
 
@@ -102,6 +103,7 @@
         if tables.next_offset <= self.offset:
             return False
         self._tables = tables
+        self._adopted_at = self._clock.now()
         self._entries.clear()
         self._signal()
         return True
@@ -268,17 +270,17 @@
         return kept[:most] if kept and kept[0].offset == offset else []
 
     def waiting_for(self, offset: int) -> tuple[NodeId, ...]:
-        """Return the live nodes that may not have folded ``offset`` yet."""
-        if self.offset <= offset:
+        """Return the live nodes that may not have folded up to ``offset`` yet."""
+        if self.offset < offset:
             return tuple(row.node for row in self._tables.live_nodes())
         behind = self.freshness.waiting_for(
-            self.others(), offset + 1, self._read_back_at(offset), self._clock.now()
+            self.others(), offset, self._read_back_at(offset), self._clock.now()
         )
         return tuple(self._tables.nodes[peer].node for peer in behind)
 
     def _read_back_at(self, offset: int) -> float:
-        """Return when ``offset`` was folded here, at the latest."""
+        """Return when this node had folded up to ``offset``, at the latest."""
         for folded, at in self._folded_at:
-            if folded >= offset:
+            if folded + 1 >= offset:
                 return at
-        return self._clock.now()
+        return self._adopted_at
--- /dev/null
+++ b/hickoryplank/shell/serve.py
@@ -0,0 +1,156 @@
+"""The composition root: wires one node together and runs it until told to stop."""
+
+import logging
+import signal
+from urllib.parse import urlsplit
+
+import anyio
+from anyio.abc import TaskGroup
+from hypercorn.asyncio import serve as serve_http
+from hypercorn.config import Config
+from result import Err
+
+from hickoryplank.core.ids import Incarnation
+from hickoryplank.core.records import NodeJoined, NodeLeft
+from hickoryplank.platform.channel import ChannelOptions, TlsOptions
+from hickoryplank.platform.errors import LogFailure
+from hickoryplank.platform.log_http import HttpLog
+from hickoryplank.platform.vmlist_http import HttpVmList
+from hickoryplank.platform.worker_http import HttpWorkers
+from hickoryplank.settings import PlatformSettings, Settings
+from hickoryplank.shell.clock import MonotonicClock
+from hickoryplank.shell.logs import configure_logs
+from hickoryplank.shell.node import Node, Platform
+from hickoryplank.shell.replica import Replica, new_record_id
+
+__all__ = ["run"]
+
+logger = logging.getLogger(__name__)
+
+JOIN_PAUSE_SECONDS = 0.2
+LEAVE_SECONDS = 5.0
+EDGE_GRACE_SECONDS = 1.0
+DRAIN_SECONDS = 60.0
+DRAIN_BEAT_SECONDS = 0.05
+READ_TIMEOUT_SECONDS = 5.0
+
+
+def run(cfg: Settings) -> None:
+    """Run a node with these settings until SIGTERM or SIGINT."""
+    configure_logs(cfg.log.level.value, cfg.node.name)
+    anyio.run(_serve, cfg)
+
+
+async def _serve(cfg: Settings) -> None:
+    clock = MonotonicClock()
+    platform = connect_platform(cfg.platform)
+    replica = Replica(platform.log, clock)
+    async with anyio.create_task_group() as group:
+        group.start_soon(replica.follow)
+        group.start_soon(replica.append)
+        await _join(replica, cfg)
+        node = Node(cfg, platform, replica, group, clock)
+        await node.start()
+        stop = anyio.Event()
+        stopped = anyio.Event()
+        group.start_soon(_listen, node, cfg, stop, stopped)
+        await _until_told_to_stop(node, group)
+        await _leave(node, replica, stop, stopped)
+        group.cancel_scope.cancel()
+
+
+def connect_platform(cfg: PlatformSettings) -> Platform:
+    """Return clients of the platform's services."""
+    return Platform(
+        log=HttpLog(_address(cfg.log_url), _options(cfg, cfg.log_url)),
+        vms=HttpVmList(_address(cfg.vms_url), _options(cfg, cfg.vms_url)),
+        workers=HttpWorkers(),
+    )
+
+
+def _address(url: str) -> str:
+    return urlsplit(url).netloc
+
+
+def _options(cfg: PlatformSettings, url: str) -> ChannelOptions:
+    secure = urlsplit(url).scheme == "https"
+    tls = TlsOptions(ca_file=cfg.ca_file or "") if secure else None
+    return ChannelOptions(read_seconds=READ_TIMEOUT_SECONDS, tls=tls)
+
+
+async def _join(replica: Replica, cfg: Settings) -> None:
+    """Enter the table of nodes; the record's number is this incarnation."""
+    record = NodeJoined(
+        id=new_record_id(),
+        node=cfg.node.name,
+        api=cfg.node.api_address,
+        peer=cfg.node.peer_address,
+        zone=cfg.node.zone,
+    )
+    while isinstance(joined := await replica.submit(record), Err):
+        logger.warning("not joined yet: %s", joined.unwrap_err())
+        await anyio.sleep(JOIN_PAUSE_SECONDS)
+    replica.incarnation = Incarnation(joined.unwrap())
+    replica.freshness.joined = replica.offset
+    logger.info("joined as incarnation %d", replica.incarnation)
+
+
+async def _listen(
+    node: Node, cfg: Settings, stop: anyio.Event, stopped: anyio.Event
+) -> None:
+    config = Config()
+    config.bind = [cfg.node.api_bind]
+    config.certfile = cfg.security.tls_cert_file
+    config.keyfile = cfg.security.tls_key_file
+    config.ca_certs = cfg.security.tls_ca_file
+    config.graceful_timeout = DRAIN_SECONDS
+    config.accesslog = None
+    config.errorlog = logging.getLogger("hypercorn.error")
+    try:
+        await serve_http(node.app, config, shutdown_trigger=stop.wait)
+    finally:
+        stopped.set()
+
+
+async def _until_told_to_stop(node: Node, group: TaskGroup) -> None:
+    """Wait for a signal, or for word that this incarnation was replaced."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as waiting:
+            waiting.start_soon(_cancel_on_signal, signals, waiting.cancel_scope)
+            waiting.start_soon(_cancel_if_replaced, node, waiting.cancel_scope)
+
+
+async def _cancel_on_signal(signals, scope: anyio.CancelScope) -> None:
+    async for number in signals:
+        logger.info("told to stop by signal %d", number)
+        scope.cancel()
+        return
+
+
+async def _cancel_if_replaced(node: Node, scope: anyio.CancelScope) -> None:
+    await node.replaced()
+    logger.error("this incarnation is marked as gone; stopping")
+    scope.cancel()
+
+
+async def _leave(
+    node: Node, replica: Replica, stop: anyio.Event, stopped: anyio.Event
+) -> None:
+    """Finish what is running, hand over the rest, and leave the table of nodes."""
+    node.begin_leaving()
+    await anyio.sleep(EDGE_GRACE_SECONDS)
+    with anyio.move_on_after(DRAIN_SECONDS):
+        while node.busy:
+            await anyio.sleep(DRAIN_BEAT_SECONDS)
+    stop.set()
+    with anyio.move_on_after(LEAVE_SECONDS):
+        await stopped.wait()
+    record = NodeLeft(
+        id=new_record_id(), node=node.name, incarnation=replica.incarnation
+    )
+    with anyio.move_on_after(LEAVE_SECONDS):
+        while isinstance(left := await replica.submit(record), Err):
+            if not isinstance(left.unwrap_err(), LogFailure):
+                break
+            await anyio.sleep(JOIN_PAUSE_SECONDS)
+    logger.info("stopped")
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,237 @@
+"""A small deployment of real processes on loopback: stand-ins and entries."""
+
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpx
+
+TOKEN = "operator-token-for-tests"
+SECRET = "cluster-secret-for-tests"
+KEY = "caller-key-of-rutas"
+READY_SECONDS = 20.0
+
+
+def free_port() -> int:
+    """Return a TCP port of loopback that was free just now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def digest(secret: str) -> str:
+    """Return the form in which secrets stand in settings and objects."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def wait_until(check, seconds: float = READY_SECONDS, what: str = "it"):
+    """Return the first true result of ``check``; fail after ``seconds``."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        found = check()
+        if found:
+            return found
+        time.sleep(0.05)
+    raise AssertionError(f"{what} did not come within {seconds} s")
+
+
+@dataclass
+class Program:
+    """One process of the deployment."""
+
+    name: str
+    command: list[str]
+    address: str = ""
+    process: subprocess.Popen | None = None
+    log: Path | None = None
+
+    def start(self) -> None:
+        """Start the process; a stand-in says where it listens."""
+        with self.log.open("ab") as err:
+            self.process = subprocess.Popen(
+                self.command, stdout=subprocess.PIPE, stderr=err
+            )
+        if not self.address:
+            line = self.process.stdout.readline()
+            self.address = json.loads(line)["address"]
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    def stop(self) -> int:
+        """Ask the process to end and return its exit code."""
+        self.signal(signal.SIGTERM)
+        return self.process.wait(90)
+
+    def fault(self, **changes) -> None:
+        """Set fault switches of a stand-in."""
+        res = httpx.post(f"http://{self.address}/fault", json=changes, timeout=5)
+        res.raise_for_status()
+
+
+@dataclass
+class Fleet:
+    """Stand-ins, workers and entries."""
+
+    root: Path
+    zones: tuple[str, ...] = ("talcahuano", "concepcion", "coronel")
+    programs: list[Program] = field(default_factory=list)
+    workers: list[Program] = field(default_factory=list)
+    entries: list[Program] = field(default_factory=list)
+    client: httpx.Client = field(default_factory=lambda: httpx.Client(timeout=60))
+
+    def __enter__(self):
+        (self.root / "token").write_text(TOKEN)
+        return self
+
+    def __exit__(self, *exc):
+        self.client.close()
+        for program in self.programs:
+            if program.process.poll() is None:
+                program.signal(signal.SIGCONT)
+                program.kill()
+            program.process.stdout.close()
+
+    def standin(self, kind: str, name: str, *args: str) -> Program:
+        """Start a stand-in."""
+        command = [sys.executable, "-m", f"tests.standins.{kind}", *args]
+        program = Program(name, command, log=self.root / f"{name}.log")
+        program.start()
+        self.programs.append(program)
+        return program
+
+    def start(self, entries: int = 3, workers: int = 6, slots: int = 8) -> None:
+        """Start everything and wait until the entries are ready."""
+        self.log = self.standin("log", "log")
+        self.vms = self.standin("vms", "vms")
+        for i in range(workers):
+            args = ("--vm", f"vm-{i}", "--slots", str(slots))
+            self.workers.append(self.standin("worker", f"worker-{i}", *args))
+        for i in range(entries):
+            self.add_entry(i)
+        self.wait_ready()
+
+    def add_entry(self, i: int) -> Program:
+        """Start entry ``i`` with settings of its own."""
+        name = f"entry-{i}"
+        address = f"127.0.0.1:{free_port()}"
+        settings = self.root / f"{name}.ini"
+        settings.write_text(self._settings(name, i, address))
+        command = [sys.executable, "-m", "hickoryplank", "serve", str(settings)]
+        log = self.root / f"{name}.log"
+        entry = Program(name, command, address, log=log)
+        entry.start()
+        self.programs.append(entry)
+        self.entries.append(entry)
+        return entry
+
+    def _settings(self, name: str, i: int, address: str) -> str:
+        return f"""
+[node]
+name = {name}
+region = biobio
+zone = {self.zones[i % len(self.zones)]}
+api_bind = {address}
+peer_bind = 127.0.0.1:{free_port()}
+[platform]
+log_url = http://{self.log.address}
+vms_url = http://{self.vms.address}
+[security]
+cluster_secret = {SECRET}
+operator.olga = {digest(TOKEN)}
+"""
+
+    def wait_ready(self) -> None:
+        """Wait until every entry takes work."""
+        for entry in self.entries:
+            wait_until(lambda e=entry: self.is_ready(e), what=f"{entry.name} ready")
+
+    def is_ready(self, entry: Program) -> bool:
+        """Return whether ``entry`` says that it takes work."""
+        try:
+            url = f"http://{entry.address}/ready"
+            return self.client.get(url, timeout=2).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def cli(self, *args: str, entry: int | None = None) -> subprocess.CompletedProcess:
+        """Run the command line against the entries, or just one of them."""
+        chosen = self.entries if entry is None else [self.entries[entry]]
+        urls = [x for e in chosen for x in ("--entry", f"http://{e.address}")]
+        token = ("--token-file", str(self.root / "token"))
+        command = [sys.executable, "-m", "hickoryplank", *urls, *token, *args]
+        return subprocess.run(
+            command, capture_output=True, text=True, timeout=60, env=os.environ
+        )
+
+    def publish(self, text: str, entry: int | None = None):
+        """Apply a set of objects and wait until it is in force."""
+        path = self.root / "objects.ini"
+        path.write_text(text)
+        done = self.cli("apply", str(path), "--wait", entry=entry)
+        assert done.returncode == 0, done.stdout + done.stderr
+        return done
+
+    def objects(self, limit: int = 48, budget: int = 3, key: str = KEY) -> str:
+        """Return one team, one pool of all workers, and three queues."""
+        text = f"""
+[pool rondas-norte]
+min_available = {budget}
+[team rutas]
+[share rutas]
+percent = 60
+[limit rutas]
+units = {limit}
+[key rutas-1]
+team = rutas
+digest = {digest(key)}
+[queue rondas]
+pool = rondas-norte
+[queue pagos]
+pool = rondas-norte
+idempotent = no
+[queue cierre]
+pool = rondas-norte
+work_class = batch
+idempotent = no
+"""
+        for i, worker in enumerate(self.workers):
+            text += f"""
+[endpoint vm-{i}]
+address = {worker.address}
+pool = rondas-norte
+zone = {self.zones[i % len(self.zones)]}
+rack = rack-{i // 4}
+"""
+        return text
+
+    def submit(self, entry: int, queue: str, body: bytes, key: str = KEY, **headers):
+        """Post one request as a caller does."""
+        url = f"http://{self.entries[entry].address}/v1/queues/{queue}/work"
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        if key:
+            names["Authorization"] = f"Bearer {key}"
+        return self.client.post(url, content=body, headers=names)
+
+    def effects(self) -> dict[str, int]:
+        """Return how often each task took effect, over all workers."""
+        total: dict[str, int] = {}
+        for worker in self.workers:
+            if worker.process.poll() is None:
+                res = self.client.get(f"http://{worker.address}/effects")
+                for task, number in res.json().items():
+                    total[task] = total.get(task, 0) + number
+        return total
