Test the platform clients in memory and over HTTP under every fault

One table of cases runs over both versions. A start whose connection goes silent is now sent again as the same attempt over a new connection, once the same boot says that it has never seen the task. Waiting for start_by instead was ruled out, because it delays urgent work; without a named boot it stays the only way, for a restarted worker would run the copy too. Answers are bounded and read raw.

--- a/hickoryplank/platform/channel.py
+++ b/hickoryplank/platform/channel.py
@@ -32,6 +32,7 @@
 READ_TIMEOUT_SECONDS = 5.0
 KEEPALIVE_SECONDS = 15.0
 MAX_CONNECTIONS = 64
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 class TlsOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,12 +55,14 @@
     :param connect_seconds: bound on opening a connection, or waiting for a free one.
     :param read_seconds: bound on the silence of a connection during a call.
     :param max_connections: bound on open connections.
+    :param max_answer_bytes: bound on the body of one answer.
     :param tls: use TLS with these files; ``None`` speaks plain HTTP.
     """
 
     connect_seconds: float = CONNECT_TIMEOUT_SECONDS
     read_seconds: float = READ_TIMEOUT_SECONDS
     max_connections: int = MAX_CONNECTIONS
+    max_answer_bytes: int = MAX_ANSWER_BYTES
     tls: TlsOptions | None = None
 
 
@@ -137,14 +140,15 @@
         pool = self._pool
         pool.calls += 1
         try:
-            response = await pool.client.request(
+            async with pool.client.stream(
                 method,
                 path,
                 headers={**(headers or {}), wire.REQUEST: request},
                 params=params,
                 content=body,
                 timeout=self._timeout(read_seconds),
-            )
+            ) as response:
+                answer = await self._body(response)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
             return Err(CallFailure(CallError.NOT_SENT, repr(exc)))
         except httpx.HTTPError as exc:
@@ -153,7 +157,7 @@
         finally:
             pool.calls -= 1
             await pool.close_if_unused()
-        return _whole(response, request)
+        return _whole(response, answer, request)
 
     async def renew(self) -> None:
         """Open new connections for new calls."""
@@ -166,6 +170,14 @@
         self._pool.retired = True
         await self._pool.client.aclose()
 
+    async def _body(self, response: httpx.Response) -> bytes:
+        body = bytearray()
+        async for chunk in response.aiter_raw():
+            body += chunk
+            if len(body) > self._options.max_answer_bytes:
+                raise httpx.ReadError("the answer is too long")
+        return bytes(body)
+
     def _open(self) -> httpx.AsyncClient:
         most = self._options.max_connections
         return httpx.AsyncClient(
@@ -205,12 +217,14 @@
     return context
 
 
-def _whole(response: httpx.Response, request: str) -> Result[Reply, CallFailure]:
+def _whole(
+    response: httpx.Response, body: bytes, request: str
+) -> Result[Reply, CallFailure]:
     headers = response.headers
     headers.encoding = "latin-1"
     if headers.get(wire.REQUEST) != request:
         return Err(CallFailure(CallError.LOST, "the answer is not to this request"))
     encoded = headers.get("content-encoding", "identity") != "identity"
-    if encoded or headers.get(wire.LENGTH) != str(len(response.content)):
+    if encoded or headers.get(wire.LENGTH) != str(len(body)):
         return Err(CallFailure(CallError.LOST, "the answer is not whole"))
-    return Ok(Reply(response.status_code, headers, response.content))
+    return Ok(Reply(response.status_code, headers, body))
--- a/hickoryplank/platform/log_memory.py
+++ b/hickoryplank/platform/log_memory.py
@@ -14,6 +14,8 @@
 
 __all__ = ["MemoryLog"]
 
+READ_TIMEOUT_SECONDS = 5.0
+
 _OUTAGE = LogFailure(LogError.UNAVAILABLE, "outage")
 _LOST = LogFailure(LogError.UNKNOWN, "the answer was lost")
 
@@ -64,11 +66,17 @@
 class MemoryLog(Log):
     """A log service in memory.
 
+    :param timeout_seconds: the slowness at which a call gives up on its answer.
     :param clock: gives the time in seconds by which records age.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        timeout_seconds: float = READ_TIMEOUT_SECONDS,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.faults = LogFaults()
+        self._timeout_seconds = timeout_seconds
         self._clock = clock
         self._streams: defaultdict[str, _Stream] = defaultdict(_Stream)
 
@@ -80,20 +88,21 @@
 
     async def append(self, stream: str, data: bytes) -> Result[int, LogFailure]:
         """Append one record and return its offset."""
-        await anyio.sleep(self.faults.slow_seconds)
+        in_time = await self._delay()
         if self.faults.outage:
             return Err(_OUTAGE)
         offset = self._streams[stream].append(data, self._clock())
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return Err(_LOST)
-        return Ok(offset)
+        return Ok(offset) if in_time else Err(_LOST)
 
     async def read(
         self, stream: str, start: int, limit: int, wait: float
     ) -> Result[Page, LogFailure | Trimmed]:
         """Read from ``start``; at the tail, wait up to ``wait`` seconds for more."""
-        await anyio.sleep(self.faults.slow_seconds)
+        if not await self._delay():
+            return Err(LogFailure(LogError.UNAVAILABLE, "timeout"))
         records = self._streams[stream]
         with anyio.move_on_after(wait):
             while start >= records.tail and not self.faults.outage:
@@ -104,3 +113,8 @@
         if start < records.first:
             return Err(Trimmed(records.first))
         return Ok(records.page(start, limit))
+
+    async def _delay(self) -> bool:
+        slow = self.faults.slow_seconds
+        await anyio.sleep(min(slow, self._timeout_seconds))
+        return slow < self._timeout_seconds
--- a/hickoryplank/platform/worker_http.py
+++ b/hickoryplank/platform/worker_http.py
@@ -1,5 +1,6 @@
 """Clients of workers over HTTP."""
 
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import TypeVar
 
@@ -36,7 +37,7 @@
 __all__ = ["HttpWorker", "HttpWorkers"]
 
 READ_TIMEOUT_SECONDS = 2.0
-PROBE_SECONDS = 1.0
+PROBE_SECONDS = 0.5
 MAX_PROBE_SECONDS = 5.0
 MAX_MISSED_PROBES = 3
 
@@ -45,6 +46,7 @@
 
 _T = TypeVar("_T")
 _Outcome = Result[Answer, StartFailure | StartLost]
+_Call = Callable[[Start], Awaitable[_Outcome]]
 
 
 class HttpWorker(Worker):
@@ -65,16 +67,7 @@
 
     async def start(self, start: Start) -> _Outcome:
         """Run a task and return its answer; a repeated attempt runs once."""
-        outcomes: list[_Outcome] = []
-        async with anyio.create_task_group() as group:
-
-            async def first(call) -> None:
-                outcomes.append(await call(start))
-                group.cancel_scope.cancel()
-
-            group.start_soon(first, self._post)
-            group.start_soon(first, self._watch)
-        return outcomes[0]
+        return await self._race(start, self._post, self._watch)
 
     async def renew(
         self, task: TaskId, attempt: int, lease: float
@@ -130,24 +123,49 @@
             case Err(failure):
                 return Err(StartLost(failure.detail))
 
+    async def _post_again(self, start: Start) -> _Outcome:
+        """Send a copy of a start; its failure tells nothing of the earlier one."""
+        sent = await self._post(start)
+        return sent.map_err(lambda failure: StartLost(failure.detail))
+
     async def _watch(self, start: Start) -> _Outcome:
-        """Return once the worker shows that no answer will come to the start."""
+        """Return once the worker shows what became of a start without an answer.
+
+        A start that did not arrive is sent again over a new connection, as the same
+        attempt. Only a boot that is named makes this safe: a restarted worker would
+        run the copy too.
+        """
         pause, missed, boot = self._probe_seconds, 0, start.boot
         while missed < MAX_MISSED_PROBES:
             await anyio.sleep(pause)
-            found = await self.find(start.task)
-            match found:
+            match await self.find(start.task):
                 case Ok(report):
                     boot = boot or report.boot
                     outcome = _settled(report, start, boot)
                     if outcome is not None:
                         await self._channel.renew()
                         return outcome
+                    if start.boot and report.state is TaskState.NEVER_SEEN:
+                        await self._channel.renew()
+                        return await self._race(start, self._post_again, self._watch)
                     missed, pause = 0, min(2 * pause, MAX_PROBE_SECONDS)
                 case Err(_):
                     missed, pause = missed + 1, self._probe_seconds
         return Err(StartLost("the worker is silent"))
 
+    async def _race(self, start: Start, *calls: _Call) -> _Outcome:
+        """Return the outcome of the call that ends first, and cancel the others."""
+        outcomes: list[_Outcome] = []
+        async with anyio.create_task_group() as group:
+
+            async def run(call: _Call) -> None:
+                outcomes.append(await call(start))
+                group.cancel_scope.cancel()
+
+            for call in calls:
+                group.start_soon(run, call)
+        return outcomes[0]
+
 
 class HttpWorkers(Workers):
     """Clients of workers, one for each address.
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform clients, in memory and over HTTP."""
--- /dev/null
+++ b/tests/platform/test_log.py
@@ -0,0 +1,140 @@
+"""The log service: offsets, waiting reads, retention and every fault."""
+
+import anyio
+import pytest
+
+from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
+from hickoryplank.platform.log import Entry, Page
+from hickoryplank.platform.log_http import HttpLog
+from tests.platform.conftest import OPTIONS, READ_SECONDS
+from tests.standins import service
+
+pytestmark = pytest.mark.anyio
+
+BODIES = [b"", bytes(range(256)), b"\xff" * 100_000]
+
+
+async def fill(side, count):
+    for i in range(count):
+        assert (await side.client.append("control", b"%d" % i)).ok() == i
+
+
+@pytest.mark.parametrize(
+    ("start", "limit", "expected"),
+    [(0, 10, [0, 1, 2]), (1, 1, [1]), (2, 10, [2]), (3, 10, []), (9, 10, [])],
+)
+async def test_read_gives_the_records_from_an_offset(log_side, start, limit, expected):
+    for body in BODIES:
+        await log_side.client.append("control", body)
+    page = (await log_side.client.read("control", start, limit, 0)).unwrap()
+    assert page == Page(tuple(Entry(i, BODIES[i]) for i in expected), 3, 0)
+
+
+async def test_streams_are_apart(log_side):
+    await fill(log_side, 2)
+    odd = "snapshots/æ ?&"
+    assert (await log_side.client.append(odd, b"s")).ok() == 0
+    assert (await log_side.client.read(odd, 0, 9, 0)).unwrap().tail == 1
+
+
+async def test_waiting_read_wakes_on_an_append_and_ends_empty(log_side):
+    pages = []
+
+    async def read():
+        pages.append((await log_side.client.read("control", 0, 9, 5.0)).unwrap())
+
+    with anyio.fail_after(2):
+        async with anyio.create_task_group() as group:
+            group.start_soon(read)
+            await anyio.sleep(0.1)
+            await log_side.client.append("control", b"x")
+        assert pages == [Page((Entry(0, b"x"),), 1, 0)]
+        page = (await log_side.client.read("control", 1, 9, 0.1)).unwrap()
+        assert page == Page((), 1, 0)
+
+
+async def test_waiting_read_can_be_cancelled(log_side):
+    with anyio.fail_after(2):
+        for _ in range(3):
+            with anyio.move_on_after(0.05):
+                await log_side.client.read("control", 0, 9, 30.0)
+        await fill(log_side, 1)
+
+
+async def test_waiting_read_outlasts_the_read_timeout(log_side):
+    page = await log_side.client.read("control", 0, 9, READ_SECONDS * 2)
+    assert page.unwrap() == Page((), 0, 0)
+
+
+async def test_outage_refuses_without_effect(log_side):
+    await fill(log_side, 1)
+    await log_side.fault(outage=True)
+    refused = (await log_side.client.append("control", b"x")).err()
+    assert refused.error is LogError.UNAVAILABLE
+    failed = (await log_side.client.read("control", 0, 9, 5.0)).err()
+    assert failed.error is LogError.UNAVAILABLE
+    await log_side.fault(outage=False)
+    assert (await log_side.client.read("control", 0, 9, 0)).unwrap().tail == 1
+
+
+async def test_outage_ends_a_waiting_read(log_side):
+    async def fail():
+        await anyio.sleep(0.1)
+        await log_side.fault(outage=True)
+
+    with anyio.fail_after(2):
+        async with anyio.create_task_group() as group:
+            group.start_soon(fail)
+            failed = await log_side.client.read("control", 0, 9, 5.0)
+    assert failed.err().error is LogError.UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    "fault", [{"lose_answers": 1}, {"slow_seconds": READ_SECONDS * 1.5}]
+)
+async def test_lost_answer_to_an_append_is_unknown_and_took_effect(log_side, fault):
+    await log_side.fault(**fault)
+    lost = (await log_side.client.append("control", b"x")).err()
+    assert isinstance(lost, LogFailure) and lost.error is LogError.UNKNOWN
+    await log_side.fault(slow_seconds=0)
+    await anyio.sleep(READ_SECONDS)
+    page = (await log_side.client.read("control", 0, 9, 0)).unwrap()
+    assert page.entries == (Entry(0, b"x"),)
+    assert (await log_side.client.append("control", b"y")).ok() == 1
+
+
+async def test_slow_answers_arrive(log_side):
+    await log_side.fault(slow_seconds=READ_SECONDS / 2)
+    await fill(log_side, 2)
+
+
+@pytest.mark.parametrize(
+    ("fault", "first"), [({"keep_records": 2}, 3), ({"keep_seconds": 0.05}, 5)]
+)
+async def test_trimmed_records_are_named(log_side, fault, first):
+    await fill(log_side, 5)
+    await log_side.fault(**fault)
+    await anyio.sleep(0.1)
+    trimmed = (await log_side.client.read("control", 1, 9, 0)).err()
+    assert trimmed == Trimmed(first)
+    page = (await log_side.client.read("control", first, 9, 0)).unwrap()
+    assert (page.first, page.tail) == (first, 5)
+
+
+async def test_silent_connections_are_replaced(log_side):
+    await fill(log_side, 1)
+    if log_side.http:
+        await log_side.post("/silence")
+        lost = (await log_side.client.append("control", b"lost")).err()
+        assert lost.error is LogError.UNKNOWN
+    assert (await log_side.client.append("control", b"x")).ok() == 1
+
+
+async def test_refused_connection_means_no_effect():
+    sock = service.listen("127.0.0.1:0")
+    address = service.address_of(sock)
+    sock.close()
+    client = HttpLog(address, OPTIONS)
+    assert (await client.append("s", b"")).err().error is LogError.UNAVAILABLE
+    assert (await client.read("s", 0, 1, 5)).err().error is LogError.UNAVAILABLE
+    await client.aclose()
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -1,5 +1,7 @@
 """Stand-in for the log service."""
 
+import math
+
 import msgspec
 from result import Err, Ok
 from starlette.applications import Starlette
@@ -41,8 +43,8 @@
         log.set_faults(await service.changed_faults(request, log.faults))
         return service.reply(msgspec.json.encode(log.faults))
 
-    async def silence(_: Request):
-        app.silence()
+    async def silence(request: Request):
+        app.silence(request)
         return service.reply()
 
     routes = [
@@ -56,4 +58,5 @@
 
 
 if __name__ == "__main__":
-    service.run(make_app(MemoryLog()), service.parser(__doc__).parse_args().bind)
+    bind = service.parser(__doc__).parse_args().bind
+    service.run(make_app(MemoryLog(math.inf)), bind)
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -28,9 +28,9 @@
         self._open: set = set()
         self._silent: set = set()
 
-    def silence(self) -> None:
-        """Silence the connections that are open now."""
-        self._silent |= self._open
+    def silence(self, request: Request) -> None:
+        """Silence the connections that are open now, except that of ``request``."""
+        self._silent |= self._open - {tuple(request.client)}
 
     async def __call__(self, scope, receive, send) -> None:
         if scope["type"] != "http":
@@ -39,10 +39,13 @@
         self._open.add(conn)
         if conn in self._silent:
             return await self._hang(conn, receive)
+        lost = False
         request_id = dict(scope["headers"]).get(wire.REQUEST.encode())
 
         async def send_on(message) -> None:
-            if conn in self._silent:
+            nonlocal lost
+            if lost or conn in self._silent:
+                lost = True
                 return await self._hang(conn, receive)
             if message["type"] == "http.response.start" and request_id:
                 headers = [*message["headers"], (wire.REQUEST.encode(), request_id)]
@@ -97,9 +100,9 @@
     return sock
 
 
-async def serve(app, sock: socket.socket, stop=None) -> None:
-    """Serve ``app`` until ``stop`` returns."""
-    cfg = Config()
+async def serve(app, sock: socket.socket, stop=None, **settings) -> None:
+    """Serve ``app`` until ``stop`` returns, with further settings of hypercorn."""
+    cfg = Config.from_mapping(settings)
     cfg.bind = [f"fd://{sock.fileno()}"]
     cfg.graceful_timeout = 0.1
     cfg.keep_alive_timeout = 60.0
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -97,8 +97,8 @@
         response.background = BackgroundTask(_pause, self.engine, seconds)
         return response
 
-    async def silence(self, _: Request):
-        self.app.silence()
+    async def silence(self, request: Request):
+        self.app.silence(request)
         return service.reply()
 
 
