--- /dev/null
+++ b/tests/platform/test_programs.py
@@ -0,0 +1,67 @@
+"""The stand-in programs run as processes of their own."""
+
+import json
+import math
+import subprocess
+import sys
+from contextlib import contextmanager
+
+import anyio
+import httpx
+import pytest
+
+from hickoryplank.platform.log_http import HttpLog
+from hickoryplank.platform.vmlist import ListedState
+from hickoryplank.platform.vmlist_http import HttpVmList
+from hickoryplank.platform.worker import Start
+from hickoryplank.platform.worker_http import HttpWorkers
+
+pytestmark = pytest.mark.anyio
+
+STOP_SECONDS = 5
+
+
+@contextmanager
+def program(name: str, *options: str):
+    """Run a stand-in on a free port and give its address."""
+    command = [sys.executable, "-m", f"tests.standins.{name}"]
+    bind = ["--bind", "127.0.0.1:0"]
+    with subprocess.Popen([*command, *bind, *options], stdout=subprocess.PIPE) as proc:
+        try:
+            yield json.loads(proc.stdout.readline())["address"]
+        finally:
+            proc.terminate()
+            proc.wait(STOP_SECONDS)
+
+
+async def test_log_program_keeps_records():
+    with program("log") as address:
+        client = HttpLog(address)
+        assert (await client.append("control", b"x")).ok() == 0
+        assert (await client.read("control", 0, 9, 0)).unwrap().tail == 1
+        await client.aclose()
+
+
+async def test_reboot_in_the_list_restarts_the_worker_program():
+    with (
+        program("worker", "--vm", "vm-0", "--slots", "2", "--seconds", "0.05") as at,
+        program("vms", "--vm", f"vm-0={at}", "--reboot-seconds", "0.3") as list_at,
+    ):
+        vms, workers = HttpVmList(list_at), HttpWorkers()
+        worker = workers.at(at)
+        before = (await worker.status()).unwrap()
+        start = Start(task="t", attempt=1, boot="", start_by=math.inf, lease=9.0)
+        assert (await worker.start(start)).unwrap().status == 200
+        assert httpx.get(f"http://{at}/effects").json()["did"]["tasks"] == {"t": 1}
+        assert (await vms.reboot("vm-0", 1)).is_ok()
+        assert (await vms.read()).unwrap()[0].state is ListedState.LEAVING
+        with anyio.fail_after(5):
+            while (await vms.read()).unwrap()[0].generation != 2:
+                await anyio.sleep(0.05)
+        after = (await worker.status()).unwrap()
+        assert before.slots == 2 and after.boot != before.boot
+        row = {"vm": "vm-1", "address": "10.0.0.1", "state": "live", "generation": 1}
+        httpx.put(f"http://{list_at}/vms", json=row).raise_for_status()
+        assert len((await vms.read()).unwrap()) == 2
+        await vms.aclose()
+        await workers.aclose()
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -259,6 +259,25 @@
     assert await count(worker_side) == (1, 1)
 
 
+@pytest.mark.parametrize("named", [True, False])
+async def test_start_is_not_run_again_by_a_restarted_worker(worker_side, named):
+    status = (await worker_side.client.status()).unwrap()
+    boot = status.boot if named else ""
+    start = lasting(0.05, boot=boot, start_by=status.clock + 0.5)
+
+    async def lose():
+        await anyio.sleep(0.02)
+        await worker_side.fault(lose_answers=1)
+        await anyio.sleep(0.04)
+        worker_side.model.restart()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(lose)
+        outcome = await worker_side.client.start(start)
+    assert short(outcome) == "lost"
+    assert await count(worker_side) == (1, 1)
+
+
 async def test_each_of_many_answers_is_whole_and_its_own(worker_side):
     worker_side.model._slots = 100
     await worker_side.fault(cross_answers=9, shorten_answers=9)
