--- /dev/null
+++ b/benchmarks/dispatcher.py
@@ -0,0 +1,434 @@
+"""A dispatcher of one pool that drives the decisions of the core."""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from enum import Enum
+from random import Random
+
+import msgspec
+
+from benchmarks.fake import FakeWorker, Job, Loop
+from hickoryplank.core.ids import PoolId, RequestId, TaskId, TeamId, VmId
+from hickoryplank.core.objects import WorkClass
+from hickoryplank.core.placement import EndpointTable, RunResult, Verdict
+from hickoryplank.core.preemption import Checkpoint, Demand, Preemption, RunningTask
+from hickoryplank.core.preemption import Stop as StopTask
+from hickoryplank.core.queues import Bounds, WorkItem, WorkQueues
+from hickoryplank.core.retries import Retry, RetryBudget, hedge_at, next_attempt
+from hickoryplank.core.shares import TeamDemand, entitlements
+from hickoryplank.core.sizes import SizeTable
+
+__all__ = ["Board", "Dispatcher", "Order", "Placing", "Policy", "Report"]
+
+BEAT_SECONDS = 0.1
+EXCHANGE_SECONDS = 0.2
+CHECKPOINT_TAKES_SECONDS = 0.25
+UNBOUNDED = 1_000_000
+
+
+class Order(Enum):
+    """Which waiting item starts next."""
+
+    SHARES = "shares"
+    ARRIVAL = "arrival"
+    PRIORITY = "priority"
+
+
+class Placing(Enum):
+    """Which endpoint a run starts on."""
+
+    LEARNED = "learned"
+    RANDOM = "random"
+    TWO_CHOICES = "two_choices"
+
+
+class Policy(msgspec.Struct, frozen=True, kw_only=True):
+    """Which parts of the policy are switched on."""
+
+    order: Order = Order.SHARES
+    placing: Placing = Placing.LEARNED
+    preempt: bool = True
+    budget: bool = True
+    hedge: bool = True
+    eject: bool = True
+    shed: bool = True
+    learn_sizes: bool = True
+
+
+class Report(msgspec.Struct):
+    """What became of the requests.
+
+    :param waits: time from arrival to the start that was answered, in seconds, of
+        urgent work; the whole time to the deadline where nothing answered.
+    """
+
+    submitted: int = 0
+    answered: int = 0
+    not_run: int = 0
+    given_up: int = 0
+    attempts: int = 0
+    urgent: int = 0
+    urgent_in_time: int = 0
+    waits: list[float] = msgspec.field(default_factory=list)
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's share in percent, and its limit in runs."""
+
+    weight: float
+    limit: int
+
+
+class Board:
+    """Counts that owners exchange: each sees the others' late by one exchange."""
+
+    def __init__(self, loop: Loop, teams: Mapping[TeamId, Team], capacity: float):
+        self.teams = teams
+        self.shares = {name: team.weight for name, team in teams.items()}
+        self.capacity = capacity
+        self.runs: dict[TeamId, int] = defaultdict(int)
+        self.owners: list[Dispatcher] = []
+        self.due: dict[TeamId, float] = {}
+        loop.every(EXCHANGE_SECONDS, self.exchange)
+
+    def exchange(self) -> None:
+        """Let every owner know what all ran and wanted just now."""
+        running, wants = defaultdict(float), defaultdict(float)
+        for owner in self.owners:
+            for team, units in owner.running.items():
+                running[team] += units
+                wants[team] += units
+            for team, units in owner.waiting_units().items():
+                wants[team] += units
+        self.due = entitlements(
+            (
+                TeamDemand(
+                    team=name,
+                    weight=team.weight,
+                    limit=float("inf"),
+                    wants=wants[name],
+                )
+                for name, team in self.teams.items()
+            ),
+            self.capacity,
+        )
+        for owner in self.owners:
+            owner.others = {t: u - owner.running[t] for t, u in running.items()}
+
+
+class _Run(msgspec.Struct, kw_only=True):
+    job: Job
+    worker: FakeWorker
+    units: float
+    started: float
+    key: int = 0
+
+
+class _NoBudget(RetryBudget):
+    def take(self, pool: PoolId, team: TeamId) -> bool:
+        return True
+
+
+class Dispatcher:
+    """Queues and dispatches the work of one pool.
+
+    :param lag: time after which the VM list shows that a VM is lost, in seconds.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        pool: PoolId,
+        workers: list[FakeWorker],
+        board: Board,
+        policy: Policy,
+        rng: Random,
+        report: Report,
+        lag: float = 2.0,
+    ) -> None:
+        self.running: dict[TeamId, float] = defaultdict(float)
+        self.others: dict[TeamId, float] = {}
+        self.endpoints = EndpointTable()
+        self._loop, self._pool, self._board, self._policy = loop, pool, board, policy
+        self._rng, self._report, self._lag = rng, report, lag
+        bounds = Bounds() if policy.shed else Bounds(UNBOUNDED, UNBOUNDED)
+        self._queues = WorkQueues(bounds)
+        self._budget = RetryBudget() if policy.budget else _NoBudget()
+        self._preemption = Preemption()
+        self._sizes = SizeTable()
+        self._workers = {worker.endpoint.vm: worker for worker in workers}
+        self._jobs: dict[RequestId, Job] = {}
+        self._retries: dict[RequestId, int] = defaultdict(int)
+        self._runs: dict[TaskId, list[_Run]] = defaultdict(list)
+        for worker in workers:
+            self.endpoints.put(msgspec.structs.replace(worker.endpoint))
+        board.owners.append(self)
+        loop.every(BEAT_SECONDS, self.beat)
+
+    # Arrivals and the steady beat.
+
+    def submit(self, job: Job) -> None:
+        """Take a request."""
+        self._report.submitted += 1
+        self._report.urgent += job.item.work_class is WorkClass.URGENT
+        self._jobs[job.item.request] = job
+        self._budget.note_attempt(self._pool, job.item.team)
+        victim = self._queues.push(job.item, self._board.shares)
+        if victim is not None:
+            self._settle(victim, None)
+        self._dispatch()
+
+    def beat(self) -> None:
+        """Expire, make room, and start what can start."""
+        for item in self._queues.expire(self._loop.now):
+            self._settle(item, None)
+        if self._policy.preempt:
+            self._make_room()
+        self._dispatch()
+
+    def lose(self, vms: list[VmId]) -> None:
+        """Lose VMs at once; the VM list shows it later."""
+        for vm in vms:
+            self._workers[vm].lose()
+        self._loop.at(self._loop.now + self._lag, lambda: self._gone(vms))
+
+    def waiting_units(self) -> dict[TeamId, float]:
+        """Return the units that wait, of each team."""
+        units: dict[TeamId, float] = defaultdict(float)
+        for work_class in WorkClass:
+            for team, items in self._queues.waiting(self._pool, work_class).items():
+                units[team] += items * self._size(team)
+        return units
+
+    def view(self) -> dict[TeamId, float]:
+        """Return what each team runs across the fleet, as this owner knows it."""
+        teams = self.running.keys() | self.others.keys()
+        return {t: self.running[t] + self.others.get(t, 0.0) for t in teams}
+
+    # Starting runs.
+
+    def _dispatch(self) -> None:
+        while self._pick((), 1.0) is not None:
+            item = self._next()
+            if item is None or not self._start(self._jobs[item.request]):
+                return
+
+    def _next(self) -> WorkItem | None:
+        order = self._policy.order
+        if order is Order.SHARES:
+            return self._queues.next_item(
+                self._pool,
+                self._board.shares,
+                self.view(),
+                self._may_start,
+                self._loop.now,
+            )
+        heads = [
+            item
+            for work_class in WorkClass
+            for item in self._queues.heads(self._pool, work_class).values()
+            if self._may_start(item.team)
+        ]
+        batch_last = order is Order.PRIORITY
+        item = min(heads, key=lambda i: _rank(i, batch_last), default=None)
+        return item and self._queues.cancel(item.request)
+
+    def _may_start(self, team: TeamId) -> bool:
+        return self._board.runs[team] < self._board.teams[team].limit
+
+    def _start(self, job: Job, hedge: bool = False) -> bool:
+        item = job.item
+        units = self._size(item.team)
+        vm = self._pick(self._exclude(item.task), units)
+        if vm is None:
+            if not hedge:
+                self._queues.put_back(item)
+            return False
+        run = _Run(
+            job=job, worker=self._workers[vm], units=units, started=self._loop.now
+        )
+        self._runs[item.task].append(run)
+        self._board.runs[item.team] += 1
+        self.running[item.team] += units
+        self.endpoints.note_start(vm, self._loop.now, units)
+        self._report.attempts += 1
+        run.key = run.worker.start(job, lambda result: self._ended(run, result))
+        if self._policy.hedge and not hedge:
+            self._plan_hedge(run)
+        return True
+
+    def _exclude(self, task: TaskId) -> set[VmId]:
+        if self._policy.placing is not Placing.LEARNED:
+            return set()
+        tried = {run.worker.endpoint.vm for run in self._runs[task]}
+        return tried | self.endpoints.failed_on(task)
+
+    def _pick(self, exclude, units: float) -> VmId | None:
+        if self._policy.placing is Placing.LEARNED:
+            return self.endpoints.pick(self._pool, exclude, self._loop.now, units)
+        rows = [
+            row
+            for row in self.endpoints.members(self._pool)
+            if row.in_service and row.running < row.slots
+        ]
+        few = 1 if self._policy.placing is Placing.RANDOM else 2
+        rows = self._rng.sample(rows, min(few, len(rows)))
+        return min(rows, key=lambda row: row.running).vm if rows else None
+
+    def _size(self, team: TeamId) -> float:
+        return self._sizes.of("", team) if self._policy.learn_sizes else 1.0
+
+    # Ends of runs.
+
+    def _ended(self, run: _Run, result: RunResult) -> None:
+        item = run.job.item
+        if run not in self._runs[item.task]:
+            return
+        self._sizes.observe("", item.team, run.job.units)
+        verdict = self._finish(run, result)
+        if result is RunResult.DONE:
+            for other in list(self._runs[item.task]):
+                self._cancel(other)
+            self._settle(item, run)
+        elif verdict is Verdict.GIVE_UP:
+            self._report.given_up += 1
+            self._settle(item, None)
+        elif not self._runs[item.task]:
+            self._again(item, result)
+        self._dispatch()
+
+    def _finish(self, run: _Run, result: RunResult) -> Verdict:
+        item, vm, now = run.job.item, run.worker.endpoint.vm, self._loop.now
+        self._runs[item.task].remove(run)
+        self._board.runs[item.team] -= 1
+        self.running[item.team] -= run.units
+        self._preemption.note_finish(item.task)
+        if not self._policy.eject and result in (RunResult.FAILED, RunResult.SILENT):
+            result = RunResult.STOPPED
+        seconds = now - run.started
+        return self.endpoints.note_finish(
+            vm, item.task, item.queue, result, seconds, now, run.units
+        )
+
+    def _cancel(self, run: _Run) -> None:
+        run.worker.stop(run.key)
+        self._finish(run, RunResult.STOPPED)
+
+    def _again(self, item: WorkItem, result: RunResult) -> None:
+        retry = self._retries[item.request]
+        self._retries[item.request] += 1
+        now, jitter = self._loop.now, self._rng.random()
+        step = next_attempt(item, result, retry, self._budget, now, jitter)
+        if isinstance(step, Retry):
+            self._loop.at(step.at, lambda: self._queue_again(item))
+        else:
+            self._settle(item, None)
+
+    def _queue_again(self, item: WorkItem) -> None:
+        self._queues.put_back(item)
+        self._dispatch()
+
+    def _settle(self, item: WorkItem, run: _Run | None) -> None:
+        self.endpoints.forget_task(item.task)
+        self._runs.pop(item.task, None)
+        if self._jobs.pop(item.request, None) is None:
+            return
+        report, urgent = self._report, item.work_class is WorkClass.URGENT
+        in_time = run is not None and run.started < item.deadline
+        report.answered += run is not None
+        report.not_run += run is None
+        if urgent:
+            report.urgent_in_time += in_time
+            end = run.started if in_time else item.deadline
+            report.waits.append(end - item.arrived)
+
+    # Silence, loss and preemption.
+
+    def _plan_hedge(self, run: _Run) -> None:
+        item = run.job.item
+        at = hedge_at(item, run.started, self.endpoints.run_times.of(item.queue))
+        if at is not None:
+            self._loop.at(at, lambda: self._hedge(run))
+
+    def _hedge(self, run: _Run) -> None:
+        item = run.job.item
+        if self._runs.get(item.task) != [run]:
+            return
+        if self._policy.eject:
+            self.endpoints.note_silence(
+                run.worker.endpoint.vm, item.task, self._loop.now
+            )
+        if self._may_start(item.team) and self._budget.take(self._pool, item.team):
+            self._start_hedge(run)
+
+    def _start_hedge(self, run: _Run) -> None:
+        if self._runs.get(run.job.item.task) != [run]:
+            return
+        if not self._start(run.job, hedge=True):
+            later = self._loop.now + BEAT_SECONDS
+            self._loop.at(later, lambda: self._start_hedge(run))
+
+    def _gone(self, vms: list[VmId]) -> None:
+        for vm in vms:
+            row = self._workers[vm].endpoint
+            self.endpoints.put(msgspec.structs.replace(row, in_service=False))
+        for run in [r for runs in self._runs.values() for r in runs]:
+            if run.worker.endpoint.vm in vms:
+                self._ended(run, RunResult.SILENT)
+
+    def _make_room(self) -> None:
+        now, view = self._loop.now, self.view()
+        demands = []
+        for work_class in WorkClass:
+            counts = self._queues.waiting(self._pool, work_class)
+            for team, head in self._queues.heads(self._pool, work_class).items():
+                if not self._may_start(team):
+                    continue
+                units = counts[team] * self._size(team)
+                demands.append(
+                    Demand(
+                        team=team,
+                        work_class=work_class,
+                        units=units,
+                        oldest=head.arrived,
+                    )
+                )
+        runs = {t: r[0] for t, r in self._runs.items() if r}
+        tasks = [_as_task(run) for run in runs.values()]
+        due = self._board.due
+        for step in self._preemption.decide(demands, tasks, 0.0, view, due, now):
+            match step:
+                case Checkpoint(task=task):
+                    run = runs[task]
+                    later = now + CHECKPOINT_TAKES_SECONDS
+                    self._loop.at(later, lambda run=run: self._preempt(run))
+                case StopTask(task=task):
+                    self._preempt(runs[task])
+
+    def _preempt(self, run: _Run) -> None:
+        if run not in self._runs.get(run.job.item.task, ()):
+            return
+        self._cancel(run)
+        left = max(run.job.seconds - (self._loop.now - run.started), 0.0)
+        if run.job.item.work_class is WorkClass.BATCH:
+            job = msgspec.structs.replace(run.job, seconds=left)
+            self._jobs[run.job.item.request] = job
+        self._queue_again(run.job.item)
+
+
+def _rank(item: WorkItem, batch_last: bool) -> tuple[bool, float]:
+    return batch_last and item.work_class is WorkClass.BATCH, item.arrived
+
+
+def _as_task(run: _Run) -> RunningTask:
+    item = run.job.item
+    return RunningTask(
+        task=item.task,
+        team=item.team,
+        vm=run.worker.endpoint.vm,
+        work_class=item.work_class,
+        started=run.started,
+        units=run.units,
+        checkpoints=item.work_class is WorkClass.BATCH,
+        idempotent=item.idempotent,
+    )
--- /dev/null
+++ b/benchmarks/fake.py
@@ -0,0 +1,174 @@
+"""A pool of workers and its demand in virtual time."""
+
+import heapq
+from collections.abc import Callable, Iterator
+from itertools import count
+from random import Random
+
+import msgspec
+
+from hickoryplank.core.ids import PoolId, QueueId, Rack, TeamId, VmId, Zone
+from hickoryplank.core.objects import WorkClass
+from hickoryplank.core.placement import EndpointRow, RunResult
+from hickoryplank.core.queues import WorkItem
+
+__all__ = ["FakeWorker", "Job", "Loop", "Stream", "arrivals", "make_workers"]
+
+ZONES = ("talcahuano", "concepcion", "coronel")
+VMS_PER_RACK = 4
+SLOTS = 8
+#: Time in which a broken worker, or a job that can never run, fails.
+FAIL_SECONDS = 0.005
+
+
+class Loop:
+    """Virtual time: a heap of events."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = count()
+
+    def at(self, when: float, call: Callable[[], None]) -> None:
+        """Call ``call`` at ``when``, in seconds."""
+        heapq.heappush(self._events, (when, next(self._serial), call))
+
+    def every(self, seconds: float, call: Callable[[], None]) -> None:
+        """Call ``call`` every ``seconds`` from now on."""
+
+        def again() -> None:
+            call()
+            self.at(self.now + seconds, again)
+
+        self.at(self.now + seconds, again)
+
+    def run(self, until: float) -> None:
+        """Let time pass until ``until``."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, call = heapq.heappop(self._events)
+            call()
+        self.now = until
+
+
+class Job(msgspec.Struct, frozen=True):
+    """A request and what it really takes.
+
+    :param seconds: true run time.
+    :param units: true size.
+    :param bad: whether it fails wherever it runs.
+    """
+
+    item: WorkItem
+    seconds: float
+    units: float = 1.0
+    bad: bool = False
+
+
+class FakeWorker:
+    """A worker with slots, and switches for its faults."""
+
+    def __init__(self, loop: Loop, endpoint: EndpointRow) -> None:
+        self.endpoint = endpoint
+        self.lost = False
+        self.fails = False
+        self.starts = 0
+        self._loop = loop
+        self._runs: dict[int, float] = {}
+        self._silent: set[int] = set()
+        self._serial = count()
+
+    def start(self, job: Job, ended: Callable[[RunResult], None]) -> int:
+        """Start a run; ``ended`` is called once its connection brings the end."""
+        run = next(self._serial)
+        self.starts += 1
+        if self.lost:
+            return run
+        used = sum(self._runs.values())
+        crowded = bool(self._runs) and used + job.units > SLOTS
+        full = crowded or len(self._runs) >= SLOTS
+        self._runs[run] = 0.0 if full else job.units
+        result, seconds = RunResult.DONE, job.seconds
+        if full:
+            result, seconds = RunResult.BUSY, 0.001
+        elif self.fails or job.bad:
+            result, seconds = RunResult.FAILED, FAIL_SECONDS
+        self._loop.at(self._loop.now + seconds, lambda: self._end(run, result, ended))
+        return run
+
+    def stop(self, run: int) -> None:
+        """End a run without an answer."""
+        self._runs.pop(run, None)
+
+    def lose(self) -> None:
+        """Lose the VM: nothing answers from now on."""
+        self.lost = True
+        self._runs.clear()
+
+    def silence(self) -> None:
+        """Let all open connections go silent, while new ones work."""
+        self._silent.update(self._runs)
+
+    def _end(self, run: int, result: RunResult, ended) -> None:
+        if self._runs.pop(run, None) is not None and run not in self._silent:
+            ended(result)
+
+
+def make_workers(loop: Loop, pool: PoolId, size: int) -> list[FakeWorker]:
+    """Return the workers of one pool, spread over the zones."""
+    return [
+        FakeWorker(
+            loop,
+            EndpointRow(
+                vm=VmId(f"{pool}-{i}"),
+                pool=pool,
+                zone=Zone(ZONES[i % len(ZONES)]),
+                rack=Rack(f"{ZONES[i % len(ZONES)]}-{i // VMS_PER_RACK}"),
+                slots=SLOTS,
+            ),
+        )
+        for i in range(size)
+    ]
+
+
+class Stream(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests of one team to one queue.
+
+    :param rate: requests a second at a time.
+    :param seconds: mean run time.
+    :param deadline: time from arrival in which a request has to have started.
+    :param bad: part of the requests that fail wherever they run.
+    """
+
+    queue: QueueId
+    pool: PoolId
+    team: TeamId
+    work_class: WorkClass
+    rate: Callable[[float], float]
+    seconds: float
+    deadline: float
+    units: float = 1.0
+    bad: float = 0.0
+
+
+def arrivals(stream: Stream, rng: Random, top: float, until: float) -> Iterator[Job]:
+    """Yield Poisson arrivals, thinned from ``top`` requests a second."""
+    now = 0.0
+    for number in count():
+        now += rng.expovariate(top)
+        if now >= until:
+            return
+        if rng.random() * top >= stream.rate(now):
+            continue
+        name = f"{stream.queue}-{stream.team}-{stream.work_class.value}-{number}"
+        item = WorkItem(
+            request=name,
+            task=name,
+            team=stream.team,
+            queue=stream.queue,
+            pool=stream.pool,
+            work_class=stream.work_class,
+            arrived=now,
+            deadline=now + stream.deadline,
+        )
+        seconds = stream.seconds * rng.uniform(0.5, 1.5)
+        yield Job(item, seconds, stream.units, rng.random() < stream.bad)
--- /dev/null
+++ b/benchmarks/shares.py
@@ -0,0 +1,158 @@
+"""How near each team comes to its share on a full fleet, and how fast one returns.
+
+Four teams want more than their shares of five pools and one of them floods. Run
+times differ by ten; all declare a size of one unit, one takes four.
+"""
+
+from collections.abc import Iterator
+from random import Random
+
+from benchmarks.dispatcher import Board, Dispatcher, Order, Policy, Report, Team
+from benchmarks.fake import SLOTS, Loop, Stream, arrivals, make_workers
+from benchmarks.figure import Figure
+from hickoryplank.core.objects import WorkClass
+from hickoryplank.core.shares import ShareMeter
+
+__all__ = ["figures"]
+
+SEED = 20261204
+POOLS = ("norte", "claro", "costa", "color", "socios")
+VMS_PER_POOL = 6
+CAPACITY = float(len(POOLS) * VMS_PER_POOL * SLOTS)
+STEADY_SECONDS = 15.0
+END_SECONDS = 40.0
+DISTANCE_TARGET_PERCENT = 2.0
+RETURN_TARGET_SECONDS = 1.6
+DEADLINE_SECONDS = 120.0
+#: Demand as a multiple of what a team's share of the fleet can run.
+CROWDED, FLOOD = 1.3, 5.0
+TEAMS = {
+    "rutas": Team(40.0, 200),
+    "pagos": Team(30.0, 60),
+    "precios": Team(20.0, 150),
+    "socios": Team(10.0, 150),
+}
+#: Class, mean run time in seconds, true units and demand of each team.
+WORK = {
+    "rutas": (WorkClass.URGENT, 0.3, 1.0, CROWDED),
+    "pagos": (WorkClass.BATCH, 3.0, 4.0, CROWDED),
+    "precios": (WorkClass.URGENT, 0.5, 1.0, FLOOD),
+    "socios": (WorkClass.BATCH, 1.0, 1.0, CROWDED),
+}
+
+BASELINE = {"preempt": False, "learn_sizes": False}
+ARRIVAL = Policy(order=Order.ARRIVAL, **BASELINE)
+PRIORITY = Policy(order=Order.PRIORITY, **BASELINE)
+
+
+class Fleet:
+    """All pools, each with its owner, and what was measured of them."""
+
+    def __init__(self, policy: Policy, streams: list[Stream]) -> None:
+        self.loop = Loop()
+        self.board = Board(self.loop, TEAMS, CAPACITY)
+        self.report = Report()
+        self.meter = ShareMeter()
+        self.over_limit = 0
+        self.distances: list[float] = []
+        self._due = {name: CAPACITY * t.weight / 100 for name, t in TEAMS.items()}
+        self.owners = {}
+        for number, pool in enumerate(POOLS):
+            workers = make_workers(self.loop, pool, VMS_PER_POOL)
+            rng = Random(SEED + number)
+            self.owners[pool] = Dispatcher(
+                self.loop, pool, workers, self.board, policy, rng, self.report
+            )
+        for number, stream in enumerate(streams):
+            self._feed(stream, Random(SEED + 100 + number))
+        self.loop.every(0.05, self._observe)
+
+    def running(self) -> dict[str, float]:
+        """Return the units that each team truly runs."""
+        return {t: self.board.runs[t] * WORK[t][2] for t in TEAMS}
+
+    def _feed(self, stream: Stream, rng: Random) -> None:
+        top = max(stream.rate(0.0), stream.rate(END_SECONDS / 2))
+        owner = self.owners[stream.pool]
+        for job in arrivals(stream, rng, top, END_SECONDS):
+            self.loop.at(job.item.arrived, lambda job=job: owner.submit(job))
+
+    def _observe(self) -> None:
+        self.meter.observe(self.loop.now, self.running(), self._due)
+        self.over_limit += sum(
+            self.board.runs[name] > team.limit for name, team in TEAMS.items()
+        )
+        if self.loop.now >= STEADY_SECONDS + 10:
+            self.distances.append(100 * self.meter.worst() / CAPACITY)
+
+
+def _stream(team: str, pool: str, factor: float, start: float = 0.0) -> Stream:
+    work_class, seconds, units, _ = WORK[team]
+    part = CAPACITY / len(POOLS) * TEAMS[team].weight / 100
+    rate = factor * part / (seconds * units)
+    return Stream(
+        queue=f"{team}-{pool}",
+        pool=pool,
+        team=team,
+        work_class=work_class,
+        rate=lambda now: rate if now >= start else 0.0,
+        seconds=seconds,
+        deadline=DEADLINE_SECONDS,
+        units=units,
+    )
+
+
+def _crowded(policy: Policy) -> Fleet:
+    streams = [_stream(t, p, WORK[t][3]) for t in TEAMS for p in POOLS]
+    fleet = Fleet(policy, streams)
+    fleet.loop.run(END_SECONDS)
+    return fleet
+
+
+def _return_seconds(policy: Policy) -> float:
+    """Return the time until a team that comes back runs 95% of its share."""
+    back = 20.0
+    streams = [_stream("socios", p, 12.0) for p in POOLS]
+    streams += [_stream("rutas", p, 2.0, start=back) for p in POOLS]
+    fleet = Fleet(policy, streams)
+    share = CAPACITY * TEAMS["rutas"].weight / 100
+    fleet.loop.run(back)
+    while fleet.loop.now < END_SECONDS:
+        fleet.loop.run(fleet.loop.now + 0.02)
+        if fleet.running()["rutas"] >= 0.95 * share:
+            return fleet.loop.now - back
+    return END_SECONDS - back
+
+
+def figures() -> Iterator[Figure]:
+    """Yield distance from entitlement, and the time in which a lent share returns."""
+    ours = _crowded(Policy())
+    worst = max(ours.distances)
+    for name, baseline in (("arrival", ARRIVAL), ("priority", PRIORITY)):
+        yield Figure(
+            name=f"shares.distance_worst_10s.vs_{name}",
+            value=round(worst, 2),
+            unit="% of fleet",
+            target=DISTANCE_TARGET_PERCENT,
+            baseline=round(max(_crowded(baseline).distances), 2),
+        )
+    for team in TEAMS:
+        yield Figure(
+            name=f"shares.distance_at_end.{team}",
+            value=round(100 * ours.meter.distance(team) / CAPACITY, 2),
+            unit="% of fleet",
+        )
+    yield Figure(
+        name="shares.samples_over_limit",
+        value=ours.over_limit,
+        unit="samples",
+        target=0,
+    )
+    for name, baseline in (("arrival", ARRIVAL), ("priority", PRIORITY)):
+        yield Figure(
+            name=f"shares.return_of_lent_share.vs_{name}",
+            value=round(_return_seconds(Policy()), 2),
+            unit="s",
+            target=RETURN_TARGET_SECONDS,
+            baseline=round(_return_seconds(baseline), 2),
+        )
--- a/hickoryplank/core/queues.py
+++ b/hickoryplank/core/queues.py
@@ -203,13 +203,13 @@
         teams = queue.lanes[work_class].teams
         return {team: len(lane) for team, lane in teams.items()}
 
-    def oldest(self, pool: PoolId, work_class: WorkClass) -> float | None:
-        """Return when the oldest waiting item arrived, in seconds."""
+    def heads(self, pool: PoolId, work_class: WorkClass) -> dict[TeamId, WorkItem]:
+        """Return the oldest waiting item of each team in ``pool``."""
         queue = self._pools.get(pool)
         if queue is None:
-            return None
-        lanes = queue.lanes[work_class].teams.values()
-        return min((next(iter(lane.values())).arrived for lane in lanes), default=None)
+            return {}
+        teams = queue.lanes[work_class].teams
+        return {team: next(iter(lane.values())) for team, lane in teams.items()}
 
     def _register(self, item: WorkItem) -> None:
         self._items[item.request] = item
