--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -222,6 +222,7 @@
                 self.view(),
                 self._may_start,
                 self._loop.now,
+                self._board.due,
             )
         heads = [
             item
--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -35,6 +35,8 @@
 TRIAL_RUNS = 4
 #: Time after its first start in which that number doubles from one.
 TRIAL_SECONDS = 0.5
+#: Loads that differ by no more count as equal.
+SAME_LOAD = 0.02
 #: Weight of the newest run in an endpoint's slowdown.
 SLOWDOWN_GAIN = 0.1
 
@@ -128,6 +130,21 @@
         return (self.used + 1.0) * self.slowdown / self.capacity
 
 
+class _Load:
+    """Units used, and learned capacity, of a zone or rack."""
+
+    def __init__(self) -> None:
+        self.used = 0.0
+        self.capacity = 0.0
+
+    def add(self, row: EndpointRow) -> None:
+        self.used += row.used
+        self.capacity += row.capacity
+
+    def part(self) -> float:
+        return self.used / self.capacity
+
+
 class EndpointTable:
     """Endpoints of all pools, with what was learned of each."""
 
@@ -189,22 +206,13 @@
             for row in self._pools.get(pool, {}).values()
             if row.vm not in exclude and row.has_room(units, now)
         ]
-        if not may_probe:
-            rows = [r for r in rows if not r.suspect and not r.probing(now)] or rows
         if not rows:
             return None
-        zones, racks = self._domain_loads(pool)
-        return min(
-            rows,
-            key=lambda row: (
-                not (may_probe and row.probing(now)),
-                row.suspect,
-                row.load(),
-                zones[row.zone],
-                racks[row.rack],
-                row.vm,
-            ),
-        ).vm
+        probes = [row for row in rows if may_probe and row.probing(now)]
+        rows = probes or [row for row in rows if not row.suspect] or rows
+        lowest = min(row.load() for row in rows)
+        rows = [row for row in rows if row.load() <= lowest + SAME_LOAD]
+        return self._least_loaded_domain(pool, rows).vm
 
     def note_start(self, vm: VmId, now: float, units: float = 1.0) -> None:
         """Count a run that starts on ``vm``."""
@@ -276,21 +284,21 @@
         """Return the endpoints that ``task`` has failed on."""
         return frozenset(self._failed_on.get(task, ()))
 
-    def _domain_loads(
-        self, pool: PoolId
-    ) -> tuple[dict[Zone, float], dict[Rack, float]]:
-        zones: dict[Zone, tuple[float, float]] = {}
-        racks: dict[Rack, tuple[float, float]] = {}
+    def _least_loaded_domain(
+        self, pool: PoolId, rows: list[EndpointRow]
+    ) -> EndpointRow:
+        """Return the one of ``rows`` in the least loaded zone, then rack."""
+        if len(rows) == 1:
+            return rows[0]
+        zones: dict[Zone, _Load] = {}
+        racks: dict[Rack, _Load] = {}
         for row in self._pools[pool].values():
-            if not row.in_service:
-                continue
-            running, slots = zones.get(row.zone, (0.0, 0.0))
-            zones[row.zone] = (running + row.used, slots + row.capacity)
-            running, slots = racks.get(row.rack, (0.0, 0.0))
-            racks[row.rack] = (running + row.used, slots + row.capacity)
-        return (
-            {zone: running / slots for zone, (running, slots) in zones.items()},
-            {rack: running / slots for rack, (running, slots) in racks.items()},
+            if row.in_service:
+                zones.setdefault(row.zone, _Load()).add(row)
+                racks.setdefault(row.rack, _Load()).add(row)
+        return min(
+            rows,
+            key=lambda row: (zones[row.zone].part(), racks[row.rack].part(), row.vm),
         )
 
     def _learn_run(
--- a/hickoryplank/core/queues.py
+++ b/hickoryplank/core/queues.py
@@ -171,28 +171,35 @@
         running: Mapping[TeamId, float],
         may_start: Callable[[TeamId], bool],
         now: float,
+        due: Mapping[TeamId, float] | None = None,
     ) -> WorkItem | None:
         """Remove and return the item that starts next in ``pool``.
 
-        Urgent work goes first, but batch work that could start is passed over
-        for ``BATCH_PATIENCE_SECONDS`` at most. Within a class the team with the
-        least running for its share goes first, and its oldest item.
+        Work of teams below their entitlement goes before that of teams which
+        run on lent units. Among each, urgent work goes first, but batch work
+        that could start is passed over for ``BATCH_PATIENCE_SECONDS`` at most.
+        Within a class the team with the least running for its share goes first,
+        and its oldest item.
 
         :param shares: each team's share, in percent of the fleet.
         :param running: what each team runs across the fleet, in units.
         :param may_start: whether this node holds a free unit of the team.
+        :param due: what each team is entitled to, in units; without it no team
+            counts as running on lent units.
         """
         waiting = self._pools.get(pool)
         if waiting is None:
             return None
-        for work_class in _class_order(waiting, now):
-            teams = waiting.lanes[work_class].teams
-            team = _least_served(teams, shares, running, may_start)
-            if team is not None:
-                item = next(iter(teams[team].values()))
-                self._remove(item)
-                _note_pick(waiting, work_class, now)
-                return item
+        for lent in (False, True):
+            for work_class in _class_order(waiting, now):
+                teams = [
+                    team
+                    for team in waiting.lanes[work_class].teams
+                    if _on_lent_units(team, running, due) is lent and may_start(team)
+                ]
+                if teams:
+                    team = _least_served(teams, shares, running)
+                    return self._take(waiting, work_class, team, now)
         return None
 
     def waiting(self, pool: PoolId, work_class: WorkClass) -> dict[TeamId, int]:
@@ -211,6 +218,14 @@
         teams = queue.lanes[work_class].teams
         return {team: next(iter(lane.values())) for team, lane in teams.items()}
 
+    def _take(
+        self, waiting: _PoolQueue, work_class: WorkClass, team: TeamId, now: float
+    ) -> WorkItem:
+        item = next(iter(waiting.lanes[work_class].teams[team].values()))
+        self._remove(item)
+        _note_pick(waiting, work_class, now)
+        return item
+
     def _register(self, item: WorkItem) -> None:
         self._items[item.request] = item
         entry = (item.deadline, next(self._serial), item.request)
@@ -233,16 +248,23 @@
     teams: Iterable[TeamId],
     shares: Mapping[TeamId, float],
     running: Mapping[TeamId, float],
-    may_start: Callable[[TeamId], bool],
-) -> TeamId | None:
-    ready = (team for team in teams if may_start(team))
+) -> TeamId:
     return min(
-        ready,
-        key=lambda team: (running.get(team, 0) + HALF_UNIT) / _weight(shares, team),
-        default=None,
+        teams,
+        key=lambda team: (running.get(team, 0.0) + HALF_UNIT) / _weight(shares, team),
     )
 
 
+def _on_lent_units(
+    team: TeamId,
+    running: Mapping[TeamId, float],
+    due: Mapping[TeamId, float] | None,
+) -> bool:
+    if due is None or team not in due:
+        return False
+    return running.get(team, 0.0) + HALF_UNIT > due[team]
+
+
 def _newest_of_longest(lanes: _Lanes, shares: Mapping[TeamId, float]) -> WorkItem:
     longest = max(
         lanes.teams, key=lambda team: len(lanes.teams[team]) / _weight(shares, team)
