--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -1,7 +1,7 @@
 """A dispatcher of one pool that drives the decisions of the core."""
 
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from enum import Enum
 from random import Random
 
@@ -89,24 +89,25 @@
         self.runs: dict[TeamId, int] = defaultdict(int)
         self.owners: list[Dispatcher] = []
         self.due: dict[TeamId, float] = {}
+        self.waiting: dict[TeamId, float] = {}
         loop.every(EXCHANGE_SECONDS, self.exchange)
 
     def exchange(self) -> None:
         """Let every owner know what all ran and wanted just now."""
-        running, wants = defaultdict(float), defaultdict(float)
+        running, waiting = defaultdict(float), defaultdict(float)
         for owner in self.owners:
             for team, units in owner.running.items():
                 running[team] += units
-                wants[team] += units
             for team, units in owner.waiting_units().items():
-                wants[team] += units
+                waiting[team] += units
+        self.waiting = waiting
         self.due = entitlements(
             (
                 TeamDemand(
                     team=name,
                     weight=team.weight,
                     limit=float("inf"),
-                    wants=wants[name],
+                    wants=running[name] + waiting[name],
                 )
                 for name, team in self.teams.items()
             ),
@@ -155,6 +156,8 @@
         self._queues = WorkQueues(bounds)
         self._budget = RetryBudget() if policy.budget else _NoBudget()
         self._preemption = Preemption()
+        self._blocked: set[TeamId] = set()
+        self._reserved: WorkItem | None = None
         self._sizes = SizeTable()
         self._workers = {worker.endpoint.vm: worker for worker in workers}
         self._jobs: dict[RequestId, Job] = {}
@@ -208,10 +211,31 @@
     # Starting runs.
 
     def _dispatch(self) -> None:
+        self._blocked.clear()
+        self._start_reserved()
         while self._pick((), 1.0) is not None:
             item = self._next()
-            if item is None or not self._start(self._jobs[item.request]):
+            if item is None:
                 return
+            if not self._start(self._jobs[item.request]):
+                self._block(item)
+
+    def _start_reserved(self) -> None:
+        item = self._reserved
+        if item is None or not self._may_start(item.team):
+            return
+        exclude, units = self._exclude(item.task), self._size(item.team)
+        if self._pick(exclude, units, item.task) is not None:
+            self._queues.cancel(item.request)
+            self._start(self._jobs[item.request])
+
+    def _block(self, item: WorkItem) -> None:
+        """Keep room for an item that found none, and go on with other teams."""
+        self._blocked.add(item.team)
+        if self._policy.placing is Placing.LEARNED and self._reserved is None:
+            exclude, now = self._exclude(item.task), self._loop.now
+            if self.endpoints.reserve(self._pool, exclude, item.task, now):
+                self._reserved = item
 
     def _next(self) -> WorkItem | None:
         order = self._policy.order
@@ -235,12 +259,14 @@
         return item and self._queues.cancel(item.request)
 
     def _may_start(self, team: TeamId) -> bool:
+        if team in self._blocked:
+            return False
         return self._board.runs[team] < self._board.teams[team].limit
 
     def _start(self, job: Job, hedge: bool = False) -> bool:
         item = job.item
         units = self._size(item.team)
-        vm = self._pick(self._exclude(item.task), units)
+        vm = self._pick(self._exclude(item.task), units, item.task)
         if vm is None:
             if not hedge:
                 self._queues.put_back(item)
@@ -248,6 +274,7 @@
         run = _Run(
             job=job, worker=self._workers[vm], units=units, started=self._loop.now
         )
+        self._release(item.task)
         self._runs[item.task].append(run)
         self._board.runs[item.team] += 1
         self.running[item.team] += units
@@ -258,15 +285,23 @@
             self._plan_hedge(run)
         return True
 
+    def _release(self, task: TaskId) -> None:
+        if self._reserved is not None and self._reserved.task == task:
+            self.endpoints.release(task)
+            self._reserved = None
+
     def _exclude(self, task: TaskId) -> set[VmId]:
         if self._policy.placing is not Placing.LEARNED:
             return set()
         tried = {run.worker.endpoint.vm for run in self._runs[task]}
         return tried | self.endpoints.failed_on(task)
 
-    def _pick(self, exclude, units: float) -> VmId | None:
+    def _pick(
+        self, exclude: Collection[VmId], units: float, task: TaskId | None = None
+    ) -> VmId | None:
         if self._policy.placing is Placing.LEARNED:
-            return self.endpoints.pick(self._pool, exclude, self._loop.now, units)
+            now = self._loop.now
+            return self.endpoints.pick(self._pool, exclude, now, units, task=task)
         rows = [
             row
             for row in self.endpoints.members(self._pool)
@@ -331,6 +366,7 @@
 
     def _settle(self, item: WorkItem, run: _Run | None) -> None:
         self.endpoints.forget_task(item.task)
+        self._release(item.task)
         self._runs.pop(item.task, None)
         if self._jobs.pop(item.request, None) is None:
             return
@@ -379,6 +415,7 @@
 
     def _make_room(self) -> None:
         now, view = self._loop.now, self.view()
+        self._blocked.clear()
         demands = []
         for work_class in WorkClass:
             counts = self._queues.waiting(self._pool, work_class)
@@ -392,10 +429,11 @@
                         work_class=work_class,
                         units=units,
                         oldest=head.arrived,
+                        part=units / max(self._board.waiting.get(team, 0.0), units),
                     )
                 )
         runs = {t: r[0] for t, r in self._runs.items() if r}
-        tasks = [_as_task(run) for run in runs.values()]
+        tasks = [self._as_task(run) for run in runs.values()]
         due = self._board.due
         for step in self._preemption.decide(demands, tasks, 0.0, view, due, now):
             match step:
@@ -416,20 +454,21 @@
             self._jobs[run.job.item.request] = job
         self._queue_again(run.job.item)
 
+    def _as_task(self, run: _Run) -> RunningTask:
+        item = run.job.item
+        mean = self.endpoints.run_times.of(item.queue).mean
+        return RunningTask(
+            task=item.task,
+            team=item.team,
+            vm=run.worker.endpoint.vm,
+            work_class=item.work_class,
+            started=run.started,
+            ends=run.started + mean,
+            units=run.units,
+            checkpoints=item.work_class is WorkClass.BATCH,
+            idempotent=item.idempotent,
+        )
+
 
 def _rank(item: WorkItem, batch_last: bool) -> tuple[bool, float]:
     return batch_last and item.work_class is WorkClass.BATCH, item.arrived
-
-
-def _as_task(run: _Run) -> RunningTask:
-    item = run.job.item
-    return RunningTask(
-        task=item.task,
-        team=item.team,
-        vm=run.worker.endpoint.vm,
-        work_class=item.work_class,
-        started=run.started,
-        units=run.units,
-        checkpoints=item.work_class is WorkClass.BATCH,
-        idempotent=item.idempotent,
-    )
--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -75,6 +75,7 @@
     :param slowdown: run times here as a multiple of the queue's mean.
     :param ejected_until: end of the ejection, in seconds; ``None`` if not ejected.
     :param ejections: ejections since the endpoint last proved sound.
+    :param reserved_for: the task that room is kept for.
     """
 
     vm: VmId
@@ -94,18 +95,23 @@
     runs_at_capacity: int = 0
     ejected_until: float | None = None
     ejections: int = 0
+    reserved_for: TaskId | None = None
 
     @property
     def suspect(self) -> bool:
         """Whether the newest run that counts has failed."""
         return bool(self.open_failures) or self.confirmed > 0
 
+    def serves(self, now: float) -> bool:
+        """Return whether the endpoint is in service and not ejected."""
+        return self.in_service and (self.ejected_until or 0.0) <= now
+
     def has_room(self, units: float, now: float) -> bool:
         """Return whether one more run that takes ``units`` may start here.
 
         A run larger than the capacity may start where nothing else runs.
         """
-        if not self.in_service or (self.ejected_until or 0.0) > now:
+        if not self.serves(now):
             return False
         if self.running >= self._allowed(now):
             return False
@@ -190,6 +196,7 @@
         now: float,
         units: float = 1.0,
         may_probe: bool = True,
+        task: TaskId | None = None,
     ) -> VmId | None:
         """Return the endpoint that one more run should start on.
 
@@ -200,11 +207,14 @@
         :param exclude: endpoints that the task has failed on.
         :param units: what the run is expected to take, in units.
         :param may_probe: whether the run may be risked on a suspect endpoint.
+        :param task: the task, which may start where room is kept for it.
         """
         rows = [
             row
             for row in self._pools.get(pool, {}).values()
-            if row.vm not in exclude and row.has_room(units, now)
+            if row.vm not in exclude
+            and row.reserved_for in (None, task)
+            and row.has_room(units, now)
         ]
         if not rows:
             return None
@@ -214,6 +224,30 @@
         rows = [row for row in rows if row.load() <= lowest + SAME_LOAD]
         return self._least_loaded_domain(pool, rows).vm
 
+    def reserve(
+        self, pool: PoolId, exclude: Collection[VmId], task: TaskId, now: float
+    ) -> VmId | None:
+        """Keep the endpoint with most room for ``task``, which found none.
+
+        Nothing else starts there until the task does, or ``release`` is called.
+        A pool keeps one endpoint at a time.
+        """
+        rows = self._pools.get(pool, {}).values()
+        if any(row.reserved_for is not None for row in rows):
+            return None
+        able = [r for r in rows if r.vm not in exclude and r.serves(now)]
+        if not able:
+            return None
+        row = max(able, key=lambda row: row.capacity - row.used)
+        row.reserved_for = task
+        return row.vm
+
+    def release(self, task: TaskId) -> None:
+        """End what ``reserve`` did for ``task``."""
+        for row in self._rows.values():
+            if row.reserved_for == task:
+                row.reserved_for = None
+
     def note_start(self, vm: VmId, now: float, units: float = 1.0) -> None:
         """Count a run that starts on ``vm``."""
         row = self._rows.get(vm)
@@ -402,7 +436,7 @@
     row.capacity = min(row.capacity, row.slots)
     if back:
         row.proved = False
-        row.first_start = row.ejected_until = None
+        row.first_start = row.ejected_until = row.reserved_for = None
         row.open_failures.clear()
         row.confirmed = row.ejections = row.runs_at_capacity = 0
         row.slowdown = 1.0
--- a/hickoryplank/core/preemption.py
+++ b/hickoryplank/core/preemption.py
@@ -27,14 +27,17 @@
 PATIENCE_SECONDS = 0.3
 #: How long a checkpoint may take before the task is stopped instead.
 CHECKPOINT_SECONDS = 0.6
-#: Units that a team may be above or below its entitlement without preemption.
-TOLERANCE_UNITS = 1.0
+#: A run that is expected to end within this time is left to end.
+SOON_SECONDS = 0.6
+#: Units above or below its entitlement that a team may be in a pool.
+TOLERANCE_UNITS = 0.5
 
 
 class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
     """A run that may have to make room.
 
     :param started: when it started, in seconds.
+    :param ends: when it is expected to end, in seconds.
     :param units: what it takes, in units of the scarcest resource.
     :param checkpoints: whether it can resume from a checkpoint.
     """
@@ -44,6 +47,7 @@
     vm: VmId
     work_class: WorkClass
     started: float
+    ends: float = float("inf")
     units: float = 1.0
     checkpoints: bool = False
     idempotent: bool = True
@@ -54,12 +58,16 @@
 
     :param units: what it would take, in units.
     :param oldest: when the oldest of it arrived, in seconds.
+    :param part: what waits here as a part of what waits across the fleet.
+    :param vm: the endpoint kept free for the next run, if it needs one to itself.
     """
 
     team: TeamId
     work_class: WorkClass
     units: float
     oldest: float
+    part: float = 1.0
+    vm: VmId | None = None
 
 
 class Checkpoint(msgspec.Struct, frozen=True, tag="checkpoint"):
@@ -105,20 +113,47 @@
 
 
 class _Balance:
-    """Units that teams run and are due, as decisions change them."""
+    """Units that this pool's part of each team's distance comes to.
+
+    Owners see each other's counts late. Each repairs its own part, or all would
+    repair the whole.
+    """
 
     def __init__(
-        self, running: Mapping[TeamId, float], due: Mapping[TeamId, float]
+        self,
+        tasks: Iterable[RunningTask],
+        running: Mapping[TeamId, float],
+        due: Mapping[TeamId, float],
     ) -> None:
-        self._running = dict(running)
+        here: dict[TeamId, float] = {}
+        for run in tasks:
+            here[run.team] = here.get(run.team, 0.0) + run.units
+        self._distance = {t: u - due.get(t, 0.0) for t, u in running.items()}
         self._due = due
+        self._lent = {
+            team: max(self._distance.get(team, 0.0), 0.0) * units / running[team]
+            for team, units in here.items()
+            if running.get(team, 0.0) > 0
+        }
+        self._lacking: dict[TeamId, float] = {}
+
+    def lent(self, team: TeamId) -> float:
+        """Return the lent units that ``team`` still holds here."""
+        return self._lent.get(team, 0.0)
+
+    def lacking(self, demand: Demand) -> float:
+        """Return the units that the team still lacks here."""
+        if demand.team not in self._lacking:
+            distance = self._distance.get(demand.team, -self._due.get(demand.team, 0.0))
+            self._lacking[demand.team] = max(-distance, 0.0) * demand.part
+        return self._lacking[demand.team]
 
-    def surplus(self, team: TeamId) -> float:
-        return self._running.get(team, 0.0) - self._due.get(team, 0.0)
+    def move(self, run: RunningTask, demand: Demand) -> None:
+        self.release(run)
+        self._lacking[demand.team] = self.lacking(demand) - run.units
 
-    def move(self, units: float, giver: TeamId, taker: TeamId) -> None:
-        self._running[giver] = self._running.get(giver, 0.0) - units
-        self._running[taker] = self._running.get(taker, 0.0) + units
+    def release(self, run: RunningTask) -> None:
+        self._lent[run.team] = self.lent(run.team) - run.units
 
 
 class Preemption:
@@ -152,22 +187,26 @@
         if not late:
             return decisions
         late.sort(key=lambda d: (d.work_class is WorkClass.BATCH, d.oldest))
-        balance = _Balance(running, due)
+        tasks = list(tasks)
+        balance = _Balance(tasks, running, due)
         room = free + self._coming(balance)
-        victims = sorted(
-            (run for run in tasks if run.task not in self._pending), key=_order
-        )
+        victims = sorted((run for run in tasks if self._may_end(run, now)), key=_order)
         for demand in late:
             room = self._make_room(demand, victims, room, balance, now, decisions)
         return decisions
 
+    def _may_end(self, run: RunningTask, now: float) -> bool:
+        if run.task in self._pending:
+            return False
+        return not now <= run.ends <= now + SOON_SECONDS
+
     def _coming(self, balance: _Balance) -> float:
         """Return the units that decisions under way will free."""
         units = 0.0
         for pending in self._pending.values():
             if not isinstance(pending.decision, Throttle):
                 units += pending.run.units
-                balance.move(pending.run.units, pending.run.team, TeamId(""))
+                balance.release(pending.run)
         return units
 
     def _make_room(
@@ -184,6 +223,8 @@
         for run in list(victims):
             if needed <= 0:
                 break
+            if demand.vm not in (None, run.vm):
+                continue
             if not _gives_way(run, demand, balance):
                 continue
             victims.remove(run)
@@ -192,7 +233,7 @@
             self._pending[run.task] = _Pending(decision, run, now)
             if not isinstance(decision, Throttle):
                 needed -= run.units
-                balance.move(run.units, run.team, demand.team)
+                balance.move(run, demand)
         return max(-needed, 0.0)
 
     def _escalate(self, now: float) -> list[Decision]:
@@ -228,9 +269,9 @@
     )
     if run.team == demand.team:
         return urgent_first
-    lent = balance.surplus(run.team) >= TOLERANCE_UNITS
-    returns = balance.surplus(demand.team) <= -TOLERANCE_UNITS
-    return lent and (returns or urgent_first)
+    lent = balance.lent(run.team) >= TOLERANCE_UNITS
+    lacking = balance.lacking(demand) >= TOLERANCE_UNITS
+    return lent and (lacking or urgent_first)
 
 
 def _decision(run: RunningTask) -> Decision:
