--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -35,6 +35,8 @@
 TRIAL_RUNS = 4
 #: Time after its first start in which that number doubles from one.
 TRIAL_SECONDS = 0.5
+#: Loads that differ by no more count as equal.
+SAME_LOAD = 0.02
 #: Weight of the newest run in an endpoint's slowdown.
 SLOWDOWN_GAIN = 0.1
 
@@ -73,6 +75,7 @@
     :param slowdown: run times here as a multiple of the queue's mean.
     :param ejected_until: end of the ejection, in seconds; ``None`` if not ejected.
     :param ejections: ejections since the endpoint last proved sound.
+    :param reserved_for: the task that room is kept for.
     """
 
     vm: VmId
@@ -92,18 +95,23 @@
     runs_at_capacity: int = 0
     ejected_until: float | None = None
     ejections: int = 0
+    reserved_for: TaskId | None = None
 
     @property
     def suspect(self) -> bool:
         """Whether the newest run that counts has failed."""
         return bool(self.open_failures) or self.confirmed > 0
 
+    def serves(self, now: float) -> bool:
+        """Return whether the endpoint is in service and not ejected."""
+        return self.in_service and (self.ejected_until or 0.0) <= now
+
     def has_room(self, units: float, now: float) -> bool:
         """Return whether one more run that takes ``units`` may start here.
 
         A run larger than the capacity may start where nothing else runs.
         """
-        if not self.in_service or (self.ejected_until or 0.0) > now:
+        if not self.serves(now):
             return False
         if self.running >= self._allowed(now):
             return False
@@ -128,6 +136,21 @@
         return (self.used + 1.0) * self.slowdown / self.capacity
 
 
+class _Load:
+    """Units used, and learned capacity, of a zone or rack."""
+
+    def __init__(self) -> None:
+        self.used = 0.0
+        self.capacity = 0.0
+
+    def add(self, row: EndpointRow) -> None:
+        self.used += row.used
+        self.capacity += row.capacity
+
+    def part(self) -> float:
+        return self.used / self.capacity
+
+
 class EndpointTable:
     """Endpoints of all pools, with what was learned of each."""
 
@@ -173,6 +196,7 @@
         now: float,
         units: float = 1.0,
         may_probe: bool = True,
+        task: TaskId | None = None,
     ) -> VmId | None:
         """Return the endpoint that one more run should start on.
 
@@ -183,28 +207,46 @@
         :param exclude: endpoints that the task has failed on.
         :param units: what the run is expected to take, in units.
         :param may_probe: whether the run may be risked on a suspect endpoint.
+        :param task: the task, which may start where room is kept for it.
         """
         rows = [
             row
             for row in self._pools.get(pool, {}).values()
-            if row.vm not in exclude and row.has_room(units, now)
+            if row.vm not in exclude
+            and row.reserved_for in (None, task)
+            and row.has_room(units, now)
         ]
-        if not may_probe:
-            rows = [r for r in rows if not r.suspect and not r.probing(now)] or rows
         if not rows:
             return None
-        zones, racks = self._domain_loads(pool)
-        return min(
-            rows,
-            key=lambda row: (
-                not (may_probe and row.probing(now)),
-                row.suspect,
-                row.load(),
-                zones[row.zone],
-                racks[row.rack],
-                row.vm,
-            ),
-        ).vm
+        probes = [row for row in rows if may_probe and row.probing(now)]
+        rows = probes or [row for row in rows if not row.suspect] or rows
+        lowest = min(row.load() for row in rows)
+        rows = [row for row in rows if row.load() <= lowest + SAME_LOAD]
+        return self._least_loaded_domain(pool, rows).vm
+
+    def reserve(
+        self, pool: PoolId, exclude: Collection[VmId], task: TaskId, now: float
+    ) -> VmId | None:
+        """Keep the endpoint with most room for ``task``, which found none.
+
+        Nothing else starts there until the task does, or ``release`` is called.
+        A pool keeps one endpoint at a time.
+        """
+        rows = self._pools.get(pool, {}).values()
+        if any(row.reserved_for is not None for row in rows):
+            return None
+        able = [r for r in rows if r.vm not in exclude and r.serves(now)]
+        if not able:
+            return None
+        row = max(able, key=lambda row: row.capacity - row.used)
+        row.reserved_for = task
+        return row.vm
+
+    def release(self, task: TaskId) -> None:
+        """End what ``reserve`` did for ``task``."""
+        for row in self._rows.values():
+            if row.reserved_for == task:
+                row.reserved_for = None
 
     def note_start(self, vm: VmId, now: float, units: float = 1.0) -> None:
         """Count a run that starts on ``vm``."""
@@ -276,21 +318,21 @@
         """Return the endpoints that ``task`` has failed on."""
         return frozenset(self._failed_on.get(task, ()))
 
-    def _domain_loads(
-        self, pool: PoolId
-    ) -> tuple[dict[Zone, float], dict[Rack, float]]:
-        zones: dict[Zone, tuple[float, float]] = {}
-        racks: dict[Rack, tuple[float, float]] = {}
+    def _least_loaded_domain(
+        self, pool: PoolId, rows: list[EndpointRow]
+    ) -> EndpointRow:
+        """Return the one of ``rows`` in the least loaded zone, then rack."""
+        if len(rows) == 1:
+            return rows[0]
+        zones: dict[Zone, _Load] = {}
+        racks: dict[Rack, _Load] = {}
         for row in self._pools[pool].values():
-            if not row.in_service:
-                continue
-            running, slots = zones.get(row.zone, (0.0, 0.0))
-            zones[row.zone] = (running + row.used, slots + row.capacity)
-            running, slots = racks.get(row.rack, (0.0, 0.0))
-            racks[row.rack] = (running + row.used, slots + row.capacity)
-        return (
-            {zone: running / slots for zone, (running, slots) in zones.items()},
-            {rack: running / slots for rack, (running, slots) in racks.items()},
+            if row.in_service:
+                zones.setdefault(row.zone, _Load()).add(row)
+                racks.setdefault(row.rack, _Load()).add(row)
+        return min(
+            rows,
+            key=lambda row: (zones[row.zone].part(), racks[row.rack].part(), row.vm),
         )
 
     def _learn_run(
@@ -394,7 +436,7 @@
     row.capacity = min(row.capacity, row.slots)
     if back:
         row.proved = False
-        row.first_start = row.ejected_until = None
+        row.first_start = row.ejected_until = row.reserved_for = None
         row.open_failures.clear()
         row.confirmed = row.ejections = row.runs_at_capacity = 0
         row.slowdown = 1.0
