--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -86,10 +86,14 @@
 
 
 class Proof(Enum):
-    """Why an earlier attempt is known not to have run, and never to run."""
+    """Why an earlier attempt does not run, and never will again.
+
+    After ``CHECKPOINTED`` the next attempt goes on where the earlier one stopped.
+    """
 
     REFUSED = "refused"
     START_MISSED = "start_missed"
+    CHECKPOINTED = "checkpointed"
 
 
 class Put(msgspec.Struct, frozen=True, tag="put"):
@@ -189,6 +193,8 @@
 
     :param request: digest of the request, so that one idempotency key cannot
         stand for two different requests.
+    :param durable: whether the request was accepted for good; another node then
+        runs it from ``body`` if its holder goes before it is dispatched.
     :param expires: when the claim may be forgotten, in seconds since the epoch.
     """
 
@@ -199,6 +205,7 @@
     holder: Incarnation
     request: str
     expires: float
+    durable: bool = False
     content_type: str = ""
     body: bytes = b""
 
@@ -253,6 +260,8 @@
 
     :param revision: the revision of the VM's row that the proposer read.
     :param wave: the maintenance wave that the step belongs to, if any.
+    :param target: for a VM that leaves to change pools, the pool that it joins.
+    :param boot: for a reboot, the boot id that the worker reported last.
     """
 
     id: RecordId
@@ -260,6 +269,8 @@
     revision: Revision
     state: VmState
     wave: WaveId | None = None
+    target: PoolId | None = None
+    boot: str = ""
 
 
 class VmMoved(msgspec.Struct, frozen=True, tag="vm_moved", kw_only=True):
--- a/hickoryplank/shell/operator_edits.py
+++ b/hickoryplank/shell/operator_edits.py
@@ -15,8 +15,8 @@
     PlanRequest,
 )
 from hickoryplank.shell.operator_http import OperatorRequest, Reply, decode_body
+from hickoryplank.shell.operator_problems import bad_parameter, refusal_problem
 from hickoryplank.shell.operator_views import object_views, plan_changes
-from hickoryplank.shell.problems import bad_parameter, refusal_problem
 from hickoryplank.shell.publisher import Publisher
 
 __all__ = ["EditHandlers"]
--- a/hickoryplank/shell/operator_fleet.py
+++ b/hickoryplank/shell/operator_fleet.py
@@ -25,8 +25,8 @@
 )
 from hickoryplank.operator_status import ClaimsAnswer, ClaimState
 from hickoryplank.shell.operator_http import OperatorRequest, Reply, decode_body
+from hickoryplank.shell.operator_problems import bad_parameter, conflict, not_found
 from hickoryplank.shell.operator_views import claim_views, status_of
-from hickoryplank.shell.problems import bad_parameter, conflict, not_found
 from hickoryplank.shell.publisher import Publisher
 
 __all__ = ["FleetHandlers"]
--- a/hickoryplank/shell/publisher.py
+++ b/hickoryplank/shell/publisher.py
@@ -11,7 +11,7 @@
 from hickoryplank.shell.control import Control
 from hickoryplank.shell.history import History
 from hickoryplank.shell.operator_http import Reply
-from hickoryplank.shell.problems import (
+from hickoryplank.shell.operator_problems import (
     forgotten_problem,
     log_problem,
     refusal_problem,
