--- a/hickoryplank/cli/fleet_commands.py
+++ b/hickoryplank/cli/fleet_commands.py
@@ -65,7 +65,7 @@
 
 
 def move(args: Namespace) -> Reply:
-    """Move a drained VM to another pool."""
+    """Move a VM to another pool; one in service is drained first."""
     return with_session(
         args,
         lambda session: publish(
--- a/hickoryplank/cli/parser.py
+++ b/hickoryplank/cli/parser.py
@@ -156,7 +156,7 @@
     text = "put a VM back in service"
     undrain = _add_publish(commands, "undrain", fleet_commands.undrain, text)
     undrain.add_argument("vm")
-    text = "move a drained VM to another pool"
+    text = "move a VM to another pool, drained first if it is in service"
     move = _add_publish(commands, "move", fleet_commands.move, text)
     move.add_argument("vm")
     move.add_argument("pool")
--- a/hickoryplank/cli/tables.py
+++ b/hickoryplank/cli/tables.py
@@ -164,11 +164,12 @@
             view.state.value,
             "healthy" if view.healthy else "failed",
             view.wave or "",
+            view.target or "",
         )
         for view in answer.out_of_service
     )
-    header = ("VM OUT OF SERVICE", "POOL", "ZONE", "RACK", "STATE", "HEALTH", "WAVE")
-    return Table(header, rows)
+    place = ("VM OUT OF SERVICE", "POOL", "ZONE", "RACK")
+    return Table((*place, "STATE", "HEALTH", "WAVE", "MOVES TO"), rows)
 
 
 def _wave_table(answer: StatusAnswer) -> Table:
--- a/hickoryplank/client.py
+++ b/hickoryplank/client.py
@@ -172,7 +172,7 @@
 
 
 def move_vm(session: Session, vm: VmId, pool: PoolId) -> Result[Published, ClientError]:
-    """Move a drained VM to another pool."""
+    """Move a VM to another pool; one in service is drained first."""
     return post(session, f"vms/{_quote(vm)}/move", MoveRequest(pool), Published)
 
 
--- a/hickoryplank/operator_api.py
+++ b/hickoryplank/operator_api.py
@@ -103,7 +103,7 @@
 
 
 class MoveRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A move of a drained VM to another pool."""
+    """A move of a VM to another pool."""
 
     pool: PoolId
     revision: Revision | None = None
@@ -135,7 +135,7 @@
 class Published(msgspec.Struct, frozen=True):
     """An accepted record.
 
-    :param offset: the log offset from which on every reader has seen it.
+    :param offset: the log offset that the record stands at, at the latest.
     :param waiting_for: nodes that may not have folded it yet.
     """
 
--- a/hickoryplank/operator_status.py
+++ b/hickoryplank/operator_status.py
@@ -64,7 +64,10 @@
 
 
 class VmView(msgspec.Struct, frozen=True, kw_only=True):
-    """A VM that is not in service."""
+    """A VM that is not in service.
+
+    :param target: the pool that it joins once drained, if it is on a move.
+    """
 
     vm: VmId
     pool: PoolId
@@ -74,6 +77,7 @@
     healthy: bool
     revision: Revision
     wave: WaveId | None
+    target: PoolId | None
 
 
 class WaveView(msgspec.Struct, frozen=True):
--- a/hickoryplank/shell/operator_fleet.py
+++ b/hickoryplank/shell/operator_fleet.py
@@ -48,7 +48,7 @@
     async def status(self, req: OperatorRequest) -> Reply:
         """Show nodes, pools, drains, waves, teams and what is under way."""
         published = tuple(
-            self._publisher.published(entry.revision, entry.offset + 1)
+            self._publisher.published(entry.revision, entry.offset)
             for entry in self._publisher.entries()
             if entry.revision is not None
         )
@@ -78,19 +78,12 @@
                 )
 
     async def move(self, req: OperatorRequest) -> Reply:
-        """Move a drained VM to another pool."""
+        """Move a VM to another pool; one in service is drained first."""
         match decode_body(req.body, MoveRequest), self._vm(req):
             case (Err(problem), _) | (_, Err(problem)):
                 return Err(problem)
             case Ok(body), Ok(row):
-                return await self._publisher.publish(
-                    VmMoved(
-                        id=req.record_id,
-                        vm=row.vm,
-                        revision=_read_revision(body, row),
-                        pool=body.pool,
-                    )
-                )
+                return await self._publisher.publish(_move(req, body, row))
 
     def _vm(self, req: OperatorRequest) -> Result[VmRow, Problem]:
         vm = VmId(req.path["vm"])
@@ -166,5 +159,18 @@
         return await self._publisher.publish(record)
 
 
+def _move(req: OperatorRequest, body: MoveRequest, row: VmRow) -> VmStep | VmMoved:
+    revision = _read_revision(body, row)
+    if row.state is VmState.ACTIVE:
+        return VmStep(
+            id=req.record_id,
+            vm=row.vm,
+            revision=revision,
+            state=VmState.LEAVING,
+            target=body.pool,
+        )
+    return VmMoved(id=req.record_id, vm=row.vm, revision=revision, pool=body.pool)
+
+
 def _read_revision(body: VmRequest | MoveRequest, row: VmRow) -> Revision:
     return row.revision if body.revision is None else body.revision
--- a/hickoryplank/shell/operator_problems.py
+++ b/hickoryplank/shell/operator_problems.py
@@ -2,7 +2,7 @@
 
 from hickoryplank.core.errors import Fault, FaultCode, Refusal
 from hickoryplank.operator_api import Problem, ProblemOutcome
-from hickoryplank.platform.errors import LogFailure
+from hickoryplank.platform.errors import LogError, LogFailure
 
 __all__ = [
     "bad_parameter",
@@ -44,15 +44,15 @@
 
 
 def log_problem(failure: LogFailure) -> Problem:
-    """Return the problem for a record whose verdict could not be read."""
-    detail = (
-        f"the log is {failure.error.value}; the request may still take effect;"
-        " repeat it with the same Idempotency-Key to learn its outcome"
-    )
+    """Return the problem for a record that the log did not take or answer for."""
+    if failure.error is LogError.UNAVAILABLE:
+        detail = failure.detail or "the log is unavailable; nothing was published"
+        return Problem(title="Not published", status=503, detail=detail)
     return Problem(
         title="Outcome unknown",
         status=503,
-        detail=detail,
+        detail="the log has not answered; the request may still take effect; repeat it"
+        " with the same Idempotency-Key to learn its outcome",
         outcome=ProblemOutcome.UNKNOWN,
     )
 
--- a/hickoryplank/shell/operator_views.py
+++ b/hickoryplank/shell/operator_views.py
@@ -159,6 +159,7 @@
         healthy=row.healthy,
         revision=row.revision,
         wave=row.wave,
+        target=row.target,
     )
 
 
--- a/hickoryplank/shell/publisher.py
+++ b/hickoryplank/shell/publisher.py
@@ -1,13 +1,14 @@
 """Publishing of operators' records, each with one verdict however often it comes."""
 
+import anyio
 from result import Err, Ok
 
-from hickoryplank.core.errors import FaultCode, Refusal
+from hickoryplank.core.errors import Refusal
 from hickoryplank.core.ids import RecordId, Revision
 from hickoryplank.core.records import Record
 from hickoryplank.core.tables import Tables
 from hickoryplank.operator_api import HistoryEntry, Published, PublishState
-from hickoryplank.platform.errors import LogFailure
+from hickoryplank.platform.errors import LogError, LogFailure
 from hickoryplank.shell.control import Control
 from hickoryplank.shell.history import History
 from hickoryplank.shell.operator_http import Reply
@@ -19,13 +20,24 @@
 
 __all__ = ["Publisher"]
 
+_VERDICT_SECONDS = 5.0
+
 
 class Publisher:
-    """Submits records and tells how far they have come."""
+    """Submits records and tells how far they have come.
+
+    :param verdict_seconds: how long a request waits for its record's verdict.
+    """
 
-    def __init__(self, control: Control, history: History) -> None:
+    def __init__(
+        self,
+        control: Control,
+        history: History,
+        verdict_seconds: float = _VERDICT_SECONDS,
+    ) -> None:
         self._control = control
         self._history = history
+        self._verdict_seconds = verdict_seconds
 
     @property
     def tables(self) -> Tables:
@@ -49,15 +61,20 @@
         """Submit a record; one that was folded before keeps its first verdict."""
         if self.folded(record.id):
             return self._first_verdict(record.id)
-        match await self._control.submit(record):
+        result = None
+        with anyio.move_on_after(self._verdict_seconds):
+            result = await self._control.submit(record)
+        if self.folded(record.id):
+            return self._first_verdict(record.id)
+        match result:
             case Ok(revision):
-                return Ok(self.published(revision, self._control.offset))
+                return Ok(self.published(revision, self._control.offset - 1))
             case Err(Refusal(faults)):
-                if any(fault.code is FaultCode.DUPLICATE for fault in faults):
-                    return self._first_verdict(record.id)
                 return Err(refusal_problem(faults))
             case Err(LogFailure() as failure):
                 return Err(log_problem(failure))
+            case _:
+                return Err(log_problem(LogFailure(LogError.UNKNOWN)))
 
     def _first_verdict(self, record_id: RecordId) -> Reply:
         match self._history.find(record_id):
@@ -66,14 +83,14 @@
             case HistoryEntry(revision=None, faults=faults):
                 return Err(refusal_problem(faults))
             case HistoryEntry(revision=revision, offset=offset):
-                return Ok(self.published(revision, offset + 1))
+                return Ok(self.published(revision, offset))
 
     def published(self, revision: Revision, offset: int) -> Published:
         """Return how far an accepted record has come.
 
-        :param offset: the log offset from which on every reader has seen it.
+        :param offset: the log offset of the record.
         """
         waiting = self._control.waiting_for(offset)
-        done = not waiting and self._control.offset >= offset
+        done = not waiting and self._control.offset > offset
         state = PublishState.IN_FORCE if done else PublishState.PUBLISHED
         return Published(state, revision, offset, waiting)
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -19,7 +19,7 @@
 from hickoryplank.shell.operator_http import OperatorSecurity
 from hickoryplank.shell.operators import operator_routes
 
-TOKEN = "olga-token"  # noqa: S105
+TOKEN = "olga-token"
 ENTRY = "http://192.0.2.7:8080"
 BODY_BYTES = 65_536
 
@@ -28,7 +28,7 @@
     """Folds locally.
 
     :ivar failure: what the next call of ``submit`` fails with.
-    :ivar lose_answer: whether a failing append takes effect all the same.
+    :ivar lose_answer: whether an append that fails takes effect all the same.
     :ivar waiting: the nodes that have not folded anything yet.
     """
 
@@ -57,7 +57,7 @@
         return Err(LogFailure(failure)) if failure else verdict
 
     def waiting_for(self, offset: int) -> tuple[NodeId, ...]:
-        return self.waiting
+        return self.waiting if offset < self.offset else (NodeId("entry-1"),)
 
 
 def operator_app(control: FakeControl) -> Starlette:
