--- a/hickoryplank/ini_text.py
+++ b/hickoryplank/ini_text.py
@@ -8,7 +8,8 @@
 __all__ = ["IniFault", "IniText", "Section", "read_sections"]
 
 _MAX_STRUCTURAL_FAULTS = 50
-_DUPLICATE_HEADER = "\x00duplicate"
+_NUL = "\x00"
+_DUPLICATE_HEADER = f"{_NUL}duplicate"
 
 
 class IniFault(msgspec.Struct, frozen=True):
@@ -25,9 +26,9 @@
     message: str
 
     def __str__(self) -> str:
-        section = f" [{self.section}]" if self.section else ""
-        key = f" {self.key}" if self.key else ""
-        return f"{self.file}:{section}{key}: {self.message}"
+        section = f"[{self.section}]" if self.section else ""
+        place = " ".join(part for part in (section, self.key) if part)
+        return ": ".join(part for part in (self.file, place, self.message) if part)
 
 
 class Section(msgspec.Struct, frozen=True):
@@ -66,6 +67,8 @@
 
     :param file: the name that faults give for the file.
     """
+    if _NUL in text:
+        return IniText((), (IniFault(file, "", "", "holds a NUL character"),))
     lines = text.split("\n")
     faults: list[IniFault] = []
     while len(faults) < _MAX_STRUCTURAL_FAULTS:
--- a/hickoryplank/shell/publisher.py
+++ b/hickoryplank/shell/publisher.py
@@ -64,11 +64,11 @@
         result = None
         with anyio.move_on_after(self._verdict_seconds):
             result = await self._control.submit(record)
-        if self.folded(record.id):
-            return self._first_verdict(record.id)
         match result:
             case Ok(revision):
                 return Ok(self.published(revision, self._control.offset - 1))
+            case _ if self._history.find(record.id):
+                return self._first_verdict(record.id)
             case Err(Refusal(faults)):
                 return Err(refusal_problem(faults))
             case Err(LogFailure() as failure):
