--- /dev/null
+++ b/tests/shell/test_operators.py
@@ -0,0 +1,280 @@
+"""Tests of the operator HTTP API over a ``Control`` in memory."""
+
+import anyio
+import httpx
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hickoryplank.core.fold import fold
+from hickoryplank.core.objects import Kind, Limit, Pool, Queue, Ref
+from hickoryplank.core.records import (
+    BaseRevision,
+    Claim,
+    Delete,
+    Outcome,
+    OutcomeKind,
+    Put,
+    VmState,
+    VmStep,
+)
+from hickoryplank.core.tables import encode_tables
+from hickoryplank.operator_api import PREFIX, EditRequest
+from hickoryplank.platform.errors import LogError
+from hickoryplank.shell.history import History, operator_record_id
+from tests.core.build import folded, join, new_id, small_fleet
+from tests.operators import BODY_BYTES, ENTRY, TOKEN, FakeControl, operator_app
+
+pytestmark = pytest.mark.anyio
+LIMIT = Ref(Kind.LIMIT, "rutas")
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+def control():
+    return FakeControl(folded([*small_fleet(), Pool(name="spare", spare=True)]))
+
+
+async def ask(control, method, path, content=b"", token=TOKEN, key=""):
+    transport = httpx.ASGITransport(operator_app(control))
+    headers = {"Authorization": f"Bearer {token}".encode(), "Idempotency-Key": key}
+    async with httpx.AsyncClient(transport=transport, base_url=ENTRY) as http:
+        url = f"{PREFIX}/{path}"
+        return await http.request(method, url, content=content, headers=headers)
+
+
+def limit_edit(units=3, revision=1):
+    base = (BaseRevision(LIMIT, revision),)
+    return msgspec.json.encode(
+        EditRequest(base, (Put(Limit(name="rutas", units=units)),))
+    )
+
+
+@pytest.mark.parametrize(
+    ("method", "path"), [("GET", "status"), ("POST", "edits"), ("POST", "waves/w")]
+)
+@pytest.mark.parametrize("token", ["", "other", TOKEN + "x", "ø"])
+async def test_only_operators_are_served(control, method, path, token):
+    res = await ask(control, method, path, token=token)
+    assert res.status_code == 401
+    assert res.headers["content-type"] == "application/problem+json"
+
+
+@pytest.mark.parametrize(
+    ("waiting", "state"), [((), "in_force"), (("e",), "published")]
+)
+async def test_edit_tells_whether_it_is_in_force(control, waiting, state):
+    control.waiting = waiting
+    res = await ask(control, "POST", "edits", limit_edit())
+    assert res.json() == {
+        "state": state,
+        "revision": 2,
+        "offset": 0,
+        "waiting_for": list(waiting),
+    }
+    assert control.tables.limit_of("rutas") == 3
+    status = (await ask(control, "GET", "status")).json()
+    assert [one["revision"] for one in status["published"]] == [2] * len(waiting)
+    later = (await ask(control, "GET", "published?offset=0")).json()
+    assert (later["state"], later["waiting_for"]) == (state, list(waiting))
+    ahead = (await ask(control, "GET", "published?offset=9")).json()
+    assert ahead["state"] == "published"
+
+
+async def test_plan_shows_old_and_new_and_appends_nothing(control):
+    edits = (
+        Put(Limit(name="rutas", units=3)),
+        Put(Pool(name="new")),
+        Delete(Ref(Kind.KEY, "rutas-1")),
+    )
+    before = encode_tables(control.tables)
+    body = msgspec.json.encode({"edits": edits})
+    plan = (await ask(control, "POST", "plan", body)).json()
+    limit, pool, key = plan["changes"]
+    assert limit["fields"] == [{"key": "units", "old": "8", "new": "3"}]
+    assert [limit["kind"], pool["kind"], key["kind"]] == ["replace", "create", "delete"]
+    assert encode_tables(control.tables) == before
+
+
+@pytest.mark.parametrize("path", ["edits", "plan"])
+async def test_refused_set_lists_every_fault_and_changes_nothing(control, path):
+    edits = (Put(Queue(name="q", pool="no")), Put(Limit(name="nobody", units=-1)))
+    base = tuple(BaseRevision(ref, 0) for ref in (Ref(Kind.QUEUE, "q"),))
+    before = encode_tables(control.tables)
+    body = msgspec.json.encode(EditRequest(base, edits))
+    res = await ask(control, "POST", path, body)
+    codes = [fault["code"] for fault in res.json()["faults"]]
+    assert res.status_code == 409
+    assert codes == ["conflict", "missing_reference", "missing_reference", "bad_value"]
+    assert encode_tables(control.tables) == before
+
+
+async def test_of_two_racing_operators_one_is_refused(control):
+    first = await ask(control, "POST", "edits", limit_edit(units=3))
+    second = await ask(control, "POST", "edits", limit_edit(units=4))
+    assert (first.status_code, second.status_code) == (200, 409)
+    assert "was read at revision 1 and is at 2 now" in second.json()["detail"]
+    assert control.tables.limit_of("rutas") == 3
+
+
+async def test_repeated_request_has_one_effect_and_one_answer(control):
+    control.failure, control.lose_answer = LogError.UNKNOWN, True
+    first = await ask(control, "POST", "edits", limit_edit(), key="k")
+    again = await ask(control, "POST", "edits", limit_edit(), key="k")
+    assert first.json() == again.json()
+    assert control.tables.next_offset == 1
+    control.history = History()
+    forgotten = await ask(control, "POST", "edits", limit_edit(), key="k")
+    assert (forgotten.status_code, forgotten.json()["outcome"]) == (503, "unknown")
+
+
+@pytest.mark.parametrize(
+    ("failure", "outcome"),
+    [(LogError.UNAVAILABLE, "not_run"), (LogError.UNKNOWN, "unknown")],
+)
+async def test_failing_log_is_told_with_its_outcome(control, failure, outcome):
+    control.failure = failure
+    res = await ask(control, "POST", "edits", limit_edit())
+    assert (res.status_code, res.json()["outcome"]) == (503, outcome)
+    assert control.tables.limit_of("rutas") == 8
+
+
+async def test_vm_is_drained_moved_and_put_back(control):
+    async def post(path, body=b""):
+        return (await ask(control, "POST", f"vms/{path}", body)).status_code
+
+    row = control.tables.vms["vm-0"]
+    assert await post("vm-0/move", b'{"pool":"nowhere"}') == 422
+    assert await post("vm-0/move", b'{"pool":"spare"}') == 200
+    assert (row.state, row.target) == (VmState.LEAVING, "spare")
+    assert await post("vm-0/move", b'{"pool":"spare"}') == 409
+    assert await post("vm-0/undrain", b'{"revision":1}') == 409
+    assert await post("vm-0/undrain") == 200
+    assert (row.state, row.target) == (VmState.ACTIVE, None)
+    assert [await post(f"vm-{i}/drain") for i in (0, 1, 2, 9)] == [200, 200, 422, 404]
+    step = VmStep(id="s", vm="vm-0", revision=row.revision, state=VmState.DRAINED)
+    fold(control.tables, step).unwrap()
+    assert await post("vm-0/move", b'{"pool":"spare"}') == 200
+    assert row.pool == "spare"
+
+
+async def test_wave_follows_its_states(control):
+    async def post(action, wave="june", **more):
+        body = msgspec.json.encode({"action": action, **more})
+        return (await ask(control, "POST", f"waves/{wave}", body)).status_code
+
+    assert await post("pause") == 404
+    assert await post("start") == 409
+    assert await post("start", pools=["rondas-norte"]) == 200
+    assert await post("start", pools=["rondas-norte"]) == 409
+    assert [await post(a) for a in ("pause", "pause", "resume")] == [200, 409, 200]
+    assert [await post(a) for a in ("cancel", "resume")] == [200, 409]
+    assert await post("start", wave="a%20b", pools=["spare"]) == 400
+
+
+async def test_only_unknown_claims_are_settled(control):
+    holder = join(control.tables, "entry-1")
+    for claim in ("a/1", "b"):
+        record = Claim(
+            id=new_id(),
+            claim=claim,
+            team="rutas",
+            queue="rondas",
+            holder=holder,
+            request="r",
+            expires=9.0,
+        )
+        fold(control.tables, record).unwrap()
+    unknown = Outcome(id="o", claim="a/1", holder=holder, kind=OutcomeKind.UNKNOWN)
+    fold(control.tables, unknown).unwrap()
+    listed = (await ask(control, "GET", "claims?state=unknown")).json()["claims"]
+    assert [claim["claim"] for claim in listed] == ["a/1"]
+    body = msgspec.json.encode({"kind": "done", "detail": "seen", "body": "ok"})
+    paths = ("claims/a%2F1/settle", "claims/a%2F1/settle", "claims/b/settle")
+    codes = [(await ask(control, "POST", p, body)).status_code for p in paths]
+    assert codes == [200, 409, 409]
+    assert control.tables.claims["a/1"].outcome.body == b"ok"
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "status", "detail"),
+    [
+        ("edits", b"{", 400, "truncated"),
+        ("edits", b"\xff", 400, "malformed"),
+        ("edits", b'{"base":[]}', 400, "missing required field `edits`"),
+        ("edits", b'{"base":[],"edits":[],"x":1}', 400, "unknown field `x`"),
+        ("plan", b'{"edits":[{"type":"mv"}]}', 400, "Invalid value 'mv'"),
+        (
+            "plan",
+            b'{"edits":[{"type":"put","obj":{"type":"pool","name":"p","min":3}}]}',
+            400,
+            "unknown field $.edits[0].obj.min",
+        ),
+        (
+            "plan",
+            b'{"edits":[{"type":"put","obj":{"type":"pool","name":"p",'
+            b'"min_available":99999999999999999999}}]}',
+            422,
+            "min_available must be between",
+        ),
+        ("plan", b"[" * 60_000, 400, ""),
+        ("edits", b" " * (BODY_BYTES + 1), 413, f"{BODY_BYTES} bytes"),
+    ],
+)
+async def test_malformed_body_gives_a_clear_problem(
+    control, path, body, status, detail
+):
+    res = await ask(control, "POST", path, body)
+    assert res.status_code == status, res.text
+    assert detail in res.json()["detail"]
+
+
+@pytest.mark.parametrize(
+    "path", ["objects?kind=pol", "claims?state=x", "published?offset=-1", "published"]
+)
+async def test_bad_parameter_is_refused(control, path):
+    assert (await ask(control, "GET", path)).status_code == 400
+
+
+def mutate(data):
+    body, cuts = data
+    for at, byte in cuts:
+        body = body[: at % len(body)] + byte + body[at % len(body) + 1 :]
+    return body
+
+
+EDITS = st.tuples(
+    st.sampled_from([limit_edit(), limit_edit(0, 0), b'{"action":"start","pools":[]}']),
+    st.lists(st.tuples(st.integers(0, 200), st.binary(max_size=3)), max_size=3),
+).map(mutate)
+
+
+@given(EDITS | st.binary(max_size=40), st.sampled_from(["edits", "plan", "waves/w"]))
+def test_any_body_is_answered_and_takes_effect_whole_or_not(body, path):
+    control = FakeControl(folded(small_fleet()))
+    before = encode_tables(control.tables)
+    res = anyio.run(ask, control, "POST", path, body)
+    assert res.status_code in (200, 400, 404, 409, 422)
+    if res.status_code in (400, 404) or path == "plan":
+        assert encode_tables(control.tables) == before
+    if res.status_code != 200:
+        assert res.json()["detail"]
+
+
+def test_history_keeps_the_newest():
+    control = FakeControl(folded(small_fleet()))
+    history = History(max_entries=2)
+    for units in range(4):
+        record = VmStep(
+            id=operator_record_id("olga", str(units)),
+            vm="vm-0",
+            revision=0,
+            state=VmState.LEAVING,
+        )
+        history.note(record, fold(control.tables, record), units, at=0.0)
+    assert [entry.offset for entry in history.entries()] == [2, 3]
