--- a/tests/operators.py
+++ b/tests/operators.py
@@ -62,8 +62,12 @@
 
 def operator_app(control: FakeControl) -> Starlette:
     """Return the operator API over ``control``; its operator is ``olga``."""
-    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
-    security = OperatorSecurity({"olga": digest}, BODY_BYTES)
+    tokens = {"olga": TOKEN, "empty": ""}
+    digests = {
+        name: hashlib.sha256(token.encode()).hexdigest()
+        for name, token in tokens.items()
+    }
+    security = OperatorSecurity(digests, BODY_BYTES)
     routes = operator_routes(control, control.history, security, now=lambda: 0.0)
     return Starlette(routes=routes)
 
