--- a/hickoryplank/shell/operator_http.py
+++ b/hickoryplank/shell/operator_http.py
@@ -46,13 +46,16 @@
     body_bytes: int
 
     def operator_of(self, token: str) -> OperatorId | None:
-        """Return whose token it is, comparing every digest in constant time."""
+        """Return whose token it is, comparing every digest in constant time.
+
+        An empty token is nobody's.
+        """
         digest = hashlib.sha256(token.encode()).hexdigest()
         found = None
         for operator, expected in self.operators.items():
             if hmac.compare_digest(digest, expected):
                 found = operator
-        return found
+        return found if token else None
 
 
 class OperatorRequest(msgspec.Struct, frozen=True):
