Let a limit bind in the benchmark of shares, and lend to two teams

The limits of the first version never bound, and the lender could not fill the fleet, so that the return of a lent share was no test.

--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -107,7 +107,7 @@
                 TeamDemand(
                     team=name,
                     weight=team.weight,
-                    limit=float("inf"),
+                    limit=team.limit * self.owners[0].size_of(name),
                     wants=running[name] + waiting[name],
                 )
                 for name, team in self.teams.items()
@@ -205,9 +205,13 @@
         units: dict[TeamId, float] = defaultdict(float)
         for work_class in WorkClass:
             for team, items in self._queues.waiting(self._pool, work_class).items():
-                units[team] += items * self._size(team)
+                units[team] += items * self.size_of(team)
         return units
 
+    def size_of(self, team: TeamId) -> float:
+        """Return the units that a run of ``team`` is believed to take."""
+        return self._sizes.of("", team) if self._policy.learn_sizes else 1.0
+
     # Starting runs.
 
     def _dispatch(self) -> None:
@@ -224,7 +228,7 @@
         item = self._reserved
         if item is None or not self._may_start(item.team):
             return
-        exclude, units = self._exclude(item.task), self._size(item.team)
+        exclude, units = self._exclude(item.task), self.size_of(item.team)
         if self._pick(exclude, units, item.task) is not None:
             self._queues.cancel(item.request)
             self._start(self._jobs[item.request])
@@ -265,7 +269,7 @@
 
     def _start(self, job: Job, hedge: bool = False) -> bool:
         item = job.item
-        units = self._size(item.team)
+        units = self.size_of(item.team)
         vm = self._pick(self._exclude(item.task), units, item.task)
         if vm is None:
             if not hedge:
@@ -311,9 +315,6 @@
         rows = self._rng.sample(rows, min(few, len(rows)))
         return min(rows, key=lambda row: row.running).vm if rows else None
 
-    def _size(self, team: TeamId) -> float:
-        return self._sizes.of("", team) if self._policy.learn_sizes else 1.0
-
     # Ends of runs.
 
     def _ended(self, run: _Run, result: RunResult) -> None:
@@ -422,7 +423,7 @@
             for team, head in self._queues.heads(self._pool, work_class).items():
                 if not self._may_start(team):
                     continue
-                units = counts[team] * self._size(team)
+                units = counts[team] * self.size_of(team)
                 demands.append(
                     Demand(
                         team=team,
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -11,7 +11,7 @@
 from benchmarks.fake import SLOTS, Loop, Stream, arrivals, make_workers
 from benchmarks.figure import Figure
 from hickoryplank.core.objects import WorkClass
-from hickoryplank.core.shares import ShareMeter
+from hickoryplank.core.shares import ShareMeter, TeamDemand, entitlements
 
 __all__ = ["figures"]
 
@@ -29,8 +29,8 @@
 TEAMS = {
     "rutas": Team(40.0, 200),
     "pagos": Team(30.0, 60),
-    "precios": Team(20.0, 150),
-    "socios": Team(10.0, 150),
+    "precios": Team(20.0, 40),
+    "socios": Team(10.0, 300),
 }
 #: Class, mean run time in seconds, true units and demand of each team.
 WORK = {
@@ -55,7 +55,7 @@
         self.meter = ShareMeter()
         self.over_limit = 0
         self.distances: list[float] = []
-        self._due = {name: CAPACITY * t.weight / 100 for name, t in TEAMS.items()}
+        self._due = _due()
         self.owners = {}
         for number, pool in enumerate(POOLS):
             workers = make_workers(self.loop, pool, VMS_PER_POOL)
@@ -86,6 +86,20 @@
             self.distances.append(100 * self.meter.worst() / CAPACITY)
 
 
+def _due() -> dict[str, float]:
+    """Return what each team is entitled to when all want more than that."""
+    rows = (
+        TeamDemand(
+            team=name,
+            weight=team.weight,
+            limit=team.limit * WORK[name][2],
+            wants=CAPACITY,
+        )
+        for name, team in TEAMS.items()
+    )
+    return entitlements(rows, CAPACITY)
+
+
 def _stream(team: str, pool: str, factor: float, start: float = 0.0) -> Stream:
     work_class, seconds, units, _ = WORK[team]
     part = CAPACITY / len(POOLS) * TEAMS[team].weight / 100
@@ -109,10 +123,13 @@
     return fleet
 
 
-def _return_seconds(policy: Policy) -> float:
-    """Return the time until a team that comes back runs 95% of its share."""
+def _return_seconds(policy: Policy, lender: str, factor: float) -> float:
+    """Return the time until a team that comes back runs 95% of its share.
+
+    :param factor: demand of the team that runs on the share meanwhile.
+    """
     back = 20.0
-    streams = [_stream("socios", p, 12.0) for p in POOLS]
+    streams = [_stream(lender, p, factor) for p in POOLS]
     streams += [_stream("rutas", p, 2.0, start=back) for p in POOLS]
     fleet = Fleet(policy, streams)
     share = CAPACITY * TEAMS["rutas"].weight / 100
@@ -148,11 +165,13 @@
         unit="samples",
         target=0,
     )
-    for name, baseline in (("arrival", ARRIVAL), ("priority", PRIORITY)):
-        yield Figure(
-            name=f"shares.return_of_lent_share.vs_{name}",
-            value=round(_return_seconds(Policy()), 2),
-            unit="s",
-            target=RETURN_TARGET_SECONDS,
-            baseline=round(_return_seconds(baseline), 2),
-        )
+    for lender, factor in (("pagos", 5.0), ("socios", 12.0)):
+        seconds = _return_seconds(Policy(), lender, factor)
+        for name, baseline in (("arrival", ARRIVAL), ("priority", PRIORITY)):
+            yield Figure(
+                name=f"shares.return_from_{lender}.vs_{name}",
+                value=round(seconds, 2),
+                unit="s",
+                target=RETURN_TARGET_SECONDS,
+                baseline=round(_return_seconds(baseline, lender, factor), 2),
+            )
