--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -68,6 +68,7 @@
     not_run: int = 0
     given_up: int = 0
     attempts: int = 0
+    failed_attempts: int = 0
     urgent: int = 0
     urgent_in_time: int = 0
     waits: list[float] = msgspec.field(default_factory=list)
@@ -321,6 +322,7 @@
         item = run.job.item
         if run not in self._runs[item.task]:
             return
+        self._report.failed_attempts += result is RunResult.FAILED
         self._sizes.observe("", item.team, run.job.units)
         verdict = self._finish(run, result)
         if result is RunResult.DONE:
