--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -59,8 +59,9 @@
 class Report(msgspec.Struct):
     """What became of the requests.
 
+    :param urgent: requests of urgent work that can run.
     :param waits: time from arrival to the start that was answered, in seconds, of
-        urgent work; the whole time to the deadline where nothing answered.
+        these; the whole time to the deadline where nothing answered.
     """
 
     submitted: int = 0
@@ -179,7 +180,8 @@
     def submit(self, job: Job) -> None:
         """Take a request."""
         self._report.submitted += 1
-        self._report.urgent += job.item.work_class is WorkClass.URGENT
+        urgent = job.item.work_class is WorkClass.URGENT and not job.bad
+        self._report.urgent += urgent
         self._jobs[job.item.request] = job
         self._budget.note_attempt(self._pool, job.item.team)
         victim = self._queues.push(job.item, self._board.shares)
@@ -283,7 +285,7 @@
         self._runs[item.task].append(run)
         self._board.runs[item.team] += 1
         self.counts.change(item.team, units)
-        self.endpoints.note_start(vm, self._loop.now, units)
+        self.endpoints.note_start(vm, item.task, self._loop.now, units)
         self._report.attempts += 1
         run.key = run.worker.start(job, lambda result: self._ended(run, result))
         if self._policy.hedge and not hedge:
@@ -371,9 +373,11 @@
         self.endpoints.forget_task(item.task)
         self._release(item.task)
         self._runs.pop(item.task, None)
-        if self._jobs.pop(item.request, None) is None:
+        job = self._jobs.pop(item.request, None)
+        if job is None:
             return
-        report, urgent = self._report, item.work_class is WorkClass.URGENT
+        report = self._report
+        urgent = item.work_class is WorkClass.URGENT and not job.bad
         in_time = run is not None and run.started < item.deadline
         report.answered += run is not None
         report.not_run += run is None
--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -72,6 +72,7 @@
         others ran.
     :param proved: whether a run has been done here since the VM came into service.
     :param first_start: when the first run started on a VM not yet proved.
+    :param trials: tasks that run here and started while the endpoint was suspect.
     :param slowdown: run times here as a multiple of the queue's mean.
     :param ejected_until: end of the ejection, in seconds; ``None`` if not ejected.
     :param ejections: ejections since the endpoint last proved sound.
@@ -91,6 +92,7 @@
     first_start: float | None = None
     open_failures: set[TaskId] = msgspec.field(default_factory=set)
     confirmed: int = 0
+    trials: set[TaskId] = msgspec.field(default_factory=set)
     slowdown: float = 1.0
     runs_at_capacity: int = 0
     ejected_until: float | None = None
@@ -113,6 +115,8 @@
         """
         if not self.serves(now):
             return False
+        if self.suspect or self.probing(now):
+            return not self.trials
         if self.running >= self._allowed(now):
             return False
         return self.running == 0 or self.used + units <= self.capacity
@@ -123,8 +127,6 @@
 
     def _allowed(self, now: float) -> int:
         """Return how many runs the endpoint may have at once."""
-        if self.suspect or self.probing(now):
-            return 1
         if self.proved:
             return self.slots
         tried = 0.0 if self.first_start is None else now - self.first_start
@@ -248,12 +250,16 @@
             if row.reserved_for == task:
                 row.reserved_for = None
 
-    def note_start(self, vm: VmId, now: float, units: float = 1.0) -> None:
-        """Count a run that starts on ``vm``."""
+    def note_start(
+        self, vm: VmId, task: TaskId, now: float, units: float = 1.0
+    ) -> None:
+        """Count a run of ``task`` that starts on ``vm``."""
         row = self._rows.get(vm)
         if row is not None:
             row.running += 1
             row.used += units
+            if row.suspect or row.probing(now):
+                row.trials.add(task)
             if row.first_start is None:
                 row.first_start = now
 
@@ -294,9 +300,13 @@
         at_capacity = row.used + units > row.capacity
         row.running = max(row.running - 1, 0)
         row.used = max(row.used - units, 0.0) if row.running else 0.0
+        trial = task in row.trials
+        row.trials.discard(task)
         match result:
             case RunResult.DONE:
-                self._learn_run(row, queue, seconds, at_capacity)
+                self._learn_run(row, queue, seconds)
+                if trial or not row.suspect:
+                    _prove(row, at_capacity)
                 self._confirm(task, vm, now)
                 return Verdict.DONE
             case RunResult.BUSY:
@@ -335,15 +345,12 @@
             key=lambda row: (zones[row.zone].part(), racks[row.rack].part(), row.vm),
         )
 
-    def _learn_run(
-        self, row: EndpointRow, queue: QueueId, seconds: float, at_capacity: bool
-    ) -> None:
+    def _learn_run(self, row: EndpointRow, queue: QueueId, seconds: float) -> None:
         mean = self.run_times.of(queue).mean
         if self.run_times.of(queue).observed:
             row.slowdown += SLOWDOWN_GAIN * (seconds / mean - row.slowdown)
             row.slowdown = min(max(row.slowdown, 0.5), 4.0)
         self.run_times.observe(queue, seconds)
-        _prove(row, at_capacity)
 
     def _confirm(self, task: TaskId, done_on: VmId, now: float) -> None:
         for vm in self._failed_on.pop(task, ()):
@@ -418,6 +425,7 @@
     row.open_failures.clear()
     row.confirmed = 0
     row.ejected_until = None
+    row.trials.clear()
     if not returned:
         row.ejections = 0
     row.runs_at_capacity += at_capacity
@@ -438,5 +446,6 @@
         row.proved = False
         row.first_start = row.ejected_until = row.reserved_for = None
         row.open_failures.clear()
+        row.trials.clear()
         row.confirmed = row.ejections = row.runs_at_capacity = 0
         row.slowdown = 1.0
