--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from benchmarks.fake import FakeWorker, Job, Loop
+from hickoryplank.core.counts import FleetCounts
 from hickoryplank.core.ids import PoolId, RequestId, TaskId, TeamId, VmId
 from hickoryplank.core.objects import WorkClass
 from hickoryplank.core.placement import EndpointTable, RunResult, Verdict
@@ -58,8 +59,9 @@
 class Report(msgspec.Struct):
     """What became of the requests.
 
+    :param urgent: requests of urgent work that can run.
     :param waits: time from arrival to the start that was answered, in seconds, of
-        urgent work; the whole time to the deadline where nothing answered.
+        these; the whole time to the deadline where nothing answered.
     """
 
     submitted: int = 0
@@ -67,6 +69,7 @@
     not_run: int = 0
     given_up: int = 0
     attempts: int = 0
+    failed_attempts: int = 0
     urgent: int = 0
     urgent_in_time: int = 0
     waits: list[float] = msgspec.field(default_factory=list)
@@ -96,7 +99,7 @@
         """Let every owner know what all ran and wanted just now."""
         running, waiting = defaultdict(float), defaultdict(float)
         for owner in self.owners:
-            for team, units in owner.running.items():
+            for team, units in owner.counts.own.items():
                 running[team] += units
             for team, units in owner.waiting_units().items():
                 waiting[team] += units
@@ -106,7 +109,7 @@
                 TeamDemand(
                     team=name,
                     weight=team.weight,
-                    limit=float("inf"),
+                    limit=team.limit * self.owners[0].size_of(name),
                     wants=running[name] + waiting[name],
                 )
                 for name, team in self.teams.items()
@@ -114,7 +117,12 @@
             self.capacity,
         )
         for owner in self.owners:
-            owner.others = {t: u - owner.running[t] for t, u in running.items()}
+            own, held = owner.waiting_units(), owner.counts.own
+            parts = {
+                team: (own[team] + held.get(team, 0.0)) / max(units + waiting[team], 1)
+                for team, units in running.items()
+            }
+            owner.counts.exchange(running, parts)
 
 
 class _Run(msgspec.Struct, kw_only=True):
@@ -147,8 +155,7 @@
         report: Report,
         lag: float = 2.0,
     ) -> None:
-        self.running: dict[TeamId, float] = defaultdict(float)
-        self.others: dict[TeamId, float] = {}
+        self.counts = FleetCounts()
         self.endpoints = EndpointTable()
         self._loop, self._pool, self._board, self._policy = loop, pool, board, policy
         self._rng, self._report, self._lag = rng, report, lag
@@ -173,7 +180,8 @@
     def submit(self, job: Job) -> None:
         """Take a request."""
         self._report.submitted += 1
-        self._report.urgent += job.item.work_class is WorkClass.URGENT
+        urgent = job.item.work_class is WorkClass.URGENT and not job.bad
+        self._report.urgent += urgent
         self._jobs[job.item.request] = job
         self._budget.note_attempt(self._pool, job.item.team)
         victim = self._queues.push(job.item, self._board.shares)
@@ -200,13 +208,12 @@
         units: dict[TeamId, float] = defaultdict(float)
         for work_class in WorkClass:
             for team, items in self._queues.waiting(self._pool, work_class).items():
-                units[team] += items * self._size(team)
+                units[team] += items * self.size_of(team)
         return units
 
-    def view(self) -> dict[TeamId, float]:
-        """Return what each team runs across the fleet, as this owner knows it."""
-        teams = self.running.keys() | self.others.keys()
-        return {t: self.running[t] + self.others.get(t, 0.0) for t in teams}
+    def size_of(self, team: TeamId) -> float:
+        """Return the units that a run of ``team`` is believed to take."""
+        return self._sizes.of("", team) if self._policy.learn_sizes else 1.0
 
     # Starting runs.
 
@@ -224,7 +231,7 @@
         item = self._reserved
         if item is None or not self._may_start(item.team):
             return
-        exclude, units = self._exclude(item.task), self._size(item.team)
+        exclude, units = self._exclude(item.task), self.size_of(item.team)
         if self._pick(exclude, units, item.task) is not None:
             self._queues.cancel(item.request)
             self._start(self._jobs[item.request])
@@ -243,7 +250,7 @@
             return self._queues.next_item(
                 self._pool,
                 self._board.shares,
-                self.view(),
+                self.counts.running,
                 self._may_start,
                 self._loop.now,
                 self._board.due,
@@ -265,7 +272,7 @@
 
     def _start(self, job: Job, hedge: bool = False) -> bool:
         item = job.item
-        units = self._size(item.team)
+        units = self.size_of(item.team)
         vm = self._pick(self._exclude(item.task), units, item.task)
         if vm is None:
             if not hedge:
@@ -277,8 +284,8 @@
         self._release(item.task)
         self._runs[item.task].append(run)
         self._board.runs[item.team] += 1
-        self.running[item.team] += units
-        self.endpoints.note_start(vm, self._loop.now, units)
+        self.counts.change(item.team, units)
+        self.endpoints.note_start(vm, item.task, self._loop.now, units)
         self._report.attempts += 1
         run.key = run.worker.start(job, lambda result: self._ended(run, result))
         if self._policy.hedge and not hedge:
@@ -311,15 +318,13 @@
         rows = self._rng.sample(rows, min(few, len(rows)))
         return min(rows, key=lambda row: row.running).vm if rows else None
 
-    def _size(self, team: TeamId) -> float:
-        return self._sizes.of("", team) if self._policy.learn_sizes else 1.0
-
     # Ends of runs.
 
     def _ended(self, run: _Run, result: RunResult) -> None:
         item = run.job.item
         if run not in self._runs[item.task]:
             return
+        self._report.failed_attempts += result is RunResult.FAILED
         self._sizes.observe("", item.team, run.job.units)
         verdict = self._finish(run, result)
         if result is RunResult.DONE:
@@ -337,7 +342,7 @@
         item, vm, now = run.job.item, run.worker.endpoint.vm, self._loop.now
         self._runs[item.task].remove(run)
         self._board.runs[item.team] -= 1
-        self.running[item.team] -= run.units
+        self.counts.change(item.team, -run.units)
         self._preemption.note_finish(item.task)
         if not self._policy.eject and result in (RunResult.FAILED, RunResult.SILENT):
             result = RunResult.STOPPED
@@ -368,9 +373,11 @@
         self.endpoints.forget_task(item.task)
         self._release(item.task)
         self._runs.pop(item.task, None)
-        if self._jobs.pop(item.request, None) is None:
+        job = self._jobs.pop(item.request, None)
+        if job is None:
             return
-        report, urgent = self._report, item.work_class is WorkClass.URGENT
+        report = self._report
+        urgent = item.work_class is WorkClass.URGENT and not job.bad
         in_time = run is not None and run.started < item.deadline
         report.answered += run is not None
         report.not_run += run is None
@@ -414,7 +421,7 @@
                 self._ended(run, RunResult.SILENT)
 
     def _make_room(self) -> None:
-        now, view = self._loop.now, self.view()
+        now, view = self._loop.now, self.counts.running
         self._blocked.clear()
         demands = []
         for work_class in WorkClass:
@@ -422,7 +429,7 @@
             for team, head in self._queues.heads(self._pool, work_class).items():
                 if not self._may_start(team):
                     continue
-                units = counts[team] * self._size(team)
+                units = counts[team] * self.size_of(team)
                 demands.append(
                     Demand(
                         team=team,
@@ -456,14 +463,14 @@
 
     def _as_task(self, run: _Run) -> RunningTask:
         item = run.job.item
-        mean = self.endpoints.run_times.of(item.queue).mean
+        high = self.endpoints.run_times.of(item.queue).high
         return RunningTask(
             task=item.task,
             team=item.team,
             vm=run.worker.endpoint.vm,
             work_class=item.work_class,
             started=run.started,
-            ends=run.started + mean,
+            ends=run.started + high,
             units=run.units,
             checkpoints=item.work_class is WorkClass.BATCH,
             idempotent=item.idempotent,
