--- a/hickoryplank/core/maintenance.py
+++ b/hickoryplank/core/maintenance.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
-from hickoryplank.core.ids import OperatorId, PoolId, RecordId, Revision, VmId, WaveId
+from hickoryplank.core.ids import OperatorId, PoolId, RecordId, VmId, WaveId
 from hickoryplank.core.objects import Kind
+from hickoryplank.core.outstanding import Outstanding
 from hickoryplank.core.records import (
     VmMoved,
     VmReport,
@@ -169,7 +170,7 @@
         self._new_id = new_id
         self._sequence = -1
         self._views: dict[WaveId, WaveView] = {}
-        self._made: dict[VmId, tuple[Revision, float]] = {}
+        self._made = Outstanding(policy.retry)
         self._asked: dict[VmId, float] = {}
         self._ended: dict[WaveId, float] = {}
 
@@ -184,28 +185,16 @@
         self._forget(tables, now)
         proposals = list(self._return_for_budget(tables, now))
         for vm, row in list(tables.vm_index.away.items()):
-            if vm in evidence and not self._in_flight(row):
+            if vm in evidence and not self._made.has(row):
                 proposals.extend(self._next(tables, row, evidence[vm], now))
         proposals.extend(self._run_waves(tables, evidence, now))
         self._sequence = tables.sequence
         return proposals
 
     def _forget(self, tables: Tables, now: float) -> None:
-        for vm, (revision, made) in list(self._made.items()):
-            row = tables.vms.get(vm)
-            if row is not None and row.revision == revision:
-                if now - made < self._policy.retry:
-                    continue
-                for view in self._views.values():
-                    view.look_again(row.pool)
-            del self._made[vm]
-
-    def _in_flight(self, row: VmRow) -> bool:
-        made = self._made.get(row.vm)
-        return made is not None and made[0] == row.revision
-
-    def _note(self, row: VmRow, now: float) -> None:
-        self._made[row.vm] = (row.revision, now)
+        for row in self._made.forget(tables, now):
+            for view in self._views.values():
+                view.look_again(row.pool)
 
     def _step(
         self,
@@ -215,7 +204,7 @@
         wave: WaveId | None = None,
         boot: str = "",
     ) -> VmStep:
-        self._note(row, now)
+        self._made.note(row, now)
         return VmStep(
             id=self._new_id(),
             vm=row.vm,
@@ -226,14 +215,14 @@
         )
 
     def _report(self, row: VmRow, healthy: bool, now: float) -> VmReport:
-        self._note(row, now)
+        self._made.note(row, now)
         return VmReport(id=self._new_id(), vm=row.vm, healthy=healthy)
 
     def _return_for_budget(self, tables: Tables, now: float) -> Iterator[VmStep]:
         """Call back VMs that still can return, where failures broke a budget."""
         missing: dict[PoolId, int] = {}
         for row in tables.vm_index.away.values():
-            if not _can_return(row) or self._in_flight(row):
+            if not _can_return(row) or self._made.has(row):
                 continue
             if row.pool not in missing:
                 budget = budget_of(tables, row.pool)
@@ -282,7 +271,7 @@
         if pool is None or left <= budget_of(tables, row.pool):
             yield self._step(row, VmState.ACTIVE, now)
             return
-        self._note(row, now)
+        self._made.note(row, now)
         yield VmMoved(
             id=self._new_id(), vm=row.vm, revision=row.revision, pool=row.target
         )
@@ -343,7 +332,7 @@
                 self._views[wave.wave] = WaveView(wave, self._given_up)
             view = self._views[wave.wave]
             view.refresh(wave, changed)
-            for row in view.leaving(tables, self._in_flight):
+            for row in view.leaving(tables, self._made.has):
                 yield from self._leave(row, wave.wave, evidence, now)
                 view.look_again(row.pool)
             if view.finished and wave.state is WaveState.RUNNING:
--- /dev/null
+++ b/hickoryplank/core/moves.py
@@ -0,0 +1,262 @@
+"""The moves system: VMs follow demand between pools, through the spare pool.
+
+The buffer is VMs that stand drained in the spare pool. One of them joins a pool
+with two records and no drain. Pools give VMs back only while the buffer is
+short, and only what they have not needed for the time of the hysteresis.
+
+The planner decides who goes where; the steps on the way there are proposed by
+``hickoryplank.core.maintenance``, which follows the target in a VM's row.
+"""
+
+import math
+from collections.abc import Callable, Iterator, Mapping
+
+import msgspec
+
+from hickoryplank.core.demand import PoolDemand
+from hickoryplank.core.ids import PoolId, RecordId, VmId
+from hickoryplank.core.objects import Kind
+from hickoryplank.core.outstanding import Outstanding
+from hickoryplank.core.records import VmMoved, VmState, VmStep
+from hickoryplank.core.tables import Tables, VmRow
+from hickoryplank.core.vms import budget_of
+from hickoryplank.core.waves import is_standby
+
+__all__ = ["MovePlanner", "MovePolicy", "spare_pool"]
+
+_DEFAULT_SLOTS = 8
+
+
+class MovePolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """The operator's choice between buffer cost, waiting work and moves.
+
+    :param buffer_vms: VMs that stand drained in the spare pool.
+    :param hysteresis: seconds for which a pool keeps what it has needed.
+    :param fill: share of a pool's slots that demand may take before it grows.
+    :param retry: seconds before the same proposal is made again.
+    """
+
+    buffer_vms: int = 2
+    hysteresis: float = 60.0
+    fill: float = 0.9
+    retry: float = 5.0
+
+
+def spare_pool(tables: Tables) -> PoolId | None:
+    """Return the pool that is the buffer; the first by name, if there are more."""
+    spares = [name for name, row in tables.objects[Kind.POOL].items() if row.obj.spare]
+    return min(spares, default=None)
+
+
+class _Sizes(msgspec.Struct):
+    """How many VMs a pool has, needs now and held lately.
+
+    :param have: VMs in service or on their way into the pool.
+    """
+
+    pool: PoolId
+    have: int
+    need: int
+    hold: int
+    wait: float
+
+    @property
+    def lacking(self) -> int:
+        return self.need - self.have
+
+    @property
+    def surplus(self) -> int:
+        return self.have - self.hold
+
+
+class MovePlanner:
+    """Proposes moves; any node may run one, and the fold refuses late records.
+
+    :param new_id: gives a record id that no other record has.
+    """
+
+    def __init__(self, policy: MovePolicy, new_id: Callable[[], RecordId]) -> None:
+        self._policy = policy
+        self._new_id = new_id
+        self._made = Outstanding(policy.retry)
+        self._bound: dict[VmId, PoolId] = {}
+
+    def tick(
+        self, tables: Tables, demand: Mapping[PoolId, PoolDemand], now: float
+    ) -> list[VmStep | VmMoved]:
+        """Return the records that bring pools nearer to their demand.
+
+        :param demand: of the pools that have any; others are not changed.
+        :param now: monotonic time, in seconds.
+        """
+        self._made.forget(tables, now)
+        spare = spare_pool(tables)
+        if spare is None:
+            return []
+        sizes = self._sizes(tables, demand)
+        proposals = []
+        for size in sorted(sizes, key=lambda size: (-size.wait, size.pool)):
+            if size.lacking > 0:
+                proposals.extend(self._grow(tables, size, sizes, spare, now))
+        proposals.extend(self._fill_buffer(tables, sizes, spare, now))
+        return proposals
+
+    def _sizes(
+        self, tables: Tables, demand: Mapping[PoolId, PoolDemand]
+    ) -> list[_Sizes]:
+        incoming = self._incoming(tables)
+        return [
+            self._size(tables, wish, incoming.get(pool, 0))
+            for pool, wish in demand.items()
+            if pool in tables.objects[Kind.POOL]
+        ]
+
+    def _incoming(self, tables: Tables) -> dict[PoolId, int]:
+        """Count the VMs bound for each pool, folded or proposed."""
+        incoming: dict[PoolId, int] = {}
+        for vm, pool in list(self._bound.items()):
+            row = tables.vms.get(vm)
+            if row is None or not self._made.has(row):
+                del self._bound[vm]
+            else:
+                incoming[pool] = incoming.get(pool, 0) + 1
+        for vm, row in tables.vm_index.away.items():
+            bound = row.target not in (None, row.pool) and vm not in self._bound
+            if bound and row.healthy:
+                incoming[row.target] = incoming.get(row.target, 0) + 1
+        return incoming
+
+    def _size(self, tables: Tables, wish: PoolDemand, incoming: int) -> _Sizes:
+        rows = tables.members(wish.pool)
+        floor = budget_of(tables, wish.pool) + 1
+        slots = self._policy.fill * _slots_of(tables, rows)
+        need = math.ceil(wish.slots / slots)
+        hold = math.ceil(max(wish.slots, wish.peak) / slots)
+        spare = tables.objects[Kind.POOL][wish.pool].obj.spare
+        coming = 0 if spare else sum(self._joins(row) for row in rows)
+        return _Sizes(
+            pool=wish.pool,
+            have=sum(row.in_service and not self._made.has(row) for row in rows)
+            + coming
+            + incoming,
+            need=max(floor, need),
+            hold=max(floor, hold),
+            wait=wish.wait,
+        )
+
+    def _joins(self, row: VmRow) -> bool:
+        """Return whether a VM is in its target pool and about to serve there."""
+        drained = row.state is VmState.DRAINED and row.target == row.pool
+        return drained and row.healthy and not row.wave and not self._made.has(row)
+
+    def _is_buffer(self, row: VmRow) -> bool:
+        return is_standby(row) and not self._made.has(row)
+
+    def _buffer(self, tables: Tables, spare: PoolId) -> list[VmRow]:
+        rows = sorted(tables.members(spare), key=lambda row: row.vm)
+        return [row for row in rows if row.healthy and self._is_buffer(row)]
+
+    def _grow(
+        self,
+        tables: Tables,
+        size: _Sizes,
+        sizes: list[_Sizes],
+        spare: PoolId,
+        now: float,
+    ) -> Iterator[VmStep | VmMoved]:
+        for row in self._returning(tables, size)[: size.lacking]:
+            size.have += 1
+            yield self._step(row, VmState.ACTIVE, None, now)
+        for row in self._buffer(tables, spare)[: max(0, size.lacking)]:
+            if not self._may_go(tables, row, size.pool):
+                break
+            size.have += 1
+            yield self._draw(row, size.pool, now)
+        for donor in sorted(sizes, key=lambda other: (-other.surplus, other.pool)):
+            if donor.pool != size.pool:
+                yield from self._lend(tables, donor, size, now)
+
+    def _returning(self, tables: Tables, size: _Sizes) -> list[VmRow]:
+        """Return the VMs that are leaving the pool on a move and can stay."""
+        return [
+            row
+            for row in tables.members(size.pool)
+            if row.state is VmState.LEAVING
+            and row.target not in (None, size.pool)
+            and not self._made.has(row)
+        ]
+
+    def _may_go(self, tables: Tables, row: VmRow, pool: PoolId) -> bool:
+        if row.pool == pool:
+            return True
+        members = tables.members(row.pool)
+        leaving = sum(other.target not in (None, row.pool) for other in members)
+        going = sum(self._made.has(other) for other in members)
+        return len(members) - leaving - going - 1 > budget_of(tables, row.pool)
+
+    def _draw(self, row: VmRow, pool: PoolId, now: float) -> VmStep | VmMoved:
+        if row.pool == pool:
+            return self._step(row, VmState.ACTIVE, None, now)
+        self._made.note(row, now)
+        self._bound[row.vm] = pool
+        return VmMoved(id=self._new_id(), vm=row.vm, revision=row.revision, pool=pool)
+
+    def _lend(
+        self, tables: Tables, donor: _Sizes, size: _Sizes, now: float
+    ) -> Iterator[VmStep]:
+        count = min(donor.surplus, size.lacking)
+        yield from self._send(tables, donor, size.pool, count, now)
+        size.have += max(0, count)
+
+    def _send(
+        self, tables: Tables, donor: _Sizes, target: PoolId, count: int, now: float
+    ) -> Iterator[VmStep]:
+        rows = [
+            row
+            for row in tables.members(donor.pool)
+            if row.in_service and not self._made.has(row)
+        ]
+        count = min(count, len(rows) - budget_of(tables, donor.pool))
+        for row in sorted(rows, key=lambda row: row.vm)[: max(0, count)]:
+            if target != row.pool and not self._may_go(tables, row, target):
+                return
+            donor.have -= 1
+            yield self._step(row, VmState.LEAVING, target, now)
+
+    def _fill_buffer(
+        self, tables: Tables, sizes: list[_Sizes], spare: PoolId, now: float
+    ) -> Iterator[VmStep]:
+        buffer = self._buffer(tables, spare)
+        coming = sum(
+            row.target == spare and row.state is VmState.LEAVING
+            for row in tables.vm_index.away.values()
+        )
+        short = self._policy.buffer_vms - len(buffer) - coming
+        if short < 0:
+            for row in buffer[:-short]:
+                yield self._step(row, VmState.ACTIVE, None, now)
+        for donor in sorted(sizes, key=lambda other: (-other.surplus, other.pool)):
+            count = min(short, donor.surplus)
+            if count > 0:
+                yield from self._send(tables, donor, spare, count, now)
+                short -= count
+
+    def _step(
+        self, row: VmRow, state: VmState, target: PoolId | None, now: float
+    ) -> VmStep:
+        self._made.note(row, now)
+        self._bound[row.vm] = target or row.pool
+        return VmStep(
+            id=self._new_id(),
+            vm=row.vm,
+            revision=row.revision,
+            state=state,
+            target=target,
+        )
+
+
+def _slots_of(tables: Tables, rows: list[VmRow]) -> float:
+    """Return the mean slots of a pool's VMs."""
+    ends = [tables.endpoint_of(row.vm) for row in rows]
+    slots = [end.slots for end in ends if end is not None]
+    return sum(slots) / len(slots) if slots else _DEFAULT_SLOTS
