--- a/hickoryplank/shell/api.py
+++ b/hickoryplank/shell/api.py
@@ -24,11 +24,11 @@
     WorkAnswer,
     WorkRequest,
 )
+from hickoryplank.shell.caller_problems import OUTCOME_HEADER, problem_of, refusal
 from hickoryplank.shell.claims import answer_of, claim_of, task_of
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.edge import Edge
 from hickoryplank.shell.keys import KeyIndex, may_submit
-from hickoryplank.shell.caller_problems import OUTCOME_HEADER, problem_of, refusal
 from hickoryplank.shell.replica import Replica
 from hickoryplank.shell.service import find_queue
 
