--- a/hickoryplank/cli/output.py
+++ b/hickoryplank/cli/output.py
@@ -27,6 +27,7 @@
 ]
 
 _UNAUTHORIZED = 401
+_FIRST_SERVER_ERROR = 500
 
 
 class ExitCode(IntEnum):
@@ -129,6 +130,8 @@
 def _code(status: int, outcome: ProblemOutcome) -> ExitCode:
     if outcome is ProblemOutcome.UNKNOWN:
         return ExitCode.UNKNOWN
+    if status >= _FIRST_SERVER_ERROR:
+        return ExitCode.UNREACHABLE
     return ExitCode.NOT_OPERATOR if status == _UNAUTHORIZED else ExitCode.REFUSED
 
 
--- a/hickoryplank/cli/parser.py
+++ b/hickoryplank/cli/parser.py
@@ -27,7 +27,7 @@
   0  done, and in force where something was published
   1  refused; nothing has taken effect
   2  bad arguments or files
-  3  no entry answers; nothing has taken effect
+  3  no entry answers, or none can publish now; nothing has taken effect
   4  published, and not yet in force on every node
   5  the outcome is unknown; look at 'history' before you repeat it
   6  the entry does not accept the operator's token
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -82,7 +82,7 @@
         """Answer one request."""
         app = self._apps.get(request.url.host)
         if app is None:
-            raise httpx.ConnectError("connection refused", request=request)
+            raise httpx.ConnectError("down", request=request)
         return anyio.run(_call, app, request)
 
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,214 @@
+"""Tests of the command line: what it writes, and its exit codes."""
+
+import sys
+from types import ModuleType
+
+import httpx
+import msgspec
+import pytest
+
+from hickoryplank.cli import ExitCode, main
+from hickoryplank.client import Session, drain_vm, wait_in_force
+from hickoryplank.core.fold import fold
+from hickoryplank.core.objects import Kind, Pool
+from hickoryplank.core.records import VmState, VmStep
+from hickoryplank.operator_api import ObjectsAnswer, PublishState
+from hickoryplank.platform.errors import LogError
+from tests.core.build import folded, join, new_id, small_fleet
+from tests.operators import ENTRY, TOKEN, AppTransport, FakeControl, operator_app
+
+EXAMPLES = ["examples/cascoteo-sur.ini", "examples/andegarden.ini"]
+IN_FORCE = PublishState.IN_FORCE
+DOWN = "http://192.0.2.9:8080"
+LIMIT = "[limit rutas]\nunits = 3\n"
+
+
+class Cli:
+    """Runs commands against one entry in memory."""
+
+    def __init__(self, path, capsys):
+        self.path, self.capsys = path, capsys
+        objects = [*small_fleet(), Pool(name="spare", spare=True)]
+        self.control = FakeControl(folded(objects))
+        join(self.control.tables, "entry-1")
+        self.transport = AppTransport({"192.0.2.7": operator_app(self.control)})
+        self.entries = [ENTRY]
+        self.token = TOKEN
+
+    def file(self, text, name="edit.ini"):
+        (self.path / name).write_text(text)
+        return str(self.path / name)
+
+    def run(self, *argv):
+        entries = [arg for entry in self.entries for arg in ("--entry", entry)]
+        token = self.file(self.token, "token")
+        code = main([*entries, "--token-file", token, *argv], self.transport)
+        out, err = (text.replace(str(self.path), "DIR") for text in self.read())
+        assert TOKEN not in out + err
+        return code, out, err
+
+    def read(self):
+        captured = self.capsys.readouterr()
+        return captured.out, captured.err
+
+
+@pytest.fixture
+def cli(tmp_path, capsys, monkeypatch):
+    monkeypatch.setenv("COLUMNS", "80")
+    return Cli(tmp_path, capsys)
+
+
+@pytest.mark.parametrize("command", [[], ["apply"], ["key", "create"], ["claims"]])
+def test_help(cli, snapshot, command):
+    assert cli.run(*command, "--help") == snapshot
+
+
+@pytest.mark.parametrize(
+    "argv",
+    [
+        ["get"],
+        ["get", "pool", "spare", "--format", "json"],
+        ["get", "--format", "ini"],
+        ["status"],
+        ["key", "list"],
+        ["wave", "start", "june", "rondas-norte"],
+        ["drain", "vm-0", "--format", "json"],
+    ],
+)
+def test_answers(cli, snapshot, argv):
+    assert cli.run(*argv) == snapshot
+
+
+def test_plan_and_history(cli, snapshot):
+    file = cli.file(LIMIT + "[pool new]\n[delete key rutas-1]\n[team rutas]\n")
+    assert cli.run("plan", file) == snapshot
+    assert cli.run("apply", "--dry-run", file) == cli.run("plan", file)
+    assert cli.control.offset == 0
+    assert cli.run("apply", file)[0] == ExitCode.OK
+    assert cli.run("drain", "vm-9")[0] == ExitCode.REFUSED
+    assert cli.run("history") == snapshot
+
+
+def test_status_shows_what_is_out_of_service(cli, snapshot):
+    cli.control.waiting = ("entry-2",)
+    for argv in (["move", "vm-0", "spare"], ["wave", "start", "june", "spare"]):
+        assert cli.run(*argv)[0] == ExitCode.PUBLISHED
+    row = cli.control.tables.vms["vm-0"]
+    step = VmStep(id=new_id(), vm="vm-0", revision=row.revision, state=VmState.DRAINED)
+    fold(cli.control.tables, step).unwrap()
+    assert cli.run("status") == snapshot
+
+
+def test_faults_name_file_section_and_key(cli, snapshot):
+    bad = cli.file("[limit rutas]\nunits = many\nunit = 3\n[pol x]\n", "bad.ini")
+    refused = cli.file("[limit nobody]\nunits = 3\n[queue q]\npool = no\n")
+    for argv in (["check", bad], ["check", refused], ["apply", refused]):
+        assert cli.run(*argv) == snapshot
+    assert cli.run("check", "--complete", refused)[0] == ExitCode.REFUSED
+    assert cli.run("plan", "no-such-file")[0] == ExitCode.USAGE
+
+
+@pytest.mark.parametrize("example", EXAMPLES)
+def test_examples_hold_together(cli, example):
+    assert cli.run("check", "--complete", example) == (ExitCode.OK, "58 objects\n", "")
+    cli.control.tables.objects.update({kind: {} for kind in Kind})
+    cli.control.tables.vms.clear()
+    assert cli.run("apply", example)[0] == ExitCode.OK
+    assert len(cli.control.tables.vms) == 30
+
+
+def test_objects_can_be_edited_and_applied_again(cli):
+    text = cli.run("get", "--format", "ini")[1]
+    plan = cli.run("plan", cli.file(text), "--format", "json")[1]
+    assert {change["kind"] for change in msgspec.json.decode(plan)["changes"]} == {
+        "none"
+    }
+    assert cli.run("apply", cli.file(text.replace("= 8\n", "= 5\n", 1)))[0] == 0
+    assert cli.control.tables.limit_of("rutas") == 5
+
+
+def test_exit_codes(cli):
+    file = cli.file(LIMIT)
+    cli.entries = [DOWN, ENTRY]
+    assert cli.run("plan", file)[0] == ExitCode.OK
+    cli.control.waiting = ("entry-2",)
+    assert cli.run("apply", file)[0] == ExitCode.PUBLISHED
+    assert cli.run("apply", file, "--wait", "--timeout", "0")[0] == ExitCode.PUBLISHED
+    cli.control.failure = LogError.UNKNOWN
+    assert cli.run("apply", file)[0] == ExitCode.UNKNOWN
+    cli.control.failure = LogError.UNAVAILABLE
+    assert cli.run("apply", file)[0] == ExitCode.UNREACHABLE
+    cli.token = "other"
+    assert cli.run("status")[0] == ExitCode.NOT_OPERATOR
+    cli.entries = [DOWN]
+    code, _, err = cli.run("status")
+    assert (code, err) == (ExitCode.UNREACHABLE, f"no entry answers: {DOWN}: down\n")
+    cli.entries = ["192.0.2.7"]
+    assert cli.run("status")[0] == ExitCode.USAGE
+    assert cli.run("frobnicate")[0] == ExitCode.USAGE
+
+
+def test_lost_answer_is_asked_for_at_the_next_entry(cli):
+    app = operator_app(cli.control)
+
+    class Losing(AppTransport):
+        def handle_request(self, request):
+            res = super().handle_request(request)
+            if request.url.host == "192.0.2.8" and request.url.path.endswith("edits"):
+                raise httpx.ReadTimeout("lost", request=request)
+            return res
+
+    cli.transport = Losing({"192.0.2.7": app, "192.0.2.8": app})
+    cli.entries = ["http://192.0.2.8:8080", ENTRY]
+    assert cli.run("apply", cli.file(LIMIT))[0] == ExitCode.OK
+    assert cli.control.offset == 1
+    cli.entries.pop()
+    assert cli.run("apply", cli.file(LIMIT))[0] == ExitCode.UNKNOWN
+
+
+def test_wait_ends_once_it_is_in_force(cli):
+    session = Session((ENTRY,), TOKEN, transport=cli.transport)
+    cli.control.waiting = ("entry-2",)
+    published = drain_vm(session, "vm-0").unwrap()
+    assert published.waiting_for == ("entry-2",)
+
+    def pause(seconds):
+        cli.control.waiting = ()
+
+    done = wait_in_force(session, published, sleep=pause)
+    assert done == msgspec.structs.replace(published, state=IN_FORCE, waiting_for=())
+
+
+def test_key_secret_is_written_once_and_kept_as_a_digest(cli):
+    code, out, _ = cli.run("key", "create", "rutas-2", "rutas", "--format", "json")
+    secret = msgspec.json.decode(out)["secret"]
+    assert code == ExitCode.OK
+    assert cli.run("key", "create", "rutas-2", "rutas")[0] == ExitCode.REFUSED
+    shown = [cli.run(*argv)[1] for argv in (["get"], ["key", "list"], ["history"])]
+    assert not any(secret in text for text in shown)
+    assert cli.run("key", "withdraw", "rutas-2")[0] == ExitCode.OK
+    answer = cli.run("get", "key", "--format", "json")[1]
+    assert len(msgspec.json.decode(answer, type=ObjectsAnswer).objects) == 1
+
+
+def test_client_file_gives_entries_and_token(cli):
+    file = f"[client]\nentries = {ENTRY}\ntoken_file = {cli.file(TOKEN, 'token')}\n"
+    path = cli.file(file, "client.ini")
+    assert main(["--client-file", path, "status"], cli.transport) == ExitCode.OK
+    path = cli.file(file.replace("entries", "entry"), "client.ini")
+    assert main(["--client-file", path, "status"], cli.transport) == ExitCode.USAGE
+
+
+def test_settings_and_serve(cli, snapshot, monkeypatch):
+    secret = cli.file("0123456789abcdef", "cluster-secret")
+    with open("examples/entry.ini") as example:
+        text = example.read().replace("= cluster-secret", f"= {secret}")
+    file = cli.file(text)
+    assert cli.run("settings", file) == snapshot
+    served = []
+    module = ModuleType("hickoryplank.shell.serve")
+    module.run = served.append
+    monkeypatch.setitem(sys.modules, "hickoryplank.shell.serve", module)
+    assert cli.run("serve", file)[0] == ExitCode.OK
+    assert [cfg.node.name for cfg in served] == ["entry-1"]
+    assert cli.run("serve", cli.file("[node]\n"))[0] == ExitCode.USAGE
