--- a/hickoryplank/cli/edit_commands.py
+++ b/hickoryplank/cli/edit_commands.py
@@ -29,7 +29,7 @@
 from hickoryplank.core.edits import check_edits
 from hickoryplank.core.errors import FaultCode
 from hickoryplank.core.ids import KeyId, OperatorId, RecordId, TeamId
-from hickoryplank.core.objects import Kind
+from hickoryplank.core.objects import Kind, ref_of
 from hickoryplank.core.records import EditSet, Put
 from hickoryplank.core.tables import Tables
 from hickoryplank.ini import (
@@ -135,7 +135,7 @@
 
 
 def _plan(args: Namespace, session: Session, objects: ObjectSet) -> Reply:
-    match client.plan_edits(session, objects.edits):
+    match client.plan_edits(session, objects.edits, objects.revisions):
         case Err(error):
             return error_reply(error, objects.files)
         case Ok(answer):
@@ -150,7 +150,7 @@
 def _apply(args: Namespace, session: Session, objects: ObjectSet) -> Reply:
     if args.dry_run:
         return _plan(args, session, objects)
-    result = client.apply_edits(session, objects.edits)
+    result = client.apply_edits(session, objects.edits, objects.revisions)
     return publish(args, session, result, objects.files)
 
 
@@ -182,7 +182,8 @@
         return Reply(ExitCode.REFUSED, errors=errors)
     if args.format is Output.INI:
         edits = tuple(Put(view.obj) for view in answer.objects)
-        return Reply(ExitCode.OK, format_objects(edits))
+        revisions = {ref_of(view.obj): view.revision for view in answer.objects}
+        return Reply(ExitCode.OK, format_objects(edits, revisions))
     return Reply(ExitCode.OK, show(args.format, answer, object_tables(answer)))
 
 
--- a/hickoryplank/cli/tables.py
+++ b/hickoryplank/cli/tables.py
@@ -27,6 +27,8 @@
     "status_tables",
 ]
 
+_DIGEST_DIGITS = 12
+
 
 def object_tables(answer: ObjectsAnswer) -> list[Table]:
     """Return the objects in force, one line each."""
@@ -38,7 +40,7 @@
     ref = ref_of(view.obj)
     fields = {key: getattr(view.obj, key) for key in view.obj.__struct_fields__}
     text = " ".join(
-        f"{key}={format_value(value)}"
+        f"{key}={_short(key, format_value(value))}"
         for key, value in fields.items()
         if key != "name" and value is not None and value != ()
     )
@@ -63,7 +65,15 @@
     head = (change.kind.value, str(change.ref))
     if not change.fields:
         return [(*head, "", "", "")]
-    return [(*head, each.key, each.old or "", each.new or "") for each in change.fields]
+    return [
+        (*head, each.key, _short(each.key, each.old), _short(each.key, each.new))
+        for each in change.fields
+    ]
+
+
+def _short(key: str, text: str | None) -> str:
+    """Return a field's text; of a digest only as much as tells it from others."""
+    return (text or "")[:_DIGEST_DIGITS] if key == "digest" else text or ""
 
 
 def published_tables(published: Published) -> list[Table]:
--- a/hickoryplank/client.py
+++ b/hickoryplank/client.py
@@ -7,7 +7,7 @@
 import hashlib
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 from urllib.parse import quote
 
@@ -24,7 +24,7 @@
     post,
 )
 from hickoryplank.core.edits import base_for
-from hickoryplank.core.ids import ClaimId, KeyId, PoolId, TeamId, VmId, WaveId
+from hickoryplank.core.ids import ClaimId, KeyId, PoolId, Revision, TeamId, VmId, WaveId
 from hickoryplank.core.objects import Key, Kind, Ref
 from hickoryplank.core.records import BaseRevision, Delete, Put
 from hickoryplank.core.tables import Tables
@@ -84,29 +84,57 @@
 
 
 def plan_edits(
-    session: Session, edits: tuple[Put | Delete, ...]
+    session: Session,
+    edits: tuple[Put | Delete, ...],
+    revisions: Mapping[Ref, Revision] | None = None,
 ) -> Result[PlanAnswer, ClientError]:
-    """Check a set of edits and return what it would change."""
-    return post(session, "plan", PlanRequest(edits), PlanAnswer, safe=True)
+    """Check a set of edits and return what it would change.
+
+    :param revisions: the revisions at which the author read objects; the others
+        are read from the entry.
+    """
+    plan = post(session, "plan", PlanRequest(edits), PlanAnswer, safe=True)
+    if plan.is_err() or not revisions:
+        return plan
+    base = _with_revisions(plan.unwrap().base, revisions)
+    return post(session, "plan", PlanRequest(edits, base), PlanAnswer, safe=True)
+
+
+def _with_revisions(
+    base: tuple[BaseRevision, ...], revisions: Mapping[Ref, Revision]
+) -> tuple[BaseRevision, ...]:
+    return tuple(
+        BaseRevision(one.ref, revisions.get(one.ref, one.revision)) for one in base
+    )
 
 
 def apply_edits(
     session: Session,
     edits: tuple[Put | Delete, ...],
-    base: tuple[BaseRevision, ...] | None = None,
+    revisions: Mapping[Ref, Revision] | None = None,
 ) -> Result[Published, ClientError]:
-    """Publish a set of edits.
+    """Publish the edits that change something, as one set.
 
-    :param base: the revisions that the author read; read from the entry if they
-        are ``None``.
+    :param revisions: the revisions at which the author read objects; the others
+        are read from the entry.
+    :return: how far the set has come; if nothing changes, how far all that the
+        entry has folded has come.
     """
-    if base is None:
-        match plan_edits(session, edits):
-            case Err(error):
-                return Err(error)
-            case Ok(plan):
-                base = plan.base
-    return post(session, "edits", EditRequest(base, edits), Published)
+    plan = post(session, "plan", PlanRequest(edits), PlanAnswer, safe=True)
+    if plan.is_err():
+        return plan
+    answer = plan.unwrap()
+    kept = tuple(
+        edit
+        for edit, change in zip(edits, answer.changes, strict=True)
+        if change.kind is not ChangeKind.NONE
+    )
+    if not kept:
+        return get(session, f"published?offset={answer.offset}", Published)
+    needed = {one.ref for one in new_base(kept)}
+    base = tuple(one for one in answer.base if one.ref in needed)
+    request = EditRequest(_with_revisions(base, revisions or {}), kept)
+    return post(session, "edits", request, Published)
 
 
 def wait_in_force(
@@ -215,7 +243,7 @@
             problem = Problem(title="Key exists", status=409, detail=detail)
             return Err(Refused(problem))
         case Ok(plan):
-            published = apply_edits(session, edits, plan.base)
+            published = post(session, "edits", EditRequest(plan.base, edits), Published)
             return published.map(lambda done: NewKey(name, secret, done))
 
 
@@ -226,7 +254,13 @@
 
 def withdraw_key(session: Session, name: KeyId) -> Result[Published, ClientError]:
     """Withdraw a key, which stops working once the record is in force."""
-    return apply_edits(session, (Delete(Ref(Kind.KEY, name)),))
+    edits = (Delete(Ref(Kind.KEY, name)),)
+    plan = plan_edits(session, edits)
+    return plan.and_then(
+        lambda answer: post(
+            session, "edits", EditRequest(answer.base, edits), Published
+        )
+    )
 
 
 def _quote(name: str) -> str:
--- a/hickoryplank/ini.py
+++ b/hickoryplank/ini.py
@@ -1,8 +1,12 @@
 """Sets of objects in INI: parsed with every fault at once, and written back."""
 
+from collections.abc import Mapping
+
 import msgspec
+from msgspec import inspect
 from result import Err, Ok, Result
 
+from hickoryplank.core.ids import Revision
 from hickoryplank.core.objects import (
     ConfigObject,
     Endpoint,
@@ -18,7 +22,7 @@
 )
 from hickoryplank.core.records import Delete, Put
 from hickoryplank.ini_text import IniFault, Section, read_sections
-from hickoryplank.ini_values import build_struct, format_value
+from hickoryplank.ini_values import build_struct, format_value, parse_value
 
 __all__ = [
     "IniFault",
@@ -40,6 +44,8 @@
 }
 _KINDS = {kind.value: kind for kind in Kind}
 _DELETE = "delete"
+_REVISION = "revision"
+_REVISION_TYPE = inspect.IntType()
 _KIND_NAMES = ", ".join(kind.value for kind in Kind)
 _SECTION_FORM = (
     f"unknown section; must be [KIND NAME] or [delete KIND NAME], KIND one of"
@@ -57,10 +63,25 @@
 
 
 class ObjectSet(msgspec.Struct, frozen=True):
-    """The edits of one or more files, and the file that holds each."""
+    """The edits of one or more files.
+
+    :param files: the file that holds each edit.
+    :param revisions: the revisions at which their author read the objects, as far
+        as the files tell.
+    """
 
     edits: tuple[Edit, ...]
     files: dict[Ref, str]
+    revisions: dict[Ref, Revision]
+
+
+class _Parsed(msgspec.Struct, frozen=True):
+    edit: Edit
+    revision: Revision | None
+
+    @property
+    def ref(self) -> Ref:
+        return self.edit.ref if isinstance(self.edit, Delete) else ref_of(self.edit.obj)
 
 
 def parse_objects(text: str, file: str) -> Result[ObjectSet, tuple[IniFault, ...]]:
@@ -72,9 +93,9 @@
     files: tuple[ObjectFile, ...],
 ) -> Result[ObjectSet, tuple[IniFault, ...]]:
     """Return the edits of several files as one set, or every fault of all files."""
-    edits: list[Edit] = []
-    faults: list[IniFault] = []
+    parsed: dict[Ref, _Parsed] = {}
     homes: dict[Ref, str] = {}
+    faults: list[IniFault] = []
     for file in files:
         read = read_sections(file.text, file.name)
         faults.extend(read.faults)
@@ -82,24 +103,41 @@
             match _parse_section(section, file.name):
                 case Err(found):
                     faults.extend(found)
-                case Ok(edit):
-                    faults.extend(_note_home(homes, edit, section.header, file.name))
-                    edits.append(edit)
-    return Err(tuple(faults)) if faults else Ok(ObjectSet(tuple(edits), homes))
+                case Ok(one) if one.ref in homes:
+                    message = f"{one.ref} is edited in {homes[one.ref]} already;"
+                    message += " keep one"
+                    faults.append(IniFault(file.name, section.header, "", message))
+                case Ok(one):
+                    parsed[one.ref] = one
+                    homes[one.ref] = file.name
+    return Err(tuple(faults)) if faults else Ok(_object_set(parsed, homes))
+
+
+def _object_set(parsed: dict[Ref, _Parsed], homes: dict[Ref, str]) -> ObjectSet:
+    return ObjectSet(
+        edits=tuple(one.edit for one in parsed.values()),
+        files=homes,
+        revisions={
+            ref: one.revision for ref, one in parsed.items() if one.revision is not None
+        },
+    )
 
 
-def _note_home(
-    homes: dict[Ref, str], edit: Edit, header: str, file: str
-) -> list[IniFault]:
-    ref = edit.ref if isinstance(edit, Delete) else ref_of(edit.obj)
-    if ref in homes:
-        message = f"{ref} is edited in {homes[ref]} already; keep one"
-        return [IniFault(file, header, "", message)]
-    homes[ref] = file
-    return []
+def _parse_section(
+    section: Section, file: str
+) -> Result[_Parsed, tuple[IniFault, ...]]:
+    values = dict(section.values)
+    revision = parse_value(_REVISION_TYPE, values.pop(_REVISION, "0"))
+    edit = _parse_edit(Section(section.header, values), file)
+    if revision.is_err() or revision.unwrap() < 0:
+        message = "must be the revision at which the object was read, 0 for none"
+        fault = IniFault(file, section.header, _REVISION, message)
+        return Err((fault, *(edit.err() or ())))
+    given = revision.unwrap() if _REVISION in section.values else None
+    return edit.map(lambda one: _Parsed(one, given))
 
 
-def _parse_section(section: Section, file: str) -> Result[Edit, tuple[IniFault, ...]]:
+def _parse_edit(section: Section, file: str) -> Result[Edit, tuple[IniFault, ...]]:
     header = section.header
     match header.split():
         case [kind, name] if kind in _KINDS:
@@ -121,24 +159,31 @@
 def _parse_delete(
     ref: Ref, section: Section, file: str
 ) -> Result[Edit, tuple[IniFault, ...]]:
+    message = f"a [{_DELETE} ...] section takes no key but {_REVISION}"
     faults = tuple(
-        IniFault(file, section.header, key, "a [delete ...] section takes no key")
-        for key in section.values
+        IniFault(file, section.header, key, message) for key in section.values
     )
     return Err(faults) if faults else Ok(Delete(ref))
 
 
-def format_objects(edits: tuple[Edit, ...]) -> str:
-    """Return the INI text that ``parse_objects`` reads as ``edits``."""
-    return "\n".join(_format_edit(edit) for edit in edits)
+def format_objects(
+    edits: tuple[Edit, ...], revisions: Mapping[Ref, Revision] | None = None
+) -> str:
+    """Return the INI text that ``parse_objects`` reads as ``edits``.
+
+    :param revisions: the revisions at which objects were read, to write with them.
+    """
+    return "\n".join(_format_edit(edit, revisions or {}) for edit in edits)
 
 
-def _format_edit(edit: Edit) -> str:
+def _format_edit(edit: Edit, revisions: Mapping[Ref, Revision]) -> str:
     match edit:
         case Put(obj):
-            return f"[{ref_of(obj)}]\n{_format_keys(obj)}"
+            ref = ref_of(obj)
+            text = f"[{ref}]\n{_format_keys(obj)}"
         case Delete(ref):
-            return f"[{_DELETE} {ref}]\n"
+            text = f"[{_DELETE} {ref}]\n"
+    return text + (f"{_REVISION} = {revisions[ref]}\n" if ref in revisions else "")
 
 
 def _format_keys(obj: ConfigObject) -> str:
--- a/hickoryplank/operator_api.py
+++ b/hickoryplank/operator_api.py
@@ -165,9 +165,11 @@
     """What an edit set would change now.
 
     :param base: the revisions that the check was made against.
+    :param offset: the log offset that the entry has folded last.
     """
 
     base: tuple[BaseRevision, ...]
+    offset: int
     changes: tuple[Change, ...]
 
 
--- a/hickoryplank/shell/operator_edits.py
+++ b/hickoryplank/shell/operator_edits.py
@@ -62,7 +62,8 @@
         faults = check_edits(tables, edit_set)
         if faults:
             return Err(refusal_problem(tuple(faults)))
-        return Ok(PlanAnswer(base, plan_changes(tables, body.edits)))
+        changes = plan_changes(tables, body.edits)
+        return Ok(PlanAnswer(base, self._publisher.offset - 1, changes))
 
     def _edit_set(
         self,
