Carry out maintenance, reclaim gone nodes, retry within a budget, make room

Cause: the planner, the retry budget and preemption were not wired to the shell, and an exception inside one attempt ended the whole node. Ruled out: checkpointing non-idempotent work for a drain; the checkpoint would not outlast the reboot, so it is waited for.

--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -86,14 +86,17 @@
 
 
 class Proof(Enum):
-    """Why an earlier attempt does not run, and never will again.
+    """Why one more attempt does no harm.
 
-    After ``CHECKPOINTED`` the next attempt goes on where the earlier one stopped.
+    ``REFUSED`` and ``START_MISSED`` say that the earlier one never runs; after
+    ``CHECKPOINTED`` the next one goes on where it stopped; ``IDEMPOTENT`` work may
+    run twice.
     """
 
     REFUSED = "refused"
     START_MISSED = "start_missed"
     CHECKPOINTED = "checkpointed"
+    IDEMPOTENT = "idempotent"
 
 
 class Put(msgspec.Struct, frozen=True, tag="put"):
--- a/hickoryplank/shell/attempts.py
+++ b/hickoryplank/shell/attempts.py
@@ -1,6 +1,7 @@
 """One attempt of a job on a VM, idempotent or claimed in the log."""
 
 import logging
+import random
 from typing import assert_never
 
 import anyio
@@ -8,7 +9,8 @@
 
 from hickoryplank.core.ids import VmId
 from hickoryplank.core.placement import EndpointTable, RunResult, Verdict
-from hickoryplank.core.work import Completed, Failed
+from hickoryplank.core.retries import GiveUp, Retry, RetryBudget, next_attempt
+from hickoryplank.core.work import Completed, Failed, WorkAnswer
 from hickoryplank.platform.errors import RefusedStart, StartFailure, StartLost
 from hickoryplank.platform.worker import Answer, Start, Worker
 from hickoryplank.shell.claims import Claims
@@ -43,11 +45,18 @@
         self._workers = workers
         self._claims = claims
         self._clock = clock
+        self._budget = RetryBudget()
+
+    def worker_on(self, vm: VmId) -> Worker | None:
+        """Return the client of the worker on ``vm``."""
+        return self._workers.client(self._replica.tables, vm)
 
     async def run(self, job: Job, vm: VmId, endpoints: EndpointTable) -> Step:
         """Run one attempt of ``job`` on ``vm``."""
         began = self._clock.now()
-        worker = self._workers.client(self._replica.tables, vm)
+        if job.attempts == 1:
+            self._budget.note_attempt(job.queue.pool, job.request.team)
+        worker = self.worker_on(vm)
         if worker is None:
             endpoints.note_finish(
                 vm, job.request.task, job.queue.name, RunResult.STOPPED, 0.0, began
@@ -61,20 +70,36 @@
         verdict = endpoints.note_finish(
             vm, job.request.task, job.queue.name, result, now - began, now
         )
-        return self._judge(job, step, verdict)
+        return self._judge(job, result, step, verdict)
 
-    def _judge(self, job: Job, step: Step, verdict: Verdict) -> Step:
+    def _judge(self, job: Job, result: RunResult, step: Step, verdict: Verdict) -> Step:
         match step:
             case Closed(Completed(status=status)) if (
                 status >= SERVER_ERROR
-                and job.queue.idempotent
+                and job.request.claim is None
                 and verdict is Verdict.RETRY
-                and self._clock.now() < job.deadline
             ):
-                return Again(RETRY_PAUSE_SECONDS)
+                return self._retry(job, result, step.answer)
+            case Again() if job.request.claim is None:
+                failed = Failed(detail="the endpoints failed, and retries are used up")
+                return self._retry(job, result, failed)
             case _:
                 return step
 
+    def _retry(self, job: Job, result: RunResult, last: WorkAnswer) -> Step:
+        """Try once more if time and the retry budget allow, else answer ``last``."""
+        if result is RunResult.STOPPED:
+            return Again(RETRY_PAUSE_SECONDS)
+        now = self._clock.now()
+        retry = max(job.attempts - 1, 0)
+        jitter = random.random()
+        match next_attempt(job.item(), result, retry, self._budget, now, jitter):
+            case Retry(at=at):
+                return Again(at - now)
+            case GiveUp(reason):
+                logger.info("request %s is given up: %s", job.request.id, reason.value)
+                return Closed(last)
+
     async def _run_idempotent(
         self, job: Job, vm: VmId, worker: Worker
     ) -> tuple[RunResult, Step]:
--- a/hickoryplank/shell/claims.py
+++ b/hickoryplank/shell/claims.py
@@ -300,6 +300,9 @@
         known = await self._workers.clock_of(worker, vm)
         if known.is_err():
             return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+        if job.pinned is not None and known.unwrap().boot != row.boot:
+            step = self.give_up(claim, "the worker restarted and lost its checkpoint")
+            return RunResult.STOPPED, step
         start = self._start_of(job, row, known.unwrap())
         refused = await self._log_dispatch(job, vm, start)
         if refused is not None:
@@ -360,10 +363,18 @@
                 if refusal is RefusedStart.BUSY:
                     return RunResult.BUSY, Again(RETRY_PAUSE_SECONDS)
                 return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+            case _ if job.queue.idempotent:
+                self._workers.forget(vm)
+                job.proof = Proof.IDEMPOTENT
+                result = RunResult.STOPPED if job.preempted else RunResult.SILENT
+                job.preempted = False
+                return result, Again(RETRY_PAUSE_SECONDS)
             case _:
                 self._workers.forget(vm)
                 step = await self._resolve(job, vm, worker, start)
-                return RunResult.SILENT, step
+                result = RunResult.STOPPED if job.preempted else RunResult.SILENT
+                job.preempted = False
+                return result, step
 
     def _finish(self, job: Job, answer: Answer) -> Closed:
         self._save(job.request.claim, OutcomeKind.DONE, answer)
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -2,21 +2,30 @@
 
 import logging
 from collections import Counter
+from collections.abc import Iterator, Mapping
 
 import anyio
 from anyio.abc import TaskGroup
 
 from hickoryplank.core.escrow import Escrow
-from hickoryplank.core.ids import Incarnation, PoolId, RequestId, TeamId, VmId
+from hickoryplank.core.ids import Incarnation, PoolId, RequestId, TaskId, TeamId, VmId
 from hickoryplank.core.messages import Running
 from hickoryplank.core.objects import Kind, Share, WorkClass
 from hickoryplank.core.placement import EndpointRow, EndpointTable
+from hickoryplank.core.preemption import (
+    Checkpoint,
+    Demand,
+    Preemption,
+    RunningTask,
+    Stop,
+)
 from hickoryplank.core.queues import WorkQueues
+from hickoryplank.core.shares import TeamDemand, entitlements
 from hickoryplank.core.tables import Tables, VmRow
-from hickoryplank.core.work import Completed, NotRun, NotRunReason
+from hickoryplank.core.work import Failed, NotRun, NotRunReason, Unknown, WorkAnswer
 from hickoryplank.shell.attempts import Attempts
 from hickoryplank.shell.clock import Clock
-from hickoryplank.shell.jobs import Again, Closed, Job
+from hickoryplank.shell.jobs import Again, Closed, Job, Run
 from hickoryplank.shell.replica import Replica
 
 __all__ = ["Dispatcher"]
@@ -43,6 +52,8 @@
         self._clock = clock
         self._queues = WorkQueues()
         self._jobs: dict[RequestId, Job] = {}
+        self._runs: dict[TaskId, Run] = {}
+        self._preemption = Preemption()
         self._shares: dict[TeamId, float] = {}
         self._shares_revision = -1
         self._pools: Counter[PoolId] = Counter()
@@ -109,6 +120,24 @@
         elif job.scope is not None:
             job.scope.cancel()
 
+    def clear_batch(self, vm: VmId) -> None:
+        """Move the idempotent batch work that this node runs off ``vm``.
+
+        Other work is waited for: its checkpoint would not outlast a reboot.
+        """
+        for run in list(self._runs.values()):
+            if run.vm == vm and not run.job.urgent and run.job.queue.idempotent:
+                self._preempt(run)
+
+    def _preempt(self, run: Run) -> None:
+        worker = self._attempts.worker_on(run.vm)
+        if worker is None or run.job.preempted:
+            return
+        run.job.preempted = True
+        task = run.job.request.task
+        stop = worker.stop if run.job.queue.idempotent else worker.checkpoint
+        self._group.start_soon(stop, task)
+
     def _tick(self) -> None:
         for item in self._queues.expire(self._clock.now()):
             detail = "no slot came free before the deadline"
@@ -116,6 +145,7 @@
         self._follow_vms()
         for pool in list(self._pools):
             self._start_in(pool)
+            self._make_room(pool)
 
     def _close_waiting(
         self, request: RequestId, reason: NotRunReason, detail: str
@@ -127,7 +157,7 @@
             )
             self._close(job, job.answer or answer)
 
-    def _close(self, job: Job, answer: Completed | NotRun) -> None:
+    def _close(self, job: Job, answer: WorkAnswer) -> None:
         self._forget(job)
         job.close(answer)
 
@@ -156,10 +186,52 @@
             job = self._jobs[item.request]
             vm = self._place(job, now)
             if vm is None:
-                self._queues.push(item, self._current_shares())
+                self._queues.put_back(item)
                 return
             self._start(job, vm, now)
 
+    def _make_room(self, pool: PoolId) -> None:
+        """Stop or checkpoint batch work where urgent work has waited too long."""
+        now = self._clock.now()
+        demands = list(self._demands(pool))
+        if not demands:
+            return
+        runs = [run for run in self._runs.values() if run.job.queue.pool == pool]
+        running = self._all_running()
+        free = sum(row.room(now) for row in self.endpoints.members(pool))
+        due = entitlements(self._team_demands(running), self._capacity())
+        tasks = [_running_task(run) for run in runs]
+        for decision in self._preemption.decide(
+            demands, tasks, free, running, due, now
+        ):
+            run = self._runs.get(decision.task)
+            if run is not None and isinstance(decision, Checkpoint | Stop):
+                self._preempt(run)
+
+    def _demands(self, pool: PoolId) -> Iterator[Demand]:
+        for work_class in WorkClass:
+            waiting = self._queues.waiting(pool, work_class)
+            for team, head in self._queues.heads(pool, work_class).items():
+                if self._may_start(team):
+                    yield Demand(
+                        team=team,
+                        work_class=work_class,
+                        units=waiting[team],
+                        oldest=head.arrived,
+                    )
+
+    def _team_demands(self, running: Mapping[TeamId, int]) -> Iterator[TeamDemand]:
+        tables = self._replica.tables
+        waiting = self.waiting()
+        for team, share in self._current_shares().items():
+            wants = running.get(team, 0) + waiting[team]
+            limit = tables.limit_of(team)
+            yield TeamDemand(team=team, weight=share, limit=limit, wants=wants)
+
+    def _capacity(self) -> int:
+        rows = (row for pool in self._pools for row in self.endpoints.members(pool))
+        return sum(row.capacity for row in rows if row.in_service)
+
     def _may_start(self, team: TeamId) -> bool:
         return self._escrow.usable(self._replica.tables, team) > 0
 
@@ -170,23 +242,31 @@
             return job.pinned if row is not None and row.room(now) > 0 else None
         avoided = job.avoided | self.endpoints.failed_on(job.request.task)
         may_probe = job.queue.idempotent and not job.attempts
-        found = self.endpoints.pick(pool, avoided, now, may_probe)
-        return found or self.endpoints.pick(pool, (), now, may_probe)
+        found = self.endpoints.pick(pool, avoided, now, may_probe=may_probe)
+        return found or self.endpoints.pick(pool, (), now, may_probe=may_probe)
 
     def _start(self, job: Job, vm: VmId, now: float) -> None:
         team = job.request.team
         if not self._escrow.start(self._replica.tables, team):
-            self._queues.push(job.item(), self._current_shares())
+            self._queues.put_back(job.item())
             return
         self.running[team] += 1
         self.endpoints.note_start(vm, now)
         job.attempts += 1
-        self._group.start_soon(self._run, job, vm)
+        run = Run(job, vm, now)
+        self._runs[job.request.task] = run
+        self._group.start_soon(self._run, run)
 
-    async def _run(self, job: Job, vm: VmId) -> None:
+    async def _run(self, run: Run) -> None:
+        job = run.job
         try:
-            step = await self._attempts.run(job, vm, self.endpoints)
+            step = await self._attempts.run(job, run.vm, self.endpoints)
+        except Exception:
+            logger.exception("an attempt of %s broke off", job.request.id)
+            step = Closed(_broken(job))
         finally:
+            self._runs.pop(job.request.task, None)
+            self._preemption.note_finish(job.request.task)
             self.running[job.request.team] -= 1
             self._escrow.finish(job.request.team)
             self.wake()
@@ -199,7 +279,7 @@
 
     def _try_again(self, job: Job) -> None:
         if job.request.id in self._jobs:
-            self._queues.push(job.item(), self._current_shares())
+            self._queues.put_back(job.item())
             self.wake()
 
     def _current_shares(self) -> dict[TeamId, float]:
@@ -243,6 +323,23 @@
         )
 
 
+def _broken(job: Job) -> Failed | Unknown:
+    detail = "the attempt broke off inside the system"
+    return Failed(detail=detail) if job.queue.idempotent else Unknown(detail=detail)
+
+
+def _running_task(run: Run) -> RunningTask:
+    return RunningTask(
+        task=run.job.request.task,
+        team=run.job.request.team,
+        vm=run.vm,
+        work_class=run.job.queue.work_class,
+        started=run.started,
+        checkpoints=not run.job.urgent and not run.job.queue.idempotent,
+        idempotent=run.job.queue.idempotent,
+    )
+
+
 def _shares(tables: Tables) -> dict[TeamId, float]:
     return {
         name: row.obj.percent
--- a/hickoryplank/shell/jobs.py
+++ b/hickoryplank/shell/jobs.py
@@ -11,7 +11,7 @@
 from hickoryplank.core.records import Proof
 from hickoryplank.core.work import WorkAnswer, WorkRequest
 
-__all__ = ["Again", "Closed", "Job", "Step"]
+__all__ = ["Again", "Closed", "Job", "Run", "Step"]
 
 
 @dataclass(eq=False)
@@ -19,6 +19,7 @@
     """One request from its arrival at this node to its answer.
 
     :param deadline: when the caller gives up, on this node's clock in seconds.
+    :param preempted: whether the running attempt was told to make room.
     :param proof: why the attempt before the next one did not run.
     :param pinned: the only VM that the next attempt may run on.
     :param durable: whether the request was accepted for good, so that it is
@@ -30,6 +31,7 @@
     arrived: float
     deadline: float
     durable: bool = False
+    preempted: bool = False
     proof: Proof | None = None
     pinned: VmId | None = None
     attempts: int = 0
@@ -64,6 +66,18 @@
         return self.queue.work_class is WorkClass.URGENT
 
 
+@dataclass(eq=False)
+class Run:
+    """An attempt of a job that is under way on a VM.
+
+    :param started: when it started, on this node's clock in seconds.
+    """
+
+    job: Job
+    vm: VmId
+    started: float
+
+
 class Closed(msgspec.Struct, frozen=True):
     """An attempt has settled its job."""
 
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -12,7 +12,8 @@
 
 from hickoryplank.core.escrow import Escrow
 from hickoryplank.core.fold import Verdict
-from hickoryplank.core.ids import NodeId
+from hickoryplank.core.ids import NodeId, TeamId
+from hickoryplank.core.maintenance import MaintenancePolicy
 from hickoryplank.core.messages import (
     Accepted,
     Answered,
@@ -25,7 +26,7 @@
     Running,
     UnitsAsked,
 )
-from hickoryplank.core.records import Record
+from hickoryplank.core.records import EditSet, Record
 from hickoryplank.platform.log import Log
 from hickoryplank.platform.vmlist import VmList
 from hickoryplank.platform.worker import Workers
@@ -44,6 +45,7 @@
 from hickoryplank.shell.replica import Replica, new_record_id
 from hickoryplank.shell.service import Service
 from hickoryplank.shell.units import UnitsKeeper
+from hickoryplank.shell.upkeep import Upkeep
 from hickoryplank.shell.witness import Witness
 from hickoryplank.shell.workers import WorkerPool
 
@@ -95,6 +97,20 @@
             group,
             clock,
         )
+        policy = MaintenancePolicy(
+            drain_deadline=cfg.maintenance.drain_timeout_seconds,
+            reboot_timeout=cfg.maintenance.reboot_timeout_seconds,
+        )
+        self._upkeep = Upkeep(
+            replica,
+            self._members,
+            self._dispatcher,
+            self._workers,
+            platform.vms,
+            policy,
+            group,
+            clock,
+        )
         self._edge = Edge(replica, self._members, self._peers, self._service, clock)
         limits = CallerLimits(
             body_bytes=cfg.limits.body_bytes,
@@ -102,6 +118,8 @@
         )
         self._api = CallerApi(replica, self._edge, limits, clock)
         self._history = History()
+        self._edited = anyio.Event()
+        self._told: dict[TeamId, int] = {}
         replica.subscribe(self._note_record)
         self.app = self._make_app(cfg)
 
@@ -125,6 +143,9 @@
             self._dispatcher.serve,
             self._units.serve,
             self._service.adopt_orphans,
+            self._upkeep.serve,
+            self._upkeep.read_list,
+            self._upkeep.forget_claims,
         ):
             self._group.start_soon(task)
 
@@ -151,10 +172,22 @@
     async def _beat(self) -> None:
         while True:
             self._members.beat()
-            await anyio.sleep(HEARTBEAT_SECONDS)
+            self._tell_running()
+            with anyio.move_on_after(HEARTBEAT_SECONDS):
+                await self._edited.wait()
+            self._edited = anyio.Event()
+
+    def _tell_running(self) -> None:
+        """Tell peers what runs here, if that has changed."""
+        counts = {team: n for team, n in self._dispatcher.running.items() if n}
+        if counts != self._told:
+            self._told = counts
+            self._peers.broadcast(Running(counts))
 
     def _note_record(self, record: Record, verdict: Verdict) -> None:
         self._history.note(record, verdict, self._replica.offset - 1, time.time())
+        if isinstance(record, EditSet):
+            self._edited.set()
 
     async def _receive(self, envelope: Envelope) -> None:
         sender = envelope.sender
--- /dev/null
+++ b/hickoryplank/shell/upkeep.py
@@ -0,0 +1,226 @@
+"""Carries out maintenance, and reports nodes and VMs that the platform lost."""
+
+import logging
+import time
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok
+
+from hickoryplank.core.ids import Incarnation, PoolId, Revision, VmId
+from hickoryplank.core.maintenance import (
+    MaintenancePolicy,
+    Planner,
+    Probe,
+    RebootVm,
+    VmEvidence,
+    WorkerReport,
+    overdue,
+)
+from hickoryplank.core.records import (
+    ClaimsForgotten,
+    Evidence,
+    NodeGone,
+    NodeReclaimed,
+    Record,
+    VmReport,
+    VmState,
+)
+from hickoryplank.core.tables import NodeState, VmRow
+from hickoryplank.platform.vmlist import ListedState, ListedVm, VmList
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.dispatcher import Dispatcher
+from hickoryplank.shell.members import Members
+from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.workers import LEASE_SECONDS, WorkerPool
+
+__all__ = ["Upkeep"]
+
+logger = logging.getLogger(__name__)
+
+BEAT_SECONDS = 0.25
+LIST_SECONDS = 2.0
+RETRY_SECONDS = 2.0
+RECLAIM_SECONDS = LEASE_SECONDS + 2.0
+FORGET_SECONDS = 60.0
+UPKEEP = PoolId("upkeep")
+
+
+class Upkeep:
+    """Proposes records about VMs and nodes; one node at a time usually does.
+
+    Any node may propose: the fold refuses what comes too late.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        members: Members,
+        dispatcher: Dispatcher,
+        workers: WorkerPool,
+        vms: VmList,
+        policy: MaintenancePolicy,
+        group: TaskGroup,
+        clock: Clock,
+    ):
+        self._replica = replica
+        self._members = members
+        self._dispatcher = dispatcher
+        self._workers = workers
+        self._vms = vms
+        self._policy = policy
+        self._group = group
+        self._clock = clock
+        self._planner = Planner(policy, new_record_id)
+        self._steps: dict[VmId, tuple[Revision, float]] = {}
+        self._reports: dict[VmId, tuple[WorkerReport, float]] = {}
+        self._probes: dict[VmId, Probe] = {}
+        self._gone: dict[Incarnation, float] = {}
+        self._listed: dict[VmId, ListedVm] = {}
+        self._proposed: dict[str, float] = {}
+
+    @property
+    def _is_ours(self) -> bool:
+        return self._members.owner_of(UPKEEP) == self._members.me
+
+    async def serve(self) -> None:
+        """Look after the fleet until cancelled."""
+        while True:
+            await anyio.sleep(BEAT_SECONDS)
+            now = self._clock.now()
+            self._follow_steps(now)
+            evidence = self._evidence(now)
+            for late in overdue(self._replica.tables, evidence, self._policy):
+                self._dispatcher.clear_batch(late.vm)
+            if self._is_ours:
+                self._inquire()
+                self._plan(evidence, now)
+                self._reclaim(now)
+
+    async def read_list(self) -> None:
+        """Follow the VM list until cancelled."""
+        while True:
+            await anyio.sleep(LIST_SECONDS)
+            if not self._is_ours:
+                continue
+            match await self._vms.read():
+                case Ok(rows):
+                    self._take_list(rows)
+                case Err(failure):
+                    logger.warning("the VM list cannot be read: %s", failure.detail)
+
+    async def forget_claims(self) -> None:
+        """Drop expired claims from the tables now and then, until cancelled."""
+        while True:
+            await anyio.sleep(FORGET_SECONDS)
+            if self._is_ours and self._replica.tables.claims:
+                record = ClaimsForgotten(id=new_record_id(), before=time.time())
+                await self._replica.submit(record)
+
+    def _follow_steps(self, now: float) -> None:
+        away = self._replica.tables.vm_index.away
+        for vm in set(self._steps) - set(away):
+            for table in (self._steps, self._reports, self._probes):
+                table.pop(vm, None)
+        for vm, row in away.items():
+            if self._steps.get(vm, (None, 0.0))[0] != row.revision:
+                self._steps[vm] = (row.revision, now)
+                self._probes.pop(vm, None)
+
+    def _evidence(self, now: float) -> dict[VmId, VmEvidence]:
+        return {
+            vm: VmEvidence(
+                since=now - since,
+                report=self._report_of(vm, now),
+                probe=self._probes.get(vm, Probe.PENDING),
+            )
+            for vm, (_, since) in self._steps.items()
+        }
+
+    def _report_of(self, vm: VmId, now: float) -> WorkerReport | None:
+        kept = self._reports.get(vm)
+        if kept is None:
+            return None
+        report, sent_at = kept
+        return WorkerReport(boot=report.boot, running=report.running, age=now - sent_at)
+
+    def _inquire(self) -> None:
+        for row in self._replica.tables.vm_index.away.values():
+            self._group.start_soon(self._ask_worker, row)
+
+    async def _ask_worker(self, row: VmRow) -> None:
+        worker = self._workers.client(self._replica.tables, row.vm)
+        if worker is None:
+            return
+        sent_at = self._clock.now()
+        with anyio.move_on_after(self._policy.probe_timeout):
+            match await worker.status():
+                case Ok(status):
+                    report = WorkerReport(
+                        boot=status.boot, running=status.running, age=0.0
+                    )
+                    self._reports[row.vm] = (report, sent_at)
+                    if row.state is VmState.PROBING:
+                        self._probes[row.vm] = Probe.OK
+
+    def _plan(self, evidence: dict[VmId, VmEvidence], now: float) -> None:
+        for proposal in self._planner.tick(self._replica.tables, evidence, now):
+            match proposal:
+                case RebootVm(vm=vm):
+                    self._group.start_soon(self._reboot, vm)
+                case record:
+                    self._group.start_soon(self._submit, record)
+
+    async def _reboot(self, vm: VmId) -> None:
+        listed = self._listed.get(vm)
+        asked = await self._vms.reboot(vm, listed.generation if listed else None)
+        if asked.is_err():
+            logger.warning("VM %s not rebooted: %s", vm, asked.unwrap_err().detail)
+
+    async def _submit(self, record: Record) -> None:
+        submitted = await self._replica.submit(record)
+        if submitted.is_err():
+            logger.info("proposal not accepted: %s", submitted.unwrap_err())
+
+    def _propose(self, key: str, record: Record) -> None:
+        """Submit a record, unless one to the same end was submitted just now."""
+        now = self._clock.now()
+        if now - self._proposed.get(key, -RETRY_SECONDS) >= RETRY_SECONDS:
+            self._proposed[key] = now
+            self._group.start_soon(self._submit, record)
+
+    def _take_list(self, rows: tuple[ListedVm, ...]) -> None:
+        self._listed = {row.vm: row for row in rows}
+        tables = self._replica.tables
+        for row in tables.live_nodes():
+            listed = self._listed.get(VmId(row.node))
+            if listed is not None and listed.state is ListedState.GONE:
+                record = NodeGone(
+                    id=new_record_id(),
+                    node=row.node,
+                    incarnation=row.incarnation,
+                    evidence=Evidence.VM_GONE,
+                )
+                self._propose(f"gone/{row.incarnation}", record)
+        for listed in rows:
+            self._compare(tables.vms.get(listed.vm), listed)
+
+    def _compare(self, row: VmRow | None, listed: ListedVm) -> None:
+        if row is None or row.state is not VmState.ACTIVE:
+            return
+        healthy = listed.state is ListedState.LIVE
+        if row.healthy != healthy:
+            record = VmReport(id=new_record_id(), vm=row.vm, healthy=healthy)
+            self._propose(f"vm/{row.vm}", record)
+
+    def _reclaim(self, now: float) -> None:
+        """Free the units of nodes that are gone once their leases have lapsed."""
+        for row in list(self._replica.tables.nodes.values()):
+            if row.state is not NodeState.GONE:
+                continue
+            since = self._gone.setdefault(row.incarnation, now)
+            if now - since >= RECLAIM_SECONDS:
+                record = NodeReclaimed(
+                    id=new_record_id(), node=row.node, incarnation=row.incarnation
+                )
+                self._propose(f"reclaim/{row.incarnation}", record)
