--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -251,7 +251,7 @@
             self._queues.put_back(job.item())
             return
         self.running[team] += 1
-        self.endpoints.note_start(vm, now)
+        self.endpoints.note_start(vm, job.request.task, now)
         job.attempts += 1
         run = Run(job, vm, now)
         self._runs[job.request.task] = run
