Act on what two probes in a row show of a start

Under load an answer can be on its way when a probe asks. Acting on the first probe then retired good connections and sent copies, which adds load. Longer intervals alone were ruled out, because they delay urgent work more.

--- a/hickoryplank/platform/worker_http.py
+++ b/hickoryplank/platform/worker_http.py
@@ -1,6 +1,7 @@
 """Clients of workers over HTTP."""
 
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from http import HTTPStatus
 from typing import TypeVar
 
@@ -40,6 +41,7 @@
 PROBE_SECONDS = 0.5
 MAX_PROBE_SECONDS = 5.0
 MAX_MISSED_PROBES = 3
+PROBES_TO_SHOW = 2
 
 # The probes of a start bound its silence, however long the task runs.
 _START_READ_SECONDS = 86_400.0
@@ -49,6 +51,13 @@
 _Call = Callable[[Start], Awaitable[_Outcome]]
 
 
+class _Pending(Enum):
+    """What a report shows of a start that is not over."""
+
+    RUNNING = "running"
+    NOT_ARRIVED = "not_arrived"
+
+
 class HttpWorker(Worker):
     """A client of one worker.
 
@@ -131,26 +140,28 @@
     async def _watch(self, start: Start) -> _Outcome:
         """Return once the worker shows what became of a start without an answer.
 
-        A start that did not arrive is sent again over a new connection, as the same
-        attempt. Only a boot that is named makes this safe: a restarted worker would
-        run the copy too.
+        Two probes in a row have to show it, for the answer may be on its way. A start
+        that did not arrive is sent again over a new connection, as the same attempt.
         """
-        pause, missed, boot = self._probe_seconds, 0, start.boot
+        pause, missed, shown, boot = self._probe_seconds, 0, 0, start.boot
         while missed < MAX_MISSED_PROBES:
             await anyio.sleep(pause)
-            match await self.find(start.task):
-                case Ok(report):
-                    boot = boot or report.boot
-                    outcome = _settled(report, start, boot)
-                    if outcome is not None:
-                        await self._channel.renew()
-                        return outcome
-                    if start.boot and report.state is TaskState.NEVER_SEEN:
-                        await self._channel.renew()
-                        return await self._race(start, self._post_again, self._watch)
-                    missed, pause = 0, min(2 * pause, MAX_PROBE_SECONDS)
-                case Err(_):
-                    missed, pause = missed + 1, self._probe_seconds
+            found = await self.find(start.task)
+            if found.is_err():
+                missed, pause = missed + 1, self._probe_seconds
+                continue
+            report, missed = found.unwrap(), 0
+            boot = boot or report.boot
+            outcome = _outcome(report, start, boot)
+            if outcome is _Pending.RUNNING:
+                shown, pause = 0, min(2 * pause, MAX_PROBE_SECONDS)
+                continue
+            shown, pause = shown + 1, self._probe_seconds
+            if shown == PROBES_TO_SHOW:
+                await self._channel.renew()
+                if outcome is _Pending.NOT_ARRIVED:
+                    return await self._race(start, self._post_again, self._watch)
+                return outcome
         return Err(StartLost("the worker is silent"))
 
     async def _race(self, start: Start, *calls: _Call) -> _Outcome:
@@ -239,22 +250,30 @@
         return Err(StartLost(f"unknown refusal {value!r}"))
 
 
-def _settled(report: TaskReport, start: Start, boot: str) -> _Outcome | None:
+def _outcome(report: TaskReport, start: Start, boot: str) -> _Outcome | _Pending:
     """Return the outcome of a start that a report proves to be over."""
     if report.boot != boot:
         return Err(StartLost("the worker restarted"))
     if report.state is TaskState.NEVER_SEEN or report.attempt < start.attempt:
-        late = report.clock > start.start_by
-        return Err(StartLost("the start was not taken")) if late else None
+        return _not_taken(report, start)
     if report.attempt > start.attempt:
         return Err(StartLost("superseded"))
     if report.state is TaskState.RUNNING:
-        return None
+        return _Pending.RUNNING
     if report.answer is None:
         return Err(StartLost(report.state.value))
     return Ok(report.answer)
 
 
+def _not_taken(report: TaskReport, start: Start) -> _Outcome | _Pending:
+    if report.clock > start.start_by:
+        return Err(StartLost("the start was not taken"))
+    # Without a named boot, a worker that restarted would run the copy too.
+    if start.boot and report.state is TaskState.NEVER_SEEN:
+        return _Pending.NOT_ARRIVED
+    return _Pending.RUNNING
+
+
 def _decoded(reply: Reply, kind: type[_T]) -> Result[_T, WorkerFailure]:
     try:
         return Ok(msgspec.msgpack.decode(reply.body, type=kind))
