Specify the hard mechanisms and check them exhaustively

On the way the checker refuted the design of freshness: a node that confirms an edit while a start it sent earlier is still under way lets the worker start it after the operator was told that the edit is in force.

--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the hard mechanisms, checked exhaustively at small bounds."""
--- /dev/null
+++ b/spec/base.py
@@ -0,0 +1,74 @@
+"""What the specifications share: a mechanism, its variants and how to check them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from minicheck import Protocol, check_safety
+
+__all__ = ["Finding", "Mechanism", "check"]
+
+MAX_STATES = 400_000
+
+
+@dataclass(frozen=True)
+class Mechanism:
+    """One mechanism, as designed and in variants that break it.
+
+    :param bounds: the sizes up to which the check is exhaustive, in words.
+    :param build: gives the protocol of a variant, or of the design for ``None``.
+    :param broken: each broken variant with the invariant that it violates.
+    """
+
+    name: str
+    bounds: str
+    build: Callable[[Enum | None], Protocol]
+    broken: dict[Enum, str]
+
+
+@dataclass(frozen=True)
+class Finding:
+    """What the checker found of one variant.
+
+    :param states: the states that it reached.
+    :param exhaustive: whether it reached all that there are.
+    :param violated: each violated invariant, with the labels of a shortest path.
+    """
+
+    states: int
+    exhaustive: bool
+    violated: dict[str, tuple[str, ...]]
+
+
+def check(
+    mechanism: Mechanism, variant: Enum | None = None, max_states: int = MAX_STATES
+) -> Finding:
+    """Search the states of one variant for violations of its invariants.
+
+    The design is searched whole; a broken variant until the invariant that it
+    is meant to violate is violated.
+    """
+    protocol = mechanism.build(variant)
+    if variant is not None:
+        protocol = _until_violated(protocol, mechanism.broken[variant])
+    answer = check_safety(protocol, max_states)
+    violated = {
+        name: tuple(step["label"] for step in found["counterexample"][1:])
+        for name, found in answer["properties"].items()
+        if found["holds"] is False
+    }
+    exhaustive = answer["exhaustive"] and variant is None
+    return Finding(answer["reachable_states"], exhaustive, violated)
+
+
+def _until_violated(protocol: Protocol, invariant: str) -> Protocol:
+    """Return the protocol with no steps left once the invariant is violated."""
+    holds = protocol.invariants[invariant]
+    found = False
+
+    def transitions(state: tuple):
+        nonlocal found
+        found = found or not holds(protocol.d(state))
+        return [] if found else protocol.transitions(state)
+
+    return replace(protocol, transitions=transitions)
--- /dev/null
+++ b/spec/fold.py
@@ -0,0 +1,250 @@
+"""The fold: racing edit sets, lost answers, repeated appends, snapshots, restarts.
+
+Two operators edit objects ``a`` and ``b``: set 0 touches both, set 1 touches
+``a``. Each set names the revisions that its author read on some node. An append
+may be repeated, since its answer can be lost. Nodes fold the log in order, each
+at its own pace, take snapshots, and restart from one; the log drops what is
+older than the newest snapshot. A restarted node serves once it is at the tail.
+"""
+
+from enum import Enum
+from functools import cache
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from spec.base import Mechanism
+
+__all__ = ["FOLD", "Broken", "Edit", "Folded", "State", "build", "fold_prefix"]
+
+NODES = (0, 1)
+TOUCHES = {0: (0, 1), 1: (0,)}
+MAX_LOG = 3
+
+
+class Broken(Enum):
+    """Ways to break the fold."""
+
+    NO_BASE_CHECK = "a set is accepted whatever its author had read"
+    HALF_SETS = "the part of a set without conflict takes effect"
+    NO_RECORD_IDS = "a repeated append takes effect again"
+    OLD_SNAPSHOT = "a running node loads whatever snapshot a peer hands it"
+    SERVE_BEFORE_TAIL = "a restarted node serves before it reaches the tail"
+    LOCAL_VERDICT = "a node lets its own operator's set win"
+
+
+class Edit(NamedTuple):
+    """A set in the log: its number and the revisions that its author read."""
+
+    number: int
+    base: tuple[int, ...]
+
+
+class Folded(NamedTuple):
+    """What a prefix of the log folds to.
+
+    :param revisions: the sequence number that last changed each object.
+    :param applied: the parts of sets that took effect, as (set, object).
+    """
+
+    revisions: tuple[int, int] = (0, 0)
+    applied: tuple[tuple[int, int], ...] = ()
+
+
+class Node(NamedTuple):
+    """A node: how far it has folded, and the newest revision that it served."""
+
+    offset: int = 0
+    serving: bool = True
+    served: int = 0
+    goal: int = 0
+
+
+class State(NamedTuple):
+    """The log, the authors and the nodes.
+
+    :param bases: what the author of each set read; ``None`` before that.
+    :param snapshots: the offsets at which there is a snapshot.
+    :param first: the oldest offset that the log still keeps.
+    """
+
+    log: tuple[Edit, ...] = ()
+    bases: tuple[tuple[int, ...] | None, ...] = (None, None)
+    nodes: tuple[Node, ...] = (Node(), Node())
+    snapshots: tuple[int, ...] = (0,)
+    first: int = 0
+
+
+@cache
+def fold_prefix(log: tuple[Edit, ...], node: int, broken: Broken | None) -> Folded:
+    """Return what ``log`` folds to on ``node``; the design ignores the node."""
+    state = Folded()
+    for sequence, edit in enumerate(log, start=1):
+        state = _fold_one(state, sequence, edit, log[: sequence - 1], node, broken)
+    return state
+
+
+def _fold_one(
+    state: Folded,
+    sequence: int,
+    edit: Edit,
+    before: tuple[Edit, ...],
+    node: int,
+    broken: Broken | None,
+) -> Folded:
+    repeated = any(old.number == edit.number for old in before)
+    if repeated and broken is not Broken.NO_RECORD_IDS:
+        return state
+    good = [
+        obj
+        for obj, base in zip(TOUCHES[edit.number], edit.base, strict=True)
+        if _is_unchanged(state, obj, base, edit.number, node, broken)
+    ]
+    if len(good) < len(edit.base) and broken is not Broken.HALF_SETS:
+        return state
+    revisions = tuple(
+        sequence if obj in good else revision
+        for obj, revision in enumerate(state.revisions)
+    )
+    applied = state.applied + tuple((edit.number, obj) for obj in good)
+    return Folded(revisions, applied)
+
+
+def _is_unchanged(
+    state: Folded, obj: int, base: int, number: int, node: int, broken: Broken | None
+) -> bool:
+    ignored = broken in (Broken.NO_BASE_CHECK, Broken.NO_RECORD_IDS)
+    own = broken is Broken.LOCAL_VERDICT and number == node
+    return ignored or own or state.revisions[obj] == base
+
+
+class _Model:
+    """The steps and the invariants of one variant."""
+
+    def __init__(self, broken: Broken | None):
+        self.broken = broken
+
+    def folded(self, s: State, node: int) -> Folded:
+        return fold_prefix(s.log[: s.nodes[node].offset], node, self.broken)
+
+    def with_node(self, s: State, number: int, node: Node) -> State:
+        serving = node.serving or node.offset >= node.goal
+        node = node._replace(serving=serving, goal=0 if serving else node.goal)
+        nodes = s.nodes[:number] + (node,) + s.nodes[number + 1 :]
+        s = s._replace(nodes=nodes)
+        if serving:
+            served = max(node.served, max(self.folded(s, number).revisions))
+            node = node._replace(served=served)
+            nodes = s.nodes[:number] + (node,) + s.nodes[number + 1 :]
+        return s._replace(nodes=nodes)
+
+    def edits(self, s: State):
+        for number, touched in TOUCHES.items():
+            if s.bases[number] is None:
+                for node in NODES:
+                    read = self.folded(s, node).revisions
+                    base = tuple(read[obj] for obj in touched)
+                    bases = s.bases[:number] + (base,) + s.bases[number + 1 :]
+                    yield f"edit {number} on {node}", s._replace(bases=bases)
+            elif len(s.log) < MAX_LOG:
+                edit = Edit(number, s.bases[number])
+                yield f"append {number}", s._replace(log=s.log + (edit,))
+
+    def steps(self, s: State):
+        for number, node in enumerate(s.nodes):
+            if s.first <= node.offset < len(s.log):
+                later = node._replace(offset=node.offset + 1)
+                yield f"fold {number}", self.with_node(s, number, later)
+            if node.offset not in s.snapshots:
+                taken = tuple(sorted({*s.snapshots, node.offset}))
+                yield f"snapshot {number}", s._replace(snapshots=taken[-2:])
+            yield from self.loads(s, number, node)
+        if s.first < s.snapshots[-1]:
+            yield "trim", s._replace(first=s.snapshots[-1])
+
+    def loads(self, s: State, number: int, node: Node):
+        newest = s.snapshots[-1]
+        if newest > node.offset:
+            yield (
+                f"load {number}",
+                self.with_node(s, number, node._replace(offset=newest)),
+            )
+        serving = self.broken is Broken.SERVE_BEFORE_TAIL
+        new = node._replace(offset=newest, serving=serving, goal=len(s.log))
+        yield f"restart {number}", self.with_node(s, number, new)
+        if self.broken is Broken.OLD_SNAPSHOT:
+            old = node._replace(offset=s.snapshots[0])
+            yield f"old snapshot {number}", self.with_node(s, number, old)
+
+    def transitions(self, s: State):
+        return [*self.edits(s), *self.steps(s)]
+
+    def tail(self, d: dict) -> Folded:
+        return fold_prefix(d["log"], 0, self.broken)
+
+    def agree(self, d: dict) -> bool:
+        first, second = d["nodes"]
+        if first.offset != second.offset:
+            return True
+        prefix = d["log"][: first.offset]
+        return fold_prefix(prefix, 0, self.broken) == fold_prefix(
+            prefix, 1, self.broken
+        )
+
+    def once(self, d: dict) -> bool:
+        return len(set(self.tail(d).applied)) == len(self.tail(d).applied)
+
+    def whole(self, d: dict) -> bool:
+        parts = {number: 0 for number in TOUCHES}
+        for number, _ in set(self.tail(d).applied):
+            parts[number] += 1
+        return all(parts[n] in (0, len(objs)) for n, objs in TOUCHES.items())
+
+    def one_winner(self, d: dict) -> bool:
+        first, second = d["bases"]
+        raced = first is not None and second is not None and first[0] == second[0]
+        return not raced or len({n for n, obj in self.tail(d).applied if obj == 0}) < 2
+
+    def never_back(self, d: dict) -> bool:
+        return all(
+            not node.serving
+            or max(fold_prefix(d["log"][: node.offset], n, self.broken).revisions)
+            >= node.served
+            for n, node in enumerate(d["nodes"])
+        )
+
+    def protocol(self) -> Protocol:
+        return Protocol(
+            name="fold",
+            candidate=False,
+            fields=State._fields,
+            initial=State(),
+            transitions=self.transitions,
+            invariants={
+                "agree": self.agree,
+                "once": self.once,
+                "whole": self.whole,
+                "one_winner": self.one_winner,
+                "never_back": self.never_back,
+            },
+        )
+
+
+def build(broken: Broken | None = None) -> Protocol:
+    """Return the protocol of the design, or of one broken variant."""
+    return _Model(broken).protocol()
+
+
+FOLD = Mechanism(
+    name="fold",
+    bounds="2 nodes, 2 racing sets over 2 objects, 3 appends, 2 snapshots kept",
+    build=build,
+    broken={
+        Broken.NO_BASE_CHECK: "one_winner",
+        Broken.HALF_SETS: "whole",
+        Broken.NO_RECORD_IDS: "once",
+        Broken.OLD_SNAPSHOT: "never_back",
+        Broken.SERVE_BEFORE_TAIL: "never_back",
+        Broken.LOCAL_VERDICT: "agree",
+    },
+)
--- /dev/null
+++ b/spec/freshness.py
@@ -0,0 +1,286 @@
+"""Freshness: a withdrawal reaches nodes that are cut off, paused or in an outage.
+
+An editor and a node are members that know each other. A joiner may come, which
+the node does not know until it has folded the join. The editor or the joiner
+appends one withdrawal; its answer may be lost and the append may take effect
+late, even after its author is gone. Reads, inquiries and answers happen at any
+moment or never, which stands for cuts, outages and pauses. One tick of time
+makes every view older by one; ``FRESH`` is one tick.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from spec.base import Mechanism
+
+__all__ = ["FRESHNESS", "Broken", "State", "build"]
+
+FRESH = 1
+STALE = FRESH + 1
+IN_FORCE = FRESH + 1
+EDITOR, NODE, JOINER = "editor", "node", "joiner"
+JOIN, GONE = "join", "gone"
+EDIT = {EDITOR: "edit by editor", JOINER: "edit by joiner"}
+
+
+class Broken(Enum):
+    """Ways to break freshness."""
+
+    EVIDENCE_OF_ONE = "one quiet peer is evidence enough"
+    IGNORE_PENDING = "a peer with an edit under way answers that it is quiet"
+    IGNORE_OFFSET = "a peer's view counts before the node has folded as far"
+    UNKNOWN_AUTHOR = "a joiner appends edits before all members know of it"
+    GONE_AUTHOR = "an edit counts although its author is gone"
+    NO_WORKER_DEADLINE = "a worker starts whatever arrives, however late"
+    RECEIVED_AT = "a view counts from when its answer was received"
+    CONFIRM_EARLY = "a node confirms an edit while an older start is under way"
+    EARLY_IN_FORCE = "the editor waits for less than others may be fresh"
+
+
+class Member(NamedTuple):
+    """A member's fold and the age of its view, up to ``STALE``."""
+
+    offset: int = 0
+    age: int = 0
+
+
+class Answer(NamedTuple):
+    """A peer's view, given to an inquiry of the node."""
+
+    offset: int
+    age: int
+    quiet: bool
+
+
+class State(NamedTuple):
+    """The log, the members and what is under way between them.
+
+    :param author: who has sent the withdrawal, which takes effect at any moment.
+    :param joiner: the joiner's fold; ``None`` before it joins.
+    :param alive: whether the editor runs.
+    :param told: members that have told the joiner that they know of it.
+    :param asked: ticks since the node sent its inquiry; ``None`` without one.
+    :param landed: ticks since an effective withdrawal is in the log.
+    :param read_back: ticks since its author read it back.
+    :param in_force: whether the author has answered that it is in force.
+    :param start: ticks until a start under way is too late for the worker.
+    :param late_start: whether work started that the withdrawal had to stop.
+    """
+
+    log: tuple[str, ...] = ()
+    author: str | None = None
+    editor: Member = Member()
+    node: Member = Member()
+    joiner: int | None = None
+    alive: bool = True
+    told: frozenset = frozenset()
+    asked: int | None = None
+    answers: tuple[Answer | None, Answer | None] = (None, None)
+    landed: int | None = None
+    read_back: int | None = None
+    in_force: bool = False
+    start: int | None = None
+    late_start: bool = False
+
+
+def _older(age: int | None) -> int | None:
+    return None if age is None else min(age + 1, STALE)
+
+
+def members(log: tuple[str, ...], me: str) -> set[str]:
+    """Return the other live members after ``log``."""
+    live = {EDITOR, NODE}
+    if JOIN in log:
+        live.add(JOINER)
+    if GONE in log:
+        live.discard(EDITOR)
+    return live - {me}
+
+
+class _Model:
+    """The steps and the invariants of one variant."""
+
+    def __init__(self, broken: Broken | None):
+        self.broken = broken
+        self.wait = FRESH - (broken is Broken.EARLY_IN_FORCE)
+
+    def pending(self, s: State, who: str) -> bool:
+        return s.author == who and EDIT[who] not in s.log[: self.offset_of(s, who)]
+
+    def offset_of(self, s: State, who: str) -> int:
+        if who == JOINER:
+            return s.joiner or 0
+        return s.editor.offset if who == EDITOR else s.node.offset
+
+    def may_author(self, s: State, who: str) -> bool:
+        if s.author is not None:
+            return False
+        if who == EDITOR:
+            return s.alive
+        if s.joiner is None:
+            return False
+        known = members(s.log[: s.joiner], JOINER) <= s.told
+        return known or self.broken is Broken.UNKNOWN_AUTHOR
+
+    def edits(self, s: State):
+        for who in (EDITOR, JOINER):
+            if self.may_author(s, who):
+                yield f"{who} sends edit", s._replace(author=who, told=frozenset())
+        if s.author and EDIT[s.author] not in s.log:
+            log = (*s.log, EDIT[s.author])
+            counts = s.author != EDITOR or GONE not in s.log
+            counts = counts or self.broken is Broken.GONE_AUTHOR
+            yield "edit lands", s._replace(log=log, landed=0 if counts else None)
+        if s.landed is not None and s.read_back is None:
+            behind = EDIT[s.author] not in s.log[: self.offset_of(s, s.author)]
+            if not behind and (s.author == JOINER or s.alive):
+                yield "author reads back", s._replace(read_back=0)
+        if s.read_back is not None and not s.in_force:
+            position = s.log.index(EDIT[s.author]) + 1
+            others = members(s.log[: self.offset_of(s, s.author)], s.author)
+            done = all(self.confirms(s, who, position) for who in others)
+            if done or s.read_back > self.wait:
+                yield "in force", s._replace(in_force=True, read_back=IN_FORCE)
+
+    def confirms(self, s: State, who: str, position: int) -> bool:
+        settled = who != NODE or s.start is None or self.broken is Broken.CONFIRM_EARLY
+        return settled and self.offset_of(s, who) >= position
+
+    def membership(self, s: State):
+        if s.joiner is None and JOIN not in s.log:
+            log = (*s.log, JOIN)
+            yield "joiner joins", s._replace(log=log, joiner=len(log))
+        if s.alive:
+            editor = s.editor._replace(age=STALE)
+            yield "editor dies", s._replace(alive=False, editor=editor)
+        elif s.joiner is not None and GONE not in s.log:
+            yield "editor is proved gone", s._replace(log=(*s.log, GONE))
+        if s.joiner is not None and s.author is None:
+            position = s.log.index(JOIN) + 1
+            for who in {EDITOR, NODE} - s.told:
+                if self.offset_of(s, who) >= position and (who == NODE or s.alive):
+                    told = s.told | {who}
+                    yield f"{who} knows joiner", s._replace(told=told)
+
+    def reads(self, s: State):
+        tail = len(s.log)
+        if s.alive:
+            yield "editor reads", s._replace(editor=Member(tail, 0))
+        if s.joiner is not None:
+            yield "joiner reads", s._replace(joiner=tail)
+        yield "node reads", s._replace(node=Member(tail, 0))
+
+    def inquiries(self, s: State):
+        if s.asked is None:
+            yield "node asks", s._replace(asked=0, answers=(None, None))
+            return
+        for index, who in enumerate((EDITOR, JOINER)):
+            present = s.alive if who == EDITOR else s.joiner is not None
+            if s.answers[index] is None and present:
+                answers = list(s.answers)
+                answers[index] = self.view(s, who)
+                yield f"{who} answers", s._replace(answers=tuple(answers))
+        yield (
+            "node evaluates",
+            self.evaluate(s)._replace(asked=None, answers=(None, None)),
+        )
+
+    def view(self, s: State, who: str) -> Answer:
+        age = s.editor.age if who == EDITOR else STALE
+        quiet = not self.pending(s, who) or self.broken is Broken.IGNORE_PENDING
+        return Answer(self.offset_of(s, who), age, quiet)
+
+    def evaluate(self, s: State) -> State:
+        asked = 0 if self.broken is Broken.RECEIVED_AT else s.asked
+        ages = [s.node.age]
+        for answer in s.answers:
+            if answer is not None and self.can_use(s, answer.offset):
+                ages.append(asked + answer.age)
+        if self.is_outage(s):
+            ages.append(asked)
+        return s._replace(node=s.node._replace(age=min(ages)))
+
+    def can_use(self, s: State, offset: int) -> bool:
+        return offset <= s.node.offset or self.broken is Broken.IGNORE_OFFSET
+
+    def is_outage(self, s: State) -> bool:
+        others = members(s.log[: s.node.offset], NODE)
+        heard = dict(zip((EDITOR, JOINER), s.answers, strict=True))
+        quiet = [
+            heard[who] is not None
+            and heard[who].quiet
+            and self.can_use(s, heard[who].offset)
+            for who in others
+        ]
+        return any(quiet) if self.broken is Broken.EVIDENCE_OF_ONE else all(quiet)
+
+    def starts(self, s: State):
+        knows = any(EDIT[who] in s.log[: s.node.offset] for who in EDIT)
+        if s.author and s.start is None and s.node.age <= FRESH and not knows:
+            yield "node dispatches", s._replace(start=FRESH - s.node.age)
+        if s.start is not None:
+            late = s.in_force or (s.landed is not None and s.landed > FRESH)
+            begun = s._replace(start=None, late_start=late)
+            yield "worker starts", begun
+            yield "start is lost", s._replace(start=None)
+
+    def tick(self, s: State) -> State:
+        start = s.start
+        if start is not None and self.broken is not Broken.NO_WORKER_DEADLINE:
+            start = start - 1 if start > 0 else None
+        asked = _older(s.asked)
+        if asked == STALE and self.broken is not Broken.RECEIVED_AT:
+            asked = None
+        return s._replace(
+            editor=s.editor._replace(age=_older(s.editor.age)),
+            node=s.node._replace(age=_older(s.node.age)),
+            asked=asked,
+            answers=s.answers if asked is not None else (None, None),
+            landed=_older(s.landed),
+            read_back=None if s.read_back is None else min(s.read_back + 1, IN_FORCE),
+            start=start,
+        )
+
+    def is_over(self, s: State) -> bool:
+        """Return whether nothing can go wrong any more, to bound the search."""
+        landed = s.author is not None and EDIT[s.author] in s.log
+        stopped = landed and EDIT[s.author] in s.log[: s.node.offset]
+        return landed and s.start is None and (stopped or s.landed is None)
+
+    def transitions(self, s: State):
+        if s.late_start or self.is_over(s):
+            return []
+        steps = [
+            *self.edits(s),
+            *self.membership(s),
+            *self.reads(s),
+            *self.inquiries(s),
+            *self.starts(s),
+        ]
+        return [*steps, ("tick", self.tick(s))]
+
+    def protocol(self) -> Protocol:
+        return Protocol(
+            name="freshness",
+            candidate=False,
+            fields=State._fields,
+            initial=State(),
+            transitions=self.transitions,
+            invariants={"withdrawn_stops": lambda d: not d["late_start"]},
+        )
+
+
+def build(broken: Broken | None = None) -> Protocol:
+    """Return the protocol of the design, or of one broken variant."""
+    return _Model(broken).protocol()
+
+
+FRESHNESS = Mechanism(
+    name="freshness",
+    bounds="2 members and a joiner, 1 withdrawal, 1 inquiry and 1 start at a time,"
+    " views fresh for 1 tick",
+    build=build,
+    broken=dict.fromkeys(Broken, "withdrawn_stops"),
+)
