Tie edits to live authors, goneness to addresses and confirmations to starts

Three faults that the specification of freshness and a reading of the proofs showed. An edit that landed after its author was proved gone took effect, though a node in an outage no longer asks that author. A process was marked gone when another joined under its name from another address, where it may still run. A node confirmed an edit while a start it had sent before was under way.

Ruled out: waiting the full time for each edit, which would make every answer 'in force' take 2.5 s; the open start delays it only while it is open, and never beyond its start_by.

--- a/hickoryplank/core/edits.py
+++ b/hickoryplank/core/edits.py
@@ -61,7 +61,8 @@
     A set is tied to the revisions that its author read, so of two operators who
     race each other one wins and the other learns which objects had changed.
     """
-    faults = _check_shape(edit_set)
+    faults = _check_author(tables, edit_set)
+    faults.extend(_check_shape(edit_set))
     faults.extend(_check_base(tables, edit_set))
     objects = _overlay(tables, edit_set.edits)
     faults.extend(check_objects(objects))
@@ -70,6 +71,13 @@
     return faults
 
 
+def _check_author(tables: Tables, edit_set: EditSet) -> list[Fault]:
+    if edit_set.author is None or tables.is_live(edit_set.author):
+        return []
+    message = f"author {edit_set.author} of the set is not live"
+    return [Fault(FaultCode.NOT_LIVE, message)]
+
+
 def _check_shape(edit_set: EditSet) -> list[Fault]:
     faults = []
     if not edit_set.edits:
--- a/hickoryplank/core/freshness.py
+++ b/hickoryplank/core/freshness.py
@@ -22,7 +22,7 @@
 
 import msgspec
 
-from hickoryplank.core.ids import Incarnation
+from hickoryplank.core.ids import Incarnation, TaskId
 
 __all__ = ["FRESH_SECONDS", "IN_FORCE_SECONDS", "Freshness", "PeerView"]
 
@@ -34,6 +34,8 @@
     """What a node answers to a peer that asks for its view of the log.
 
     :param folded: the offset that the node folds next.
+    :param confirmed: the same, or an earlier one while a start may be under way
+        that the node sent before it had folded as far.
     :param known: the same, or a later one that it knows to have been appended.
     :param age: seconds since the node's ``as_of``; ``None`` if it has none.
     :param quiet: whether no edit of the node is under way. An edit is under way
@@ -41,11 +43,18 @@
     """
 
     folded: int
+    confirmed: int
     known: int
     age: float | None
     quiet: bool
 
 
+@dataclass(frozen=True)
+class _OpenStart:
+    offset: int
+    start_by: float
+
+
 @dataclass(frozen=True)
 class _Heard:
     sent_at: float
@@ -68,6 +77,7 @@
     joined: int | None = None
     _heard: dict[Incarnation, _Heard] = field(default_factory=dict)
     _confirmed: dict[Incarnation, int] = field(default_factory=dict)
+    _starts: dict[TaskId, _OpenStart] = field(default_factory=dict)
 
     def note_tail_read(self, sent_at: float, offset: int) -> None:
         """Note that a read sent at ``sent_at`` reached the tail, and is folded.
@@ -87,7 +97,7 @@
 
     def note_answer(self, member: Incarnation, sent_at: float, view: PeerView) -> None:
         """Note the answer of ``member`` to an inquiry sent at ``sent_at``."""
-        self._confirmed[member] = max(view.folded, self._confirmed.get(member, 0))
+        self._confirmed[member] = max(view.confirmed, self._confirmed.get(member, 0))
         known = self._heard.get(member)
         if known is None or known.sent_at < sent_at:
             self._heard[member] = _Heard(sent_at, view)
@@ -113,6 +123,24 @@
         self._renew(min((answer.sent_at for answer in heard if answer), default=now))
         return True
 
+    def open_start(self, task: TaskId, start_by: float) -> None:
+        """Note that a start is about to be sent, which a worker may run.
+
+        :param start_by: the time on the node's clock after which it cannot run.
+        """
+        self._starts[task] = _OpenStart(self.offset, start_by)
+
+    def close_start(self, task: TaskId) -> None:
+        """Note that a start was answered, so that it is not under way."""
+        self._starts.pop(task, None)
+
+    def confirmed(self, now: float) -> int:
+        """Return the offset before which no edit concerns a start under way."""
+        late = [task for task, s in self._starts.items() if s.start_by < now]
+        for task in late:
+            del self._starts[task]
+        return min((s.offset for s in self._starts.values()), default=self.offset)
+
     def view(self, now: float, quiet: bool, appended: int = 0) -> PeerView:
         """Return what the node answers to a peer.
 
@@ -121,7 +149,13 @@
         """
         age = None if self.as_of is None else now - self.as_of
         known = max(self.offset, appended)
-        return PeerView(folded=self.offset, known=known, age=age, quiet=quiet)
+        return PeerView(
+            folded=self.offset,
+            confirmed=self.confirmed(now),
+            known=known,
+            age=age,
+            quiet=quiet,
+        )
 
     def fresh_until(self) -> float:
         """Return the time after which the node must take and start no work."""
--- a/hickoryplank/core/nodes.py
+++ b/hickoryplank/core/nodes.py
@@ -11,13 +11,13 @@
 def apply_joined(
     tables: Tables, record: NodeJoined, incarnation: Incarnation
 ) -> list[Fault]:
-    """Add an incarnation; an older one of the same node is gone from then on.
+    """Add an incarnation; an older one at the same address is gone from then on.
 
     The address is the proof: it can be bound again only once the older process
-    has let it go.
+    has let it go. A name proves nothing, for two processes may be given the same.
     """
     for row in tables.nodes.values():
-        if row.node == record.node or row.peer == record.peer:
+        if row.peer == record.peer:
             row.state = NodeState.GONE
     tables.nodes[incarnation] = NodeRow(
         node=record.node,
--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -86,7 +86,14 @@
 
 
 class Proof(Enum):
-    """Why an earlier attempt is known not to have run, and never to run."""
+    """Why an earlier attempt is known not to have run, and never to run.
+
+    ``REFUSED`` holds only for an attempt that was sent once. The refusal of a
+    start that was sent again says nothing of the first sending.
+
+    ``START_MISSED`` holds only for a worker that is still in the boot that the
+    dispatch named, has never seen the task and whose clock is past ``start_by``.
+    """
 
     REFUSED = "refused"
     START_MISSED = "start_missed"
@@ -112,13 +119,19 @@
 
 
 class EditSet(msgspec.Struct, frozen=True, tag="edit_set", kw_only=True):
-    """A set of edits that is accepted whole or refused whole."""
+    """A set of edits that is accepted whole or refused whole.
+
+    :param author: the incarnation that appends the set. A set that lands after
+        its author is gone is refused, for nobody could ask the author about it.
+        ``None`` only in sets that no node appends while others serve.
+    """
 
     id: RecordId
     operator: OperatorId
     base: tuple[BaseRevision, ...]
     edits: tuple[Put | Delete, ...]
     at: float = 0.0
+    author: Incarnation | None = None
 
 
 class NodeJoined(msgspec.Struct, frozen=True, tag="node_joined", kw_only=True):
--- a/tests/core/test_freshness.py
+++ b/tests/core/test_freshness.py
@@ -11,7 +11,7 @@
 
 
 def view(folded=5, known=5, age=None, quiet=True) -> PeerView:
-    return PeerView(folded, known, age, quiet)
+    return PeerView(folded, folded, known, age, quiet)
 
 
 @pytest.mark.parametrize(
@@ -60,3 +60,15 @@
     fresh.note_answer(2, 1.0, view(folded=5))
     fresh.note_answer(3, 1.0, view(folded=4))
     assert fresh.unaware([2, 3]) == [3]
+
+
+def test_a_node_confirms_no_edit_while_an_older_start_is_under_way():
+    fresh = Freshness()
+    fresh.note_tail_read(1.0, 5)
+    for task, start_by in (("answered", 9.0), ("lost", 3.0)):
+        fresh.open_start(task, start_by)
+    fresh.note_tail_read(2.0, 6)
+    assert fresh.view(2.0, quiet=True).confirmed == 5
+    fresh.close_start("answered")
+    assert fresh.view(2.5, quiet=True).confirmed == 5
+    assert fresh.view(3.1, quiet=True).confirmed == 6
