Test the escrow on lagging nodes, and let units go round by time waited

The state machine folds one log on several nodes at their own pace. A limit of 1 went to the first of 4 nodes in 20 of 40 turns, since each holder reckoned the wait from when it first heard of the request. The request now carries how long its node has lacked units, and the turns differ by 2 at most.

--- a/hickoryplank/core/escrow.py
+++ b/hickoryplank/core/escrow.py
@@ -35,11 +35,13 @@
     """A node tells a holder how much work it has for a team.
 
     :param demand: units for the work that it runs and the work that waits there.
+    :param waited: seconds since it first lacked units, or last got one.
     """
 
     team: TeamId
     node: Incarnation
     demand: int
+    waited: float
 
 
 @dataclass
@@ -51,9 +53,15 @@
 
 @dataclass
 class _Team:
-    """What the node does with the units of one team."""
+    """What the node does with the units of one team.
+
+    :param lacking_since: when the node first lacked units, or last got one.
+    :param held: the units that it held when it last looked.
+    """
 
     running: int = 0
+    lacking_since: float | None = None
+    held: int = 0
     pending: dict[RecordId, UnitsRecord] = field(default_factory=dict)
     requests: dict[Incarnation, _Request] = field(default_factory=dict)
 
@@ -150,18 +158,31 @@
         record = UnitsTaken(id=self.new_id(), team=team, holder=self.me, units=units)
         return self._add(record)
 
-    def ask(self, tables: Tables, team: TeamId, queued: int) -> UnitsWanted | None:
-        """Return what to tell the other holders while the node lacks units."""
-        if queued <= self.usable(tables, team) or free_units(tables, team):
+    def ask(
+        self, tables: Tables, team: TeamId, queued: int, now: float
+    ) -> UnitsWanted | None:
+        """Return what to tell the other holders while the node lacks units.
+
+        :param queued: units that the waiting work of the team needs.
+        :param now: the node's clock, in seconds.
+        """
+        state = self._team(team)
+        if queued <= self.usable(tables, team):
+            state.lacking_since = None
+            return None
+        held = self.held(tables, team)
+        if state.lacking_since is None or held > state.held:
+            state.lacking_since = now
+        state.held = held
+        if free_units(tables, team):
             return None
-        return UnitsWanted(team, self.me, self.running(team) + queued)
+        waited = now - state.lacking_since
+        return UnitsWanted(team, self.me, state.running + queued, waited)
 
     def note_wanted(self, wanted: UnitsWanted, now: float) -> None:
         """Note that another node lacks units; it repeats this while it does."""
-        requests = self._team(wanted.team).requests
-        known = requests.get(wanted.node)
-        since = known.since if known and not _expired(known, now) else now
-        requests[wanted.node] = _Request(wanted.demand, since, now)
+        request = _Request(wanted.demand, now - wanted.waited, now)
+        self._team(wanted.team).requests[wanted.node] = request
 
     def answer(
         self, tables: Tables, team: TeamId, queued: int, now: float
--- /dev/null
+++ b/tests/core/test_escrow.py
@@ -0,0 +1,219 @@
+"""Tests of the escrow: several nodes, each with its own fold of one log."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from hickoryplank.core.escrow import TURN_SECONDS, Escrow, UnitsWanted
+from hickoryplank.core.fold import fold
+from hickoryplank.core.objects import Limit
+from hickoryplank.core.records import (
+    Evidence,
+    NodeGone,
+    NodeLeft,
+    NodeReclaimed,
+    UnitsTaken,
+)
+from hickoryplank.core.tables import NodeState
+from hickoryplank.core.units import excess, surplus
+from tests.core.build import folded, join, new_id, small_fleet
+from tests.core.cluster import Cluster
+
+TEAM = "rutas"
+indexes = st.integers(0, 11)
+small = st.integers(1, 4)
+
+
+class EscrowMachine(RuleBasedStateMachine):
+    """Nodes start work, pass units on, die and are replaced, in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = Cluster()
+        self.cluster.edit(*small_fleet(limit=6))
+        for name in ("a", "b", "c"):
+            self.cluster.join(name)
+        self.offered = []
+        self.now = 0.0
+
+    def alive(self, index):
+        nodes = [node for node in self.cluster.nodes if node.alive]
+        return nodes[index % len(nodes)]
+
+    def dead(self, index):
+        nodes = [node for node in self.cluster.nodes if not node.alive]
+        return nodes[index % len(nodes)]
+
+    def has_dead(self):
+        return any(not node.alive for node in self.cluster.nodes)
+
+    def append(self, *records):
+        """Append records; no grant may come on top of what exceeds a limit."""
+        before = sum(self.cluster.tail.units.get(TEAM, {}).values())
+        self.cluster.append(*records)
+        after = sum(self.cluster.tail.units.get(TEAM, {}).values())
+        assert after <= max(before, self.cluster.tail.limit_of(TEAM))
+
+    def offer(self, record):
+        if record is not None:
+            self.offered.append(record)
+
+    @rule(index=indexes, steps=small)
+    def fold(self, index, steps):
+        for _ in range(steps):
+            self.cluster.fold(self.alive(index))
+
+    @rule(index=indexes, times=small)
+    def start(self, index, times):
+        node = self.alive(index)
+        for _ in range(times):
+            if node.escrow.start(node.tables, TEAM):
+                limits = self.cluster.limits[node.tables.next_offset :]
+                assert sum(self.cluster.running(TEAM).values()) <= max(limits)
+
+    @rule(index=indexes)
+    def finish(self, index):
+        node = self.alive(index)
+        if node.escrow.running(TEAM):
+            node.escrow.finish(TEAM)
+
+    @rule(index=indexes, queued=small)
+    def take(self, index, queued):
+        node = self.alive(index)
+        self.offer(node.escrow.take(node.tables, TEAM, queued))
+
+    @rule(index=indexes)
+    def give_back(self, index):
+        node = self.alive(index)
+        self.offer(node.escrow.give_back(node.tables, TEAM))
+
+    @rule(index=indexes, other=indexes, queued=small)
+    def ask_and_answer(self, index, other, queued):
+        asker, holder = self.alive(index), self.alive(other)
+        self.now += 0.1
+        wanted = asker.escrow.ask(asker.tables, TEAM, queued, self.now)
+        if wanted is not None and asker is not holder:
+            holder.escrow.note_wanted(wanted, self.now)
+        for move in holder.escrow.answer(holder.tables, TEAM, queued - 1, self.now):
+            self.offer(move)
+
+    @precondition(lambda self: self.offered)
+    @rule(index=indexes, batch=small)
+    def land(self, index, batch):
+        """Append records that were offered, perhaps again, perhaps late."""
+        at = index % len(self.offered)
+        self.append(*self.offered[max(0, at - batch + 1) : at + 1])
+
+    @rule(units=st.integers(0, 8))
+    def edit_limit(self, units):
+        self.cluster.edit(Limit(name=TEAM, units=units))
+
+    @precondition(lambda self: sum(n.alive for n in self.cluster.nodes) > 1)
+    @rule(index=indexes)
+    def kill(self, index):
+        node = self.alive(index)
+        node.orphans = node.escrow.running(TEAM)
+        node.alive = False
+
+    @precondition(lambda self: sum(n.alive for n in self.cluster.nodes) > 1)
+    @rule(index=indexes)
+    def leave(self, index):
+        node = self.alive(index)
+        if node.escrow.running(TEAM) == 0:
+            node.alive = False
+            self.append(NodeLeft(id=new_id(), node=node.name, incarnation=node.me))
+
+    @precondition(has_dead)
+    @rule(index=indexes)
+    def lapse(self, index):
+        self.dead(index).orphans = 0
+
+    @precondition(has_dead)
+    @rule(index=indexes)
+    def prove_gone(self, index):
+        node = self.dead(index)
+        self.append(
+            NodeGone(
+                id=new_id(),
+                node=node.name,
+                incarnation=node.me,
+                evidence=Evidence.VM_GONE,
+            )
+        )
+
+    @precondition(has_dead)
+    @rule(index=indexes)
+    def reclaim(self, index):
+        node = self.dead(index)
+        row = self.cluster.tail.nodes.get(node.me)
+        if row is not None and row.state is NodeState.GONE and node.orphans == 0:
+            self.append(NodeReclaimed(id=new_id(), node=node.name, incarnation=node.me))
+
+    @precondition(lambda self: self.has_dead() and len(self.cluster.nodes) < 8)
+    @rule(index=indexes)
+    def replace(self, index):
+        name = self.dead(index).name
+        if not any(node.alive and node.name == name for node in self.cluster.nodes):
+            self.cluster.join(name)
+
+    @invariant()
+    def nobody_runs_more_than_it_holds(self):
+        held = self.cluster.tail.units.get(TEAM, {})
+        for me, running in self.cluster.running(TEAM).items():
+            assert running <= held.get(me, 0)
+
+    @invariant()
+    def surplus_is_what_exceeds_the_limit(self):
+        tables = self.cluster.tail
+        owed = [surplus(tables, TEAM, me) for me in tables.units.get(TEAM, {})]
+        assert sum(owed) == max(0, excess(tables, TEAM))
+
+
+EscrowMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+test_escrow_machine = EscrowMachine.TestCase
+
+
+@pytest.mark.parametrize(
+    ("limit", "demands", "waits", "expected"),
+    [
+        (8, {"b": 9, "c": 9}, {"b": 0.0, "c": 0.0}, {"b": 4, "c": 4}),
+        (8, {"b": 1, "c": 9}, {"b": 0.0, "c": 0.0}, {"b": 1, "c": 7}),
+        (1, {"b": 9, "c": 9}, {"b": 0.4, "c": 0.1}, {"b": 1}),
+        (1, {"b": 9, "c": 9}, {"b": 0.1, "c": 0.4}, {"c": 1}),
+        (2, {"b": 9}, {"b": 0.0}, {"b": 2}),
+    ],
+)
+def test_idle_units_go_fairly_to_who_needs_them(limit, demands, waits, expected):
+    tables = folded(small_fleet(limit=limit))
+    nodes = {name: join(tables, name) for name in "abc"}
+    giver = Escrow(nodes["a"], new_id)
+    fold(tables, giver.take(tables, TEAM, limit)).unwrap()
+    giver.settle(giver.unsettled()[0])
+    for name, demand in demands.items():
+        wanted = UnitsWanted(TEAM, nodes[name], demand, waits[name])
+        giver.note_wanted(wanted, now=9.0)
+    moves = giver.answer(tables, TEAM, 0, now=9.0)
+    names = {me: name for name, me in nodes.items()}
+    assert {names[move.receiver]: move.units for move in moves} == expected
+
+
+def test_a_limit_below_the_number_of_nodes_goes_round():
+    tables = folded(small_fleet(limit=1))
+    nodes = [Escrow(join(tables, name), new_id) for name in "abcd"]
+    fold(tables, UnitsTaken(id=new_id(), team=TEAM, holder=nodes[0].me, units=1))
+    starts, now = dict.fromkeys(range(4), 0), 0.0
+    for _ in range(40):
+        now += TURN_SECONDS
+        holder = next(n for n in nodes if n.held(tables, TEAM))
+        for node in nodes:
+            wanted = node.ask(tables, TEAM, 5, now)
+            if wanted is not None:
+                holder.note_wanted(wanted, now)
+        assert holder.start(tables, TEAM)
+        starts[nodes.index(holder)] += 1
+        holder.finish(TEAM)
+        for move in holder.answer(tables, TEAM, queued=5, now=now):
+            fold(tables, move).unwrap()
+            holder.settle(move)
+    assert max(starts.values()) - min(starts.values()) <= 2
