--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -88,9 +88,14 @@
 class Proof(Enum):
     """Why one more attempt does no harm.
 
-    ``REFUSED`` and ``START_MISSED`` say that the earlier one never runs; after
-    ``CHECKPOINTED`` the next one goes on where it stopped; ``IDEMPOTENT`` work may
-    run twice.
+    ``REFUSED`` holds only for an attempt that was sent once, and never ran. The
+    refusal of a start that was sent again says nothing of the first sending.
+
+    ``START_MISSED`` holds only for a worker that is still in the boot that the
+    dispatch named, has never seen the task and whose clock is past ``start_by``.
+
+    After ``CHECKPOINTED`` the next attempt goes on where the earlier one stopped;
+    ``IDEMPOTENT`` work may run twice.
     """
 
     REFUSED = "refused"
@@ -119,13 +124,19 @@
 
 
 class EditSet(msgspec.Struct, frozen=True, tag="edit_set", kw_only=True):
-    """A set of edits that is accepted whole or refused whole."""
+    """A set of edits that is accepted whole or refused whole.
+
+    :param author: the incarnation that appends the set. A set that lands after
+        its author is gone is refused, for nobody could ask the author about it.
+        ``None`` only in sets that no node appends while others serve.
+    """
 
     id: RecordId
     operator: OperatorId
     base: tuple[BaseRevision, ...]
     edits: tuple[Put | Delete, ...]
     at: float = 0.0
+    author: Incarnation | None = None
 
 
 class NodeJoined(msgspec.Struct, frozen=True, tag="node_joined", kw_only=True):
