--- a/hickoryplank/settings.py
+++ b/hickoryplank/settings.py
@@ -126,26 +126,33 @@
 class MoveSettings(msgspec.Struct, frozen=True, kw_only=True):
     """How VMs follow demand between pools.
 
-    :param cooldown_seconds: time between two moves of one pool.
-    :param buffer_vms: VMs that the spare pool keeps when the fleet is calm.
+    :param buffer_vms: VMs that stand drained in the spare pool.
+    :param hysteresis_seconds: how long a pool keeps what it has needed.
+    :param fill: share of a pool's slots that demand may take before it grows,
+        above 0 and up to 1.
     """
 
     enabled: bool = True
-    cooldown_seconds: float = 60.0
-    buffer_vms: int = 2
+    buffer_vms: int = 4
+    hysteresis_seconds: float = 10.0
+    fill: float = 0.9
 
 
 class MaintenanceSettings(msgspec.Struct, frozen=True, kw_only=True):
     """How maintenance waves proceed.
 
-    :param drain_timeout_seconds: how long running work may finish by itself
-        before it is checkpointed.
+    :param drain_timeout_seconds: how long batch work may finish by itself before
+        it is checkpointed.
     :param reboot_timeout_seconds: how long a VM may stay away before it is
         reported as failed.
+    :param probe_timeout_seconds: after which a missing answer is a failed probe.
+    :param max_reboots: failed reboots after which a VM is reported as failed.
     """
 
-    drain_timeout_seconds: float = 120.0
+    drain_timeout_seconds: float = 30.0
     reboot_timeout_seconds: float = 600.0
+    probe_timeout_seconds: float = 60.0
+    max_reboots: int = 3
 
 
 class EffectiveSetting(msgspec.Struct, frozen=True):
--- a/hickoryplank/settings_file.py
+++ b/hickoryplank/settings_file.py
@@ -119,6 +119,8 @@
                 for seed in seeds
                 if not _is_address(seed)
             ]
+        case MoveSettings(fill=fill) if not 0 < fill <= 1:
+            found = [IniFault(file, header, "fill", "must be above 0 and up to 1")]
         case _:
             found = _check_positive(value, header, file)
     return Err(tuple(found)) if found else Ok(value)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -69,6 +69,7 @@
         ("operator.olga", "operator.Ol:ga", "must be operator.NAME = SHA-256"),
         ("operator.olga", "tls_cert_file", "needs both tls_cert_file and"),
         ("[node]", "[limits]\nbody_bytes=-1\n[node]", "body_bytes: must be 0 or more"),
+        ("[node]", "[moves]\nfill=0\n[node]", "fill: must be above 0 and up to 1"),
         ("[node]", "[log]\nlevel=x\n[node]", "level: must be debug or info or"),
         ("[node]", "[peers]\nseeds=x\n[node]", "seeds: must be an IP address"),
     ],
