--- a/hickoryplank/cli/tables.py
+++ b/hickoryplank/cli/tables.py
@@ -28,6 +28,7 @@
 ]
 
 _DIGEST_DIGITS = 12
+_MAX_SUMMARY = 5
 
 
 def object_tables(answer: ObjectsAnswer) -> list[Table]:
@@ -95,7 +96,9 @@
 
 def _history_row(entry: HistoryEntry) -> tuple[str, ...]:
     accepted = entry.revision is not None
-    what = "; ".join(entry.summary)
+    what = "; ".join(entry.summary[:_MAX_SUMMARY])
+    if len(entry.summary) > _MAX_SUMMARY:
+        what += f"; and {len(entry.summary) - _MAX_SUMMARY} more"
     if not accepted:
         what += f" ({'; '.join(fault.message for fault in entry.faults)})"
     return (
--- a/hickoryplank/client_http.py
+++ b/hickoryplank/client_http.py
@@ -15,6 +15,8 @@
 T = TypeVar("T")
 
 _TIMEOUT_SECONDS = 10.0
+_SAFE_TIMEOUT_SECONDS = 3.0
+_CONNECT_TIMEOUT_SECONDS = 2.0
 _FIRST_SERVER_ERROR = 500
 _NEVER_SENT = (
     httpx.ConnectError,
@@ -44,10 +46,11 @@
 ClientError = Refused | Unreachable
 
 
-class Session(msgspec.Struct, frozen=True):
+class Session(msgspec.Struct):
     """Which entries to ask, and as whom.
 
-    :param entries: base URLs; the next is tried when one is down.
+    :param entries: base URLs; the next is tried when one is down, which then goes
+        to the end.
     :param ca_file: certificates that vouch for the entries, in PEM.
     :param transport: replaces the network in tests.
     """
@@ -61,6 +64,11 @@
     def __repr__(self) -> str:
         return f"Session(entries={self.entries!r})"
 
+    def put_last(self, entry: str) -> None:
+        """Ask ``entry`` after the others from now on."""
+        others = tuple(other for other in self.entries if other != entry)
+        self.entries = (*others, entry)
+
 
 def get(session: Session, path: str, cls: type[T]) -> Result[T, ClientError]:
     """Return the answer to a GET of ``path`` under the API's prefix."""
@@ -100,15 +108,17 @@
         "Idempotency-Key": uuid.uuid4().hex,
     }
     failures: list[ClientError] = []
-    with _open(session) as http:
+    with _open(session, call) as http:
         for entry in session.entries:
             match _ask(http, entry, call, headers, cls):
                 case Ok(answer):
                     return Ok(answer)
+                case Err(Refused(problem) as error) if _is_final(problem):
+                    failures.append(error)
+                    break
                 case Err(error):
                     failures.append(error)
-                    if isinstance(error, Refused) and _is_final(error.problem):
-                        break
+                    session.put_last(entry)
     return Err(_worst(failures))
 
 
@@ -130,10 +140,13 @@
     return _decode(entry, res, cls)
 
 
-def _open(session: Session) -> httpx.Client:
+def _open(session: Session, call: _Call) -> httpx.Client:
+    longest = session.timeout_seconds
+    answer = min(longest, _SAFE_TIMEOUT_SECONDS) if call.safe else longest
+    connect = min(longest, _CONNECT_TIMEOUT_SECONDS)
     return httpx.Client(
         verify=ssl.create_default_context(cafile=session.ca_file),
-        timeout=session.timeout_seconds,
+        timeout=httpx.Timeout(answer, connect=connect),
         transport=session.transport,
         trust_env=False,
     )
