--- a/hickoryplank/core/ownership.py
+++ b/hickoryplank/core/ownership.py
@@ -1,31 +1,23 @@
-"""Rendezvous hashing: which node owns a pool, without any agreement."""
+"""Rendezvous hashing: which live node owns a pool."""
 
 import hashlib
 from collections.abc import Iterable
 
-from hickoryplank.core.ids import NodeId, PoolId
+from hickoryplank.core.ids import Incarnation, PoolId
 
-__all__ = ["owner", "owners"]
+__all__ = ["owner"]
 
 _DIGEST_BYTES = 8
 
 
-def owner(pool: PoolId, members: Iterable[NodeId]) -> NodeId | None:
-    """Return the owner of ``pool`` among the nodes believed alive.
+def owner(pool: PoolId, members: Iterable[Incarnation]) -> Incarnation | None:
+    """Return the member that owns ``pool``, or ``None`` without members.
 
-    When a node leaves, only its own pools change owner.
+    When a member joins or leaves, only the pools that it gains or loses move.
     """
-    return max(members, key=lambda node: _weight(pool, node), default=None)
+    return max(members, key=lambda member: _weight(pool, member), default=None)
 
 
-def owners(
-    pools: Iterable[PoolId], members: Iterable[NodeId]
-) -> dict[PoolId, NodeId | None]:
-    """Return the owner of each pool; needed only when the members change."""
-    known = tuple(members)
-    return {pool: owner(pool, known) for pool in pools}
-
-
-def _weight(pool: PoolId, node: NodeId) -> tuple[bytes, NodeId]:
-    key = f"{len(pool)}:{pool}{node}".encode()
-    return hashlib.blake2b(key, digest_size=_DIGEST_BYTES).digest(), node
+def _weight(pool: PoolId, member: Incarnation) -> bytes:
+    text = f"{pool}/{member}".encode()
+    return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -86,10 +86,17 @@
 
 
 class Proof(Enum):
-    """Why an earlier attempt is known not to have run, and never to run."""
+    """Why one more attempt does no harm.
+
+    ``REFUSED`` and ``START_MISSED`` say that the earlier one never runs; after
+    ``CHECKPOINTED`` the next one goes on where it stopped; ``IDEMPOTENT`` work may
+    run twice.
+    """
 
     REFUSED = "refused"
     START_MISSED = "start_missed"
+    CHECKPOINTED = "checkpointed"
+    IDEMPOTENT = "idempotent"
 
 
 class Put(msgspec.Struct, frozen=True, tag="put"):
@@ -189,6 +196,8 @@
 
     :param request: digest of the request, so that one idempotency key cannot
         stand for two different requests.
+    :param durable: whether the request was accepted for good; another node then
+        runs it from ``body`` if its holder goes before it is dispatched.
     :param expires: when the claim may be forgotten, in seconds since the epoch.
     """
 
@@ -199,6 +208,7 @@
     holder: Incarnation
     request: str
     expires: float
+    durable: bool = False
     content_type: str = ""
     body: bytes = b""
 
--- a/hickoryplank/core/tables.py
+++ b/hickoryplank/core/tables.py
@@ -94,7 +94,10 @@
 
 
 class ClaimRow(msgspec.Struct):
-    """A claimed request, its last dispatch and its outcome."""
+    """A claimed request, its last dispatch and its outcome.
+
+    :param reopened: whether the last attempt was settled as not run.
+    """
 
     claim: ClaimId
     team: TeamId
@@ -102,9 +105,11 @@
     holder: Incarnation
     request: str
     expires: float
+    durable: bool
     content_type: str
     body: bytes
     attempt: int = 0
+    reopened: bool = False
     vm: VmId | None = None
     boot: str = ""
     start_by: float = 0.0
--- /dev/null
+++ b/tests/standins/log.py
@@ -0,0 +1,44 @@
+"""Stand-in for the log service."""
+
+import math
+
+from result import Err, Ok
+from starlette.requests import Request
+
+from hickoryplank.platform import wire
+from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
+from hickoryplank.platform.log_memory import MemoryLog
+from tests.standins import service
+
+MAX_WAIT_SECONDS = 60.0
+
+
+def make_app(log: MemoryLog) -> service.App:
+    """Return the HTTP interface of ``log``."""
+
+    async def append(request: Request):
+        stream = request.query_params["stream"]
+        match await log.append(stream, await request.body()):
+            case Ok(offset):
+                return service.packed(wire.Appended(offset))
+            case Err(LogFailure(LogError.UNAVAILABLE)):
+                return service.reply(status=503, **{"no-effect": "1"})
+        return await service.no_answer(request)
+
+    async def read(request: Request):
+        query = request.query_params
+        start, limit = int(query["start"]), int(query["limit"])
+        wait = min(float(query["wait"]), MAX_WAIT_SECONDS)
+        match await log.read(query["stream"], start, limit, wait):
+            case Ok(page):
+                return service.packed(page)
+            case Err(Trimmed() as trimmed):
+                return service.packed(trimmed, 410)
+        return service.reply(status=503)
+
+    return service.App(log, {"POST /records": append, "GET /records": read})
+
+
+if __name__ == "__main__":
+    bind = service.parser(__doc__).parse_args().bind
+    service.run(make_app(MemoryLog(math.inf)), bind)
--- /dev/null
+++ b/tests/standins/worker.py
@@ -0,0 +1,115 @@
+"""Stand-in for a worker."""
+
+import json
+
+import anyio
+import msgspec
+from starlette.background import BackgroundTask
+from starlette.requests import Request
+
+from hickoryplank.core.ids import TaskId
+from hickoryplank.platform import wire
+from hickoryplank.platform.errors import RefusedStart
+from hickoryplank.platform.worker import Start
+from hickoryplank.platform.worker_engine import Interrupted, Sent, WorkerEngine
+from tests.standins import service
+
+
+def make_app(engine: WorkerEngine, vm: str = "") -> service.App:
+    """Return the HTTP interface of ``engine``."""
+    handlers = _Handlers(engine, vm)
+    gets = {f"GET /{name}": getattr(handlers, name) for name in _GETS}
+    posts = {f"POST /{name}": getattr(handlers, name) for name in _POSTS}
+    return service.App(engine, {**gets, **posts})
+
+
+_GETS = ("status", "task", "effects")
+_POSTS = ("start", "renew", "checkpoint", "stop", "restart")
+
+
+class _Handlers:
+    def __init__(self, engine: WorkerEngine, vm: str) -> None:
+        self.engine = engine
+        self.vm = vm
+
+    async def start(self, request: Request):
+        asked = _start(request, await request.body())
+        echo = {"task": wire.to_header(asked.task), "attempt": str(asked.attempt)}
+        match await self.engine.start(asked):
+            case Sent(answer, length):
+                echo["task"] = wire.to_header(answer.task)
+                response = service.reply(answer.body, answer.status, **echo)
+                response.headers["content-type"] = answer.content_type
+                response.headers[wire.LENGTH] = str(length)
+                return response
+            case RefusedStart() as refusal:
+                return service.reply(status=409, refusal=refusal.value, **echo)
+            case Interrupted.ANSWER_LOST:
+                return await service.no_answer(request)
+            case end:
+                return service.reply(status=409, interrupted=end.value, **echo)
+
+    async def status(self, _: Request):
+        return service.packed(await self.engine.status())
+
+    async def task(self, request: Request):
+        return service.packed(await self.engine.find(_task(request)))
+
+    async def renew(self, request: Request):
+        asked = msgspec.msgpack.decode(await request.body(), type=wire.Renewal)
+        done = await self.engine.renew(_task(request), asked.attempt, asked.lease)
+        return service.reply(status=200 if done else 409)
+
+    async def checkpoint(self, request: Request):
+        await self.engine.checkpoint(_task(request))
+        return service.reply()
+
+    async def stop(self, request: Request):
+        await self.engine.stop(_task(request))
+        return service.reply()
+
+    async def effects(self, _: Request):
+        did = {"vm": self.vm, "did": self.engine.effects()}
+        return service.reply(msgspec.json.encode(did))
+
+    async def restart(self, request: Request):
+        seconds = json.loads(await request.body() or b"{}").get("seconds", 0.0)
+        self.engine.restart()
+        response = service.reply()
+        response.background = BackgroundTask(self._pause, seconds)
+        return response
+
+    async def _pause(self, seconds: float) -> None:
+        for paused in (True, False):
+            faults = msgspec.structs.replace(self.engine.faults, paused=paused)
+            self.engine.set_faults(faults)
+            await anyio.sleep(seconds if paused else 0)
+
+
+def _task(request: Request) -> TaskId:
+    return TaskId(wire.from_header(request.headers[wire.TASK]))
+
+
+def _start(request: Request, body: bytes) -> Start:
+    headers = request.headers
+    return Start(
+        task=_task(request),
+        attempt=int(headers[wire.ATTEMPT]),
+        boot=wire.from_header(headers[wire.BOOT]),
+        start_by=float(headers[wire.START_BY]),
+        lease=float(headers[wire.LEASE]),
+        content_type=headers.get("content-type", ""),
+        body=body,
+        traceparent=headers.get("traceparent", ""),
+    )
+
+
+if __name__ == "__main__":
+    options = service.parser(__doc__)
+    options.add_argument("--vm", default="vm-0")
+    options.add_argument("--slots", type=int, default=8)
+    options.add_argument("--seconds", type=float, default=0.0)
+    args = options.parse_args()
+    service.run(
+        make_app(WorkerEngine(args.slots, args.seconds), args.vm), bind=args.bind
+    )
