Follow the specified protocol in the shell: live authors, confirmed starts

Cause: the checker refuted edits by authors that are gone and confirmations that pass over a start under way. The replica names itself as author, heartbeats carry the confirmed offset, a claimed start is bounded by freshness too.

--- a/hickoryplank/core/freshness.py
+++ b/hickoryplank/core/freshness.py
@@ -97,14 +97,14 @@
 
     def note_answer(self, member: Incarnation, sent_at: float, view: PeerView) -> None:
         """Note the answer of ``member`` to an inquiry sent at ``sent_at``."""
-        self._confirmed[member] = max(view.confirmed, self._confirmed.get(member, 0))
+        self.note_confirmed(member, view.confirmed)
         known = self._heard.get(member)
         if known is None or known.sent_at < sent_at:
             self._heard[member] = _Heard(sent_at, view)
             self._use_view(self._heard[member])
 
     def note_confirmed(self, member: Incarnation, offset: int) -> None:
-        """Note that ``member`` folds ``offset`` next, or a later one."""
+        """Note that every edit before ``offset`` is in force in ``member``."""
         self._confirmed[member] = max(offset, self._confirmed.get(member, 0))
 
     def forget(self, members: Collection[Incarnation]) -> None:
--- a/hickoryplank/core/messages.py
+++ b/hickoryplank/core/messages.py
@@ -26,11 +26,12 @@
 class Heartbeat(msgspec.Struct, frozen=True, tag="hb", array_like=True):
     """A sign of life.
 
-    :param offset: the log offset that the sender folds next.
+    :param confirmed: the log offset before which no edit concerns a start that
+        the sender has under way.
     :param leaving: whether the sender is shutting down.
     """
 
-    offset: int
+    confirmed: int
     leaving: bool
 
 
@@ -106,10 +107,12 @@
     """The sender lacks units of a team.
 
     :param demand: units for the work that it runs and that waits there.
+    :param waited: seconds since it first lacked units, or last got one.
     """
 
     team: TeamId
     demand: int
+    waited: float
 
 
 Message = (
--- a/hickoryplank/shell/attempts.py
+++ b/hickoryplank/shell/attempts.py
@@ -118,8 +118,13 @@
             body=job.request.body,
             traceparent=job.request.traceparent,
         )
-        with anyio.move_on_after(job.deadline - now) as job.scope:
-            return self._read(job, vm, await self._workers.run(worker, start))
+        freshness = self._replica.freshness
+        freshness.open_start(start.task, now + min(START_SECONDS, fresh))
+        try:
+            with anyio.move_on_after(job.deadline - now) as job.scope:
+                return self._read(job, vm, await self._workers.run(worker, start))
+        finally:
+            freshness.close_start(start.task)
         await self._stop(worker, job)
         return RunResult.STOPPED, Closed(
             Failed(detail="no answer came before the deadline")
--- a/hickoryplank/shell/claims.py
+++ b/hickoryplank/shell/claims.py
@@ -307,10 +307,18 @@
         refused = await self._log_dispatch(job, vm, start)
         if refused is not None:
             return RunResult.STOPPED, refused
-        if known.unwrap().at(self._clock.now()) > start.start_by:
-            job.proof = Proof.START_MISSED
-            return RunResult.STOPPED, Again()
-        return await self._send(job, vm, worker, start)
+        return await self._send(job, vm, worker, self._bounded(start, known.unwrap()))
+
+    def _bounded(self, start: Start, known: WorkerClock) -> Start:
+        """Return the start with the bound that this node's freshness sets.
+
+        The log may name a later one: a start that the worker refuses by the
+        earlier bound does not run by the later one either.
+        """
+        now = self._clock.now()
+        fresh = self._replica.freshness.fresh_until() - now
+        start_by = min(start.start_by, known.at(now) + fresh)
+        return msgspec.structs.replace(start, start_by=start_by)
 
     def _start_of(self, job: Job, row: ClaimRow, known: WorkerClock) -> Start:
         return Start(
@@ -353,7 +361,15 @@
     async def _send(
         self, job: Job, vm: VmId, worker: Worker, start: Start
     ) -> tuple[RunResult, Step]:
-        sent = await self._workers.run(worker, start)
+        now = self._clock.now()
+        freshness = self._replica.freshness
+        freshness.open_start(
+            start.task, min(now + START_SECONDS, freshness.fresh_until())
+        )
+        try:
+            sent = await self._workers.run(worker, start)
+        finally:
+            freshness.close_start(start.task)
         match sent:
             case Ok(answer):
                 return RunResult.DONE, self._finish(job, answer)
--- a/hickoryplank/shell/members.py
+++ b/hickoryplank/shell/members.py
@@ -38,7 +38,7 @@
     def note_heartbeat(self, sender: Incarnation, heartbeat: Heartbeat) -> None:
         """Note a peer's sign of life, and how far it has folded."""
         self._heard[sender] = self._clock.now()
-        self._replica.note_confirmed(sender, heartbeat.offset)
+        self._replica.note_confirmed(sender, heartbeat.confirmed)
         if heartbeat.leaving:
             self._leaving.add(sender)
 
@@ -51,7 +51,8 @@
             if row.incarnation != self.me
         ]
         self._peers.connect({row.incarnation: row.peer for row in rows})
-        self._peers.broadcast(Heartbeat(self._replica.offset, self.leaving))
+        confirmed = self._replica.freshness.confirmed(now)
+        self._peers.broadcast(Heartbeat(confirmed, self.leaving))
         for row in rows:
             self._redial_if_silent(row.incarnation, now)
 
--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -177,6 +177,8 @@
         if isinstance(record, EditSet) and self.freshness.unaware(self.others()):
             detail = "some node does not know of this one yet; publish elsewhere"
             return Err(LogFailure(LogError.UNAVAILABLE, detail))
+        if isinstance(record, EditSet):
+            record = msgspec.structs.replace(record, author=self.incarnation)
         pending = _Pending(record, anyio.Event())
         self._pending[record.id] = pending
         self._waiting.append(pending)
--- a/hickoryplank/shell/units.py
+++ b/hickoryplank/shell/units.py
@@ -53,7 +53,7 @@
 
     def note_asked(self, sender: Incarnation, asked: UnitsAsked) -> None:
         """Note that a peer lacks units."""
-        wanted = UnitsWanted(asked.team, sender, asked.demand)
+        wanted = UnitsWanted(asked.team, sender, asked.demand, asked.waited)
         self._escrow.note_wanted(wanted, self._clock.now())
 
     async def serve(self) -> None:
@@ -78,14 +78,14 @@
         ):
             if record is not None:
                 self._group.start_soon(self._submit, record)
-        wanted = self._escrow.ask(tables, team, queued)
+        wanted = self._escrow.ask(tables, team, queued, now)
         if wanted is not None:
-            self._ask_holders(team, wanted.demand)
+            self._ask_holders(UnitsAsked(team, wanted.demand, wanted.waited))
 
-    def _ask_holders(self, team: TeamId, demand: int) -> None:
-        for holder in self._replica.tables.units.get(team, {}):
+    def _ask_holders(self, asked: UnitsAsked) -> None:
+        for holder in self._replica.tables.units.get(asked.team, {}):
             if holder != self._replica.incarnation:
-                self._peers.send(holder, UnitsAsked(team, demand))
+                self._peers.send(holder, asked)
 
     async def _submit(self, record: UnitsRecord) -> None:
         """See a record into the log: until then its units are not used."""
