Refuse a record that lands after the fold may have forgotten its id

Cause: the fold remembers the last 16384 ids, some seconds at several hundred appends a second with many records each. A repeated append that landed later took effect again. For the creation of a key that had been withdrawn since, the base revision is 0 again, so the key came back.

Ruled out: remembering all ids, since tables would grow without bound; more ids, which moves the window but does not close it. Each record now says how far its author had folded when it made it, and the fold refuses it once it is further behind than the ids reach.

--- a/hickoryplank/core/escrow.py
+++ b/hickoryplank/core/escrow.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from hickoryplank.core.ids import Incarnation, RecordId, TeamId
+from hickoryplank.core.ids import Incarnation, RecordId, Revision, TeamId
 from hickoryplank.core.records import Record, UnitsMoved, UnitsReturned, UnitsTaken
 from hickoryplank.core.tables import Tables
 from hickoryplank.core.units import excess, free_units, surplus
@@ -125,6 +125,7 @@
             return None
         record = UnitsMoved(
             id=self.new_id(),
+            since=Revision(tables.sequence),
             team=team,
             giver=self.me,
             receiver=receiver,
@@ -143,7 +144,13 @@
         units = min(idle, self.owed(tables, team) or over)
         if over <= 0 or units <= 0 or self._lowered(team):
             return None
-        record = UnitsReturned(id=self.new_id(), team=team, holder=self.me, units=units)
+        record = UnitsReturned(
+            id=self.new_id(),
+            since=Revision(tables.sequence),
+            team=team,
+            holder=self.me,
+            units=units,
+        )
         return self._add(record)
 
     def take(self, tables: Tables, team: TeamId, queued: int) -> UnitsTaken | None:
@@ -155,7 +162,13 @@
         units = min(lacking, free_units(tables, team))
         if units <= 0 or self._is_taking(team) or not tables.is_live(self.me):
             return None
-        record = UnitsTaken(id=self.new_id(), team=team, holder=self.me, units=units)
+        record = UnitsTaken(
+            id=self.new_id(),
+            since=Revision(tables.sequence),
+            team=team,
+            holder=self.me,
+            units=units,
+        )
         return self._add(record)
 
     def ask(
--- a/hickoryplank/core/fold.py
+++ b/hickoryplank/core/fold.py
@@ -72,6 +72,11 @@
 
 
 def _check_new(tables: Tables, record: Record) -> list[Fault]:
+    if record.since is not None:
+        behind = tables.sequence - record.since
+        if behind > RECENT_RECORDS:
+            message = f"record {record.id} landed {behind} records late"
+            return [Fault(FaultCode.STALE, message)]
     if record.id in tables.recent:
         message = f"record {record.id} was folded before"
         return [Fault(FaultCode.DUPLICATE, message)]
--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -28,6 +28,7 @@
     "Dispatch",
     "EditSet",
     "Evidence",
+    "Logged",
     "NodeGone",
     "NodeJoined",
     "NodeLeft",
@@ -118,7 +119,21 @@
     revision: Revision
 
 
-class EditSet(msgspec.Struct, frozen=True, tag="edit_set", kw_only=True):
+class Logged(msgspec.Struct, frozen=True, kw_only=True):
+    """What all records have.
+
+    :param id: the same in each append of the record; only the first one counts.
+    :param since: the sequence number up to which the author had folded when it
+        made the record. A record that lands so late that the fold may have
+        forgotten its id is refused. ``None`` only where a repeated record is
+        harmless at any time.
+    """
+
+    id: RecordId
+    since: Revision | None = None
+
+
+class EditSet(Logged, frozen=True, tag="edit_set", kw_only=True):
     """A set of edits that is accepted whole or refused whole.
 
     :param author: the incarnation that appends the set. A set that lands after
@@ -126,7 +141,6 @@
         ``None`` only in sets that no node appends while others serve.
     """
 
-    id: RecordId
     operator: OperatorId
     base: tuple[BaseRevision, ...]
     edits: tuple[Put | Delete, ...]
@@ -134,70 +148,63 @@
     author: Incarnation | None = None
 
 
-class NodeJoined(msgspec.Struct, frozen=True, tag="node_joined", kw_only=True):
+class NodeJoined(Logged, frozen=True, tag="node_joined", kw_only=True):
     """A process starts; its incarnation is the sequence number of this record."""
 
-    id: RecordId
     node: NodeId
     api: str
     peer: str
     zone: Zone
 
 
-class NodeLeft(msgspec.Struct, frozen=True, tag="node_left", kw_only=True):
+class NodeLeft(Logged, frozen=True, tag="node_left", kw_only=True):
     """A process ends in good order: it runs nothing and holds no units."""
 
-    id: RecordId
     node: NodeId
     incarnation: Incarnation
 
 
-class NodeGone(msgspec.Struct, frozen=True, tag="node_gone", kw_only=True):
+class NodeGone(Logged, frozen=True, tag="node_gone", kw_only=True):
     """A process is proved gone; its units come back once its leases lapse."""
 
-    id: RecordId
     node: NodeId
     incarnation: Incarnation
     evidence: Evidence
 
 
-class NodeReclaimed(msgspec.Struct, frozen=True, tag="node_reclaimed", kw_only=True):
+class NodeReclaimed(Logged, frozen=True, tag="node_reclaimed", kw_only=True):
     """The leases of a gone process have lapsed; its units are free again."""
 
-    id: RecordId
     node: NodeId
     incarnation: Incarnation
 
 
-class UnitsTaken(msgspec.Struct, frozen=True, tag="units_taken", kw_only=True):
+class UnitsTaken(Logged, frozen=True, tag="units_taken", kw_only=True):
     """A node asks for unassigned units; it gets what is left, up to ``units``."""
 
-    id: RecordId
     team: TeamId
     holder: Incarnation
     units: int
 
 
-class UnitsMoved(msgspec.Struct, frozen=True, tag="units_moved", kw_only=True):
+class UnitsMoved(Logged, frozen=True, tag="units_moved", kw_only=True):
     """A node, which has lowered its own count, gives units to another."""
 
-    id: RecordId
     team: TeamId
     giver: Incarnation
     receiver: Incarnation
     units: int
 
 
-class UnitsReturned(msgspec.Struct, frozen=True, tag="units_returned", kw_only=True):
+class UnitsReturned(Logged, frozen=True, tag="units_returned", kw_only=True):
     """A node, which has lowered its own count, gives units back to nobody."""
 
-    id: RecordId
     team: TeamId
     holder: Incarnation
     units: int
 
 
-class Claim(msgspec.Struct, frozen=True, tag="claim", kw_only=True):
+class Claim(Logged, frozen=True, tag="claim", kw_only=True):
     """A node claims a non-idempotent request; the first claim in the log wins.
 
     :param request: digest of the request, so that one idempotency key cannot
@@ -205,7 +212,6 @@
     :param expires: when the claim may be forgotten, in seconds since the epoch.
     """
 
-    id: RecordId
     claim: ClaimId
     team: TeamId
     queue: QueueId
@@ -216,16 +222,13 @@
     body: bytes = b""
 
 
-class ClaimsForgotten(
-    msgspec.Struct, frozen=True, tag="claims_forgotten", kw_only=True
-):
+class ClaimsForgotten(Logged, frozen=True, tag="claims_forgotten", kw_only=True):
     """Settled claims that expired before ``before`` leave the table."""
 
-    id: RecordId
     before: float
 
 
-class Dispatch(msgspec.Struct, frozen=True, tag="dispatch", kw_only=True):
+class Dispatch(Logged, frozen=True, tag="dispatch", kw_only=True):
     """The holder of a claim is about to send attempt ``attempt`` to a worker.
 
     :param boot: the worker's boot id, as it last reported it.
@@ -235,7 +238,6 @@
         second attempt on.
     """
 
-    id: RecordId
     claim: ClaimId
     holder: Incarnation
     attempt: int
@@ -245,13 +247,12 @@
     proof: Proof | None = None
 
 
-class Outcome(msgspec.Struct, frozen=True, tag="outcome", kw_only=True):
+class Outcome(Logged, frozen=True, tag="outcome", kw_only=True):
     """The end of a claimed request, with the whole answer where there is one.
 
     :param holder: the holder of the claim; ``None`` when an operator settles it.
     """
 
-    id: RecordId
     claim: ClaimId
     holder: Incarnation | None
     kind: OutcomeKind
@@ -261,44 +262,40 @@
     detail: str = ""
 
 
-class VmStep(msgspec.Struct, frozen=True, tag="vm_step", kw_only=True):
+class VmStep(Logged, frozen=True, tag="vm_step", kw_only=True):
     """One planned step of a VM's maintenance or move.
 
     :param revision: the revision of the VM's row that the proposer read.
     :param wave: the maintenance wave that the step belongs to, if any.
     """
 
-    id: RecordId
     vm: VmId
     revision: Revision
     state: VmState
     wave: WaveId | None = None
 
 
-class VmMoved(msgspec.Struct, frozen=True, tag="vm_moved", kw_only=True):
+class VmMoved(Logged, frozen=True, tag="vm_moved", kw_only=True):
     """A drained VM changes its pool."""
 
-    id: RecordId
     vm: VmId
     revision: Revision
     pool: PoolId
 
 
-class VmReport(msgspec.Struct, frozen=True, tag="vm_report", kw_only=True):
+class VmReport(Logged, frozen=True, tag="vm_report", kw_only=True):
     """Evidence that a VM has failed without a plan, or is healthy again."""
 
-    id: RecordId
     vm: VmId
     healthy: bool
 
 
-class WaveChange(msgspec.Struct, frozen=True, tag="wave_change", kw_only=True):
+class WaveChange(Logged, frozen=True, tag="wave_change", kw_only=True):
     """An operator starts, pauses, resumes or cancels a maintenance wave.
 
     :param pools: pools that a new wave goes through; ignored afterwards.
     """
 
-    id: RecordId
     wave: WaveId
     operator: OperatorId
     state: WaveState
--- a/tests/core/build.py
+++ b/tests/core/build.py
@@ -22,6 +22,7 @@
     return EditSet(
         id=new_id(),
         operator=OperatorId("olga"),
+        since=Revision(tables.sequence),
         base=base_for(tables, edits),
         edits=edits,
     )
--- a/tests/core/test_fold.py
+++ b/tests/core/test_fold.py
@@ -75,3 +75,17 @@
     again = decode_tables(encode_tables(tables))
     assert again == tables
     assert again.digest() == tables.digest()
+
+
+def test_forgotten_record_takes_effect_once(monkeypatch):
+    """A withdrawn key stays withdrawn when its creation lands once more."""
+    monkeypatch.setattr("hickoryplank.core.fold.RECENT_RECORDS", 3)
+    tables = folded(small_fleet())
+    key = Key(name="new", team="rutas", digest="1" * 64)
+    created = edit_set(tables, Put(key))
+    fold(tables, created).unwrap()
+    for late in range(6):
+        fold(tables, edit_set(tables, Delete(Ref(Kind.KEY, "new"))))
+        refusal = fold(tables, created).unwrap_err()
+        code = FaultCode.DUPLICATE if late == 0 else FaultCode.STALE
+        assert refusal.faults[0].code is code
