--- a/hickoryplank/shell/claims.py
+++ b/hickoryplank/shell/claims.py
@@ -104,6 +104,8 @@
         self._settled: dict[ClaimId, anyio.Event] = {}
         self._unsaved = 0
         replica.subscribe(self._note_record)
+        replica.subscribe_adoption(self.rebuild)
+        self.rebuild()
 
     @property
     def unsaved(self) -> int:
--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -75,6 +75,8 @@
         self._waiting: deque[_Pending] = deque()
         self._wake = anyio.Event()
         self._advanced = anyio.Event()
+        self._trimmed = anyio.Event()
+        self._adopt_listeners: list[Callable[[], None]] = []
         self._listeners: list[Listener] = []
         self._appended = 0
         self._adopted_at = clock.now()
@@ -98,6 +100,10 @@
         """Call ``listener`` with every record folded from now on."""
         self._listeners.append(listener)
 
+    def subscribe_adoption(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after the tables were replaced by a snapshot."""
+        self._adopt_listeners.append(listener)
+
     def adopt(self, tables: Tables) -> bool:
         """Start over from a snapshot, unless it is older than what is folded."""
         if tables.next_offset <= self.offset:
@@ -105,6 +111,9 @@
         self._tables = tables
         self._adopted_at = self._clock.now()
         self._entries.clear()
+        self.freshness.note_folded(self.offset)
+        for adopted in self._adopt_listeners:
+            adopted()
         self._signal()
         return True
 
@@ -122,6 +131,7 @@
                     self.reading = False
                     if isinstance(failure, Trimmed):
                         logger.warning("the log starts at %d only", failure.first)
+                        self._trimmed.set()
                     await anyio.sleep(ERROR_PAUSE_SECONDS)
 
     def _take_page(self, page: Page, sent_at: float) -> None:
@@ -164,6 +174,11 @@
         self._advanced.set()
         self._advanced = anyio.Event()
 
+    async def trimmed(self) -> None:
+        """Wait until the log no longer has what comes next."""
+        await self._trimmed.wait()
+        self._trimmed = anyio.Event()
+
     async def advanced(self) -> None:
         """Wait until more of the log has been folded."""
         await self._advanced.wait()
@@ -177,8 +192,7 @@
         if isinstance(record, EditSet) and self.freshness.unaware(self.others()):
             detail = "some node does not know of this one yet; publish elsewhere"
             return Err(LogFailure(LogError.UNAVAILABLE, detail))
-        if isinstance(record, EditSet):
-            record = msgspec.structs.replace(record, author=self.incarnation)
+        record = self._signed(record)
         pending = _Pending(record, anyio.Event())
         self._pending[record.id] = pending
         self._waiting.append(pending)
@@ -191,6 +205,15 @@
             return Err(pending.error or LogFailure(LogError.UNKNOWN))
         return pending.verdict
 
+    def _signed(self, record: Record) -> Record:
+        """Return the record with what the fold asks of its author."""
+        if isinstance(record, EditSet):
+            record = msgspec.structs.replace(record, author=self.incarnation)
+        if record.since is None:
+            since = Revision(self._tables.sequence)
+            record = msgspec.structs.replace(record, since=since)
+        return record
+
     def _withdraw(self, pending: _Pending) -> None:
         if isinstance(pending.record, EditSet) and pending.sent:
             return
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -22,6 +22,7 @@
 from hickoryplank.shell.logs import configure_logs
 from hickoryplank.shell.node import Node, Platform
 from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.snapshots import Snapshots
 
 __all__ = ["run"]
 
@@ -46,11 +47,15 @@
     platform = connect_platform(cfg.platform)
     replica = Replica(platform.log, clock)
     async with anyio.create_task_group() as group:
+        snapshots = Snapshots(platform.log, replica, clock)
+        await snapshots.restore()
         group.start_soon(replica.follow)
         group.start_soon(replica.append)
+        group.start_soon(snapshots.recover)
         await _join(replica, cfg)
         node = Node(cfg, platform, replica, group, clock)
         await node.start()
+        group.start_soon(snapshots.serve)
         stop = anyio.Event()
         stopped = anyio.Event()
         group.start_soon(_listen, node, cfg, stop, stopped)
--- /dev/null
+++ b/hickoryplank/shell/snapshots.py
@@ -0,0 +1,155 @@
+"""Snapshots in the log: a node starts from one, and the nodes write new ones."""
+
+import logging
+
+import anyio
+from result import Err, Ok, Result
+
+from hickoryplank.core.snapshots import (
+    Chunk,
+    Rejected,
+    SnapshotId,
+    decode_chunk,
+    encode_chunk,
+    find_disagreement,
+    is_due,
+    newest,
+    split,
+)
+from hickoryplank.core.tables import Tables
+from hickoryplank.platform.errors import LogFailure, Trimmed
+from hickoryplank.platform.log import Log, Page
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.replica import Replica
+
+__all__ = ["SNAPSHOT_STREAM", "Snapshots"]
+
+logger = logging.getLogger(__name__)
+
+SNAPSHOT_STREAM = "snapshots"
+WINDOW_CHUNKS = 64
+MOST_WINDOWS = 64
+BEAT_SECONDS = 5.0
+ERROR_PAUSE_SECONDS = 0.2
+
+
+class Snapshots:
+    """Reads and writes snapshots for one replica."""
+
+    def __init__(self, log: Log, replica: Replica, clock: Clock):
+        self._log = log
+        self._replica = replica
+        self._clock = clock
+        self._next = 0
+        self._seen_offset = 0
+        self._seen_at = clock.now()
+
+    async def restore(self) -> bool:
+        """Adopt the newest whole snapshot that is ahead of the replica."""
+        while True:
+            match await self._find():
+                case Ok(tables):
+                    adopted = self._replica.adopt(tables)
+                    if adopted:
+                        logger.info("restored at offset %d", tables.next_offset)
+                    return adopted
+                case Err(Rejected(detail)):
+                    logger.info("no snapshot restored: %s", detail)
+                    return False
+                case Err(failure):
+                    logger.warning("snapshots cannot be read: %s", failure.detail)
+                    await anyio.sleep(ERROR_PAUSE_SECONDS)
+
+    async def _find(self) -> Result[Tables, Rejected | LogFailure]:
+        """Read back from the tail until a whole snapshot is found."""
+        first, tail = 0, 0
+        match await self._read(0, 1):
+            case Ok(page):
+                first, tail = page.first, page.tail
+            case Err(failure):
+                return Err(failure)
+        self._next = tail
+        chunks: list[Chunk] = []
+        found: Result[Tables, Rejected] = Err(Rejected("there is no snapshot"))
+        end = tail
+        for _ in range(MOST_WINDOWS):
+            if end <= first or found.is_ok():
+                break
+            start = max(first, end - WINDOW_CHUNKS)
+            match await self._read(start, end - start):
+                case Ok(page):
+                    chunks.extend(_chunks(page))
+                case Err(failure):
+                    return Err(failure)
+            found = newest(chunks, self._replica.offset)
+            end = start
+        return found
+
+    async def _read(self, start: int, limit: int) -> Result[Page, LogFailure]:
+        """Read from ``start``, or from the oldest chunk that is kept."""
+        while True:
+            match await self._log.read(SNAPSHOT_STREAM, start, limit, 0.0):
+                case Err(Trimmed(first)):
+                    start = first
+                case Ok(page):
+                    return Ok(page)
+                case Err(failure):
+                    return Err(failure)
+
+    async def serve(self) -> None:
+        """Watch for others' snapshots, and write one when it is due."""
+        while True:
+            await anyio.sleep(BEAT_SECONDS)
+            await self._watch()
+            if self._is_due():
+                await self.write()
+
+    async def recover(self) -> None:
+        """Go on from a snapshot whenever the log has dropped what comes next."""
+        while True:
+            await self._replica.trimmed()
+            if not await self.restore():
+                await anyio.sleep(BEAT_SECONDS)
+
+    async def _watch(self) -> None:
+        match await self._read(self._next, WINDOW_CHUNKS):
+            case Ok(page):
+                for entry in page.entries:
+                    self._next = entry.offset + 1
+                for chunk in _chunks(page):
+                    self._note(chunk.snapshot)
+
+    def _note(self, snapshot: SnapshotId) -> None:
+        if snapshot.next_offset > self._seen_offset:
+            self._seen_offset = snapshot.next_offset
+            self._seen_at = self._clock.now()
+        wrong = find_disagreement(self._replica.tables, snapshot)
+        if wrong is not None:
+            logger.error("snapshots disagree: %s", wrong.detail)
+
+    def _is_due(self) -> bool:
+        members = sorted([*self._replica.others(), self._replica.incarnation])
+        turn = members.index(self._replica.incarnation)
+        return is_due(
+            self._replica.tables,
+            self._seen_offset,
+            self._seen_at,
+            self._clock.now(),
+            turn,
+        )
+
+    async def write(self) -> None:
+        """Append a snapshot of the tables as they are now."""
+        chunks = split(self._replica.tables, self._replica.incarnation)
+        for chunk in chunks:
+            appended = await self._log.append(SNAPSHOT_STREAM, encode_chunk(chunk))
+            if appended.is_err():
+                logger.warning("snapshot cut short: %s", appended.unwrap_err())
+                return
+        self._note(chunks[0].snapshot)
+        logger.info("snapshot of %d chunks written", len(chunks))
+
+
+def _chunks(page: Page) -> list[Chunk]:
+    decoded = (decode_chunk(entry.data) for entry in page.entries)
+    return [chunk.unwrap() for chunk in decoded if chunk.is_ok()]
--- /dev/null
+++ b/tests/shell/test_replica.py
@@ -0,0 +1,152 @@
+"""Tests of the replica and its snapshots over the in-memory log and its faults."""
+
+import contextlib
+
+import anyio
+import pytest
+from result import Err
+
+from hickoryplank.core.edits import base_for
+from hickoryplank.core.ids import OperatorId
+from hickoryplank.core.objects import Kind, Pool
+from hickoryplank.core.records import EditSet, NodeJoined, Put
+from hickoryplank.core.snapshots import encode_chunk, split
+from hickoryplank.platform.errors import LogError, LogFailure
+from hickoryplank.platform.faults import LogFaults
+from hickoryplank.platform.log_memory import MemoryLog
+from hickoryplank.shell.clock import MonotonicClock
+from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.snapshots import SNAPSHOT_STREAM, Snapshots
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def edit(replica: Replica, name: str) -> EditSet:
+    edits = (Put(Pool(name=name)),)
+    return EditSet(
+        id=new_record_id(),
+        operator=OperatorId("olga"),
+        base=base_for(replica.tables, edits),
+        edits=edits,
+    )
+
+
+@contextlib.asynccontextmanager
+async def joined(log: MemoryLog, name: str):
+    """Run a replica that has joined, from a snapshot where there is one."""
+    clock = MonotonicClock()
+    replica = Replica(log, clock)
+    snapshots = Snapshots(log, replica, clock)
+    await snapshots.restore()
+    async with anyio.create_task_group() as group:
+        group.start_soon(replica.follow)
+        group.start_soon(replica.append)
+        group.start_soon(snapshots.recover)
+        record = NodeJoined(
+            id=new_record_id(), node=name, api="", peer=f"{name}:1", zone="coronel"
+        )
+        replica.incarnation = (await replica.submit(record)).unwrap()
+        replica.freshness.joined = replica.offset
+        yield replica, snapshots
+        group.cancel_scope.cancel()
+
+
+async def caught_up(replica: Replica, offset: int) -> None:
+    with anyio.fail_after(5):
+        while replica.offset < offset:
+            await replica.advanced()
+
+
+@pytest.mark.parametrize("lost", [1, 3])
+async def test_lost_append_answers_are_settled_by_reading_on(lost):
+    log = MemoryLog()
+    async with joined(log, "entry-1") as (replica, _):
+        log.faults.lose_answers = lost
+        with anyio.fail_after(5):
+            assert (await replica.submit(edit(replica, "spare"))).is_ok()
+        assert list(replica.tables.objects[Kind.POOL]) == ["spare"]
+
+
+async def test_outage_is_told_at_once_and_ends():
+    log = MemoryLog()
+    async with joined(log, "entry-1") as (replica, _):
+        log.set_faults(LogFaults(outage=True))
+        refused = await replica.submit(edit(replica, "spare"))
+        assert isinstance(refused.unwrap_err(), LogFailure)
+        assert refused.unwrap_err().error is LogError.UNAVAILABLE
+        log.set_faults(LogFaults())
+        assert (await replica.submit(edit(replica, "spare"))).is_ok()
+
+
+async def test_many_records_share_few_appends():
+    log = MemoryLog()
+    async with joined(log, "entry-1") as (replica, _):
+        before = replica.offset
+        async with anyio.create_task_group() as group:
+            for i in range(100):
+                group.start_soon(replica.submit, edit(replica, f"pool-{i}"))
+        assert len(replica.tables.objects[Kind.POOL]) == 100
+        assert replica.offset - before < 10
+
+
+async def test_entry_that_is_not_ours_is_passed_over():
+    log = MemoryLog()
+    async with joined(log, "entry-1") as (replica, _):
+        await log.append("control", b"\xc1 not a batch")
+        assert (await replica.submit(edit(replica, "spare"))).is_ok()
+
+
+async def test_new_node_starts_from_a_snapshot_and_a_trimmed_log():
+    log = MemoryLog()
+    async with joined(log, "entry-1") as (first, snapshots):
+        for i in range(5):
+            await first.submit(edit(first, f"pool-{i}"))
+        await snapshots.write()
+        log.set_faults(LogFaults(keep_records=2))
+        await first.submit(edit(first, "last"))
+        async with joined(log, "entry-2") as (second, _):
+            await caught_up(first, second.offset)
+            assert second.tables.digest() == first.tables.digest()
+
+
+@pytest.mark.parametrize("damage", ["flipped", "cut short"])
+async def test_damaged_snapshot_gives_way_to_the_one_before(damage):
+    log = MemoryLog()
+    async with joined(log, "entry-1") as (first, snapshots):
+        await snapshots.write()
+        kept = first.offset
+        await first.submit(edit(first, "spare"))
+        chunk = split(first.tables, first.incarnation)[0]
+        data = encode_chunk(chunk)
+        await log.append(SNAPSHOT_STREAM, data[:-9] + bytes(9))
+        if damage == "cut short":
+            await log.append(SNAPSHOT_STREAM, data[: len(data) // 2])
+        fresh = Replica(log, MonotonicClock())
+        assert await Snapshots(log, fresh, MonotonicClock()).restore()
+        assert fresh.offset == kept
+
+
+async def test_snapshot_never_takes_a_replica_back():
+    log = MemoryLog()
+    async with joined(log, "entry-1") as (replica, snapshots):
+        await snapshots.write()
+        await replica.submit(edit(replica, "spare"))
+        offset = replica.offset
+        assert not await snapshots.restore()
+        assert replica.offset == offset
+
+
+async def test_submit_without_a_log_can_be_given_up():
+    log = MemoryLog()
+    async with joined(log, "entry-1") as (replica, _):
+        log.set_faults(LogFaults(slow_seconds=60))
+        verdict = Err(LogFailure(LogError.UNKNOWN))
+        with anyio.move_on_after(0.05):
+            verdict = await replica.submit(edit(replica, "spare"))
+        assert verdict.is_err()
+        assert replica.has_edit_under_way()
