--- a/hickoryplank/core/messages.py
+++ b/hickoryplank/core/messages.py
@@ -2,14 +2,16 @@
 
 import msgspec
 
+from hickoryplank.core.demand import PoolDemand
 from hickoryplank.core.freshness import PeerView
-from hickoryplank.core.ids import Incarnation, PoolId, RequestId, TeamId
+from hickoryplank.core.ids import Incarnation, RequestId, TeamId
 from hickoryplank.core.work import WorkAnswer, WorkRequest
 
 __all__ = [
     "Accepted",
     "Answered",
     "Cancel",
+    "Demands",
     "Envelope",
     "Forward",
     "Heartbeat",
@@ -17,7 +19,6 @@
     "InquiryAnswer",
     "LogEntry",
     "Message",
-    "PoolDemand",
     "Running",
     "UnitsAsked",
 ]
@@ -41,16 +42,10 @@
     counts: dict[TeamId, int]
 
 
-class PoolDemand(msgspec.Struct, frozen=True, tag="dem", array_like=True):
-    """The demand that the sender sees as owner of a pool.
+class Demands(msgspec.Struct, frozen=True, tag="dem", array_like=True):
+    """The demand that the sender sees as owner of pools."""
 
-    :param asked: slots that running and waiting work would fill.
-    :param wait: seconds that the oldest urgent request has waited.
-    """
-
-    pool: PoolId
-    asked: int
-    wait: float
+    rows: tuple[PoolDemand, ...]
 
 
 class Inquiry(msgspec.Struct, frozen=True, tag="inq", array_like=True):
@@ -118,7 +113,7 @@
 Message = (
     Heartbeat
     | Running
-    | PoolDemand
+    | Demands
     | Inquiry
     | InquiryAnswer
     | Forward
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -76,6 +76,23 @@
                 total.update(self._queues.waiting(pool, work_class))
         return total
 
+    def running_by_pool(self) -> Counter[PoolId]:
+        """Return how much work runs in each pool."""
+        return Counter(run.job.queue.pool for run in self._runs.values())
+
+    def waiting_by_pool(self) -> Counter[PoolId]:
+        """Return how much work waits in each pool."""
+        total: Counter[PoolId] = Counter()
+        for pool in self._pools:
+            for work_class in WorkClass:
+                total[pool] += sum(self._queues.waiting(pool, work_class).values())
+        return total
+
+    def longest_wait(self, pool: PoolId, now: float) -> float:
+        """Return how long the oldest urgent work of ``pool`` has waited."""
+        heads = self._queues.heads(pool, WorkClass.URGENT).values()
+        return max((now - item.arrived for item in heads), default=0.0)
+
     @property
     def queues(self) -> WorkQueues:
         """Work that waits on this node."""
--- /dev/null
+++ b/hickoryplank/shell/mover.py
@@ -0,0 +1,116 @@
+"""Lets VMs follow demand: owners report what their pools are asked for."""
+
+import logging
+from collections import Counter
+
+import anyio
+from anyio.abc import TaskGroup
+
+from hickoryplank.core.demand import DemandTracker, PoolDemand
+from hickoryplank.core.ids import Incarnation, PoolId
+from hickoryplank.core.messages import Demands
+from hickoryplank.core.moves import MovePlanner, MovePolicy
+from hickoryplank.core.records import VmMoved, VmStep
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.dispatcher import Dispatcher
+from hickoryplank.shell.members import Members
+from hickoryplank.shell.peers import Peers
+from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.upkeep import UPKEEP
+
+__all__ = ["Mover"]
+
+logger = logging.getLogger(__name__)
+
+BEAT_SECONDS = 1.0
+KEPT_SECONDS = 5.0
+
+
+class Mover:
+    """Follows the demand on pools; the owner of upkeep plans moves by it."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        members: Members,
+        peers: Peers,
+        dispatcher: Dispatcher,
+        policy: MovePolicy,
+        group: TaskGroup,
+        clock: Clock,
+    ):
+        self._replica = replica
+        self._members = members
+        self._peers = peers
+        self._dispatcher = dispatcher
+        self._policy = policy
+        self._group = group
+        self._clock = clock
+        self._planner = MovePlanner(policy, new_record_id)
+        self._trackers: dict[PoolId, DemandTracker] = {}
+        self._known: dict[PoolId, tuple[PoolDemand, float]] = {}
+
+    def note_demands(self, sender: Incarnation, demands: Demands) -> None:
+        """Note what the pools of a peer are asked for."""
+        now = self._clock.now()
+        for demand in demands.rows:
+            self._known[demand.pool] = (demand, now)
+
+    async def serve(self) -> None:
+        """Follow demand, and report it or plan by it, until cancelled."""
+        while True:
+            await anyio.sleep(BEAT_SECONDS)
+            now = self._clock.now()
+            rows = self._observe(now)
+            planner = self._members.owner_of(UPKEEP)
+            if planner != self._members.me:
+                self._tell(planner, rows)
+                continue
+            self.note_demands(planner, Demands(rows))
+            self._plan(now)
+
+    def _observe(self, now: float) -> tuple[PoolDemand, ...]:
+        running = self._dispatcher.running_by_pool()
+        waiting = self._dispatcher.waiting_by_pool()
+        owned = self._owned(running, waiting)
+        return tuple(
+            self._trackers[pool].observe(
+                running[pool],
+                now,
+                waiting[pool],
+                self._dispatcher.longest_wait(pool, now),
+            )
+            for pool in owned
+        )
+
+    def _owned(
+        self, running: Counter[PoolId], waiting: Counter[PoolId]
+    ) -> list[PoolId]:
+        """Return the pools with work here, and those that had some and are ours."""
+        for pool in {*running, *waiting}:
+            if pool not in self._trackers:
+                tracker = DemandTracker(pool, self._policy.hysteresis)
+                self._trackers[pool] = tracker
+        for pool in list(self._trackers):
+            idle = not running[pool] and not waiting[pool]
+            if idle and self._members.owner_of(pool) != self._members.me:
+                del self._trackers[pool]
+        return list(self._trackers)
+
+    def _tell(self, planner: Incarnation, rows: tuple[PoolDemand, ...]) -> None:
+        if rows:
+            self._peers.send(planner, Demands(rows))
+
+    def _plan(self, now: float) -> None:
+        demand = {
+            pool: row
+            for pool, (row, at) in self._known.items()
+            if now - at <= KEPT_SECONDS
+        }
+        for record in self._planner.tick(self._replica.tables, demand, now):
+            self._group.start_soon(self._submit, record)
+
+    async def _submit(self, record: VmStep | VmMoved) -> None:
+        submitted = await self._replica.submit(record)
+        if submitted.is_err():
+            logger.info("move not accepted: %s", submitted.unwrap_err())
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -18,6 +18,7 @@
     Accepted,
     Answered,
     Cancel,
+    Demands,
     Envelope,
     Forward,
     Heartbeat,
@@ -26,6 +27,7 @@
     Running,
     UnitsAsked,
 )
+from hickoryplank.core.moves import MovePolicy
 from hickoryplank.core.records import EditSet, Record
 from hickoryplank.platform.log import Log
 from hickoryplank.platform.vmlist import VmList
@@ -39,6 +41,7 @@
 from hickoryplank.shell.edge import Edge
 from hickoryplank.shell.history import History
 from hickoryplank.shell.members import HEARTBEAT_SECONDS, Members
+from hickoryplank.shell.mover import Mover
 from hickoryplank.shell.operator_http import OperatorSecurity
 from hickoryplank.shell.operators import operator_routes
 from hickoryplank.shell.peers import Peers
@@ -100,6 +103,8 @@
         policy = MaintenancePolicy(
             drain_deadline=cfg.maintenance.drain_timeout_seconds,
             reboot_timeout=cfg.maintenance.reboot_timeout_seconds,
+            probe_timeout=cfg.maintenance.probe_timeout_seconds,
+            max_reboots=cfg.maintenance.max_reboots,
         )
         self._upkeep = Upkeep(
             replica,
@@ -111,6 +116,19 @@
             group,
             clock,
         )
+        self._mover = Mover(
+            replica,
+            self._members,
+            self._peers,
+            self._dispatcher,
+            MovePolicy(
+                buffer_vms=cfg.moves.buffer_vms,
+                hysteresis=cfg.moves.hysteresis_seconds,
+                fill=cfg.moves.fill,
+            ),
+            group,
+            clock,
+        )
         self._edge = Edge(replica, self._members, self._peers, self._service, clock)
         limits = CallerLimits(
             body_bytes=cfg.limits.body_bytes,
@@ -119,6 +137,7 @@
         self._api = CallerApi(replica, self._edge, limits, clock)
         self._history = History()
         self._edited = anyio.Event()
+        self._moves_enabled = cfg.moves.enabled
         self._told: dict[TeamId, int] = {}
         replica.subscribe(self._note_record)
         self.app = self._make_app(cfg)
@@ -148,6 +167,8 @@
             self._upkeep.forget_claims,
         ):
             self._group.start_soon(task)
+        if self._moves_enabled:
+            self._group.start_soon(self._mover.serve)
 
     def begin_leaving(self) -> None:
         """Take no ownership any more, and tell balancer and peers."""
@@ -212,6 +233,8 @@
                 self._witness.answer(sender, inquiry)
             case InquiryAnswer() as answer:
                 self._witness.note_answer(sender, answer)
+            case Demands() as demands:
+                self._mover.note_demands(sender, demands)
             case UnitsAsked() as asked:
                 self._units.note_asked(sender, asked)
             case Running() as running:
