--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -11,7 +11,7 @@
 from hickoryplank.core.counts import FleetCounts
 from hickoryplank.core.ids import PoolId, RequestId, TaskId, TeamId, VmId
 from hickoryplank.core.objects import WorkClass
-from hickoryplank.core.placement import EndpointTable, RunResult, Verdict
+from hickoryplank.core.placement import EndpointRow, EndpointTable, RunResult, Verdict
 from hickoryplank.core.preemption import Checkpoint, Demand, Preemption, RunningTask
 from hickoryplank.core.preemption import Stop as StopTask
 from hickoryplank.core.queues import Bounds, WorkItem, WorkQueues
@@ -123,6 +123,7 @@
                 for team, units in running.items()
             }
             owner.counts.exchange(running, parts)
+            owner.note_others(self.owners)
 
 
 class _Run(msgspec.Struct, kw_only=True):
@@ -157,12 +158,13 @@
     ) -> None:
         self.counts = FleetCounts()
         self.endpoints = EndpointTable()
-        self._loop, self._pool, self._board, self._policy = loop, pool, board, policy
+        self._loop, self.pool, self._board, self._policy = loop, pool, board, policy
         self._rng, self._report, self._lag = rng, report, lag
         bounds = Bounds() if policy.shed else Bounds(UNBOUNDED, UNBOUNDED)
         self._queues = WorkQueues(bounds)
         self._budget = RetryBudget() if policy.budget else _NoBudget()
         self._preemption = Preemption()
+        self._elsewhere: dict[VmId, int] = {}
         self._blocked: set[TeamId] = set()
         self._reserved: WorkItem | None = None
         self._sizes = SizeTable()
@@ -183,7 +185,7 @@
         urgent = job.item.work_class is WorkClass.URGENT and not job.bad
         self._report.urgent += urgent
         self._jobs[job.item.request] = job
-        self._budget.note_attempt(self._pool, job.item.team)
+        self._budget.note_attempt(self.pool, job.item.team)
         victim = self._queues.push(job.item, self._board.shares)
         if victim is not None:
             self._settle(victim, None)
@@ -207,7 +209,7 @@
         """Return the units that wait, of each team."""
         units: dict[TeamId, float] = defaultdict(float)
         for work_class in WorkClass:
-            for team, items in self._queues.waiting(self._pool, work_class).items():
+            for team, items in self._queues.waiting(self.pool, work_class).items():
                 units[team] += items * self.size_of(team)
         return units
 
@@ -215,6 +217,14 @@
         """Return the units that a run of ``team`` is believed to take."""
         return self._sizes.of("", team) if self._policy.learn_sizes else 1.0
 
+    def note_others(self, owners: list["Dispatcher"]) -> None:
+        """Learn what other dispatchers run on this pool's workers just now."""
+        others = [o for o in owners if o is not self and o.pool == self.pool]
+        self._elsewhere = {
+            row.vm: sum(o.endpoints.row(row.vm).running for o in others)
+            for row in self.endpoints.members(self.pool)
+        }
+
     # Starting runs.
 
     def _dispatch(self) -> None:
@@ -241,14 +251,14 @@
         self._blocked.add(item.team)
         if self._policy.placing is Placing.LEARNED and self._reserved is None:
             exclude, now = self._exclude(item.task), self._loop.now
-            if self.endpoints.reserve(self._pool, exclude, item.task, now):
+            if self.endpoints.reserve(self.pool, exclude, item.task, now):
                 self._reserved = item
 
     def _next(self) -> WorkItem | None:
         order = self._policy.order
         if order is Order.SHARES:
             return self._queues.next_item(
-                self._pool,
+                self.pool,
                 self._board.shares,
                 self.counts.running,
                 self._may_start,
@@ -258,7 +268,7 @@
         heads = [
             item
             for work_class in WorkClass
-            for item in self._queues.heads(self._pool, work_class).values()
+            for item in self._queues.heads(self.pool, work_class).values()
             if self._may_start(item.team)
         ]
         batch_last = order is Order.PRIORITY
@@ -308,15 +318,18 @@
     ) -> VmId | None:
         if self._policy.placing is Placing.LEARNED:
             now = self._loop.now
-            return self.endpoints.pick(self._pool, exclude, now, units, task=task)
+            return self.endpoints.pick(self.pool, exclude, now, units, task=task)
         rows = [
             row
-            for row in self.endpoints.members(self._pool)
-            if row.in_service and row.running < row.slots
+            for row in self.endpoints.members(self.pool)
+            if row.in_service and self._believed(row) < row.slots
         ]
         few = 1 if self._policy.placing is Placing.RANDOM else 2
         rows = self._rng.sample(rows, min(few, len(rows)))
-        return min(rows, key=lambda row: row.running).vm if rows else None
+        return min(rows, key=self._believed).vm if rows else None
+
+    def _believed(self, row: EndpointRow) -> int:
+        return row.running + self._elsewhere.get(row.vm, 0)
 
     # Ends of runs.
 
@@ -402,7 +415,7 @@
             self.endpoints.note_silence(
                 run.worker.endpoint.vm, item.task, self._loop.now
             )
-        if self._may_start(item.team) and self._budget.take(self._pool, item.team):
+        if self._may_start(item.team) and self._budget.take(self.pool, item.team):
             self._start_hedge(run)
 
     def _start_hedge(self, run: _Run) -> None:
@@ -425,8 +438,8 @@
         self._blocked.clear()
         demands = []
         for work_class in WorkClass:
-            counts = self._queues.waiting(self._pool, work_class)
-            for team, head in self._queues.heads(self._pool, work_class).items():
+            counts = self._queues.waiting(self.pool, work_class)
+            for team, head in self._queues.heads(self.pool, work_class).items():
                 if not self._may_start(team):
                     continue
                 units = counts[team] * self.size_of(team)
--- /dev/null
+++ b/benchmarks/routing.py
@@ -0,0 +1,160 @@
+"""Urgent work under rotating bursts while VMs, a rack or a zone are lost.
+
+Five queues take turns to ask for five times their mean for some seconds. During
+the third burst VMs are lost, or open connections go silent. Each part of the
+policy is switched off in turn.
+"""
+
+from collections.abc import Iterator
+from random import Random
+
+import msgspec
+
+from benchmarks.dispatcher import Board, Dispatcher, Placing, Policy, Report, Team
+from benchmarks.fake import SLOTS, Loop, Stream, arrivals, make_workers
+from benchmarks.figure import Figure
+from benchmarks.placement import percentile
+from hickoryplank.core.objects import WorkClass
+
+__all__ = ["figures"]
+
+SEED = 20261206
+POOLS = ("norte", "claro", "costa", "color", "socios")
+VMS_PER_POOL = 6
+POOL_UNITS = float(VMS_PER_POOL * SLOTS)
+BURST_SECONDS = 4.0
+END_SECONDS = 24.0
+FAULT_SECONDS = 9.0
+URGENT_SECONDS, BATCH_SECONDS = 0.4, 2.0
+URGENT_DEADLINE_SECONDS, BATCH_DEADLINE_SECONDS = 1.6, 600.0
+#: Demand of a queue in its turn and out of it, and of batch work, by capacity.
+BURST, QUIET, BATCH = 1.3, 0.013, 0.1
+TEAMS = {"rutas": Team(55.0, 200), "precios": Team(30.0, 200), "pagos": Team(15.0, 200)}
+#: Part of the urgent demand of each team.
+PARTS = {"rutas": 0.65, "precios": 0.35}
+#: For each fault: how many pools it hits, and which VMs of each.
+LOSSES = {"none": (0, ()), "vm": (1, (0,)), "rack": (2, (0, 3)), "zone": (5, (0, 3))}
+FAULTS = (*LOSSES, "silence")
+SILENT_VMS = (0, 3)
+OFF = {"budget": False, "hedge": False, "eject": False, "shed": False}
+VARIANTS = {
+    "all": Policy(),
+    **{f"no_{name}": Policy(**{name: False}) for name in OFF},
+    "none_of_them": Policy(**OFF),
+}
+TWO_CHOICES = Policy(placing=Placing.TWO_CHOICES, preempt=False)
+
+
+class Result(msgspec.Struct):
+    """What one run of the benchmark gave.
+
+    :param goodput: percent of urgent requests that started in time.
+    :param wait: the time that one urgent request in a hundred exceeds, in seconds.
+    :param attempts: attempts for each request.
+    """
+
+    goodput: float
+    wait: float
+    attempts: float
+
+
+def _streams() -> Iterator[Stream]:
+    for number, pool in enumerate(POOLS):
+
+        def rate(now: float, number: int = number) -> float:
+            turn = int(now / BURST_SECONDS) % len(POOLS) == number
+            return (BURST if turn else QUIET) * POOL_UNITS / URGENT_SECONDS
+
+        for team, part in PARTS.items():
+            yield Stream(
+                queue=f"urgent-{pool}",
+                pool=pool,
+                team=team,
+                work_class=WorkClass.URGENT,
+                rate=lambda now, rate=rate, part=part: part * rate(now),
+                seconds=URGENT_SECONDS,
+                deadline=URGENT_DEADLINE_SECONDS,
+            )
+        yield Stream(
+            queue=f"batch-{pool}",
+            pool=pool,
+            team="pagos",
+            work_class=WorkClass.BATCH,
+            rate=lambda now: BATCH * POOL_UNITS / BATCH_SECONDS,
+            seconds=BATCH_SECONDS,
+            deadline=BATCH_DEADLINE_SECONDS,
+        )
+
+
+def _run(policy: Policy, fault: str, nodes: int = 1) -> Result:
+    """Run the demand with ``nodes`` dispatchers for each pool."""
+    loop, report = Loop(), Report()
+    board = Board(loop, TEAMS, POOL_UNITS * len(POOLS))
+    fleet = {pool: make_workers(loop, pool, VMS_PER_POOL) for pool in POOLS}
+    owners = {
+        pool: [
+            Dispatcher(loop, pool, workers, board, policy, Random(SEED + i), report)
+            for i in range(nodes)
+        ]
+        for pool, workers in fleet.items()
+    }
+    rng = Random(SEED)
+    top = BURST * POOL_UNITS / URGENT_SECONDS
+    for stream in _streams():
+        for job in arrivals(stream, rng, top, END_SECONDS - 4.0):
+            owner = rng.choice(owners[stream.pool])
+            loop.at(job.item.arrived, lambda o=owner, j=job: o.submit(j))
+    loop.at(FAULT_SECONDS, lambda: _break(fault, fleet, owners))
+    loop.run(END_SECONDS)
+    return Result(
+        100.0 * report.urgent_in_time / report.urgent,
+        percentile(report.waits, 0.99),
+        report.attempts / report.submitted,
+    )
+
+
+def _break(fault: str, fleet: dict, owners: dict) -> None:
+    first = int(FAULT_SECONDS / BURST_SECONDS)
+    if fault == "silence":
+        for number in SILENT_VMS:
+            fleet[POOLS[first]][number].silence()
+        return
+    pools, numbers = LOSSES[fault]
+    for step in range(pools):
+        pool = POOLS[(first + step) % len(POOLS)]
+        vms = [fleet[pool][number].endpoint.vm for number in numbers]
+        for owner in owners[pool]:
+            owner.lose(vms)
+
+
+def _compare(name: str, ours: Result, other: Result) -> Iterator[Figure]:
+    yield Figure(
+        name=f"routing.goodput.{name}",
+        value=round(ours.goodput, 2),
+        unit="% of urgent",
+        baseline=round(other.goodput, 2),
+    )
+    yield Figure(
+        name=f"routing.wait_p99.{name}",
+        value=round(ours.wait, 3),
+        unit="s",
+        target=URGENT_DEADLINE_SECONDS if name.startswith("none.") else None,
+        baseline=round(other.wait, 3),
+    )
+    yield Figure(
+        name=f"routing.attempts.{name}",
+        value=round(ours.attempts, 3),
+        unit="a request",
+        baseline=round(other.attempts, 3),
+    )
+
+
+def figures() -> Iterator[Figure]:
+    """Yield goodput and wait of urgent work for each fault and variant."""
+    for fault in FAULTS:
+        ours = _run(Policy(), fault)
+        for name, policy in VARIANTS.items():
+            if name != "all":
+                yield from _compare(f"{fault}.vs_{name}", ours, _run(policy, fault))
+        spread = _run(TWO_CHOICES, fault, nodes=3)
+        yield from _compare(f"{fault}.vs_two_choices_at_3_nodes", ours, spread)
