--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -16,6 +16,7 @@
 from hickoryplank.core.preemption import Stop as StopTask
 from hickoryplank.core.queues import Bounds, WorkItem, WorkQueues
 from hickoryplank.core.retries import Retry, RetryBudget, hedge_at, next_attempt
+from hickoryplank.core.runtimes import RunTime
 from hickoryplank.core.shares import TeamDemand, entitlements
 from hickoryplank.core.sizes import SizeTable
 
@@ -24,6 +25,8 @@
 BEAT_SECONDS = 0.1
 EXCHANGE_SECONDS = 0.2
 CHECKPOINT_TAKES_SECONDS = 0.25
+#: Time after which a run without an answer is given up, at least and by run time.
+TIMEOUT_SECONDS, TIMEOUT_FACTOR = 4.0, 4.0
 UNBOUNDED = 1_000_000
 
 
@@ -298,6 +301,10 @@
         self.endpoints.note_start(vm, item.task, self._loop.now, units)
         self._report.attempts += 1
         run.key = run.worker.start(job, lambda result: self._ended(run, result))
+        timeout = max(TIMEOUT_SECONDS, TIMEOUT_FACTOR * self._run_time(item).high)
+        self._loop.at(
+            self._loop.now + timeout, lambda: self._ended(run, RunResult.SILENT)
+        )
         if self._policy.hedge and not hedge:
             self._plan_hedge(run)
         return True
@@ -335,7 +342,7 @@
 
     def _ended(self, run: _Run, result: RunResult) -> None:
         item = run.job.item
-        if run not in self._runs[item.task]:
+        if run not in self._runs.get(item.task, ()):
             return
         self._report.failed_attempts += result is RunResult.FAILED
         self._sizes.observe("", item.team, run.job.units)
@@ -403,17 +410,20 @@
 
     def _plan_hedge(self, run: _Run) -> None:
         item = run.job.item
-        at = hedge_at(item, run.started, self.endpoints.run_times.of(item.queue))
+        at = hedge_at(item, run.started, self._run_time(item))
         if at is not None:
             self._loop.at(at, lambda: self._hedge(run))
 
+    def _run_time(self, item: WorkItem) -> RunTime:
+        return self.endpoints.run_times.of(item.queue)
+
     def _hedge(self, run: _Run) -> None:
         item = run.job.item
         if self._runs.get(item.task) != [run]:
             return
         if self._policy.eject:
             self.endpoints.note_silence(
-                run.worker.endpoint.vm, item.task, self._loop.now
+                run.worker.endpoint.vm, item.task, run.started, self._loop.now
             )
         if self._may_start(item.team) and self._budget.take(self.pool, item.team):
             self._start_hedge(run)
@@ -476,7 +486,7 @@
 
     def _as_task(self, run: _Run) -> RunningTask:
         item = run.job.item
-        high = self.endpoints.run_times.of(item.queue).high
+        high = self._run_time(item).high
         return RunningTask(
             task=item.task,
             team=item.team,
--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -51,6 +51,9 @@
     STOPPED = "stopped"
 
 
+_ANSWERS = frozenset((RunResult.DONE, RunResult.FAILED, RunResult.BUSY))
+
+
 class Verdict(Enum):
     """What becomes of a task after a run."""
 
@@ -73,6 +76,7 @@
     :param proved: whether a run has been done here since the VM came into service.
     :param first_start: when the first run started on a VM not yet proved.
     :param trials: tasks that run here and started while the endpoint was suspect.
+    :param heard: when a run last brought an answer, in seconds.
     :param slowdown: run times here as a multiple of the queue's mean.
     :param ejected_until: end of the ejection, in seconds; ``None`` if not ejected.
     :param ejections: ejections since the endpoint last proved sound.
@@ -90,6 +94,7 @@
     used: float = 0.0
     proved: bool = False
     first_start: float | None = None
+    heard: float = float("-inf")
     open_failures: set[TaskId] = msgspec.field(default_factory=set)
     confirmed: int = 0
     trials: set[TaskId] = msgspec.field(default_factory=set)
@@ -115,10 +120,10 @@
         """
         if not self.serves(now):
             return False
-        if self.suspect or self.probing(now):
-            return not self.trials
         if self.running >= self._allowed(now):
             return False
+        if self.trials and (self.suspect or self.probing(now)):
+            return False
         return self.running == 0 or self.used + units <= self.capacity
 
     def probing(self, now: float) -> bool:
@@ -263,13 +268,16 @@
             if row.first_start is None:
                 row.first_start = now
 
-    def note_silence(self, vm: VmId, task: TaskId, now: float) -> None:
-        """Hold against ``vm`` that a run's connection has gone silent.
+    def note_silence(self, vm: VmId, task: TaskId, started: float, now: float) -> None:
+        """Note that a run's connection has been silent for too long.
 
-        The run still counts as running there until it is finished or given up.
+        It counts against an endpoint that has ended no other run meanwhile. The
+        run still counts as running there until ``note_finish``.
+
+        :param started: when the run started, in seconds.
         """
         row = self._rows.get(vm)
-        if row is not None:
+        if row is not None and row.heard < started:
             self._failed_on.setdefault(task, set()).add(vm)
             self._hold_against(row, task, now)
 
@@ -300,6 +308,8 @@
         at_capacity = row.used + units > row.capacity
         row.running = max(row.running - 1, 0)
         row.used = max(row.used - units, 0.0) if row.running else 0.0
+        if result in _ANSWERS:
+            row.heard = now
         trial = task in row.trials
         row.trials.discard(task)
         match result:
