Hedge only what was learned, and count runs that fall silent together once

Causes: queues not yet seen were hedged by a guess, and a VM whose connections went silent was ejected by one event. Ruled out: shedding and the retry budget, which changed nothing here.

--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -271,13 +271,16 @@
     def note_silence(self, vm: VmId, task: TaskId, started: float, now: float) -> None:
         """Note that a run's connection has been silent for too long.
 
-        It counts against an endpoint that has ended no other run meanwhile. The
-        run still counts as running there until ``note_finish``.
+        It counts against an endpoint that has ended no other run meanwhile. Runs
+        that fall silent together count once; then a trial run has to. The run
+        still counts as running there until ``note_finish``.
 
         :param started: when the run started, in seconds.
         """
         row = self._rows.get(vm)
-        if row is not None and row.heard < started:
+        if row is None or row.heard >= started:
+            return
+        if task in row.trials or not row.suspect:
             self._failed_on.setdefault(task, set()).add(vm)
             self._hold_against(row, task, now)
 
@@ -325,7 +328,8 @@
             case RunResult.FAILED:
                 return self._judge_failure(row, task, now)
             case RunResult.SILENT:
-                self._hold_against(row, task, now)
+                if trial or not row.suspect:
+                    self._hold_against(row, task, now)
             case RunResult.STOPPED:
                 pass
         return Verdict.RETRY
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -129,6 +129,19 @@
     assert not any(row.suspect for row in table.members("p"))
 
 
+def test_runs_that_fall_silent_together_count_once_and_a_trial_clears_them():
+    table = fleet(2)
+    started = [vm for vm in fill(table, 1.0) if vm == "vm-0"]
+    for number in range(len(started)):
+        table.note_silence("vm-0", f"fill-{number}", 1.0, 2.0)
+    assert len(table.row("vm-0").open_failures) == 1
+    assert ejected(table) == []
+    table.note_finish("vm-0", "fill-0", "q", RunResult.STOPPED, 1.0, 2.0)
+    assert table.pick("p", (), 2.0) == "vm-0"
+    finish(table, "vm-0", "trial", DONE, 2.0)
+    assert not table.row("vm-0").suspect
+
+
 def test_failures_on_workers_that_run_nothing_do_not_give_a_task_up():
     table = fleet(proved=False)
     verdicts = {finish(table, f"vm-{i}", "t", FAILED) for i in range(6)}
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -85,7 +85,8 @@
     ],
 )
 def test_only_idempotent_work_with_time_left_is_hedged(item, expected):
-    assert hedge_at(item, 10.0, RunTime(high=1.0)) == expected
+    assert hedge_at(item, 10.0, RunTime(high=1.0, observed=20)) == expected
+    assert hedge_at(item, 10.0, RunTime(high=1.0, observed=19)) is None
 
 
 @given(st.floats(0, 200))
