Let a learned capacity recover with time instead of with finished runs

Cause: busy refusals before sizes are learned took the capacity of the fleet to 82 of 240 units, and runs of 3 s brought it back slowly. The dispatchers of the baseline of two choices no longer drop refused work for want of retry tokens.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -41,7 +41,9 @@
     **{f"no_{name}": Policy(**{name: False}) for name in OFF},
     "none_of_them": Policy(**OFF),
 }
-TWO_CHOICES = Policy(placing=Placing.TWO_CHOICES, preempt=False)
+TWO_CHOICES = Policy(
+    placing=Placing.TWO_CHOICES, preempt=False, budget=False, hedge=False
+)
 
 
 class Result(msgspec.Struct):
--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -29,8 +29,8 @@
 FIRST_EJECTION_SECONDS = 10.0
 #: How long an ejection lasts at most.
 LONGEST_EJECTION_SECONDS = 160.0
-#: Runs that an endpoint finishes at its learned capacity before it grows by one.
-GROW_AFTER_RUNS = 8
+#: Time in which a learned capacity grows by one unit, until it is refused again.
+GROW_SECONDS = 2.0
 #: Runs that an endpoint which has proved nothing may have at once, in the end.
 TRIAL_RUNS = 4
 #: Time after its first start in which that number doubles from one.
@@ -68,6 +68,7 @@
     :param slots: what the endpoint declares to run at once.
     :param capacity: units that it was learned to run at once, from 1 to ``slots``;
         a new row takes over ``slots``.
+    :param grown_at: up to when ``capacity`` has grown, in seconds.
     :param used: units that its runs are believed to take.
     :param open_failures: tasks that failed here since the last run that was
         done, and that are not settled.
@@ -99,7 +100,7 @@
     confirmed: int = 0
     trials: set[TaskId] = msgspec.field(default_factory=set)
     slowdown: float = 1.0
-    runs_at_capacity: int = 0
+    grown_at: float = 0.0
     ejected_until: float | None = None
     ejections: int = 0
     reserved_for: TaskId | None = None
@@ -138,6 +139,13 @@
         trial = 2 ** min(int(tried / TRIAL_SECONDS), 8)
         return min(trial, TRIAL_RUNS, self.slots)
 
+    def grow(self, now: float) -> None:
+        """Let the learned capacity recover by the time that has passed."""
+        if self.capacity < self.slots:
+            grown = self.capacity + (now - self.grown_at) / GROW_SECONDS
+            self.capacity = min(grown, float(self.slots))
+        self.grown_at = now
+
     def load(self) -> float:
         """Return the load that one more run would give, 1.0 at capacity."""
         return (self.used + 1.0) * self.slowdown / self.capacity
@@ -216,9 +224,12 @@
         :param may_probe: whether the run may be risked on a suspect endpoint.
         :param task: the task, which may start where room is kept for it.
         """
+        members = self._pools.get(pool, {}).values()
+        for row in members:
+            row.grow(now)
         rows = [
             row
-            for row in self._pools.get(pool, {}).values()
+            for row in members
             if row.vm not in exclude
             and row.reserved_for in (None, task)
             and row.has_room(units, now)
@@ -308,7 +319,6 @@
         row = self._rows.get(vm)
         if row is None:
             return Verdict.DONE if result is RunResult.DONE else Verdict.RETRY
-        at_capacity = row.used + units > row.capacity
         row.running = max(row.running - 1, 0)
         row.used = max(row.used - units, 0.0) if row.running else 0.0
         if result in _ANSWERS:
@@ -319,12 +329,12 @@
             case RunResult.DONE:
                 self._learn_run(row, queue, seconds)
                 if trial or not row.suspect:
-                    _prove(row, at_capacity)
+                    _prove(row)
                 self._confirm(task, vm, now)
                 return Verdict.DONE
             case RunResult.BUSY:
+                row.grow(now)
                 row.capacity = max(min(row.used, row.capacity - 1.0), 1.0)
-                row.runs_at_capacity = 0
             case RunResult.FAILED:
                 return self._judge_failure(row, task, now)
             case RunResult.SILENT:
@@ -432,7 +442,7 @@
     return row.confirmed + len(row.open_failures) >= EJECT_FAILURES
 
 
-def _prove(row: EndpointRow, at_capacity: bool) -> None:
+def _prove(row: EndpointRow) -> None:
     """Clear what stood against an endpoint that has finished a run."""
     returned = row.ejected_until is not None
     row.proved = True
@@ -442,10 +452,6 @@
     row.trials.clear()
     if not returned:
         row.ejections = 0
-    row.runs_at_capacity += at_capacity
-    if row.capacity < row.slots and row.runs_at_capacity >= GROW_AFTER_RUNS:
-        row.runs_at_capacity = 0
-        row.capacity = min(row.capacity + 1.0, float(row.slots))
 
 
 def _take_over(row: EndpointRow, new: EndpointRow) -> None:
@@ -461,5 +467,5 @@
         row.first_start = row.ejected_until = row.reserved_for = None
         row.open_failures.clear()
         row.trials.clear()
-        row.confirmed = row.ejections = row.runs_at_capacity = 0
+        row.confirmed = row.ejections = 0
         row.slowdown = 1.0
