--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -35,6 +35,10 @@
 TRIAL_RUNS = 4
 #: Time after its first start in which that number doubles from one.
 TRIAL_SECONDS = 0.5
+#: Wait for the next trial run after the first has failed; it doubles each time.
+TRIAL_WAIT_SECONDS = 0.1
+#: Longest wait for a trial run of an endpoint that is not ejected.
+LONGEST_TRIAL_WAIT_SECONDS = 1.6
 #: Loads that differ by no more count as equal.
 SAME_LOAD = 0.02
 #: Weight of the newest run in an endpoint's slowdown.
@@ -75,6 +79,7 @@
     :param confirmed: failures since the last run that was done, of tasks that
         others ran.
     :param proved: whether a run has been done here since the VM came into service.
+    :param trial_after: when the next such run may start, in seconds.
     :param first_start: when the first run started on a VM not yet proved.
     :param trials: tasks that run here and started while the endpoint was suspect.
     :param heard: when a run last brought an answer, in seconds.
@@ -99,6 +104,7 @@
     open_failures: set[TaskId] = msgspec.field(default_factory=set)
     confirmed: int = 0
     trials: set[TaskId] = msgspec.field(default_factory=set)
+    trial_after: float = 0.0
     slowdown: float = 1.0
     grown_at: float = 0.0
     ejected_until: float | None = None
@@ -123,7 +129,8 @@
             return False
         if self.running >= self._allowed(now):
             return False
-        if self.trials and (self.suspect or self.probing(now)):
+        on_trial = self.suspect or self.probing(now)
+        if on_trial and (self.trials or now < self.trial_after):
             return False
         return self.running == 0 or self.used + units <= self.capacity
 
@@ -398,6 +405,10 @@
     def _hold_against(self, row: EndpointRow, task: TaskId, now: float) -> None:
         if len(row.open_failures) < MOST_OPEN_FAILURES:
             row.open_failures.add(task)
+        failures = row.confirmed + len(row.open_failures)
+        if failures > 1:
+            wait = TRIAL_WAIT_SECONDS * 2.0 ** (failures - 2)
+            row.trial_after = now + min(wait, LONGEST_TRIAL_WAIT_SECONDS)
         self._eject_if_due(row, now)
 
     def _is_sound(self, vm: VmId) -> bool:
