Eject an endpoint only while half of its pool is sound

Cause: when a whole pool fails, ejection kept sound workers out for ten seconds after it had recovered.

--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -429,16 +429,18 @@
         again = row.probing(now)
         if row.ejected_until is not None and not again:
             return
-        if not again and (not _eject_due(row) or not self._may_eject(row.pool)):
+        if not again and not (_eject_due(row) and self._may_eject(row)):
             return
         length = FIRST_EJECTION_SECONDS * 2**row.ejections
         row.ejected_until = now + min(length, LONGEST_EJECTION_SECONDS)
         row.ejections += 1
 
-    def _may_eject(self, pool: PoolId) -> bool:
-        rows = [row for row in self._pools[pool].values() if row.in_service]
-        ejected = sum(row.ejected_until is not None for row in rows)
-        return ejected < _ejection_cap(len(rows))
+    def _may_eject(self, row: EndpointRow) -> bool:
+        """Return whether the cap allows it and the others do better."""
+        rows = [r for r in self._pools[row.pool].values() if r.in_service]
+        ejected = sum(r.ejected_until is not None for r in rows)
+        sound = sum(r.proved and not r.suspect for r in rows)
+        return ejected < _ejection_cap(len(rows)) and 2 * sound >= len(rows)
 
 
 def _ejection_cap(members: int) -> int:
