--- a/hickoryplank/core/messages.py
+++ b/hickoryplank/core/messages.py
@@ -2,14 +2,16 @@
 
 import msgspec
 
+from hickoryplank.core.demand import PoolDemand
 from hickoryplank.core.freshness import PeerView
-from hickoryplank.core.ids import Incarnation, PoolId, RequestId, TeamId
+from hickoryplank.core.ids import Incarnation, RequestId, TeamId
 from hickoryplank.core.work import WorkAnswer, WorkRequest
 
 __all__ = [
     "Accepted",
     "Answered",
     "Cancel",
+    "Demands",
     "Envelope",
     "Forward",
     "Heartbeat",
@@ -17,7 +19,6 @@
     "InquiryAnswer",
     "LogEntry",
     "Message",
-    "PoolDemand",
     "Running",
     "UnitsAsked",
 ]
@@ -26,11 +27,12 @@
 class Heartbeat(msgspec.Struct, frozen=True, tag="hb", array_like=True):
     """A sign of life.
 
-    :param offset: the log offset that the sender folds next.
+    :param confirmed: the log offset before which no edit concerns a start that
+        the sender has under way.
     :param leaving: whether the sender is shutting down.
     """
 
-    offset: int
+    confirmed: int
     leaving: bool
 
 
@@ -40,16 +42,10 @@
     counts: dict[TeamId, int]
 
 
-class PoolDemand(msgspec.Struct, frozen=True, tag="dem", array_like=True):
-    """The demand that the sender sees as owner of a pool.
-
-    :param asked: slots that running and waiting work would fill.
-    :param wait: seconds that the oldest urgent request has waited.
-    """
+class Demands(msgspec.Struct, frozen=True, tag="dem", array_like=True):
+    """The demand that the sender sees as owner of pools."""
 
-    pool: PoolId
-    asked: int
-    wait: float
+    rows: tuple[PoolDemand, ...]
 
 
 class Inquiry(msgspec.Struct, frozen=True, tag="inq", array_like=True):
@@ -106,16 +102,18 @@
     """The sender lacks units of a team.
 
     :param demand: units for the work that it runs and that waits there.
+    :param waited: seconds since it first lacked units, or last got one.
     """
 
     team: TeamId
     demand: int
+    waited: float
 
 
 Message = (
     Heartbeat
     | Running
-    | PoolDemand
+    | Demands
     | Inquiry
     | InquiryAnswer
     | Forward
