Give starts and other calls to a worker a pool of connections each

Starts hold their connections while they run. Once they filled the one pool, probes and renewals got no connection, and running tasks were reported lost. A larger pool only moves the point at which that happens.

--- a/hickoryplank/platform/worker_http.py
+++ b/hickoryplank/platform/worker_http.py
@@ -61,12 +61,17 @@
 class HttpWorker(Worker):
     """A client of one worker.
 
+    :param starts: the channel for starts, which hold a connection as long as they run.
+    :param calls: the channel for all other calls.
     :param probe_seconds: how long a start may be silent before the worker is asked,
         over another connection, what became of the task.
     """
 
-    def __init__(self, channel: Channel, probe_seconds: float = PROBE_SECONDS) -> None:
-        self._channel = channel
+    def __init__(
+        self, starts: Channel, calls: Channel, probe_seconds: float = PROBE_SECONDS
+    ) -> None:
+        self._starts = starts
+        self._calls = calls
         self._probe_seconds = probe_seconds
 
     async def status(self) -> Result[WorkerStatus, WorkerFailure]:
@@ -101,13 +106,14 @@
 
     async def aclose(self) -> None:
         """Close every connection."""
-        await self._channel.aclose()
+        await self._starts.aclose()
+        await self._calls.aclose()
 
     async def _call(
         self, method: str, path: str, task: TaskId | None = None, body: bytes = b""
     ) -> Result[Reply, WorkerFailure]:
         headers = {} if task is None else {wire.TASK: wire.to_header(task)}
-        called = await self._channel.call(method, path, headers=headers, body=body)
+        called = await self._calls.call(method, path, headers=headers, body=body)
         match called:
             case Ok(Reply(HTTPStatus.OK) as reply):
                 return Ok(reply)
@@ -117,7 +123,7 @@
                 return Err(WorkerFailure(failure.detail))
 
     async def _post(self, start: Start) -> _Outcome:
-        called = await self._channel.call(
+        called = await self._starts.call(
             "POST",
             "/start",
             headers=_start_headers(start),
@@ -158,7 +164,7 @@
                 continue
             shown, pause = shown + 1, self._probe_seconds
             if shown == PROBES_TO_SHOW:
-                await self._channel.renew()
+                await self._starts.renew()
                 if outcome is _Pending.NOT_ARRIVED:
                     return await self._race(start, self._post_again, self._watch)
                 return outcome
@@ -181,7 +187,7 @@
 class HttpWorkers(Workers):
     """Clients of workers, one for each address.
 
-    :param options: bounds of the connections to each worker.
+    :param options: bounds of each of the two pools of connections to a worker.
     """
 
     def __init__(
@@ -197,8 +203,9 @@
     def at(self, address: str) -> Worker:
         """Return the client for ``address``, as ``host:port``."""
         if address not in self._workers:
-            channel = Channel(address, self._options, self._context)
-            self._workers[address] = HttpWorker(channel, self._probe_seconds)
+            starts = Channel(address, self._options, self._context)
+            calls = Channel(address, self._options, self._context)
+            self._workers[address] = HttpWorker(starts, calls, self._probe_seconds)
         return self._workers[address]
 
     async def aclose(self) -> None:
--- a/tests/platform/test_channel.py
+++ b/tests/platform/test_channel.py
@@ -33,7 +33,7 @@
 
 async def start(channel):
     asked = Start(task="t", attempt=2, boot="", start_by=math.inf, lease=9.0)
-    return await HttpWorker(channel).start(asked)
+    return await HttpWorker(channel, channel).start(asked)
 
 
 async def answered(raw: bytes, options=OPTIONS, call=get):
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -7,12 +7,13 @@
 import pytest
 from result import Err, Ok
 
+from hickoryplank.platform.channel import ChannelOptions
 from hickoryplank.platform.errors import RefusedStart, StartFailure, StartLost
 from hickoryplank.platform.worker import Start, TaskReport, TaskState
-from hickoryplank.platform.worker_engine import answer_body
+from hickoryplank.platform.worker_engine import WorkerEngine, answer_body
 from hickoryplank.platform.worker_http import HttpWorkers
 from tests.platform.conftest import OPTIONS, PROBE_SECONDS, READ_SECONDS, SLOTS, served
-from tests.standins import service
+from tests.standins import service, worker
 
 pytestmark = pytest.mark.anyio
 
@@ -248,6 +249,24 @@
     assert counts(worker_side) == (1, 1)
 
 
+async def test_full_pool_leaves_room_for_probes_and_leases():
+    options = ChannelOptions(connect_seconds=0.1, max_connections=2)
+    outcomes = []
+
+    async def start(client, task):
+        outcomes.append((await client.start(new_start(task, seconds=1.5))).is_ok())
+
+    async with served(worker.make_app(WorkerEngine())) as address:
+        client = HttpWorkers(options, PROBE_SECONDS).at(address)
+        async with anyio.create_task_group() as group:
+            for task in ("t", "u"):
+                group.start_soon(start, client, task)
+            await anyio.sleep(0.3)
+            assert (await client.renew("t", 1, 9.0)).is_ok()
+        await client.aclose()
+    assert outcomes == [True, True]
+
+
 async def test_refusal_of_a_copy_does_not_speak_for_the_first():
     sent = []
 
