--- a/tests/core/test_freshness.py
+++ b/tests/core/test_freshness.py
@@ -1,6 +1,11 @@
 """Tests of the evidence that keeps a node fresh."""
 
+from dataclasses import dataclass, field
+
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from hickoryplank.core.freshness import (
     FRESH_SECONDS,
@@ -72,3 +77,179 @@
     fresh.close_start("answered")
     assert fresh.view(2.5, quiet=True).confirmed == 5
     assert fresh.view(3.1, quiet=True).confirmed == 6
+
+
+@dataclass(frozen=True)
+class Entry:
+    """A log entry: an edit, a join, or proof that a member is gone."""
+
+    kind: str
+    member: int
+    at: float
+
+
+@dataclass
+class Member:
+    """A member whose clock differs from true time by ``skew`` seconds."""
+
+    me: int
+    skew: float
+    fresh: Freshness = field(default_factory=Freshness)
+    alive: bool = True
+    pending: bool = False
+
+
+index = st.integers(0, 3)
+
+
+class FreshnessMachine(RuleBasedStateMachine):
+    """Members read, ask, edit, join and die, with answers late or lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.log = []
+        self.members = []
+        self.asked = []
+        self.answers = []
+        self.reads = []
+        for _ in range(3):
+            self.add()
+        for member in self.members:
+            self.read(member.me)
+            self.arrive(0)
+
+    def add(self):
+        me = len(self.members)
+        self.log.append(Entry("join", me, self.now))
+        self.members.append(Member(me, skew=100.0 * me))
+
+    def clock(self, member):
+        return self.now + member.skew
+
+    def live(self, i):
+        alive = [member for member in self.members if member.alive]
+        return alive[i % len(alive)]
+
+    def others(self, member):
+        """Return the other live members as far as ``member`` has folded."""
+        seen = self.log[: member.fresh.offset]
+        gone = {entry.member for entry in seen if entry.kind == "gone"}
+        joined = {entry.member for entry in seen if entry.kind == "join"}
+        return sorted(joined - gone - {member.me})
+
+    def is_quiet(self, member):
+        return not member.pending
+
+    @rule(seconds=st.sampled_from([0.25, 0.75, 1.5]))
+    def tick(self, seconds):
+        self.now += seconds
+
+    @rule(i=index)
+    def read(self, i):
+        member = self.live(i)
+        self.reads.append((member, self.clock(member), len(self.log)))
+
+    @precondition(lambda self: self.reads)
+    @rule(i=index)
+    def arrive(self, i):
+        member, sent_at, tail = self.reads.pop(i % len(self.reads))
+        if member.alive:
+            self.fold(member, tail)
+            member.fresh.note_tail_read(sent_at, tail)
+
+    def fold(self, member, tail):
+        """Fold up to ``tail``, and settle what the member had under way."""
+        for at in range(member.fresh.offset, tail):
+            entry = self.log[at]
+            if entry.member == member.me and entry.kind == "edit":
+                member.pending = False
+            if entry.member == member.me and entry.kind == "join":
+                member.fresh.joined = at + 1
+        member.fresh.note_folded(tail)
+
+    @rule(i=index, tells=index)
+    def ask(self, i, tells):
+        """Ask the others; each of them may answer at once, later or never."""
+        member = self.live(i)
+        for other in self.others(member):
+            question = (member, self.members[other], self.clock(member))
+            self.asked.append(question)
+            if other != tells:
+                self.answer(len(self.asked) - 1)
+
+    @precondition(lambda self: self.asked)
+    @rule(i=st.integers(0, 9))
+    def answer(self, i):
+        member, other, sent_at = self.asked.pop(i % len(self.asked))
+        if other.alive:
+            view = other.fresh.view(self.clock(other), self.is_quiet(other))
+            self.answers.append((member, other.me, sent_at, view))
+
+    @precondition(lambda self: self.answers)
+    @rule(count=st.integers(1, 4))
+    def receive(self, count):
+        for _ in range(min(count, len(self.answers))):
+            member, other, sent_at, view = self.answers.pop(0)
+            member.fresh.note_answer(other, sent_at, view)
+            quiet = self.is_quiet(member)
+            member.fresh.note_outage(self.clock(member), self.others(member), quiet)
+
+    @rule(i=index, lands=st.booleans())
+    def edit(self, i, lands):
+        """Send an edit; its append may take effect late, or never."""
+        member = self.live(i)
+        ready = member.fresh.joined and not member.pending
+        if ready and not member.fresh.unaware(self.others(member)):
+            member.pending = True
+            if lands:
+                self.land(member.me)
+
+    @rule(i=index)
+    def land(self, i):
+        member = self.members[i % len(self.members)]
+        gone = any(e.kind == "gone" and e.member == member.me for e in self.log)
+        landed = [e for e in self.log if e.kind == "edit" and e.member == member.me]
+        if member.pending and not gone and len(landed) < 2:
+            self.log.append(Entry("edit", member.me, self.now))
+
+    @precondition(lambda self: len(self.members) < 5)
+    @rule()
+    def join(self):
+        self.add()
+
+    @precondition(lambda self: sum(m.alive for m in self.members) > 2)
+    @rule(i=index, proved=st.booleans())
+    def die(self, i, proved):
+        member = self.live(i)
+        member.alive = False
+        if proved:
+            self.prove_gone(member.me)
+
+    @rule(i=index)
+    def prove_gone(self, i):
+        member = self.members[i % len(self.members)]
+        if not member.alive:
+            self.log.append(Entry("gone", member.me, self.now))
+
+    @invariant()
+    def every_edit_before_as_of_is_folded(self):
+        for member in self.members:
+            if member.fresh.as_of is None:
+                continue
+            as_of = member.fresh.as_of - member.skew
+            unseen = self.log[member.fresh.offset :]
+            assert not [e for e in unseen if e.kind == "edit" and e.at < as_of]
+
+    @invariant()
+    def confirmed_edits_are_in_force(self):
+        for member in self.members:
+            others = self.others(member)
+            end = member.fresh.offset
+            waiting = member.fresh.waiting_for(others, end, self.now, self.now)
+            for other in set(others) - set(waiting):
+                assert self.members[other].fresh.offset >= end
+
+
+FreshnessMachine.TestCase.settings = settings(max_examples=200, stateful_step_count=50)
+test_freshness_machine = FreshnessMachine.TestCase
