--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -175,9 +175,14 @@
             self.starts.append((holder, holder.accepted))
 
     @precondition(lambda self: self.starts)
-    @rule(index=indexes, answered=st.booleans())
-    def arrive(self, index, answered):
+    @rule(index=indexes, answered=st.booleans(), late=st.booleans())
+    def arrive(self, index, answered, late):
+        """Let a start arrive; a late one waits for the worker's clock."""
         holder, start = self.starts.pop(index % len(self.starts))
+        if late:
+            self.tick(2)
+            self.ask(index, lands=True)
+            self.dispatch(index, lands=True)
         if not self.worker.start(start) and answered and holder.sends == 1:
             holder.proofs[start.attempt] = Proof.REFUSED
 
@@ -192,6 +197,7 @@
         elif worker.clock > row.start_by:
             holder.proofs[row.attempt] = Proof.START_MISSED
 
+    @precondition(lambda self: self.worker.boot > 1 or self.worker.clock > 4)
     @rule(index=indexes, lands=lands)
     def give_up(self, index, lands):
         holder = self.holder(index)
--- a/tests/core/test_freshness.py
+++ b/tests/core/test_freshness.py
@@ -100,6 +100,7 @@
 
 
 index = st.integers(0, 3)
+rarely = st.sampled_from([False, False, False, True])
 
 
 class FreshnessMachine(RuleBasedStateMachine):
@@ -116,8 +117,9 @@
         for _ in range(3):
             self.add()
         for member in self.members:
-            self.read(member.me)
-            self.arrive(0)
+            self.read(member.me, late=False)
+        self.add()
+        self.read(3, late=False)
 
     def add(self):
         me = len(self.members)
@@ -145,10 +147,12 @@
     def tick(self, seconds):
         self.now += seconds
 
-    @rule(i=index)
-    def read(self, i):
+    @rule(i=index, late=rarely)
+    def read(self, i, late):
         member = self.live(i)
         self.reads.append((member, self.clock(member), len(self.log)))
+        if not late:
+            self.arrive(len(self.reads) - 1)
 
     @precondition(lambda self: self.reads)
     @rule(i=index)
@@ -168,15 +172,17 @@
                 member.fresh.joined = at + 1
         member.fresh.note_folded(tail)
 
-    @rule(i=index, tells=index)
-    def ask(self, i, tells):
+    @rule(i=index, silent=rarely, late=rarely)
+    def ask(self, i, silent, late):
         """Ask the others; each of them may answer at once, later or never."""
         member = self.live(i)
         for other in self.others(member):
             question = (member, self.members[other], self.clock(member))
             self.asked.append(question)
-            if other != tells:
+            if not silent or other != i:
                 self.answer(len(self.asked) - 1)
+        if not late:
+            self.receive(len(self.answers))
 
     @precondition(lambda self: self.asked)
     @rule(i=st.integers(0, 9))
@@ -195,14 +201,14 @@
             quiet = self.is_quiet(member)
             member.fresh.note_outage(self.clock(member), self.others(member), quiet)
 
-    @rule(i=index, lands=st.booleans())
-    def edit(self, i, lands):
+    @rule(i=index, late=rarely)
+    def edit(self, i, late):
         """Send an edit; its append may take effect late, or never."""
         member = self.live(i)
         ready = member.fresh.joined and not member.pending
         if ready and not member.fresh.unaware(self.others(member)):
             member.pending = True
-            if lands:
+            if not late:
                 self.land(member.me)
 
     @rule(i=index)
@@ -213,18 +219,16 @@
         if member.pending and not gone and len(landed) < 2:
             self.log.append(Entry("edit", member.me, self.now))
 
-    @precondition(lambda self: len(self.members) < 5)
-    @rule()
-    def join(self):
-        self.add()
-
     @precondition(lambda self: sum(m.alive for m in self.members) > 2)
-    @rule(i=index, proved=st.booleans())
-    def die(self, i, proved):
+    @rule(i=index, edits=st.booleans(), proved=st.booleans())
+    def die(self, i, edits, proved):
         member = self.live(i)
+        if edits:
+            self.edit(i, late=True)
         member.alive = False
         if proved:
             self.prove_gone(member.me)
+            self.read(i, late=False)
 
     @rule(i=index)
     def prove_gone(self, i):
@@ -251,5 +255,5 @@
                 assert self.members[other].fresh.offset >= end
 
 
-FreshnessMachine.TestCase.settings = settings(max_examples=200, stateful_step_count=50)
+FreshnessMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=50)
 test_freshness_machine = FreshnessMachine.TestCase
