Report the demand of every owned pool, so that idle pools give VMs up

Cause: pools without work were not in the planner's view, the spare pool among them, so no VM ever moved over real processes. Ruled out: the planner itself, whose unit tests and benchmark move VMs.

--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -215,7 +215,7 @@
             return
         runs = [run for run in self._runs.values() if run.job.queue.pool == pool]
         running = self._all_running()
-        free = sum(row.room(now) for row in self.endpoints.members(pool))
+        free = sum(_free(row, now) for row in self.endpoints.members(pool))
         due = entitlements(self._team_demands(running), self._capacity())
         tasks = [_running_task(run) for run in runs]
         for decision in self._preemption.decide(
@@ -256,7 +256,7 @@
         pool = job.queue.pool
         if job.pinned is not None:
             row = self.endpoints.row(job.pinned)
-            return job.pinned if row is not None and row.room(now) > 0 else None
+            return job.pinned if row is not None and row.used < row.slots else None
         avoided = job.avoided | self.endpoints.failed_on(job.request.task)
         may_probe = job.queue.idempotent and not job.attempts
         found = self.endpoints.pick(pool, avoided, now, may_probe=may_probe)
@@ -345,6 +345,10 @@
     return Failed(detail=detail) if job.queue.idempotent else Unknown(detail=detail)
 
 
+def _free(row: EndpointRow, now: float) -> float:
+    return max(0.0, row.capacity - row.used) if row.serves(now) else 0.0
+
+
 def _running_task(run: Run) -> RunningTask:
     return RunningTask(
         task=run.job.request.task,
--- a/hickoryplank/shell/mover.py
+++ b/hickoryplank/shell/mover.py
@@ -1,7 +1,6 @@
 """Lets VMs follow demand: owners report what their pools are asked for."""
 
 import logging
-from collections import Counter
 
 import anyio
 from anyio.abc import TaskGroup
@@ -10,6 +9,7 @@
 from hickoryplank.core.ids import Incarnation, PoolId
 from hickoryplank.core.messages import Demands
 from hickoryplank.core.moves import MovePlanner, MovePolicy
+from hickoryplank.core.objects import Kind
 from hickoryplank.core.records import VmMoved, VmStep
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.dispatcher import Dispatcher
@@ -23,7 +23,8 @@
 logger = logging.getLogger(__name__)
 
 BEAT_SECONDS = 1.0
-KEPT_SECONDS = 5.0
+KEPT_SECONDS = 15.0
+TELL_ALL_SECONDS = 5.0
 
 
 class Mover:
@@ -48,6 +49,8 @@
         self._clock = clock
         self._planner = MovePlanner(policy, new_record_id)
         self._trackers: dict[PoolId, DemandTracker] = {}
+        self._told: dict[PoolId, PoolDemand] = {}
+        self._told_at = clock.now()
         self._known: dict[PoolId, tuple[PoolDemand, float]] = {}
 
     def note_demands(self, sender: Incarnation, demands: Demands) -> None:
@@ -64,7 +67,7 @@
             rows = self._observe(now)
             planner = self._members.owner_of(UPKEEP)
             if planner != self._members.me:
-                self._tell(planner, rows)
+                self._peers.send(planner, self._changed(rows, now))
                 continue
             self.note_demands(planner, Demands(rows))
             self._plan(now)
@@ -72,7 +75,7 @@
     def _observe(self, now: float) -> tuple[PoolDemand, ...]:
         running = self._dispatcher.running_by_pool()
         waiting = self._dispatcher.waiting_by_pool()
-        owned = self._owned(running, waiting)
+        owned = self._owned({*running, *waiting})
         return tuple(
             self._trackers[pool].observe(
                 running[pool],
@@ -83,23 +86,26 @@
             for pool in owned
         )
 
-    def _owned(
-        self, running: Counter[PoolId], waiting: Counter[PoolId]
-    ) -> list[PoolId]:
-        """Return the pools with work here, and those that had some and are ours."""
-        for pool in {*running, *waiting}:
-            if pool not in self._trackers:
-                tracker = DemandTracker(pool, self._policy.hysteresis)
-                self._trackers[pool] = tracker
-        for pool in list(self._trackers):
-            idle = not running[pool] and not waiting[pool]
-            if idle and self._members.owner_of(pool) != self._members.me:
-                del self._trackers[pool]
-        return list(self._trackers)
-
-    def _tell(self, planner: Incarnation, rows: tuple[PoolDemand, ...]) -> None:
-        if rows:
-            self._peers.send(planner, Demands(rows))
+    def _owned(self, busy: set[PoolId]) -> list[PoolId]:
+        """Return the pools that this node owns or still has work of."""
+        pools = self._replica.tables.objects[Kind.POOL]
+        me = self._members.me
+        owned = {pool for pool in pools if self._members.owner_of(pool) == me}
+        owned.update(busy & set(pools))
+        for pool in set(self._trackers) - owned:
+            del self._trackers[pool]
+        for pool in owned - set(self._trackers):
+            self._trackers[pool] = DemandTracker(pool, self._policy.hysteresis)
+        return sorted(owned)
+
+    def _changed(self, rows: tuple[PoolDemand, ...], now: float) -> Demands:
+        """Return what the planner does not know yet, and now and then all."""
+        if now - self._told_at >= TELL_ALL_SECONDS:
+            self._told_at = now
+            self._told.clear()
+        changed = [row for row in rows if self._told.get(row.pool) != row]
+        self._told.update((row.pool, row) for row in changed)
+        return Demands(tuple(changed))
 
     def _plan(self, now: float) -> None:
         demand = {
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -113,12 +113,22 @@
         self.programs.append(program)
         return program
 
-    def start(self, entries: int = 3, workers: int = 6, slots: int = 8) -> None:
-        """Start everything and wait until the entries are ready."""
+    def start(
+        self,
+        entries: int = 3,
+        workers: int = 6,
+        slots: int = 8,
+        seconds: float = 0.0,
+    ) -> None:
+        """Start everything and wait until the entries are ready.
+
+        :param seconds: how long the workers take for a request.
+        """
         self.log = self.standin("log", "log")
         self.vms = self.standin("vms", "vms")
         for i in range(workers):
             args = ("--vm", f"vm-{i}", "--slots", str(slots))
+            args += ("--seconds", str(seconds))
             self.workers.append(self.standin("worker", f"worker-{i}", *args))
         for i in range(entries):
             self.add_entry(i)
