--- a/hickoryplank/core/retries.py
+++ b/hickoryplank/core/retries.py
@@ -12,7 +12,7 @@
 from hickoryplank.core.ids import PoolId, TeamId
 from hickoryplank.core.placement import RunResult
 from hickoryplank.core.queues import WorkItem
-from hickoryplank.core.runtimes import RunTime
+from hickoryplank.core.runtimes import LEARNING_RUNS, RunTime
 
 __all__ = [
     "GiveUp",
@@ -39,8 +39,6 @@
 SHORTEST_SILENCE_SECONDS = 0.25
 #: Silence that is hedged, as a multiple of the run time that one in twenty exceeds.
 SILENCE_FACTOR = 1.5
-#: Runs of a queue that have to be seen before its silence means anything.
-FEWEST_RUNS = 20
 #: Time for an answer's way back to the caller, in seconds.
 ANSWER_SECONDS = 0.02
 
@@ -128,7 +126,7 @@
 
     :param heard: when the connection was last heard, in seconds.
     """
-    if not item.idempotent or run_time.observed < FEWEST_RUNS:
+    if not item.idempotent or run_time.observed < LEARNING_RUNS:
         return None
     at = heard + max(run_time.high * SILENCE_FACTOR, SHORTEST_SILENCE_SECONDS)
     return at if at < item.deadline else None
--- a/hickoryplank/core/runtimes.py
+++ b/hickoryplank/core/runtimes.py
@@ -6,7 +6,7 @@
 
 from hickoryplank.core.ids import QueueId
 
-__all__ = ["RunTime", "RunTimes"]
+__all__ = ["LEARNING_RUNS", "RunTime", "RunTimes"]
 
 #: Weight of the newest observation.
 MEAN_GAIN = 0.05
@@ -14,6 +14,8 @@
 QUANTILE = 0.95
 #: Largest relative change of the quantile by one observation.
 QUANTILE_GAIN = 0.1
+#: Runs of a queue that have to be seen before its quantile means anything.
+LEARNING_RUNS = 20
 #: Run time assumed for a queue that has not finished anything, in seconds.
 FIRST_GUESS_SECONDS = 1.0
 #: Shortest run time that is told apart, in seconds.
@@ -46,15 +48,19 @@
     def observe(self, queue: QueueId, seconds: float) -> None:
         """Learn from one finished run.
 
-        The quantile moves by multiplicative stochastic approximation, so a unit
-        of time need not be guessed.
+        The quantile starts as the longest of the first runs. Then it moves by
+        multiplicative stochastic approximation, so that no unit of time need be
+        guessed.
         """
         seconds = max(seconds, SHORTEST_SECONDS)
         row = self._queues.get(queue)
         if row is None:
-            self._queues[queue] = RunTime(seconds, 2 * seconds, 1)
+            self._queues[queue] = RunTime(seconds, seconds, 1)
             return
         row.observed += 1
         row.mean += MEAN_GAIN * (seconds - row.mean)
+        if row.observed <= LEARNING_RUNS:
+            row.high = max(row.high, seconds)
+            return
         up = QUANTILE if seconds > row.high else QUANTILE - 1.0
         row.high = max(row.high * math.exp(QUANTILE_GAIN * up), SHORTEST_SECONDS)
