--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -181,6 +181,7 @@
         self._rows: dict[VmId, EndpointRow] = {}
         self._pools: dict[PoolId, dict[VmId, EndpointRow]] = {}
         self._failed_on: dict[TaskId, set[VmId]] = {}
+        self._reserved: dict[TaskId, VmId] = {}
 
     def row(self, vm: VmId) -> EndpointRow | None:
         """Return the row of ``vm``."""
@@ -265,13 +266,14 @@
             return None
         row = max(able, key=lambda row: row.capacity - row.used)
         row.reserved_for = task
+        self._reserved[task] = row.vm
         return row.vm
 
     def release(self, task: TaskId) -> None:
         """End what ``reserve`` did for ``task``."""
-        for row in self._rows.values():
-            if row.reserved_for == task:
-                row.reserved_for = None
+        row = self._rows.get(self._reserved.pop(task, VmId("")))
+        if row is not None and row.reserved_for == task:
+            row.reserved_for = None
 
     def note_start(
         self, vm: VmId, task: TaskId, now: float, units: float = 1.0
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -73,6 +73,27 @@
     assert starts == 8 / units
 
 
+def test_room_is_kept_for_a_large_run_and_given_back():
+    table = fleet(2)
+    fill(table)
+    vm = table.reserve("p", (), "large", 0.0)
+    assert table.reserve("p", (), "other", 0.0) is None
+    for number in range(4):
+        table.note_finish(vm, f"fill-{number}", "q", DONE, 1.0, 0.0)
+    assert table.pick("p", (), 0.0) is None
+    assert table.pick("p", (), 0.0, units=4.0, task="large") == vm
+    table.release("large")
+    assert table.pick("p", (), 0.0) == vm
+
+
+def test_no_ejection_while_most_of_the_pool_fails():
+    table = fleet()
+    for number in range(3):
+        for vm in range(6):
+            finish(table, f"vm-{vm}", f"t{vm}-{number}", FAILED)
+    assert ejected(table) == []
+
+
 def test_a_new_endpoint_gets_few_runs_until_one_is_done():
     table = fleet(1, proved=False)
     assert len(fill(table)) == 1
--- a/tests/core/test_queues.py
+++ b/tests/core/test_queues.py
@@ -114,6 +114,23 @@
         assert abs(running[team] - picks * share / 100) <= 1.0
 
 
+@pytest.mark.parametrize(
+    ("running", "first"),
+    [
+        ({"rutas": 5, "pagos": 10}, "rutas"),
+        ({"rutas": 10, "pagos": 5}, "pagos"),
+        ({"rutas": 5, "pagos": 5}, "rutas"),
+        ({"rutas": 10, "pagos": 10}, "rutas"),
+    ],
+)
+def test_a_team_below_its_entitlement_goes_before_lent_urgent_work(running, first):
+    queues, due = WorkQueues(), {"rutas": 10.0, "pagos": 10.0}
+    queues.push(work("batch", "pagos", BATCH), SHARES)
+    queues.push(work("urgent"), SHARES)
+    item = queues.next_item("p", SHARES, running, lambda team: True, 0.0, due)
+    assert item.team == first
+
+
 def test_oldest_of_a_team_goes_first_and_put_back_keeps_its_place():
     queues = WorkQueues()
     for name in "abc":
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hickoryplank.core.counts import FleetCounts
 from hickoryplank.core.objects import WorkClass
 from hickoryplank.core.preemption import (
     CHECKPOINT_SECONDS,
@@ -49,6 +50,19 @@
     assert meter.worst() == pytest.approx(1.0)
 
 
+@given(st.integers(1, 6), st.lists(st.integers(-3, 3), max_size=8))
+def test_owners_that_change_alike_agree_between_exchanges(size, changes):
+    owners = [FleetCounts() for _ in range(size)]
+    for owner in owners:
+        owner.change("a", 30.0)
+        owner.exchange({"a": 30.0 * size}, {"a": 1 / size})
+    for change in changes:
+        for owner in owners:
+            owner.change("a", change)
+        total = sum(owner.own["a"] for owner in owners)
+        assert all(o.running["a"] == pytest.approx(total) for o in owners)
+
+
 def test_size_is_the_largest_part_of_a_slot_and_is_learned():
     slot = Usage(cores=2.0, memory=4000.0)
     assert units_of(Usage(cores=1.0), slot) == 1.0
