--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -4,9 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hickoryplank.core.endpoints import GROW_SECONDS
 from hickoryplank.core.placement import (
     FIRST_EJECTION_SECONDS,
-    GROW_SECONDS,
     LONGEST_EJECTION_SECONDS,
     LONGEST_TRIAL_WAIT_SECONDS,
     MAX_EJECTED_FRACTION,
