--- a/hickoryplank/core/endpoints.py
+++ b/hickoryplank/core/endpoints.py
@@ -39,9 +39,9 @@
     :param confirmed: failures since the last run that was done, of tasks that
         others ran.
     :param proved: whether a run has been done here since the VM came into service.
-    :param trial_after: when the next such run may start, in seconds.
     :param first_start: when the first run started on a VM not yet proved.
     :param trials: tasks that run here and started while the endpoint was suspect.
+    :param trial_after: when the next such run may start, in seconds.
     :param heard: when a run last brought an answer, in seconds.
     :param slowdown: run times here as a multiple of the queue's mean.
     :param ejected_until: end of the ejection, in seconds; ``None`` if not ejected.
@@ -103,8 +103,9 @@
         if self.proved:
             return self.slots
         tried = 0.0 if self.first_start is None else now - self.first_start
-        trial = 2 ** min(int(tried / TRIAL_SECONDS), 8)
-        return min(trial, TRIAL_RUNS, self.slots)
+        if tried >= TRIAL_SECONDS * TRIAL_RUNS:
+            return min(TRIAL_RUNS, self.slots)
+        return min(2 ** int(tried / TRIAL_SECONDS), TRIAL_RUNS, self.slots)
 
     def grow(self, now: float) -> None:
         """Let the learned capacity recover by the time that has passed."""
@@ -145,4 +146,5 @@
         self.open_failures.clear()
         self.trials.clear()
         self.confirmed = 0
+        self.trial_after = 0.0
         self.ejected_until = None
--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from enum import Enum
 
+from hickoryplank.core.backoff import doubled
 from hickoryplank.core.endpoints import EndpointRow, RunResult
 from hickoryplank.core.ids import PoolId, QueueId, Rack, TaskId, VmId, Zone
 from hickoryplank.core.runtimes import RunTimes
@@ -37,7 +38,6 @@
 #: Weight of the newest run in an endpoint's slowdown.
 SLOWDOWN_GAIN = 0.1
 
-
 _ANSWERS = frozenset((RunResult.DONE, RunResult.FAILED, RunResult.BUSY))
 
 
@@ -300,8 +300,9 @@
             row.open_failures.add(task)
         failures = row.confirmed + len(row.open_failures)
         if failures > 1:
-            wait = TRIAL_WAIT_SECONDS * 2.0 ** (failures - 2)
-            row.trial_after = now + min(wait, LONGEST_TRIAL_WAIT_SECONDS)
+            row.trial_after = now + doubled(
+                TRIAL_WAIT_SECONDS, failures - 2, LONGEST_TRIAL_WAIT_SECONDS
+            )
         self._eject_if_due(row, now)
 
     def _is_sound(self, vm: VmId) -> bool:
@@ -324,8 +325,9 @@
             return
         if not again and not (_eject_due(row) and self._may_eject(row)):
             return
-        length = FIRST_EJECTION_SECONDS * 2**row.ejections
-        row.ejected_until = now + min(length, LONGEST_EJECTION_SECONDS)
+        row.ejected_until = now + doubled(
+            FIRST_EJECTION_SECONDS, row.ejections, LONGEST_EJECTION_SECONDS
+        )
         row.ejections += 1
 
     def _may_eject(self, row: EndpointRow) -> bool:
--- a/hickoryplank/core/retries.py
+++ b/hickoryplank/core/retries.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from hickoryplank.core.backoff import doubled
 from hickoryplank.core.ids import PoolId, TeamId
 from hickoryplank.core.placement import RunResult
 from hickoryplank.core.queues import WorkItem
@@ -92,8 +93,7 @@
 
     :param jitter: a number from 0 to 1, drawn anew for each retry.
     """
-    longest = min(BACKOFF_SECONDS * 2.0**retry, LONGEST_BACKOFF_SECONDS)
-    return longest * jitter
+    return doubled(BACKOFF_SECONDS, retry, LONGEST_BACKOFF_SECONDS) * jitter
 
 
 def next_attempt(
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -86,6 +86,16 @@
     assert table.pick("p", (), 0.0) == vm
 
 
+def test_a_worker_that_fails_for_days_is_still_waited_for():
+    table, now = fleet(), 0.0
+    for number in range(3000):
+        finish(table, "vm-0", f"t{number}", FAILED, now)
+        finish(table, "vm-1", f"t{number}", DONE, now)
+        now += LONGEST_EJECTION_SECONDS
+    assert table.row("vm-0").ejected_until <= now
+    assert table.pick("p", (), now) == "vm-0"
+
+
 def test_no_ejection_while_most_of_the_pool_fails():
     table = fleet()
     for number in range(3):
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -71,7 +71,7 @@
     assert attempt(work("r", "a"), budget=budget) == GiveUp(Reason.NO_BUDGET)
 
 
-@given(st.integers(0, 60), st.floats(0, 1))
+@given(st.integers(0, 5000), st.floats(0, 1))
 def test_backoff_is_bounded(retry, jitter):
     assert 0 <= backoff_seconds(retry, jitter) <= LONGEST_BACKOFF_SECONDS
 
