--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,78 @@
+"""Processor time of one request's decisions, by teams and endpoints of a pool.
+
+All teams run on lent units, which is the order that takes longest to look up. The
+least of some repeats is reported, for other processes disturb the rest.
+"""
+
+from collections.abc import Iterator
+from time import process_time
+
+from benchmarks.figure import Figure
+from hickoryplank.core.counts import FleetCounts
+from hickoryplank.core.objects import WorkClass
+from hickoryplank.core.placement import EndpointRow, EndpointTable, RunResult
+from hickoryplank.core.queues import WorkItem, WorkQueues
+
+__all__ = ["figures"]
+
+REQUESTS = 5000
+REPEATS = 3
+#: Teams that wait in the pool, and its endpoints.
+SIZES = ((6, 6), (110, 6), (6, 60), (110, 8))
+#: Work that waits while the decisions are taken.
+BACKLOG = 2000
+
+
+def _item(number: int, teams: int) -> WorkItem:
+    return WorkItem(
+        request=f"r{number}",
+        task=f"t{number}",
+        team=f"team-{number % teams}",
+        queue="q",
+        pool="p",
+        work_class=WorkClass.BATCH,
+        arrived=0.0,
+        deadline=1e6,
+    )
+
+
+def _table(endpoints: int) -> EndpointTable:
+    table = EndpointTable()
+    for number in range(endpoints):
+        zone, rack = f"zone-{number % 3}", f"rack-{number // 4}"
+        row = EndpointRow(vm=f"vm-{number}", pool="p", zone=zone, rack=rack, slots=8)
+        table.put(row)
+        table.note_progress(row.vm)
+    return table
+
+
+def _micros(teams: int, endpoints: int) -> float:
+    """Return the processor time of taking, choosing, placing and ending one request."""
+    table, queues, counts = _table(endpoints), WorkQueues(), FleetCounts()
+    shares = {f"team-{number}": 100.0 / teams for number in range(teams)}
+    due = dict.fromkeys(shares, 0.0)
+    for number in range(BACKLOG):
+        queues.push(_item(number, teams), shares)
+    items = [_item(BACKLOG + number, teams) for number in range(REQUESTS)]
+    began = process_time()
+    for new in items:
+        queues.push(new, shares)
+        item = queues.next_item(
+            "p", shares, counts.running, lambda team: True, 0.0, due
+        )
+        vm = table.pick("p", (), 0.0)
+        table.note_start(vm, item.task, 0.0)
+        counts.change(item.team, 1.0)
+        table.note_finish(vm, item.task, "q", RunResult.DONE, 1.0, 1.0)
+        counts.change(item.team, -1.0)
+    return (process_time() - began) / REQUESTS * 1e6
+
+
+def figures() -> Iterator[Figure]:
+    """Yield the processor time of one request's decisions at several sizes."""
+    for teams, endpoints in SIZES:
+        yield Figure(
+            name=f"decisions.request.{teams}_teams_{endpoints}_endpoints",
+            value=round(min(_micros(teams, endpoints) for _ in range(REPEATS)), 1),
+            unit="us of processor",
+        )
