--- a/hickoryplank/core/queues.py
+++ b/hickoryplank/core/queues.py
@@ -7,7 +7,7 @@
 
 import heapq
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from enum import IntEnum
 from itertools import count
 
@@ -202,17 +202,18 @@
         waiting = self._pools.get(pool)
         if waiting is None:
             return None
-        for standing in _Standing:
-            for work_class in _class_order(waiting, now):
-                teams = [
-                    team
-                    for team in waiting.lanes[work_class].teams
-                    if _standing(team, running, due) is standing and may_start(team)
-                ]
-                if teams:
-                    team = _least_served(teams, shares, running)
-                    return self._take(waiting, work_class, team, now)
-        return None
+        best: tuple[_Standing, int, float] | None = None
+        choice: tuple[WorkClass, TeamId] | None = None
+        for rank, work_class in enumerate(_class_order(waiting, now)):
+            for team in waiting.lanes[work_class].teams:
+                if not may_start(team):
+                    continue
+                next_run = running.get(team, 0.0) + HALF_UNIT
+                standing = _standing(next_run, team, due)
+                key = (standing, rank, next_run / _weight(shares, team))
+                if best is None or key < best:
+                    best, choice = key, (work_class, team)
+        return self._take(waiting, *choice, now) if choice else None
 
     def waiting(self, pool: PoolId, work_class: WorkClass) -> dict[TeamId, int]:
         """Return how many items of each team wait in ``pool``."""
@@ -256,28 +257,13 @@
     return max(shares.get(team, 0.0), MIN_WEIGHT)
 
 
-def _least_served(
-    teams: Iterable[TeamId],
-    shares: Mapping[TeamId, float],
-    running: Mapping[TeamId, float],
-) -> TeamId:
-    return min(
-        teams,
-        key=lambda team: (running.get(team, 0.0) + HALF_UNIT) / _weight(shares, team),
-    )
-
-
 def _standing(
-    team: TeamId,
-    running: Mapping[TeamId, float],
-    due: Mapping[TeamId, float] | None,
+    next_run: float, team: TeamId, due: Mapping[TeamId, float] | None
 ) -> _Standing:
-    if due is None or team not in due:
+    entitled = due.get(team) if due else None
+    if entitled is None or SHORT_PART * entitled < next_run <= entitled:
         return _Standing.DUE
-    next_run = running.get(team, 0.0) + HALF_UNIT
-    if next_run <= SHORT_PART * due[team]:
-        return _Standing.SHORT
-    return _Standing.DUE if next_run <= due[team] else _Standing.LENT
+    return _Standing.SHORT if next_run <= entitled else _Standing.LENT
 
 
 def _newest_of_longest(lanes: _Lanes, shares: Mapping[TeamId, float]) -> WorkItem:
