Leave a team with many runs one batch run in each pool

Cause: batch work that started after 20 s of patience could be stopped at once by its own team's urgent work, so that its wait had no bound.

--- a/hickoryplank/core/preemption.py
+++ b/hickoryplank/core/preemption.py
@@ -31,6 +31,8 @@
 SOON_SECONDS = 0.6
 #: Units above or below its entitlement that a team may be in a pool.
 TOLERANCE_UNITS = 0.5
+#: Runs in a pool from which on a team's urgent work leaves it one batch run.
+MANY_RUNS = 8
 
 
 class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
@@ -126,8 +128,13 @@
         due: Mapping[TeamId, float],
     ) -> None:
         here: dict[TeamId, float] = {}
+        self._runs: dict[TeamId, int] = {}
+        self._batch: dict[TeamId, int] = {}
         for run in tasks:
             here[run.team] = here.get(run.team, 0.0) + run.units
+            self._runs[run.team] = self._runs.get(run.team, 0) + 1
+            if run.work_class is WorkClass.BATCH:
+                self._batch[run.team] = self._batch.get(run.team, 0) + 1
         self._distance = {t: u - due.get(t, 0.0) for t, u in running.items()}
         self._due = due
         self._lent = {
@@ -148,12 +155,18 @@
             self._lacking[demand.team] = max(-distance, 0.0) * demand.part
         return self._lacking[demand.team]
 
+    def spares_batch(self, team: TeamId) -> bool:
+        """Return whether ``team`` can stop a batch run and still get on with batch."""
+        return self._batch.get(team, 0) > 1 or self._runs.get(team, 0) < MANY_RUNS
+
     def move(self, run: RunningTask, demand: Demand) -> None:
         self.release(run)
         self._lacking[demand.team] = self.lacking(demand) - run.units
 
     def release(self, run: RunningTask) -> None:
         self._lent[run.team] = self.lent(run.team) - run.units
+        if run.work_class is WorkClass.BATCH:
+            self._batch[run.team] = self._batch.get(run.team, 0) - 1
 
 
 class Preemption:
@@ -268,7 +281,7 @@
         demand.work_class is WorkClass.URGENT and run.work_class is WorkClass.BATCH
     )
     if run.team == demand.team:
-        return urgent_first
+        return urgent_first and balance.spares_batch(run.team)
     lent = balance.lent(run.team) >= TOLERANCE_UNITS
     lacking = balance.lacking(demand) >= TOLERANCE_UNITS
     return lent and (lacking or urgent_first)
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -118,6 +118,13 @@
     assert decisions == [Stop(task, "vm-0") for task in stopped]
 
 
+@pytest.mark.parametrize(("batch", "stopped"), [(7, 7), (8, 7), (12, 11)])
+def test_own_urgent_work_leaves_a_team_with_many_runs_one_batch_run(batch, stopped):
+    tasks = [run(f"t{i}", "a") for i in range(batch)]
+    decisions = decide(Preemption(), [urgent("a", 20)], tasks, {"a": 20.0})
+    assert len(decisions) == stopped
+
+
 @pytest.mark.parametrize(
     ("task", "decision"),
     [
