Wait for the offset after a record, so that no node counts too early

The offset of the record itself let an edit be answered 'in force' while a paused node, which had folded all before it, had not folded the edit. The fake Control now follows the contract of waiting_for and catches this.

--- a/hickoryplank/operator_api.py
+++ b/hickoryplank/operator_api.py
@@ -135,7 +135,8 @@
 class Published(msgspec.Struct, frozen=True):
     """An accepted record.
 
-    :param offset: the log offset that the record stands at, at the latest.
+    :param offset: a log offset after the record; a node that has folded up to it
+        has the record in force.
     :param waiting_for: nodes that may not have folded it yet.
     """
 
@@ -165,7 +166,7 @@
     """What an edit set would change now.
 
     :param base: the revisions that the check was made against.
-    :param offset: the log offset that the entry has folded last.
+    :param offset: the log offset that the entry folds next.
     """
 
     base: tuple[BaseRevision, ...]
--- a/hickoryplank/shell/operator_edits.py
+++ b/hickoryplank/shell/operator_edits.py
@@ -63,7 +63,7 @@
         if faults:
             return Err(refusal_problem(tuple(faults)))
         changes = plan_changes(tables, body.edits)
-        return Ok(PlanAnswer(base, self._publisher.offset - 1, changes))
+        return Ok(PlanAnswer(base, self._publisher.offset, changes))
 
     def _edit_set(
         self,
--- a/hickoryplank/shell/operator_fleet.py
+++ b/hickoryplank/shell/operator_fleet.py
@@ -48,7 +48,7 @@
     async def status(self, req: OperatorRequest) -> Reply:
         """Show nodes, pools, drains, waves, teams and what is under way."""
         published = tuple(
-            self._publisher.published(entry.revision, entry.offset)
+            self._publisher.published(entry.revision, entry.offset + 1)
             for entry in self._publisher.entries()
             if entry.revision is not None
         )
--- a/hickoryplank/shell/publisher.py
+++ b/hickoryplank/shell/publisher.py
@@ -66,7 +66,7 @@
             result = await self._control.submit(record)
         match result:
             case Ok(revision):
-                return Ok(self.published(revision, self._control.offset - 1))
+                return Ok(self.published(revision, self._control.offset))
             case _ if self._history.find(record.id):
                 return self._first_verdict(record.id)
             case Err(Refusal(faults)):
@@ -83,14 +83,14 @@
             case HistoryEntry(revision=None, faults=faults):
                 return Err(refusal_problem(faults))
             case HistoryEntry(revision=revision, offset=offset):
-                return Ok(self.published(revision, offset))
+                return Ok(self.published(revision, offset + 1))
 
     def published(self, revision: Revision, offset: int) -> Published:
         """Return how far an accepted record has come.
 
-        :param offset: the log offset of the record.
+        :param offset: the log offset after the record.
         """
         waiting = self._control.waiting_for(offset)
-        done = not waiting and self._control.offset > offset
+        done = not waiting and self._control.offset >= offset
         state = PublishState.IN_FORCE if done else PublishState.PUBLISHED
         return Published(state, revision, offset, waiting)
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -29,7 +29,7 @@
 
     :ivar failure: what the next call of ``submit`` fails with.
     :ivar lose_answer: whether an append that fails takes effect all the same.
-    :ivar waiting: the nodes that have not folded anything yet.
+    :ivar confirmed: the offset that each other node folds next, as it said.
     """
 
     def __init__(self, tables: Tables) -> None:
@@ -38,7 +38,7 @@
         self.history = History()
         self.failure: LogError | None = None
         self.lose_answer = False
-        self.waiting: tuple[NodeId, ...] = ()
+        self.confirmed: dict[NodeId, int] = {}
 
     @property
     def tables(self) -> Tables:
@@ -58,7 +58,8 @@
         return Err(LogFailure(failure)) if failure else verdict
 
     def waiting_for(self, offset: int) -> tuple[NodeId, ...]:
-        return self.waiting if offset < self.offset else (NodeId("entry-1"),)
+        known = {NodeId("entry-1"): self.offset, **self.confirmed}
+        return tuple(node for node, folds in known.items() if folds < offset)
 
 
 def operator_app(control: FakeControl) -> Starlette:
--- a/tests/shell/test_operators.py
+++ b/tests/shell/test_operators.py
@@ -66,22 +66,20 @@
 
 
 @pytest.mark.parametrize(
-    ("waiting", "state"), [((), "in_force"), (("e",), "published")]
+    ("folds_next", "state", "waiting"),
+    [(2, "in_force", []), (1, "published", ["entry-2"])],
 )
-async def test_edit_tells_whether_it_is_in_force(control, waiting, state):
-    control.waiting = waiting
+async def test_edit_tells_whether_it_is_in_force(control, folds_next, state, waiting):
+    assert control.offset == 1
+    control.confirmed = {"entry-2": folds_next}
     res = await ask(control, "POST", "edits", limit_edit())
-    assert res.json() == {
-        "state": state,
-        "revision": 2,
-        "offset": 1,
-        "waiting_for": list(waiting),
-    }
+    published = {"revision": 2, "offset": 2, "waiting_for": waiting, "state": state}
+    assert res.json() == published
     assert control.tables.limit_of("rutas") == 3
     status = (await ask(control, "GET", "status")).json()
-    assert [one["revision"] for one in status["published"]] == [2] * len(waiting)
-    later = (await ask(control, "GET", "published?offset=1")).json()
-    assert (later["state"], later["waiting_for"]) == (state, list(waiting))
+    assert status["published"] == ([published] if waiting else [])
+    later = await ask(control, "GET", "published?offset=2")
+    assert later.json() == published
     ahead = (await ask(control, "GET", "published?offset=9")).json()
     assert ahead["state"] == "published"
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -90,7 +90,7 @@
 
 
 def test_status_shows_what_is_out_of_service(cli, snapshot):
-    cli.control.waiting = ("entry-2",)
+    cli.control.confirmed = {"entry-2": 1}
     for argv in (["move", "vm-0", "spare"], ["wave", "start", "june", "spare"]):
         assert cli.run(*argv)[0] == ExitCode.PUBLISHED
     row = cli.control.tables.vms["vm-0"]
@@ -141,7 +141,7 @@
     file = cli.file(LIMIT)
     cli.entries = [DOWN, ENTRY]
     assert cli.run("plan", file)[0] == ExitCode.OK
-    cli.control.waiting = ("entry-2",)
+    cli.control.confirmed = {"entry-2": 1}
     assert cli.run("apply", file)[0] == ExitCode.PUBLISHED
     assert cli.run("apply", file, "--wait", "--timeout", "0")[0] == ExitCode.PUBLISHED
     file = cli.file(LIMIT.replace("3", "4"))
@@ -180,12 +180,12 @@
 
 def test_wait_ends_once_it_is_in_force(cli):
     session = Session((ENTRY,), TOKEN, transport=cli.transport)
-    cli.control.waiting = ("entry-2",)
+    cli.control.confirmed = {"entry-2": 1}
     published = drain_vm(session, "vm-0").unwrap()
     assert published.waiting_for == ("entry-2",)
 
     def pause(seconds):
-        cli.control.waiting = ()
+        cli.control.confirmed = {}
 
     done = wait_in_force(session, published, sleep=pause)
     assert done == msgspec.structs.replace(published, state=IN_FORCE, waiting_for=())
