--- a/hickoryplank/cli/__init__.py
+++ b/hickoryplank/cli/__init__.py
@@ -25,7 +25,13 @@
     except SystemExit as exc:
         return exc.code if isinstance(exc.code, int) else ExitCode.USAGE
     args.transport = transport
-    reply = args.run(args)
+    try:
+        reply = args.run(args)
+    except KeyboardInterrupt:
+        return int(ExitCode.INTERRUPTED)
+    except UnicodeEncodeError:
+        sys.stderr.write("arguments must be valid UTF-8\n")
+        return int(ExitCode.USAGE)
     if reply.text:
         sys.stdout.write(reply.text)
     if reply.errors:
--- a/hickoryplank/cli/connection.py
+++ b/hickoryplank/cli/connection.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from hickoryplank.client import Session
+from hickoryplank.client_http import tls_context
 from hickoryplank.ini import IniFault
 from hickoryplank.ini_text import Section, read_sections
 from hickoryplank.ini_values import build_struct
@@ -57,6 +58,11 @@
     if not (token.isascii() and token.isprintable() and token):
         return Err((IniFault(token_file, "", "", "must hold a token in one line"),))
     ca_file = args.ca_file or file.ca_file
+    try:
+        tls_context(ca_file)
+    except OSError:
+        message = "must hold certificates in PEM"
+        return Err((IniFault(ca_file or "", "", "", message),))
     return Ok(Session(entries, token, ca_file, file.timeout_seconds, args.transport))
 
 
--- a/hickoryplank/client_http.py
+++ b/hickoryplank/client_http.py
@@ -2,6 +2,7 @@
 
 import ssl
 import uuid
+from functools import lru_cache
 from typing import TypeVar
 
 import httpx
@@ -10,7 +11,15 @@
 
 from hickoryplank.operator_api import PREFIX, Problem, ProblemOutcome
 
-__all__ = ["ClientError", "Refused", "Session", "Unreachable", "get", "post"]
+__all__ = [
+    "ClientError",
+    "Refused",
+    "Session",
+    "Unreachable",
+    "get",
+    "post",
+    "tls_context",
+]
 
 T = TypeVar("T")
 
@@ -70,6 +79,16 @@
         self.entries = (*others, entry)
 
 
+@lru_cache(maxsize=8)
+def tls_context(ca_file: str | None) -> ssl.SSLContext:
+    """Return what verifies the entries.
+
+    :param ca_file: certificates that vouch for them; the system's by default.
+    :raises OSError: the file cannot be read, or holds no certificates.
+    """
+    return ssl.create_default_context(cafile=ca_file)
+
+
 def get(session: Session, path: str, cls: type[T]) -> Result[T, ClientError]:
     """Return the answer to a GET of ``path`` under the API's prefix."""
     return _request(session, _Call("GET", path, b"", safe=True), cls)
@@ -145,7 +164,7 @@
     answer = min(longest, _SAFE_TIMEOUT_SECONDS) if call.safe else longest
     connect = min(longest, _CONNECT_TIMEOUT_SECONDS)
     return httpx.Client(
-        verify=ssl.create_default_context(cafile=session.ca_file),
+        verify=tls_context(session.ca_file),
         timeout=httpx.Timeout(answer, connect=connect),
         transport=session.transport,
         trust_env=False,
--- a/hickoryplank/shell/history.py
+++ b/hickoryplank/shell/history.py
@@ -22,6 +22,7 @@
 __all__ = ["History", "operator_of", "operator_record_id"]
 
 _MAX_ENTRIES = 512
+_MAX_SUMMARY_LINES = 20
 _PREFIX = "operator"
 
 
@@ -60,7 +61,7 @@
             id=record.id,
             operator=operator,
             action=_action(record),
-            summary=_summary(record),
+            summary=_shorten(_summary(record)),
             at=at,
             offset=offset,
             revision=verdict.ok(),
@@ -106,6 +107,12 @@
             return ()
 
 
+def _shorten(lines: tuple[str, ...]) -> tuple[str, ...]:
+    """Bound what one large set takes of memory."""
+    more = len(lines) - _MAX_SUMMARY_LINES
+    return (*lines[:_MAX_SUMMARY_LINES], f"and {more} more") if more > 0 else lines
+
+
 def _edit_summary(edit: Put | Delete) -> str:
     match edit:
         case Put(obj):
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -100,6 +100,8 @@
         policy = MaintenancePolicy(
             drain_deadline=cfg.maintenance.drain_timeout_seconds,
             reboot_timeout=cfg.maintenance.reboot_timeout_seconds,
+            probe_timeout=cfg.maintenance.probe_timeout_seconds,
+            max_reboots=cfg.maintenance.max_reboots,
         )
         self._upkeep = Upkeep(
             replica,
--- a/hickoryplank/shell/operator_fleet.py
+++ b/hickoryplank/shell/operator_fleet.py
@@ -17,7 +17,6 @@
 from hickoryplank.operator_api import (
     MoveRequest,
     Problem,
-    PublishState,
     SettleRequest,
     VmRequest,
     WaveAction,
@@ -47,13 +46,7 @@
 
     async def status(self, req: OperatorRequest) -> Reply:
         """Show nodes, pools, drains, waves, teams and what is under way."""
-        published = tuple(
-            self._publisher.published(entry.revision, entry.offset + 1)
-            for entry in self._publisher.entries()
-            if entry.revision is not None
-        )
-        waiting = (one for one in published if one.state is PublishState.PUBLISHED)
-        return Ok(status_of(self._publisher.tables, tuple(waiting)))
+        return Ok(status_of(self._publisher.tables, self._publisher.on_the_way()))
 
     async def drain(self, req: OperatorRequest) -> Reply:
         """Take a VM out of service once its work has finished."""
--- a/hickoryplank/shell/publisher.py
+++ b/hickoryplank/shell/publisher.py
@@ -94,3 +94,18 @@
         done = not waiting and self._control.offset >= offset
         state = PublishState.IN_FORCE if done else PublishState.PUBLISHED
         return Published(state, revision, offset, waiting)
+
+    def on_the_way(self) -> tuple[Published, ...]:
+        """Return the accepted records that some node may not follow yet.
+
+        A node that has folded one of them has folded all that came before it.
+        """
+        found: list[Published] = []
+        for entry in reversed(self._history.entries()):
+            if entry.revision is None:
+                continue
+            one = self.published(entry.revision, entry.offset + 1)
+            if one.state is PublishState.IN_FORCE:
+                break
+            found.append(one)
+        return tuple(reversed(found))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -156,7 +156,13 @@
     assert (code, err) == (ExitCode.UNREACHABLE, f"no entry answers: {DOWN}: down\n")
     cli.entries = ["192.0.2.7"]
     assert cli.run("status")[0] == ExitCode.USAGE
-    assert cli.run("frobnicate")[0] == ExitCode.USAGE
+    cli.entries = [ENTRY]
+    for argv in (
+        ["frobnicate"],
+        ["--ca-file", "none.pem", "status"],
+        ["drain", "\udcff"],
+    ):
+        assert cli.run(*argv)[0] == ExitCode.USAGE
 
 
 def test_lost_answer_is_asked_for_at_the_next_entry(cli):
