--- a/hickoryplank/shell/publisher.py
+++ b/hickoryplank/shell/publisher.py
@@ -66,7 +66,7 @@
             result = await self._control.submit(record)
         match result:
             case Ok(revision):
-                return Ok(self.published(revision, self._control.offset - 1))
+                return Ok(self.published(revision, self._control.offset))
             case _ if self._history.find(record.id):
                 return self._first_verdict(record.id)
             case Err(Refusal(faults)):
@@ -83,14 +83,29 @@
             case HistoryEntry(revision=None, faults=faults):
                 return Err(refusal_problem(faults))
             case HistoryEntry(revision=revision, offset=offset):
-                return Ok(self.published(revision, offset))
+                return Ok(self.published(revision, offset + 1))
 
     def published(self, revision: Revision, offset: int) -> Published:
         """Return how far an accepted record has come.
 
-        :param offset: the log offset of the record.
+        :param offset: the log offset after the record.
         """
         waiting = self._control.waiting_for(offset)
-        done = not waiting and self._control.offset > offset
+        done = not waiting and self._control.offset >= offset
         state = PublishState.IN_FORCE if done else PublishState.PUBLISHED
         return Published(state, revision, offset, waiting)
+
+    def on_the_way(self) -> tuple[Published, ...]:
+        """Return the accepted records that some node may not follow yet.
+
+        A node that has folded one of them has folded all that came before it.
+        """
+        found: list[Published] = []
+        for entry in reversed(self._history.entries()):
+            if entry.revision is None:
+                continue
+            one = self.published(entry.revision, entry.offset + 1)
+            if one.state is PublishState.IN_FORCE:
+                break
+            found.append(one)
+        return tuple(reversed(found))
