--- a/hickoryplank/core/checks.py
+++ b/hickoryplank/core/checks.py
@@ -1,7 +1,7 @@
 """Checks of a whole configuration, which list every fault at once."""
 
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 
 from hickoryplank.core.errors import Fault, FaultCode
 from hickoryplank.core.objects import (
@@ -16,9 +16,10 @@
     Share,
     Team,
     ref_of,
+    references_of,
 )
 
-__all__ = ["Objects", "check_objects"]
+__all__ = ["Objects", "check_objects", "is_name"]
 
 Objects = Mapping[Kind, Mapping[str, ConfigObject]]
 
@@ -28,27 +29,67 @@
 _FULL_SHARE_PERCENT = 100.0
 _MAX_UNITS = 1_000_000
 _MAX_SLOTS = 10_000
+_MAX_POOL_VMS = 100_000
+_NAME_FORM = "lower-case letters, digits, '.', '_' and '-', 63 characters at most"
 
 
-def check_objects(objects: Objects) -> list[Fault]:
-    """Return every fault of a configuration, in a stable order."""
+def is_name(text: str) -> bool:
+    """Return whether ``text`` can name an object, a zone, a rack or a wave."""
+    return _NAME.fullmatch(text) is not None
+
+
+def check_objects(
+    objects: Objects, changed: Collection[Ref] | None = None
+) -> list[Fault]:
+    """Return every fault of a configuration, in a stable order.
+
+    :param changed: the objects that were edited, removed ones too, where the
+        configuration was sound before; ``None`` to check all objects.
+    """
     faults = []
-    for kind in Kind:
-        for name in sorted(objects[kind]):
-            faults.extend(_check_object(objects[kind][name], objects))
+    for kind, name in _to_check(objects, changed):
+        faults.extend(_check_object(objects[kind][name], objects))
     faults.extend(_check_share_total(objects))
     return faults
 
 
+def _to_check(
+    objects: Objects, changed: Collection[Ref] | None
+) -> list[tuple[Kind, str]]:
+    if changed is None:
+        return [(kind, name) for kind in Kind for name in sorted(objects[kind])]
+    concerned = {ref for ref in changed if ref.name in objects[ref.kind]}
+    removed = {ref for ref in changed if ref.name not in objects[ref.kind]}
+    if removed:
+        concerned.update(_referrers(objects, removed))
+    by_kind = {
+        kind: sorted(r.name for r in concerned if r.kind is kind) for kind in Kind
+    }
+    return [(kind, name) for kind, names in by_kind.items() for name in names]
+
+
+def _referrers(objects: Objects, removed: Collection[Ref]) -> Iterator[Ref]:
+    """Yield the objects that need one of ``removed``."""
+    for kind in Kind:
+        for obj in objects[kind].values():
+            if any(ref in removed for ref in _needs(obj)):
+                yield ref_of(obj)
+
+
+def _needs(obj: ConfigObject) -> Iterator[Ref]:
+    yield from references_of(obj)
+    match obj:
+        case Team(name=name):
+            yield Ref(Kind.SHARE, name)
+            yield Ref(Kind.LIMIT, name)
+        case Share(name=name) | Limit(name=name):
+            yield Ref(Kind.TEAM, name)
+
+
 def _check_object(obj: ConfigObject, objects: Objects) -> Iterator[Fault]:
     ref = ref_of(obj)
-    if not _NAME.fullmatch(obj.name):
-        yield Fault(
-            FaultCode.BAD_NAME,
-            f"{ref}: names are lower-case letters, digits, '.', '_' and '-',"
-            " 63 characters at most",
-            ref,
-        )
+    if not is_name(obj.name):
+        yield Fault(FaultCode.BAD_NAME, f"{ref}: names are {_NAME_FORM}", ref)
     match obj:
         case Pool():
             yield from _check_pool(obj, ref)
@@ -74,8 +115,8 @@
 
 
 def _check_pool(pool: Pool, ref: Ref) -> Iterator[Fault]:
-    if pool.min_available < 0:
-        yield _bad(ref, "min_available", "0 or more")
+    if not 0 <= pool.min_available <= _MAX_POOL_VMS:
+        yield _bad(ref, "min_available", f"between 0 and {_MAX_POOL_VMS}")
 
 
 def _check_team(team: Team, ref: Ref, objects: Objects) -> Iterator[Fault]:
@@ -117,6 +158,9 @@
         yield _missing(ref, "pool", Kind.POOL, end.pool)
     if not _ADDRESS.fullmatch(end.address):
         yield _bad(ref, "address", "an IP address and a port, as 192.0.2.7:8080")
+    for key in ("zone", "rack"):
+        if not is_name(getattr(end, key)):
+            yield _bad(ref, key, _NAME_FORM)
     if not 1 <= end.slots <= _MAX_SLOTS:
         yield _bad(ref, "slots", f"between 1 and {_MAX_SLOTS}")
 
--- /dev/null
+++ b/hickoryplank/core/queues.py
@@ -0,0 +1,301 @@
+"""Table of waiting work, and the choice of what starts next.
+
+Work of one pool waits in lanes, one for each class and team. A pick costs time
+in proportion to the teams that wait in the pool, not to the work that waits;
+adding, cancelling and expiring cost a heap operation at most.
+"""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from enum import IntEnum
+from itertools import count
+
+import msgspec
+
+from hickoryplank.core.ids import PoolId, QueueId, RequestId, TaskId, TeamId
+from hickoryplank.core.objects import WorkClass
+
+__all__ = ["DEFAULT_BOUNDS", "MIN_WEIGHT", "Bounds", "WorkItem", "WorkQueues"]
+
+#: Weight of a team without a share, in percent of the fleet.
+MIN_WEIGHT = 0.01
+#: Added to what a team runs when teams are compared, which keeps each within one
+#: unit of its share among few teams (the method of Sainte-Laguë).
+HALF_UNIT = 0.5
+#: Part of its entitlement below which a team goes before the urgent work of others.
+SHORT_PART = 0.98
+#: Longest time for which urgent work may keep all batch work of a pool waiting.
+BATCH_PATIENCE_SECONDS = 20.0
+#: Heap entries of work that no longer waits that are kept at least.
+MOST_STALE_ENTRIES = 1024
+
+
+class WorkItem(msgspec.Struct, frozen=True, kw_only=True):
+    """One request that waits for a slot.
+
+    :param arrived: when the request reached the owner, in seconds.
+    :param deadline: when it has to have started, in seconds.
+    """
+
+    request: RequestId
+    task: TaskId
+    team: TeamId
+    queue: QueueId
+    pool: PoolId
+    work_class: WorkClass
+    arrived: float
+    deadline: float
+    idempotent: bool = True
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """How much may wait in one pool before some of it is shed.
+
+    :param urgent: items of urgent work.
+    :param batch: items of batch work.
+    """
+
+    urgent: int = 512
+    batch: int = 4096
+
+    def of(self, work_class: WorkClass) -> int:
+        """Return the bound for ``work_class``."""
+        return self.urgent if work_class is WorkClass.URGENT else self.batch
+
+
+DEFAULT_BOUNDS = Bounds()
+
+_Lane = OrderedDict[RequestId, WorkItem]
+
+
+class _Standing(IntEnum):
+    """How what a team runs stands to its entitlement, neediest first."""
+
+    SHORT = 0
+    DUE = 1
+    LENT = 2
+
+
+class _Lanes:
+    """The work of one class in one pool, by team; empty lanes are dropped."""
+
+    def __init__(self) -> None:
+        self.teams: dict[TeamId, _Lane] = {}
+        self.size = 0
+
+    def add(self, item: WorkItem) -> None:
+        self.teams.setdefault(item.team, OrderedDict())[item.request] = item
+        self.size += 1
+
+    def remove(self, item: WorkItem) -> None:
+        lane = self.teams[item.team]
+        del lane[item.request]
+        self.size -= 1
+        if not lane:
+            del self.teams[item.team]
+
+
+class _PoolQueue:
+    """What waits for one pool."""
+
+    def __init__(self) -> None:
+        self.lanes = {work_class: _Lanes() for work_class in WorkClass}
+        self.batch_passed_since: float | None = None
+
+
+class WorkQueues:
+    """Waiting work of all pools that this node owns.
+
+    :param bounds: how much may wait in each pool.
+    """
+
+    def __init__(self, bounds: Bounds = DEFAULT_BOUNDS) -> None:
+        self._bounds = bounds
+        self._pools: dict[PoolId, _PoolQueue] = {}
+        self._items: dict[RequestId, WorkItem] = {}
+        self._deadlines: list[tuple[float, int, RequestId]] = []
+        self._serial = count()
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __contains__(self, request: RequestId) -> bool:
+        return request in self._items
+
+    def push(self, item: WorkItem, shares: Mapping[TeamId, float]) -> WorkItem | None:
+        """Let ``item`` wait; return the item shed for it, which may be itself.
+
+        When more work of the class waits than the bound, the newest item of the
+        team with the most waiting for its share is shed.
+
+        :param shares: each team's share, in percent of the fleet.
+        """
+        if item.request in self._items:
+            return None
+        lanes = self._pools.setdefault(item.pool, _PoolQueue()).lanes[item.work_class]
+        lanes.add(item)
+        self._register(item)
+        if lanes.size <= self._bounds.of(item.work_class):
+            return None
+        victim = _newest_of_longest(lanes, shares)
+        self._remove(victim)
+        return victim
+
+    def put_back(self, item: WorkItem) -> None:
+        """Let an item that was taken wait again, before its team's other work."""
+        if item.request in self._items:
+            return
+        lanes = self._pools.setdefault(item.pool, _PoolQueue()).lanes[item.work_class]
+        lanes.add(item)
+        lanes.teams[item.team].move_to_end(item.request, last=False)
+        self._register(item)
+
+    def cancel(self, request: RequestId) -> WorkItem | None:
+        """Remove and return a waiting item; ``None`` if it does not wait."""
+        item = self._items.get(request)
+        if item is not None:
+            self._remove(item)
+        return item
+
+    def expire(self, now: float) -> list[WorkItem]:
+        """Remove and return the items whose deadline has passed: not run."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            deadline, _, request = heapq.heappop(self._deadlines)
+            item = self._items.get(request)
+            if item is not None and item.deadline == deadline:
+                self._remove(item)
+                expired.append(item)
+        return expired
+
+    def next_deadline(self) -> float | None:
+        """Return when the next item expires, in seconds."""
+        while self._deadlines and self._deadlines[0][2] not in self._items:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def next_item(
+        self,
+        pool: PoolId,
+        shares: Mapping[TeamId, float],
+        running: Mapping[TeamId, float],
+        may_start: Callable[[TeamId], bool],
+        now: float,
+        due: Mapping[TeamId, float] | None = None,
+    ) -> WorkItem | None:
+        """Remove and return the item that starts next in ``pool``.
+
+        Teams well below their entitlement go first, then those below it, then
+        those which run on lent units. Among each, urgent work goes first, but
+        batch work that could start is passed over for ``BATCH_PATIENCE_SECONDS``
+        at most.
+        Within a class the team with the least running for its share goes first,
+        and its oldest item.
+
+        :param shares: each team's share, in percent of the fleet.
+        :param running: what each team runs across the fleet, in units.
+        :param may_start: whether this node holds a free unit of the team.
+        :param due: what each team is entitled to, in units; without it no team
+            counts as running on lent units.
+        """
+        waiting = self._pools.get(pool)
+        if waiting is None:
+            return None
+        for standing in _Standing:
+            for work_class in _class_order(waiting, now):
+                teams = [
+                    team
+                    for team in waiting.lanes[work_class].teams
+                    if _standing(team, running, due) is standing and may_start(team)
+                ]
+                if teams:
+                    team = _least_served(teams, shares, running)
+                    return self._take(waiting, work_class, team, now)
+        return None
+
+    def waiting(self, pool: PoolId, work_class: WorkClass) -> dict[TeamId, int]:
+        """Return how many items of each team wait in ``pool``."""
+        queue = self._pools.get(pool)
+        if queue is None:
+            return {}
+        teams = queue.lanes[work_class].teams
+        return {team: len(lane) for team, lane in teams.items()}
+
+    def heads(self, pool: PoolId, work_class: WorkClass) -> dict[TeamId, WorkItem]:
+        """Return the oldest waiting item of each team in ``pool``."""
+        queue = self._pools.get(pool)
+        if queue is None:
+            return {}
+        teams = queue.lanes[work_class].teams
+        return {team: next(iter(lane.values())) for team, lane in teams.items()}
+
+    def _take(
+        self, waiting: _PoolQueue, work_class: WorkClass, team: TeamId, now: float
+    ) -> WorkItem:
+        item = next(iter(waiting.lanes[work_class].teams[team].values()))
+        self._remove(item)
+        _note_pick(waiting, work_class, now)
+        return item
+
+    def _register(self, item: WorkItem) -> None:
+        self._items[item.request] = item
+        entry = (item.deadline, next(self._serial), item.request)
+        heapq.heappush(self._deadlines, entry)
+        if len(self._deadlines) > 2 * len(self._items) + MOST_STALE_ENTRIES:
+            waiting = (e for e in self._deadlines if e[2] in self._items)
+            self._deadlines = list(waiting)
+            heapq.heapify(self._deadlines)
+
+    def _remove(self, item: WorkItem) -> None:
+        del self._items[item.request]
+        self._pools[item.pool].lanes[item.work_class].remove(item)
+
+
+def _weight(shares: Mapping[TeamId, float], team: TeamId) -> float:
+    return max(shares.get(team, 0.0), MIN_WEIGHT)
+
+
+def _least_served(
+    teams: Iterable[TeamId],
+    shares: Mapping[TeamId, float],
+    running: Mapping[TeamId, float],
+) -> TeamId:
+    return min(
+        teams,
+        key=lambda team: (running.get(team, 0.0) + HALF_UNIT) / _weight(shares, team),
+    )
+
+
+def _standing(
+    team: TeamId,
+    running: Mapping[TeamId, float],
+    due: Mapping[TeamId, float] | None,
+) -> _Standing:
+    if due is None or team not in due:
+        return _Standing.DUE
+    next_run = running.get(team, 0.0) + HALF_UNIT
+    if next_run <= SHORT_PART * due[team]:
+        return _Standing.SHORT
+    return _Standing.DUE if next_run <= due[team] else _Standing.LENT
+
+
+def _newest_of_longest(lanes: _Lanes, shares: Mapping[TeamId, float]) -> WorkItem:
+    longest = max(
+        lanes.teams, key=lambda team: len(lanes.teams[team]) / _weight(shares, team)
+    )
+    return next(reversed(lanes.teams[longest].values()))
+
+
+def _class_order(waiting: _PoolQueue, now: float) -> tuple[WorkClass, WorkClass]:
+    since = waiting.batch_passed_since
+    if since is not None and now - since >= BATCH_PATIENCE_SECONDS:
+        return WorkClass.BATCH, WorkClass.URGENT
+    return WorkClass.URGENT, WorkClass.BATCH
+
+
+def _note_pick(waiting: _PoolQueue, work_class: WorkClass, now: float) -> None:
+    if work_class is WorkClass.BATCH or not waiting.lanes[WorkClass.BATCH].size:
+        waiting.batch_passed_since = None
+    elif waiting.batch_passed_since is None:
+        waiting.batch_passed_since = now
--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -87,17 +87,22 @@
 
 
 class Proof(Enum):
-    """Why an earlier attempt is known not to have run, and never to run.
+    """Why one more attempt does no harm.
 
-    ``REFUSED`` holds only for an attempt that was sent once. The refusal of a
-    start that was sent again says nothing of the first sending.
+    ``REFUSED`` holds only for an attempt that was sent once, and never ran. The
+    refusal of a start that was sent again says nothing of the first sending.
 
     ``START_MISSED`` holds only for a worker that is still in the boot that the
     dispatch named, has never seen the task and whose clock is past ``start_by``.
+
+    After ``CHECKPOINTED`` the next attempt goes on where the earlier one stopped;
+    ``IDEMPOTENT`` work may run twice.
     """
 
     REFUSED = "refused"
     START_MISSED = "start_missed"
+    CHECKPOINTED = "checkpointed"
+    IDEMPOTENT = "idempotent"
 
 
 class Put(msgspec.Struct, frozen=True, tag="put"):
@@ -209,6 +214,8 @@
 
     :param request: digest of the request, so that one idempotency key cannot
         stand for two different requests.
+    :param durable: whether the request was accepted for good; another node then
+        runs it from ``body`` if its holder goes before it is dispatched.
     :param expires: when the claim may be forgotten, in seconds since the epoch.
     """
 
@@ -218,6 +225,7 @@
     holder: Incarnation
     request: str
     expires: float
+    durable: bool = False
     content_type: str = ""
     body: bytes = b""
 
@@ -267,12 +275,16 @@
 
     :param revision: the revision of the VM's row that the proposer read.
     :param wave: the maintenance wave that the step belongs to, if any.
+    :param target: for a VM that leaves to change pools, the pool that it joins.
+    :param boot: for a reboot, the boot id that the worker reported last.
     """
 
     vm: VmId
     revision: Revision
     state: VmState
     wave: WaveId | None = None
+    target: PoolId | None = None
+    boot: str = ""
 
 
 class VmMoved(Logged, frozen=True, tag="vm_moved", kw_only=True):
--- /dev/null
+++ b/hickoryplank/shell/attempts.py
@@ -0,0 +1,157 @@
+"""One attempt of a job on a VM, idempotent or claimed in the log."""
+
+import logging
+import random
+from typing import assert_never
+
+import anyio
+from result import Err, Ok
+
+from hickoryplank.core.ids import VmId
+from hickoryplank.core.placement import EndpointTable, RunResult, Verdict
+from hickoryplank.core.retries import GiveUp, Retry, RetryBudget, next_attempt
+from hickoryplank.core.work import Completed, Failed, WorkAnswer
+from hickoryplank.platform.errors import RefusedStart, StartFailure, StartLost
+from hickoryplank.platform.worker import Answer, Start, Worker
+from hickoryplank.shell.claims import Claims
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.jobs import Again, Closed, Job, Step
+from hickoryplank.shell.replica import Replica
+from hickoryplank.shell.workers import LEASE_SECONDS, WorkerPool
+
+__all__ = ["Attempts", "completed"]
+
+logger = logging.getLogger(__name__)
+
+START_SECONDS = 1.0
+RETRY_PAUSE_SECONDS = 0.02
+SERVER_ERROR = 500
+
+
+def completed(answer: Answer) -> Completed:
+    """Return the caller's answer from the worker's."""
+    return Completed(
+        status=answer.status, content_type=answer.content_type, body=answer.body
+    )
+
+
+class Attempts:
+    """Runs attempts and tells the table of endpoints how they ended."""
+
+    def __init__(
+        self, replica: Replica, workers: WorkerPool, claims: Claims, clock: Clock
+    ):
+        self._replica = replica
+        self._workers = workers
+        self._claims = claims
+        self._clock = clock
+        self._budget = RetryBudget()
+
+    def worker_on(self, vm: VmId) -> Worker | None:
+        """Return the client of the worker on ``vm``."""
+        return self._workers.client(self._replica.tables, vm)
+
+    async def run(self, job: Job, vm: VmId, endpoints: EndpointTable) -> Step:
+        """Run one attempt of ``job`` on ``vm``."""
+        began = self._clock.now()
+        if job.attempts == 1:
+            self._budget.note_attempt(job.queue.pool, job.request.team)
+        worker = self.worker_on(vm)
+        if worker is None:
+            endpoints.note_finish(
+                vm, job.request.task, job.queue.name, RunResult.STOPPED, 0.0, began
+            )
+            return Again(RETRY_PAUSE_SECONDS)
+        if job.request.claim is None:
+            result, step = await self._run_idempotent(job, vm, worker)
+        else:
+            result, step = await self._claims.run(job, vm, worker)
+        now = self._clock.now()
+        verdict = endpoints.note_finish(
+            vm, job.request.task, job.queue.name, result, now - began, now
+        )
+        return self._judge(job, result, step, verdict)
+
+    def _judge(self, job: Job, result: RunResult, step: Step, verdict: Verdict) -> Step:
+        match step:
+            case Closed(Completed(status=status)) if (
+                status >= SERVER_ERROR
+                and job.request.claim is None
+                and verdict is Verdict.RETRY
+            ):
+                return self._retry(job, result, step.answer)
+            case Again() if job.request.claim is None:
+                failed = Failed(detail="the endpoints failed, and retries are used up")
+                return self._retry(job, result, failed)
+            case _:
+                return step
+
+    def _retry(self, job: Job, result: RunResult, last: WorkAnswer) -> Step:
+        """Try once more if time and the retry budget allow, else answer ``last``."""
+        if result is RunResult.STOPPED:
+            return Again(RETRY_PAUSE_SECONDS)
+        now = self._clock.now()
+        retry = max(job.attempts - 1, 0)
+        jitter = random.random()
+        match next_attempt(job.item(), result, retry, self._budget, now, jitter):
+            case Retry(at=at):
+                return Again(at - now)
+            case GiveUp(reason):
+                logger.info("request %s is given up: %s", job.request.id, reason.value)
+                return Closed(last)
+
+    async def _run_idempotent(
+        self, job: Job, vm: VmId, worker: Worker
+    ) -> tuple[RunResult, Step]:
+        known = await self._workers.clock_of(worker, vm)
+        if known.is_err():
+            return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+        now = self._clock.now()
+        fresh = self._replica.freshness.fresh_until() - now
+        start = Start(
+            task=job.request.task,
+            attempt=job.attempts,
+            boot=known.unwrap().boot,
+            start_by=known.unwrap().at(now) + min(START_SECONDS, fresh),
+            lease=LEASE_SECONDS,
+            content_type=job.request.content_type,
+            body=job.request.body,
+            traceparent=job.request.traceparent,
+        )
+        freshness = self._replica.freshness
+        freshness.open_start(start.task, now + min(START_SECONDS, fresh))
+        try:
+            with anyio.move_on_after(job.deadline - now) as job.scope:
+                return self._read(job, vm, await self._workers.run(worker, start))
+        finally:
+            freshness.close_start(start.task)
+        await self._stop(worker, job)
+        return RunResult.STOPPED, Closed(
+            Failed(detail="no answer came before the deadline")
+        )
+
+    async def _stop(self, worker: Worker, job: Job) -> None:
+        with anyio.move_on_after(START_SECONDS):
+            await worker.stop(job.request.task)
+
+    def _read(
+        self, job: Job, vm: VmId, answer: Ok[Answer] | Err[StartFailure | StartLost]
+    ) -> tuple[RunResult, Step]:
+        match answer:
+            case Ok(whole):
+                failed = whole.status >= SERVER_ERROR
+                result = RunResult.FAILED if failed else RunResult.DONE
+                return result, Closed(completed(whole))
+            case Err(StartFailure(RefusedStart.BUSY)):
+                return RunResult.BUSY, Again(RETRY_PAUSE_SECONDS)
+            case Err(StartFailure(refusal)):
+                self._workers.forget(vm)
+                job.avoided.add(vm)
+                result = RunResult.SILENT if refusal is None else RunResult.STOPPED
+                return result, Again(RETRY_PAUSE_SECONDS)
+            case Err(StartLost()):
+                self._workers.forget(vm)
+                job.avoided.add(vm)
+                return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+            case other:
+                assert_never(other)
--- /dev/null
+++ b/hickoryplank/shell/operators.py
@@ -0,0 +1,50 @@
+"""Routes of the operator HTTP API."""
+
+import time
+from collections.abc import Callable
+
+from starlette.routing import Route
+
+from hickoryplank.operator_api import PREFIX
+from hickoryplank.shell.control import Control
+from hickoryplank.shell.history import History
+from hickoryplank.shell.operator_edits import EditHandlers
+from hickoryplank.shell.operator_fleet import FleetHandlers
+from hickoryplank.shell.operator_http import OperatorSecurity, operator_route
+from hickoryplank.shell.publisher import Publisher
+
+__all__ = ["operator_routes"]
+
+
+def operator_routes(
+    control: Control,
+    history: History,
+    security: OperatorSecurity,
+    now: Callable[[], float] = time.time,
+) -> list[Route]:
+    """Return the routes under ``/operator/v1``.
+
+    :param history: fed by whoever folds the log.
+    :param now: the time in seconds since the epoch.
+    """
+    publisher = Publisher(control, history)
+    edits = EditHandlers(publisher, now)
+    fleet = FleetHandlers(publisher)
+    routes = (
+        ("edits", "POST", edits.edit),
+        ("plan", "POST", edits.plan),
+        ("objects", "GET", edits.objects),
+        ("published", "GET", edits.published),
+        ("history", "GET", edits.history),
+        ("status", "GET", fleet.status),
+        ("vms/{vm}/drain", "POST", fleet.drain),
+        ("vms/{vm}/undrain", "POST", fleet.undrain),
+        ("vms/{vm}/move", "POST", fleet.move),
+        ("waves/{wave}", "POST", fleet.wave),
+        ("claims", "GET", fleet.claims),
+        ("claims/{claim:path}/settle", "POST", fleet.settle),
+    )
+    return [
+        operator_route(f"{PREFIX}/{path}", method, handler, security)
+        for path, method, handler in routes
+    ]
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,104 @@
+"""Each platform service behind its in-memory and its HTTP client."""
+
+import math
+from contextlib import asynccontextmanager
+from functools import partial
+
+import anyio
+import httpx
+import msgspec
+import pytest
+
+from hickoryplank.platform.channel import ChannelOptions
+from hickoryplank.platform.log_http import HttpLog
+from hickoryplank.platform.log_memory import MemoryLog
+from hickoryplank.platform.vmlist import ListedState, ListedVm
+from hickoryplank.platform.vmlist_http import HttpVmList
+from hickoryplank.platform.vmlist_memory import MemoryVmList
+from hickoryplank.platform.worker_engine import WorkerEngine
+from hickoryplank.platform.worker_http import HttpWorkers
+from hickoryplank.platform.worker_memory import MemoryWorker
+from tests.standins import log, service, vms, worker
+
+READ_SECONDS = 0.3
+PROBE_SECONDS = 0.1
+SLOTS = 3
+OPTIONS = ChannelOptions(read_seconds=READ_SECONDS)
+
+
+class Side:
+    """A client and the model behind it; in memory there are no connections."""
+
+    def __init__(self, client, model, address: str = "") -> None:
+        self.client = client
+        self.model = model
+        self.http = bool(address)
+        self._url = f"http://{address}"
+
+    async def fault(self, **changes) -> None:
+        if self.http:
+            return await self._post("/fault", msgspec.json.encode(changes))
+        faults = msgspec.structs.replace(self.model.faults, **changes)
+        return self.model.set_faults(faults)
+
+    async def silence(self) -> None:
+        if self.http:
+            await self._post("/silence", b"")
+
+    async def _post(self, path: str, body: bytes) -> None:
+        async with httpx.AsyncClient(trust_env=False, verify=False) as client:
+            (await client.post(self._url + path, content=body)).raise_for_status()
+
+
+@asynccontextmanager
+async def served(app, **settings):
+    """Serve ``app`` on a loopback port and give its address."""
+    sock, stop = service.listen("127.0.0.1:0"), anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(partial(service.serve, app, sock, stop.wait, **settings))
+        yield service.address_of(sock)
+        stop.set()
+
+
+@asynccontextmanager
+async def sides(kind: str, model, app, memory, http):
+    """Give the side of ``kind``."""
+    if kind == "memory":
+        yield Side(memory, model)
+        return
+    async with served(app) as address:
+        client = http(address)
+        yield Side(client, model, address)
+        await client.aclose()
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture(params=["memory", "http"])
+async def log_side(request, anyio_backend):
+    model = MemoryLog(READ_SECONDS if request.param == "memory" else math.inf)
+    http = partial(HttpLog, options=OPTIONS)
+    async with sides(request.param, model, log.make_app(model), model, http) as side:
+        yield side
+
+
+@pytest.fixture(params=["memory", "http"])
+async def vms_side(request, anyio_backend):
+    rows = [ListedVm(f"vm-{i}", f"10.0.0.{i}", ListedState.LIVE, 1) for i in range(2)]
+    model = MemoryVmList(rows)
+    http = partial(HttpVmList, options=OPTIONS)
+    async with sides(request.param, model, vms.make_app(model), model, http) as side:
+        yield side
+
+
+@pytest.fixture(params=["memory", "http"])
+async def worker_side(request, anyio_backend):
+    model = WorkerEngine(SLOTS)
+    memory = MemoryWorker(model, READ_SECONDS)
+    http = HttpWorkers(OPTIONS, PROBE_SECONDS).at
+    app = worker.make_app(model)
+    async with sides(request.param, model, app, memory, http) as side:
+        yield side
--- /dev/null
+++ b/tests/platform/test_channel.py
@@ -0,0 +1,178 @@
+"""Channels: only whole answers are handed on, over verified and bounded connections."""
+
+import math
+import ssl
+import subprocess
+
+import anyio
+import pytest
+
+from hickoryplank.platform import wire
+from hickoryplank.platform.channel import (
+    CallError,
+    Channel,
+    ChannelOptions,
+    TlsOptions,
+)
+from hickoryplank.platform.errors import StartFailure, StartLost
+from hickoryplank.platform.worker import Start
+from hickoryplank.platform.worker_http import HttpWorker
+from tests.platform.conftest import OPTIONS, served
+from tests.standins import service
+
+pytestmark = pytest.mark.anyio
+
+ECHO = b"hickoryplank-request: %(request)s\r\n"
+WHOLE = b"hickoryplank-length: 4\r\ncontent-length: 4\r\n"
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+async def get(channel):
+    return await channel.call("GET", "/")
+
+
+async def start(channel):
+    asked = Start(task="t", attempt=2, boot="", start_by=math.inf, lease=9.0)
+    return await HttpWorker(channel, channel).start(asked)
+
+
+async def answered(raw: bytes, options=OPTIONS, call=get):
+    """Return what a call gives to which a TCP server answers ``raw``."""
+
+    async def handle(stream):
+        async with stream:
+            head = await stream.receive()
+            names = dict(line.split(b": ") for line in head.split(b"\r\n")[1:] if line)
+            await stream.send(raw.replace(b"%(request)s", names[wire.REQUEST.encode()]))
+
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, handle)
+            channel = Channel(f"127.0.0.1:{port}", options)
+            called = await call(channel)
+            await channel.aclose()
+            group.cancel_scope.cancel()
+    return called
+
+
+async def test_whole_answer_is_handed_on():
+    called = await answered(OK + ECHO + WHOLE + b"\r\nbody")
+    assert called.unwrap().body == b"body"
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"garbage\r\n\r\n",
+        OK + WHOLE + b"\r\nbody",
+        OK + ECHO.replace(b"%", b"0") + WHOLE + b"\r\nbody",
+        OK + ECHO + WHOLE + b"\r\nbod",
+        OK + ECHO + b"content-length: 4\r\n\r\nbody",
+        OK + ECHO + WHOLE.replace(b"length: 4\r\nc", b"length: 5\r\nc") + b"\r\nbody",
+        OK + ECHO + b"hickoryplank-length: 4\r\n\r\nbod",
+        OK + ECHO + WHOLE + b"content-encoding: gzip\r\n\r\nbody",
+        OK + ECHO + b"hickoryplank-length: 4\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"4\r\nbody\r\n",
+    ],
+)
+async def test_answer_that_is_not_whole_is_lost(raw):
+    assert (await answered(raw)).err().error is CallError.LOST
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ({"task": "t", "attempt": "2"}, None),
+        ({"task": "u", "attempt": "2"}, StartLost),
+        ({"task": "t", "attempt": "1"}, StartLost),
+        ({"attempt": "2"}, StartLost),
+        ({"task": "t"}, StartLost),
+        ({"task": "t", "attempt": "2", "refusal": "busy"}, StartFailure),
+        ({"task": "u", "attempt": "2", "refusal": "busy"}, StartLost),
+        ({"task": "t", "attempt": "2", "refusal": "unheard of"}, StartLost),
+    ],
+)
+async def test_answer_to_a_start_names_its_task_and_attempt(headers, expected):
+    lines = [f"hickoryplank-{name}: {text}\r\n" for name, text in headers.items()]
+    raw = OK + ECHO + WHOLE + "".join(lines).encode() + b"\r\nbody"
+    outcome = await answered(raw, call=start)
+    assert outcome.is_ok() if expected is None else type(outcome.err()) is expected
+
+
+async def test_answer_over_the_bound_is_lost():
+    options = ChannelOptions(max_answer_bytes=3)
+    called = await answered(OK + ECHO + WHOLE + b"\r\nbody", options)
+    assert called.err().error is CallError.LOST
+
+
+async def test_pool_is_bounded_and_a_call_without_connection_is_not_sent():
+    arrived = []
+
+    async def hold(request):
+        arrived.append(request)
+        return await service.no_answer(request)
+
+    app = service.App(None, {"GET /": hold})
+    options = ChannelOptions(connect_seconds=0.2, read_seconds=0.6, max_connections=2)
+    errors = []
+
+    async def call(channel):
+        errors.append((await channel.call("GET", "/")).err().error)
+
+    async with served(app) as address:
+        channel = Channel(address, options)
+        async with anyio.create_task_group() as group:
+            for _ in range(5):
+                group.start_soon(call, channel)
+        await channel.aclose()
+    assert errors == [CallError.NOT_SENT] * 3 + [CallError.LOST] * 2
+    assert len(arrived) == 2
+
+
+@pytest.fixture
+def certificates(tmp_path):
+    """Give the path of a file by name: an authority, a server and a client of it."""
+    new = "req -newkey rsa:2048 -nodes -keyout {0}.key -subj /CN={0}"
+    sign = "x509 -req -in {0}.csr -out {0}.pem -CA ca.pem -CAkey ca.key -extfile san"
+    commands = [f"{new} -x509 -out {{0}}.pem".format("ca")]
+    for name in ("server", "client"):
+        commands.append(f"{new} -out {{0}}.csr".format(name))
+        commands.append(f"{sign} -CAcreateserial".format(name))
+    (tmp_path / "san").write_text("subjectAltName=IP:127.0.0.1")
+    for command in commands:
+        openssl = ["openssl", *command.split()]
+        subprocess.run(openssl, cwd=tmp_path, check=True, capture_output=True)
+    return lambda name: str(tmp_path / name)
+
+
+async def test_tls_verifies_both_ends(certificates):
+    async def hello(_):
+        return service.reply(b"hello")
+
+    client = {
+        "cert_file": certificates("client.pem"),
+        "key_file": certificates("client.key"),
+    }
+    table = [
+        (TlsOptions(ca_file=certificates("ca.pem"), **client), None),
+        (TlsOptions(**client), CallError.NOT_SENT),
+        (TlsOptions(ca_file=certificates("ca.pem")), CallError.LOST),
+        (None, CallError.LOST),
+    ]
+    app = service.App(None, {"GET /": hello})
+    tls = {
+        "certfile": certificates("server.pem"),
+        "keyfile": certificates("server.key"),
+        "ca_certs": certificates("ca.pem"),
+        "verify_mode": ssl.CERT_REQUIRED,
+    }
+    seen = []
+    async with served(app, **tls) as address:
+        for options, _ in table:
+            channel = Channel(address, ChannelOptions(tls=options))
+            called = await channel.call("GET", "/")
+            seen.append(called.err() and called.err().error)
+            await channel.aclose()
+    assert seen == [expected for _, expected in table]
