Keep a start open while its answer is lost

A start counted as answered when its answer was lost or its wait was cut off, and a retry of the task took its place, so a node could confirm an edit before an older start had run: what the specification refutes as 'a node confirms an edit while an older start is under way'.

--- a/hickoryplank/core/freshness.py
+++ b/hickoryplank/core/freshness.py
@@ -49,10 +49,13 @@
     quiet: bool
 
 
-@dataclass(frozen=True)
-class _OpenStart:
+@dataclass
+class _OpenStarts:
+    """The starts of one task that are not answered: the oldest view, the last bound."""
+
     offset: int
     start_by: float
+    count: int = 0
 
 
 @dataclass(frozen=True)
@@ -77,7 +80,7 @@
     joined: int | None = None
     _heard: dict[Incarnation, _Heard] = field(default_factory=dict)
     _confirmed: dict[Incarnation, int] = field(default_factory=dict)
-    _starts: dict[TaskId, _OpenStart] = field(default_factory=dict)
+    _starts: dict[TaskId, _OpenStarts] = field(default_factory=dict)
 
     def note_tail_read(self, sent_at: float, offset: int) -> None:
         """Note that a read sent at ``sent_at`` reached the tail, and is folded.
@@ -130,13 +133,24 @@
     def open_start(self, task: TaskId, start_by: float) -> None:
         """Note that a start is about to be sent, which a worker may run.
 
+        A task may have several, since a retry does not end the start before it.
+
         :param start_by: the time on the node's clock after which it cannot run.
         """
-        self._starts[task] = _OpenStart(self.offset, start_by)
+        starts = self._starts.setdefault(task, _OpenStarts(self.offset, start_by))
+        starts.start_by = max(starts.start_by, start_by)
+        starts.count += 1
 
     def close_start(self, task: TaskId) -> None:
-        """Note that a start was answered, so that it is not under way."""
-        self._starts.pop(task, None)
+        """Note that a start was answered, so that it is not under way.
+
+        A start whose answer is lost stays open until its bound has passed.
+        """
+        starts = self._starts.get(task)
+        if starts is not None:
+            starts.count -= 1
+            if starts.count == 0:
+                del self._starts[task]
 
     def confirmed(self, now: float) -> int:
         """Return the offset before which no edit concerns a start under way."""
--- a/hickoryplank/shell/attempts.py
+++ b/hickoryplank/shell/attempts.py
@@ -120,11 +120,11 @@
         )
         freshness = self._replica.freshness
         freshness.open_start(start.task, now + min(START_SECONDS, fresh))
-        try:
-            with anyio.move_on_after(job.deadline - now) as job.scope:
-                return self._read(job, vm, await self._workers.run(worker, start))
-        finally:
-            freshness.close_start(start.task)
+        with anyio.move_on_after(job.deadline - now) as job.scope:
+            answer = await self._workers.run(worker, start)
+            if not isinstance(answer.err(), StartLost):
+                freshness.close_start(start.task)
+            return self._read(job, vm, answer)
         await self._stop(worker, job)
         return RunResult.STOPPED, Closed(
             Failed(detail="no answer came before the deadline")
--- a/hickoryplank/shell/claims.py
+++ b/hickoryplank/shell/claims.py
@@ -34,6 +34,7 @@
     LogFailure,
     RefusedStart,
     StartFailure,
+    StartLost,
 )
 from hickoryplank.platform.worker import Answer, Start, TaskReport, TaskState, Worker
 from hickoryplank.shell.clock import Clock
@@ -368,9 +369,8 @@
         freshness.open_start(
             start.task, min(now + START_SECONDS, freshness.fresh_until())
         )
-        try:
-            sent = await self._workers.run(worker, start)
-        finally:
+        sent = await self._workers.run(worker, start)
+        if not isinstance(sent.err(), StartLost):
             freshness.close_start(start.task)
         match sent:
             case Ok(answer):
--- a/tests/core/test_freshness.py
+++ b/tests/core/test_freshness.py
@@ -79,6 +79,17 @@
     assert fresh.view(3.1, quiet=True).confirmed == 6
 
 
+def test_a_retry_does_not_end_the_start_before_it():
+    fresh = Freshness()
+    fresh.note_tail_read(1.0, 5)
+    fresh.open_start("task", 3.0)
+    fresh.note_tail_read(2.0, 6)
+    fresh.open_start("task", 4.0)
+    fresh.close_start("task")
+    assert fresh.confirmed(3.5) == 5
+    assert fresh.confirmed(4.5) == 6
+
+
 @dataclass(frozen=True)
 class Entry:
     """A log entry: an edit, a join, or proof that a member is gone."""
