Refuse a move that leaves its new pool unable to drain a VM

Cause: an empty pool may have a budget, so a VM that moved into it gave a configuration that no check accepts; found by the state machine of tests/core/test_vms.py. Both planners ask the same function before they propose.

--- a/hickoryplank/core/maintenance.py
+++ b/hickoryplank/core/maintenance.py
@@ -22,7 +22,7 @@
     WaveState,
 )
 from hickoryplank.core.tables import Tables, VmRow
-from hickoryplank.core.vms import budget_of, in_service
+from hickoryplank.core.vms import budget_of, check_sizes, in_service
 from hickoryplank.core.waves import WaveView, is_standby
 
 __all__ = [
@@ -267,8 +267,7 @@
             if pool is None or not pool.obj.spare:
                 yield self._step(row, VmState.ACTIVE, now)
             return
-        left = len(tables.members(row.pool)) - 1
-        if pool is None or left <= budget_of(tables, row.pool):
+        if pool is None or check_sizes(tables, row, row.target):
             yield self._step(row, VmState.ACTIVE, now)
             return
         self._made.note(row, now)
--- a/hickoryplank/core/moves.py
+++ b/hickoryplank/core/moves.py
@@ -20,7 +20,7 @@
 from hickoryplank.core.outstanding import Outstanding
 from hickoryplank.core.records import VmMoved, VmState, VmStep
 from hickoryplank.core.tables import Tables, VmRow
-from hickoryplank.core.vms import budget_of
+from hickoryplank.core.vms import budget_of, check_sizes
 from hickoryplank.core.waves import is_standby
 
 __all__ = ["MovePlanner", "MovePolicy", "spare_pool"]
@@ -198,6 +198,8 @@
     def _may_go(self, tables: Tables, row: VmRow, pool: PoolId) -> bool:
         if row.pool == pool:
             return True
+        if check_sizes(tables, row, pool):
+            return False
         members = tables.members(row.pool)
         leaving = sum(other.target not in (None, row.pool) for other in members)
         going = sum(self._made.has(other) for other in members)
--- a/hickoryplank/core/vms.py
+++ b/hickoryplank/core/vms.py
@@ -21,6 +21,7 @@
     "apply_step",
     "apply_wave",
     "budget_of",
+    "check_sizes",
     "in_service",
 ]
 
@@ -141,11 +142,9 @@
     if row.state is not VmState.DRAINED:
         message = f"VM {row.vm} is {row.state.value}; only a drained VM moves"
         return [Fault(FaultCode.WRONG_STATE, message)]
-    left = len(tables.members(row.pool)) - 1
-    budget = budget_of(tables, row.pool)
-    if left and left <= budget or left < budget:
-        message = f"pool {row.pool} would keep {left} VMs for a budget of {budget}"
-        return [Fault(FaultCode.BUDGET, message)]
+    faults = check_sizes(tables, row, record.pool)
+    if faults:
+        return faults
     old, row.pool = row.pool, record.pool
     row.target = record.pool
     row.revision = revision
@@ -156,6 +155,23 @@
     return []
 
 
+def check_sizes(tables: Tables, row: VmRow, pool: PoolId) -> list[Fault]:
+    """Return why a VM cannot move to ``pool``: neither pool may be left unable to
+    drain a VM within its budget.
+    """
+    left = len(tables.members(row.pool)) - 1
+    budget = budget_of(tables, row.pool)
+    if left and left <= budget or left < budget:
+        message = f"pool {row.pool} would keep {left} VMs for a budget of {budget}"
+        return [Fault(FaultCode.BUDGET, message)]
+    joined = len(tables.members(pool)) + 1
+    budget = budget_of(tables, pool)
+    if pool != row.pool and joined <= budget:
+        message = f"pool {pool} would have {joined} VMs for a budget of {budget}"
+        return [Fault(FaultCode.BUDGET, message)]
+    return []
+
+
 def apply_report(tables: Tables, record: VmReport, revision: Revision) -> list[Fault]:
     """Note that a VM failed or is healthy; failures count against the budget."""
     row = tables.vms.get(record.vm)
--- a/tests/core/test_fold.py
+++ b/tests/core/test_fold.py
@@ -5,9 +5,9 @@
 from hickoryplank.core.errors import FaultCode
 from hickoryplank.core.fold import fold, fold_batch
 from hickoryplank.core.objects import Key, Kind, Limit, Pool, Queue, Ref, Share, Team
-from hickoryplank.core.records import Delete, Put
+from hickoryplank.core.records import Delete, Put, VmMoved, VmState, VmStep
 from hickoryplank.core.tables import Tables, decode_tables, encode_tables
-from tests.core.build import edit_set, folded, join, small_fleet
+from tests.core.build import edit_set, folded, join, new_id, small_fleet
 
 
 @pytest.mark.parametrize(
@@ -89,3 +89,14 @@
         refusal = fold(tables, created).unwrap_err()
         code = FaultCode.DUPLICATE if late == 0 else FaultCode.STALE
         assert refusal.faults[0].code is code
+
+
+def test_move_into_an_empty_pool_with_a_budget_is_refused():
+    tables = folded([*small_fleet(budget=2), Pool(name="spare", min_available=1)])
+    for state in (VmState.LEAVING, VmState.DRAINED):
+        revision = tables.vms["vm-0"].revision
+        step = VmStep(id=new_id(), vm="vm-0", revision=revision, state=state)
+        fold(tables, step).unwrap()
+    revision = tables.vms["vm-0"].revision
+    move = VmMoved(id=new_id(), vm="vm-0", revision=revision, pool="spare")
+    assert fold(tables, move).unwrap_err().faults[0].code is FaultCode.BUDGET
