--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,7 +13,7 @@
 from benchmarks.fleets import fleet, new_id
 from hickoryplank.core.demand import PoolDemand
 from hickoryplank.core.edits import base_for
-from hickoryplank.core.fold import fold
+from hickoryplank.core.fold import RECENT_RECORDS, fold
 from hickoryplank.core.ids import Incarnation, OperatorId, PoolId, TeamId
 from hickoryplank.core.maintenance import (
     MaintenancePolicy,
@@ -32,6 +32,7 @@
     Put,
     Record,
     UnitsTaken,
+    VmReport,
     VmState,
     VmStep,
     encode_batch,
@@ -146,6 +147,13 @@
     return tables
 
 
+def _with_recent(records: int) -> Tables:
+    tables = fleet(300, 40, 20)
+    for number in range(records):
+        fold(tables, VmReport(id=f"{number:032x}", vm="vm-0", healthy=True)).unwrap()
+    return tables
+
+
 def _memory(tables: Tables) -> float:
     """Return the memory that the decoded tables and their index take, in MB."""
     data = encode_tables(tables)
@@ -318,6 +326,7 @@
     for per, sizes, build, size in (
         ("VM", SIZES, lambda vms: fleet(vms, POOLS, TEAMS), VMS),
         ("team", (28, 55, 110, 220), lambda teams: fleet(VMS, POOLS, teams), TEAMS),
+        ("recent record", (2000, 4000, 8000, 16_000), _with_recent, RECENT_RECORDS),
         ("claim", (1000, 2000, 4000, 8000), _with_claims, 10_000),
     ):
         for line, target in _table_fits(per, sizes, build):
