--- a/hickoryplank/core/placement.py
+++ b/hickoryplank/core/placement.py
@@ -29,12 +29,16 @@
 FIRST_EJECTION_SECONDS = 10.0
 #: How long an ejection lasts at most.
 LONGEST_EJECTION_SECONDS = 160.0
-#: Runs that an endpoint finishes at its learned capacity before it grows by one.
-GROW_AFTER_RUNS = 8
+#: Time in which a learned capacity grows by one unit, until it is refused again.
+GROW_SECONDS = 2.0
 #: Runs that an endpoint which has proved nothing may have at once, in the end.
 TRIAL_RUNS = 4
 #: Time after its first start in which that number doubles from one.
 TRIAL_SECONDS = 0.5
+#: Wait for the next trial run after the first has failed; it doubles each time.
+TRIAL_WAIT_SECONDS = 0.1
+#: Longest wait for a trial run of an endpoint that is not ejected.
+LONGEST_TRIAL_WAIT_SECONDS = 1.6
 #: Loads that differ by no more count as equal.
 SAME_LOAD = 0.02
 #: Weight of the newest run in an endpoint's slowdown.
@@ -51,6 +55,9 @@
     STOPPED = "stopped"
 
 
+_ANSWERS = frozenset((RunResult.DONE, RunResult.FAILED, RunResult.BUSY))
+
+
 class Verdict(Enum):
     """What becomes of a task after a run."""
 
@@ -65,14 +72,17 @@
     :param slots: what the endpoint declares to run at once.
     :param capacity: units that it was learned to run at once, from 1 to ``slots``;
         a new row takes over ``slots``.
+    :param grown_at: up to when ``capacity`` has grown, in seconds.
     :param used: units that its runs are believed to take.
     :param open_failures: tasks that failed here since the last run that was
         done, and that are not settled.
     :param confirmed: failures since the last run that was done, of tasks that
         others ran.
     :param proved: whether a run has been done here since the VM came into service.
+    :param trial_after: when the next such run may start, in seconds.
     :param first_start: when the first run started on a VM not yet proved.
     :param trials: tasks that run here and started while the endpoint was suspect.
+    :param heard: when a run last brought an answer, in seconds.
     :param slowdown: run times here as a multiple of the queue's mean.
     :param ejected_until: end of the ejection, in seconds; ``None`` if not ejected.
     :param ejections: ejections since the endpoint last proved sound.
@@ -90,11 +100,13 @@
     used: float = 0.0
     proved: bool = False
     first_start: float | None = None
+    heard: float = float("-inf")
     open_failures: set[TaskId] = msgspec.field(default_factory=set)
     confirmed: int = 0
     trials: set[TaskId] = msgspec.field(default_factory=set)
+    trial_after: float = 0.0
     slowdown: float = 1.0
-    runs_at_capacity: int = 0
+    grown_at: float = 0.0
     ejected_until: float | None = None
     ejections: int = 0
     reserved_for: TaskId | None = None
@@ -115,10 +127,11 @@
         """
         if not self.serves(now):
             return False
-        if self.suspect or self.probing(now):
-            return not self.trials
         if self.running >= self._allowed(now):
             return False
+        on_trial = self.suspect or self.probing(now)
+        if on_trial and (self.trials or now < self.trial_after):
+            return False
         return self.running == 0 or self.used + units <= self.capacity
 
     def probing(self, now: float) -> bool:
@@ -133,6 +146,13 @@
         trial = 2 ** min(int(tried / TRIAL_SECONDS), 8)
         return min(trial, TRIAL_RUNS, self.slots)
 
+    def grow(self, now: float) -> None:
+        """Let the learned capacity recover by the time that has passed."""
+        if self.capacity < self.slots:
+            grown = self.capacity + (now - self.grown_at) / GROW_SECONDS
+            self.capacity = min(grown, float(self.slots))
+        self.grown_at = now
+
     def load(self) -> float:
         """Return the load that one more run would give, 1.0 at capacity."""
         return (self.used + 1.0) * self.slowdown / self.capacity
@@ -211,9 +231,12 @@
         :param may_probe: whether the run may be risked on a suspect endpoint.
         :param task: the task, which may start where room is kept for it.
         """
+        members = self._pools.get(pool, {}).values()
+        for row in members:
+            row.grow(now)
         rows = [
             row
-            for row in self._pools.get(pool, {}).values()
+            for row in members
             if row.vm not in exclude
             and row.reserved_for in (None, task)
             and row.has_room(units, now)
@@ -263,13 +286,19 @@
             if row.first_start is None:
                 row.first_start = now
 
-    def note_silence(self, vm: VmId, task: TaskId, now: float) -> None:
-        """Hold against ``vm`` that a run's connection has gone silent.
+    def note_silence(self, vm: VmId, task: TaskId, started: float, now: float) -> None:
+        """Note that a run's connection has been silent for too long.
 
-        The run still counts as running there until it is finished or given up.
+        It counts against an endpoint that has ended no other run meanwhile. Runs
+        that fall silent together count once; then a trial run has to. The run
+        still counts as running there until ``note_finish``.
+
+        :param started: when the run started, in seconds.
         """
         row = self._rows.get(vm)
-        if row is not None:
+        if row is None or row.heard >= started:
+            return
+        if task in row.trials or not row.suspect:
             self._failed_on.setdefault(task, set()).add(vm)
             self._hold_against(row, task, now)
 
@@ -297,25 +326,27 @@
         row = self._rows.get(vm)
         if row is None:
             return Verdict.DONE if result is RunResult.DONE else Verdict.RETRY
-        at_capacity = row.used + units > row.capacity
         row.running = max(row.running - 1, 0)
         row.used = max(row.used - units, 0.0) if row.running else 0.0
+        if result in _ANSWERS:
+            row.heard = now
         trial = task in row.trials
         row.trials.discard(task)
         match result:
             case RunResult.DONE:
                 self._learn_run(row, queue, seconds)
                 if trial or not row.suspect:
-                    _prove(row, at_capacity)
+                    _prove(row)
                 self._confirm(task, vm, now)
                 return Verdict.DONE
             case RunResult.BUSY:
+                row.grow(now)
                 row.capacity = max(min(row.used, row.capacity - 1.0), 1.0)
-                row.runs_at_capacity = 0
             case RunResult.FAILED:
                 return self._judge_failure(row, task, now)
             case RunResult.SILENT:
-                self._hold_against(row, task, now)
+                if trial or not row.suspect:
+                    self._hold_against(row, task, now)
             case RunResult.STOPPED:
                 pass
         return Verdict.RETRY
@@ -374,6 +405,10 @@
     def _hold_against(self, row: EndpointRow, task: TaskId, now: float) -> None:
         if len(row.open_failures) < MOST_OPEN_FAILURES:
             row.open_failures.add(task)
+        failures = row.confirmed + len(row.open_failures)
+        if failures > 1:
+            wait = TRIAL_WAIT_SECONDS * 2.0 ** (failures - 2)
+            row.trial_after = now + min(wait, LONGEST_TRIAL_WAIT_SECONDS)
         self._eject_if_due(row, now)
 
     def _is_sound(self, vm: VmId) -> bool:
@@ -394,16 +429,18 @@
         again = row.probing(now)
         if row.ejected_until is not None and not again:
             return
-        if not again and (not _eject_due(row) or not self._may_eject(row.pool)):
+        if not again and not (_eject_due(row) and self._may_eject(row)):
             return
         length = FIRST_EJECTION_SECONDS * 2**row.ejections
         row.ejected_until = now + min(length, LONGEST_EJECTION_SECONDS)
         row.ejections += 1
 
-    def _may_eject(self, pool: PoolId) -> bool:
-        rows = [row for row in self._pools[pool].values() if row.in_service]
-        ejected = sum(row.ejected_until is not None for row in rows)
-        return ejected < _ejection_cap(len(rows))
+    def _may_eject(self, row: EndpointRow) -> bool:
+        """Return whether the cap allows it and the others do better."""
+        rows = [r for r in self._pools[row.pool].values() if r.in_service]
+        ejected = sum(r.ejected_until is not None for r in rows)
+        sound = sum(r.proved and not r.suspect for r in rows)
+        return ejected < _ejection_cap(len(rows)) and 2 * sound >= len(rows)
 
 
 def _ejection_cap(members: int) -> int:
@@ -418,7 +455,7 @@
     return row.confirmed + len(row.open_failures) >= EJECT_FAILURES
 
 
-def _prove(row: EndpointRow, at_capacity: bool) -> None:
+def _prove(row: EndpointRow) -> None:
     """Clear what stood against an endpoint that has finished a run."""
     returned = row.ejected_until is not None
     row.proved = True
@@ -428,10 +465,6 @@
     row.trials.clear()
     if not returned:
         row.ejections = 0
-    row.runs_at_capacity += at_capacity
-    if row.capacity < row.slots and row.runs_at_capacity >= GROW_AFTER_RUNS:
-        row.runs_at_capacity = 0
-        row.capacity = min(row.capacity + 1.0, float(row.slots))
 
 
 def _take_over(row: EndpointRow, new: EndpointRow) -> None:
@@ -447,5 +480,5 @@
         row.first_start = row.ejected_until = row.reserved_for = None
         row.open_failures.clear()
         row.trials.clear()
-        row.confirmed = row.ejections = row.runs_at_capacity = 0
+        row.confirmed = row.ejections = 0
         row.slowdown = 1.0
