--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -91,6 +91,16 @@
     return fit("fold of an edit set", "ms", "object", sizes, times)
 
 
+def _fold_whole() -> Fit:
+    """Fold a whole configuration in one set, as at the first start of a fleet."""
+    sizes, times = [], []
+    for vms in SIZES:
+        tables = _fleet(vms)
+        sizes.append(sum(len(rows) for rows in tables.objects.values()))
+        times.append(best_of(RUNS, lambda vms=vms: _fleet(vms)) * MS)
+    return fit("whole configuration in one set", "ms", "object", sizes, times)
+
+
 def _join(tables: Tables, nodes: int) -> list[Incarnation]:
     joined = []
     for i in range(nodes):
@@ -322,6 +332,7 @@
         unit="% of a core",
         target=CORE_SHARE_TARGET,
     )
+    yield from _fold_whole().figures(objects)
     yield from _fold_steps().figures(VMS)
     for per, sizes, build, size in (
         ("VM", SIZES, lambda vms: fleet(vms, POOLS, TEAMS), VMS),
--- a/hickoryplank/core/edits.py
+++ b/hickoryplank/core/edits.py
@@ -1,6 +1,7 @@
 """Edit sets: checked whole against the tables, then applied whole."""
 
-from collections.abc import Iterator, Mapping
+from collections import Counter
+from collections.abc import Mapping
 
 from hickoryplank.core.checks import check_objects
 from hickoryplank.core.errors import Fault, FaultCode
@@ -79,7 +80,8 @@
     if not edit_set.edits:
         faults.append(Fault(FaultCode.EMPTY, "the set holds no edits"))
     refs = _touched(edit_set.edits)
-    for ref in sorted({ref for ref in refs if refs.count(ref) > 1}, key=str):
+    twice = [ref for ref, times in Counter(refs).items() if times > 1]
+    for ref in sorted(twice, key=str):
         message = f"{ref} is edited twice in one set"
         faults.append(Fault(FaultCode.DUPLICATE, message, ref))
     return faults
@@ -160,13 +162,13 @@
 def _check_budgets(
     tables: Tables, edit_set: EditSet, objects: Mapping[Kind, OverlaidObjects]
 ) -> list[Fault]:
-    concerned = set(_pools_concerned(tables, edit_set))
+    changes = _size_changes(tables, edit_set, objects)
     faults = []
     for name in objects[Kind.POOL]:
-        if name not in concerned:
+        if name not in changes:
             continue
         pool = objects[Kind.POOL][name]
-        size = _size_after(tables, edit_set, pool.name)
+        size = len(tables.members(pool.name)) + changes[pool.name]
         if size and pool.min_available >= size:
             message = (
                 f"pool {name}: min_available {pool.min_available} of {size} VMs"
@@ -177,30 +179,23 @@
     return faults
 
 
-def _pools_concerned(tables: Tables, edit_set: EditSet) -> Iterator[PoolId]:
-    """Yield the pools whose budget or size the set can change."""
-    for edit in edit_set.edits:
-        ref = _ref(edit)
+def _size_changes(
+    tables: Tables, edit_set: EditSet, objects: Mapping[Kind, OverlaidObjects]
+) -> Counter[PoolId]:
+    """Return by how much the set changes each pool whose size or budget it edits."""
+    changes: Counter[PoolId] = Counter()
+    for ref in set(_touched(edit_set.edits)):
         if ref.kind is Kind.POOL:
-            yield PoolId(ref.name)
-        if ref.kind is Kind.ENDPOINT:
-            old = tables.endpoint_of(VmId(ref.name))
-            if old is not None:
-                yield old.pool
-        if isinstance(edit, Put) and isinstance(edit.obj, Endpoint):
-            yield edit.obj.pool
-
-
-def _size_after(tables: Tables, edit_set: EditSet, pool: PoolId) -> int:
-    """Return how many VMs ``pool`` has once the set is in force."""
-    members = {row.vm for row in tables.members(pool)}
-    for edit in edit_set.edits:
-        match edit:
-            case Put(Endpoint(name=vm, pool=joined)) if joined == pool:
-                members.add(vm)
-            case Put(Endpoint(name=vm)) | Delete(Ref(Kind.ENDPOINT, vm)):
-                members.discard(vm)
-    return len(members)
+            changes[PoolId(ref.name)] += 0
+        if ref.kind is not Kind.ENDPOINT:
+            continue
+        old = tables.endpoint_of(VmId(ref.name))
+        new = objects[Kind.ENDPOINT].get(ref.name)
+        if old is not None:
+            changes[old.pool] -= 1
+        if new is not None:
+            changes[new.pool] += 1
+    return changes
 
 
 def apply_edits(tables: Tables, edit_set: EditSet, revision: Revision) -> None:
