--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,7 +13,7 @@
 from benchmarks.fleets import fleet, new_id
 from hickoryplank.core.demand import PoolDemand
 from hickoryplank.core.edits import base_for
-from hickoryplank.core.fold import fold
+from hickoryplank.core.fold import RECENT_RECORDS, fold
 from hickoryplank.core.ids import Incarnation, OperatorId, PoolId, TeamId
 from hickoryplank.core.maintenance import (
     MaintenancePolicy,
@@ -32,6 +32,7 @@
     Put,
     Record,
     UnitsTaken,
+    VmReport,
     VmState,
     VmStep,
     encode_batch,
@@ -90,6 +91,16 @@
     return fit("fold of an edit set", "ms", "object", sizes, times)
 
 
+def _fold_whole() -> Fit:
+    """Fold a whole configuration in one set, as at the first start of a fleet."""
+    sizes, times = [], []
+    for vms in SIZES:
+        tables = _fleet(vms)
+        sizes.append(sum(len(rows) for rows in tables.objects.values()))
+        times.append(best_of(RUNS, lambda vms=vms: _fleet(vms)) * MS)
+    return fit("whole configuration in one set", "ms", "object", sizes, times)
+
+
 def _join(tables: Tables, nodes: int) -> list[Incarnation]:
     joined = []
     for i in range(nodes):
@@ -146,6 +157,13 @@
     return tables
 
 
+def _with_recent(records: int) -> Tables:
+    tables = fleet(300, 40, 20)
+    for number in range(records):
+        fold(tables, VmReport(id=f"{number:032x}", vm="vm-0", healthy=True)).unwrap()
+    return tables
+
+
 def _memory(tables: Tables) -> float:
     """Return the memory that the decoded tables and their index take, in MB."""
     data = encode_tables(tables)
@@ -314,10 +332,12 @@
         unit="% of a core",
         target=CORE_SHARE_TARGET,
     )
+    yield from _fold_whole().figures(objects)
     yield from _fold_steps().figures(VMS)
     for per, sizes, build, size in (
         ("VM", SIZES, lambda vms: fleet(vms, POOLS, TEAMS), VMS),
         ("team", (28, 55, 110, 220), lambda teams: fleet(VMS, POOLS, teams), TEAMS),
+        ("recent record", (2000, 4000, 8000, 16_000), _with_recent, RECENT_RECORDS),
         ("claim", (1000, 2000, 4000, 8000), _with_claims, 10_000),
     ):
         for line, target in _table_fits(per, sizes, build):
