--- a/Makefile
+++ b/Makefile
@@ -24,4 +24,4 @@
 	$(PY) -m tests.demo $(ARGS)
 
 binary: setup
-	.venv/bin/pex . -c hickoryplank -o dist/hickoryplank
+	$(PY) -m tests.binary dist/hickoryplank
--- a/hickoryplank/cli/fleet_commands.py
+++ b/hickoryplank/cli/fleet_commands.py
@@ -5,8 +5,8 @@
 
 from hickoryplank import client
 from hickoryplank.cli.edit_commands import publish, with_session
-from hickoryplank.cli.output import ExitCode, Reply, json_text, reply_of
-from hickoryplank.cli.tables import claim_tables, status_tables
+from hickoryplank.cli.output import ExitCode, Reply, reply_of
+from hickoryplank.cli.tables import claim_tables, report_tables, status_tables
 from hickoryplank.core.ids import ClaimId, PoolId, VmId, WaveId
 from hickoryplank.core.records import OutcomeKind
 from hickoryplank.operator_api import SettleRequest, WaveAction
@@ -35,15 +35,13 @@
 
 
 def report(args: Namespace) -> Reply:
-    """Show the measures of the policies, as JSON."""
-
-    def command(session: client.Session) -> Reply:
-        result = client.get_report(session)
-        reply = reply_of(result, args.format, lambda answer: ())
-        text = json_text(result.ok()) if result.is_ok() else ""
-        return Reply(reply.code, text, reply.errors)
-
-    return with_session(args, command)
+    """Show the measures of the policies since the entry began."""
+    return with_session(
+        args,
+        lambda session: reply_of(
+            client.get_report(session), args.format, report_tables
+        ),
+    )
 
 
 def drain(args: Namespace) -> Reply:
--- a/hickoryplank/cli/parser.py
+++ b/hickoryplank/cli/parser.py
@@ -148,7 +148,7 @@
 def _add_vm_commands(commands) -> None:
     text = "show nodes, pools, VMs, waves and teams"
     _add(commands, "status", fleet_commands.status, text)
-    text = "show the measures of the policies, as JSON"
+    text = "show the measures of the policies"
     _add(commands, "report", fleet_commands.report, text)
     text = "take a VM out of service once its work has finished"
     drain = _add_publish(commands, "drain", fleet_commands.drain, text)
--- a/hickoryplank/cli/tables.py
+++ b/hickoryplank/cli/tables.py
@@ -15,7 +15,7 @@
     PlanAnswer,
     Published,
 )
-from hickoryplank.operator_status import ClaimsAnswer, StatusAnswer
+from hickoryplank.operator_status import ClaimsAnswer, ReportAnswer, StatusAnswer
 
 __all__ = [
     "claim_tables",
@@ -24,6 +24,7 @@
     "object_tables",
     "plan_tables",
     "published_tables",
+    "report_tables",
     "status_tables",
 ]
 
@@ -210,3 +211,28 @@
         for one in answer.published
     )
     return Table(("PUBLISHED REVISION", "OFFSET", "WAITS FOR"), rows)
+
+
+def report_tables(answer: ReportAnswer) -> list[Table]:
+    """Return the measures of pools, waves and teams."""
+    pools = tuple(
+        (one.pool, f"{one.buffer_vm_hours:.3f}", str(one.moves_in))
+        for one in answer.pools
+    )
+    waves = tuple(
+        (
+            one.wave,
+            one.state.value,
+            f"{one.done}/{one.vms}",
+            "" if one.seconds is None else f"{one.seconds:.0f}",
+        )
+        for one in answer.waves
+    )
+    teams = tuple(
+        (one.team, str(one.running), f"{one.distance:+.2f}") for one in answer.teams
+    )
+    return [
+        Table(("POOL", "BUFFER VM-HOURS", "MOVES IN"), pools),
+        Table(("WAVE", "STATE", "VMS DONE", "SECONDS"), waves),
+        Table(("TEAM", "RUNNING", "FROM SHARE"), teams),
+    ]
--- a/hickoryplank/client.py
+++ b/hickoryplank/client.py
@@ -8,7 +8,6 @@
 import secrets
 import time
 from collections.abc import Callable, Mapping
-from typing import Any
 from urllib.parse import quote
 
 import httpx
@@ -44,7 +43,12 @@
     WaveAction,
     WaveRequest,
 )
-from hickoryplank.operator_status import ClaimsAnswer, ClaimState, StatusAnswer
+from hickoryplank.operator_status import (
+    ClaimsAnswer,
+    ClaimState,
+    ReportAnswer,
+    StatusAnswer,
+)
 
 __all__ = [
     "ClientError",
@@ -184,9 +188,9 @@
     return get(session, "status", StatusAnswer)
 
 
-def get_report(session: Session) -> Result[Any, ClientError]:
+def get_report(session: Session) -> Result[ReportAnswer, ClientError]:
     """Return the entry's report of the policies' measures."""
-    return get(session, "report", Any)
+    return get(session, "report", ReportAnswer)
 
 
 def drain_vm(session: Session, vm: VmId) -> Result[Published, ClientError]:
--- a/hickoryplank/operator_status.py
+++ b/hickoryplank/operator_status.py
@@ -26,10 +26,14 @@
     "ClaimView",
     "ClaimsAnswer",
     "NodeView",
+    "PoolReport",
     "PoolView",
+    "ReportAnswer",
     "StatusAnswer",
+    "TeamReport",
     "TeamView",
     "VmView",
+    "WaveReport",
     "WaveView",
 ]
 
@@ -135,3 +139,54 @@
     """Claims in the order of the log."""
 
     claims: tuple[ClaimView, ...]
+
+
+class PoolReport(msgspec.Struct, frozen=True, kw_only=True):
+    """A pool's measures.
+
+    :param buffer_vm_hours: VM-hours that VMs of a spare pool stood idle while
+        the node served the pool.
+    :param moves_in: VMs that moved into the pool.
+    """
+
+    pool: PoolId
+    buffer_vm_hours: float
+    moves_in: int
+
+
+class WaveReport(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a maintenance wave has come.
+
+    :param vms: VMs that the wave goes through.
+    :param seconds: time under way, ``None`` if the node joined after the start.
+    """
+
+    wave: WaveId
+    state: WaveState
+    done: int
+    vms: int
+    seconds: float | None
+
+
+class TeamReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What a team has running on the node's pools.
+
+    :param distance: units above its share, or below it if negative, averaged
+        over the last seconds.
+    """
+
+    team: TeamId
+    running: int
+    distance: float
+
+
+class ReportAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The measures of the policies, as one node has added them up.
+
+    :param since: when the node began, in seconds since the epoch.
+    """
+
+    since: float
+    pools: tuple[PoolReport, ...]
+    waves: tuple[WaveReport, ...]
+    teams: tuple[TeamReport, ...]
--- a/hickoryplank/settings.py
+++ b/hickoryplank/settings.py
@@ -118,9 +118,13 @@
 
 
 class LogSettings(msgspec.Struct, frozen=True):
-    """What the process logs."""
+    """What the process logs.
+
+    :param trace_ratio: part of the requests to trace that their callers do not.
+    """
 
     level: LogLevel = LogLevel.INFO
+    trace_ratio: float = 0.0
 
 
 class MoveSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/hickoryplank/settings_file.py
+++ b/hickoryplank/settings_file.py
@@ -119,6 +119,9 @@
                 for seed in seeds
                 if not _is_address(seed)
             ]
+        case LogSettings(trace_ratio=ratio) if not 0 <= ratio <= 1:
+            message = "must be between 0 and 1"
+            found = [IniFault(file, header, "trace_ratio", message)]
         case _:
             found = _check_positive(value, header, file)
     return Err(tuple(found)) if found else Ok(value)
--- a/hickoryplank/shell/api.py
+++ b/hickoryplank/shell/api.py
@@ -31,6 +31,7 @@
 from hickoryplank.shell.keys import KeyIndex, may_submit
 from hickoryplank.shell.replica import Replica
 from hickoryplank.shell.service import find_queue
+from hickoryplank.shell.telemetry import Hop, Telemetry
 
 __all__ = ["CallerLimits", "CallerApi", "WorkState", "WorkStatus"]
 
@@ -73,8 +74,14 @@
     """Handlers of the callers' requests."""
 
     def __init__(
-        self, replica: Replica, edge: Edge, limits: CallerLimits, clock: Clock
+        self,
+        replica: Replica,
+        edge: Edge,
+        limits: CallerLimits,
+        clock: Clock,
+        telemetry: Telemetry | None = None,
     ):
+        self._telemetry = telemetry or Telemetry()
         self._replica = replica
         self._edge = edge
         self._limits = limits
@@ -190,9 +197,12 @@
     async def _run(self, req: Request, work: WorkRequest) -> Response:
         """Run the work; stop it if the caller hangs up."""
         response = None
+        began = self._clock.now()
         async with anyio.create_task_group() as group:
             group.start_soon(_cancel_on_hangup, req, group.cancel_scope)
-            answer = await self._edge.handle(work)
+            with self._telemetry.hop(Hop.API, work) as traced:
+                answer = await self._edge.handle(traced)
+            self._telemetry.note_answer(work, answer, self._clock.now() - began)
             response = _response_to(answer)
             group.cancel_scope.cancel()
         return response or refusal(499, "the caller hung up")
--- a/hickoryplank/shell/attempts.py
+++ b/hickoryplank/shell/attempts.py
@@ -17,6 +17,7 @@
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.jobs import Again, Closed, Job, Step
 from hickoryplank.shell.replica import Replica
+from hickoryplank.shell.telemetry import Hop, Telemetry
 from hickoryplank.shell.workers import LEASE_SECONDS, WorkerPool
 
 __all__ = ["Attempts", "completed"]
@@ -39,8 +40,14 @@
     """Runs attempts and tells the table of endpoints how they ended."""
 
     def __init__(
-        self, replica: Replica, workers: WorkerPool, claims: Claims, clock: Clock
+        self,
+        replica: Replica,
+        workers: WorkerPool,
+        claims: Claims,
+        clock: Clock,
+        telemetry: Telemetry | None = None,
     ):
+        self._telemetry = telemetry or Telemetry()
         self._replica = replica
         self._workers = workers
         self._claims = claims
@@ -62,10 +69,13 @@
                 vm, job.request.task, job.queue.name, RunResult.STOPPED, 0.0, began
             )
             return Again(RETRY_PAUSE_SECONDS)
-        if job.request.claim is None:
-            result, step = await self._run_idempotent(job, vm, worker)
-        else:
-            result, step = await self._claims.run(job, vm, worker)
+        self._telemetry.note_attempt(job.request, job.attempts)
+        with self._telemetry.hop(Hop.ATTEMPT, job.request) as traced:
+            job.traceparent = traced.traceparent
+            if job.request.claim is None:
+                result, step = await self._run_idempotent(job, vm, worker)
+            else:
+                result, step = await self._claims.run(job, vm, worker)
         now = self._clock.now()
         verdict = endpoints.note_finish(
             vm, job.request.task, job.queue.name, result, now - began, now
@@ -116,7 +126,7 @@
             lease=LEASE_SECONDS,
             content_type=job.request.content_type,
             body=job.request.body,
-            traceparent=job.request.traceparent,
+            traceparent=job.traceparent,
         )
         with anyio.move_on_after(job.deadline - now) as job.scope:
             return self._read(job, vm, await self._workers.run(worker, start))
--- a/hickoryplank/shell/claims.py
+++ b/hickoryplank/shell/claims.py
@@ -321,7 +321,7 @@
             lease=LEASE_SECONDS,
             content_type=job.request.content_type,
             body=job.request.body,
-            traceparent=job.request.traceparent,
+            traceparent=job.traceparent,
         )
 
     async def _log_dispatch(self, job: Job, vm: VmId, start: Start) -> Step | None:
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -27,6 +27,7 @@
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.jobs import Again, Closed, Job, Run
 from hickoryplank.shell.replica import Replica
+from hickoryplank.shell.telemetry import Telemetry
 
 __all__ = ["Dispatcher"]
 
@@ -44,8 +45,14 @@
     """
 
     def __init__(
-        self, replica: Replica, escrow: Escrow, attempts: Attempts, clock: Clock
+        self,
+        replica: Replica,
+        escrow: Escrow,
+        attempts: Attempts,
+        clock: Clock,
+        telemetry: Telemetry | None = None,
     ):
+        self._telemetry = telemetry or Telemetry()
         self._replica = replica
         self._escrow = escrow
         self._attempts = attempts
@@ -76,6 +83,14 @@
                 total.update(self._queues.waiting(pool, work_class))
         return total
 
+    def busy_vms(self) -> Counter[VmId]:
+        """Return how many tasks of this node run on each VM."""
+        return Counter(run.vm for run in self._runs.values())
+
+    def due(self) -> dict[TeamId, float]:
+        """Return the units that each team is due on the pools served here."""
+        return entitlements(self._team_demands(self.running), self._capacity())
+
     @property
     def queues(self) -> WorkQueues:
         """Work that waits on this node."""
@@ -102,6 +117,7 @@
 
     def submit(self, job: Job) -> None:
         """Queue a job; its ``done`` is set with the answer."""
+        job.queued = self._clock.now()
         self._jobs[job.request.id] = job
         self._pools[job.queue.pool] += 1
         shed = self._queues.push(job.item(), self._current_shares())
@@ -253,6 +269,7 @@
         self.running[team] += 1
         self.endpoints.note_start(vm, job.request.task, now)
         job.attempts += 1
+        self._telemetry.note_wait(job.request, now - job.queued)
         run = Run(job, vm, now)
         self._runs[job.request.task] = run
         self._group.start_soon(self._run, run)
@@ -279,6 +296,7 @@
 
     def _try_again(self, job: Job) -> None:
         if job.request.id in self._jobs:
+            job.queued = self._clock.now()
             self._queues.put_back(job.item())
             self.wake()
 
--- a/hickoryplank/shell/edge.py
+++ b/hickoryplank/shell/edge.py
@@ -14,6 +14,7 @@
 from hickoryplank.shell.peers import Peers
 from hickoryplank.shell.replica import Replica
 from hickoryplank.shell.service import Service, find_queue
+from hickoryplank.shell.telemetry import Hop, Telemetry
 
 __all__ = ["Edge"]
 
@@ -45,7 +46,9 @@
         peers: Peers,
         service: Service,
         clock: Clock,
+        telemetry: Telemetry | None = None,
     ):
+        self._telemetry = telemetry or Telemetry()
         self._replica = replica
         self._members = members
         self._peers = peers
@@ -73,7 +76,8 @@
             owner = self._members.owner_of(queue.pool)
             if owner == self._members.me:
                 break
-            answer = await self._forward(owner, request, deadline)
+            with self._telemetry.hop(Hop.FORWARD, request) as traced:
+                answer = await self._forward(owner, traced, deadline)
             if answer is not None:
                 return answer
             request = self._renewed(request, deadline)
@@ -134,7 +138,8 @@
             self._hosted[request.id] = scope
             self._peers.send(sender, Accepted(request.id))
             try:
-                answer = await self._service.handle(request)
+                with self._telemetry.hop(Hop.HOST, request) as traced:
+                    answer = await self._service.handle(traced)
                 self._peers.send(sender, Answered(request.id, answer))
             finally:
                 del self._hosted[request.id]
--- a/hickoryplank/shell/jobs.py
+++ b/hickoryplank/shell/jobs.py
@@ -22,6 +22,8 @@
     :param preempted: whether the running attempt was told to make room.
     :param proof: why the attempt before the next one did not run.
     :param pinned: the only VM that the next attempt may run on.
+    :param queued: when it was last queued, on this node's clock in seconds.
+    :param traceparent: the trace context of the running attempt.
     :param durable: whether the request was accepted for good, so that it is
         finished whatever becomes of its caller.
     """
@@ -31,6 +33,8 @@
     arrived: float
     deadline: float
     durable: bool = False
+    queued: float = 0.0
+    traceparent: str = ""
     preempted: bool = False
     proof: Proof | None = None
     pinned: VmId | None = None
--- a/hickoryplank/shell/logs.py
+++ b/hickoryplank/shell/logs.py
@@ -2,9 +2,12 @@
 
 import logging
 import sys
+from typing import Any
 
 from pythonjsonlogger.json import JsonFormatter
 
+from hickoryplank.shell.telemetry import current_work
+
 __all__ = ["configure_logs"]
 
 _FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
@@ -12,11 +15,30 @@
 _QUIET_LOGGERS = ("httpx", "httpcore", "hypercorn.access", "asyncio")
 
 
+class _WorkFormatter(JsonFormatter):
+    """Adds the ids of the request that the logging task works on."""
+
+    def add_fields(
+        self,
+        log_data: dict[str, Any],
+        record: logging.LogRecord,
+        message_dict: dict[str, Any],
+    ) -> None:
+        """Fill in the fields of one line."""
+        super().add_fields(log_data, record, message_dict)
+        work = current_work()
+        if work is not None:
+            log_data.setdefault("request", work.request)
+            log_data.setdefault("team", work.team)
+            if work.trace:
+                log_data.setdefault("trace", work.trace)
+
+
 def configure_logs(level: str, node: str) -> None:
     """Write logs of ``level`` and above to standard error as JSON lines."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
-        JsonFormatter(_FIELDS, rename_fields=_NAMES, static_fields={"node": node})
+        _WorkFormatter(_FIELDS, rename_fields=_NAMES, static_fields={"node": node})
     )
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/hickoryplank/shell/measures.py
@@ -0,0 +1,170 @@
+"""The policies' measures as one node sees them: buffer, roll-outs, moves, shares."""
+
+import time
+from collections import Counter
+from collections.abc import Mapping
+
+import anyio
+import msgspec
+
+from hickoryplank.core.fold import Verdict
+from hickoryplank.core.ids import PoolId, TeamId, VmId, WaveId
+from hickoryplank.core.objects import Kind, Pool
+from hickoryplank.core.records import Record, VmMoved, WaveChange, WaveState
+from hickoryplank.core.shares import ShareMeter
+from hickoryplank.core.tables import Tables, WaveRow
+from hickoryplank.operator_status import (
+    PoolReport,
+    ReportAnswer,
+    TeamReport,
+    WaveReport,
+)
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.control import Control
+from hickoryplank.shell.dispatcher import Dispatcher
+from hickoryplank.shell.members import Members
+
+__all__ = ["Measures", "idle_vms", "pool_of", "wave_size"]
+
+BEAT_SECONDS = 1.0
+HOUR_SECONDS = 3600.0
+
+
+def pool_of(tables: Tables, name: str) -> Pool | None:
+    """Return the pool object of that name."""
+    row = tables.objects[Kind.POOL].get(name)
+    return row.obj if row and isinstance(row.obj, Pool) else None
+
+
+def idle_vms(tables: Tables, pool: PoolId, busy: Mapping[VmId, int]) -> int:
+    """Return how many VMs of a spare pool run nothing; 0 for any other pool.
+
+    :param busy: running tasks by VM.
+    """
+    found = pool_of(tables, pool)
+    if found is None or not found.spare:
+        return 0
+    return sum(not busy.get(row.vm) for row in tables.members(pool) if row.healthy)
+
+
+def wave_size(tables: Tables, wave: WaveRow) -> int:
+    """Return how many VMs a maintenance wave goes through."""
+    waiting = {row.vm for pool in wave.pools for row in tables.members(pool)}
+    return len(waiting | set(wave.done))
+
+
+class _WaveTimes(msgspec.Struct):
+    """When a wave began and ended, on this node's clock in seconds."""
+
+    began: float
+    ended: float | None = None
+
+
+class Measures:
+    """Adds up the measures since the node joined.
+
+    Moves and waves cover the whole fleet; buffer and distance from share cover
+    the pools while this node serves them, so that a fleet's buffer is the sum
+    over its nodes.
+    """
+
+    def __init__(
+        self,
+        control: Control,
+        members: Members,
+        dispatcher: Dispatcher,
+        clock: Clock,
+    ):
+        self._control = control
+        self._members = members
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._since = time.time()
+        self._last = clock.now()
+        self._idle_seconds: Counter[PoolId] = Counter()
+        self._moves: Counter[PoolId] = Counter()
+        self._waves: dict[WaveId, _WaveTimes] = {}
+        self.shares = ShareMeter()
+        self.moved = 0
+
+    def note_record(self, record: Record, verdict: Verdict) -> None:
+        """Count what a folded record changed."""
+        if verdict.is_err():
+            return
+        match record:
+            case VmMoved(pool=pool):
+                self.moved += 1
+                self._moves[pool] += 1
+            case WaveChange(wave=wave, state=state):
+                self._note_wave(wave, state)
+
+    def _note_wave(self, wave: WaveId, state: WaveState) -> None:
+        now = self._clock.now()
+        times = self._waves.setdefault(wave, _WaveTimes(now))
+        ended = state in (WaveState.DONE, WaveState.CANCELLED)
+        times.ended = now if ended else None
+
+    def served(self) -> list[PoolId]:
+        """Return the pools whose work this node queues and dispatches."""
+        pools = (PoolId(name) for name in self._control.tables.objects[Kind.POOL])
+        me = self._members.me
+        return [pool for pool in pools if self._members.owner_of(pool) == me]
+
+    async def serve(self) -> None:
+        """Sample until cancelled."""
+        while True:
+            self.sample()
+            await anyio.sleep(BEAT_SECONDS)
+
+    def sample(self) -> None:
+        """Take what held since the last sample."""
+        now = self._clock.now()
+        tables = self._control.tables
+        busy = self._dispatcher.busy_vms()
+        for pool in self.served():
+            idle = idle_vms(tables, pool, busy)
+            if idle:
+                self._idle_seconds[pool] += idle * (now - self._last)
+        self.shares.observe(now, self._dispatcher.running, self._dispatcher.due())
+        self._last = now
+
+    def report(self) -> ReportAnswer:
+        """Return the measures up to now."""
+        tables = self._control.tables
+        pools = (PoolId(name) for name in tables.objects[Kind.POOL])
+        return ReportAnswer(
+            since=self._since,
+            pools=tuple(self._pool_report(pool) for pool in pools),
+            waves=tuple(self._wave_report(row) for row in tables.waves.values()),
+            teams=tuple(
+                self._team_report(TeamId(name)) for name in tables.objects[Kind.TEAM]
+            ),
+        )
+
+    def _pool_report(self, pool: PoolId) -> PoolReport:
+        return PoolReport(
+            pool=pool,
+            buffer_vm_hours=self._idle_seconds[pool] / HOUR_SECONDS,
+            moves_in=self._moves[pool],
+        )
+
+    def _wave_report(self, row: WaveRow) -> WaveReport:
+        times = self._waves.get(row.wave)
+        seconds = None
+        if times is not None:
+            end = self._clock.now() if times.ended is None else times.ended
+            seconds = end - times.began
+        return WaveReport(
+            wave=row.wave,
+            state=row.state,
+            done=len(row.done),
+            vms=wave_size(self._control.tables, row),
+            seconds=seconds,
+        )
+
+    def _team_report(self, team: TeamId) -> TeamReport:
+        return TeamReport(
+            team=team,
+            running=self._dispatcher.running[team],
+            distance=self.shares.distance(team),
+        )
--- /dev/null
+++ b/hickoryplank/shell/metrics.py
@@ -0,0 +1,200 @@
+"""Metrics of a node's state, and their text form for Prometheus."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Meter, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+from hickoryplank.core.escrow import Escrow
+from hickoryplank.core.ids import PoolId, TeamId
+from hickoryplank.core.objects import Kind, WorkClass
+from hickoryplank.core.records import WaveState
+from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.dispatcher import Dispatcher
+from hickoryplank.shell.measures import Measures, idle_vms, wave_size
+from hickoryplank.shell.members import Members
+from hickoryplank.shell.peers import Peers
+from hickoryplank.shell.replica import Replica
+
+__all__ = ["Metrics", "NodeState", "observe_state"]
+
+PREFIX = "hickoryplank"
+
+
+class Metrics:
+    """The meter of one node and the page that shows what it measured."""
+
+    def __init__(self, node: str):
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True,
+            prefix=PREFIX,
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
+        resource = Resource({"service.name": PREFIX, "node": node})
+        provider = MeterProvider([reader], resource, shutdown_on_exit=False)
+        self.meter: Meter = provider.get_meter(PREFIX)
+
+    def text(self) -> bytes:
+        """Return all metrics in Prometheus's text format."""
+        return generate_latest(self._registry)
+
+
+@dataclass(frozen=True)
+class NodeState:
+    """The parts of a node whose state is measured."""
+
+    replica: Replica
+    members: Members
+    peers: Peers
+    dispatcher: Dispatcher
+    escrow: Escrow
+    measures: Measures
+    clock: Clock
+
+
+def observe_state(meter: Meter, state: NodeState) -> None:
+    """Have ``meter`` read the node's state whenever metrics are asked for."""
+    for name, unit, text, read in _GAUGES:
+        meter.create_observable_gauge(name, [_callback(read, state)], unit, text)
+    for name, text, read in _COUNTERS:
+        meter.create_observable_counter(name, [_callback(read, state)], "", text)
+
+
+Read = Callable[[NodeState], Iterable[Observation]]
+
+
+def _callback(
+    read: Read, state: NodeState
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    return lambda _: list(read(state))
+
+
+def _teams(state: NodeState) -> list[TeamId]:
+    return [TeamId(name) for name in state.replica.tables.objects[Kind.TEAM]]
+
+
+def _pools(state: NodeState) -> list[PoolId]:
+    return [PoolId(name) for name in state.replica.tables.objects[Kind.POOL]]
+
+
+def _buffer(state: NodeState) -> Iterator[Observation]:
+    busy = state.dispatcher.busy_vms()
+    for pool in state.measures.served():
+        idle = idle_vms(state.replica.tables, pool, busy)
+        yield Observation(idle, {"pool": pool})
+
+
+def _vms(state: NodeState) -> Iterator[Observation]:
+    for pool in _pools(state):
+        rows = state.replica.tables.members(pool)
+        in_service = sum(row.in_service for row in rows)
+        yield Observation(in_service, {"pool": pool, "in_service": "yes"})
+        yield Observation(len(rows) - in_service, {"pool": pool, "in_service": "no"})
+
+
+def _wave_progress(state: NodeState) -> Iterator[Observation]:
+    tables = state.replica.tables
+    for wave in tables.waves.values():
+        if wave.state is not WaveState.CANCELLED:
+            part = len(wave.done) / max(wave_size(tables, wave), 1)
+            yield Observation(part, {"wave": wave.wave})
+
+
+def _running(state: NodeState) -> Iterator[Observation]:
+    for team in _teams(state):
+        yield Observation(state.dispatcher.running[team], {"team": team})
+
+
+def _distance(state: NodeState) -> Iterator[Observation]:
+    for team in _teams(state):
+        yield Observation(state.measures.shares.distance(team), {"team": team})
+
+
+def _held(state: NodeState) -> Iterator[Observation]:
+    for team in _teams(state):
+        held = state.escrow.held(state.replica.tables, team)
+        yield Observation(held, {"team": team})
+
+
+def _queue_lengths(state: NodeState) -> Iterator[Observation]:
+    for pool in _pools(state):
+        for work_class in WorkClass:
+            waiting = state.dispatcher.queues.waiting(pool, work_class)
+            labels = {"pool": pool, "work_class": work_class.value}
+            yield Observation(sum(waiting.values()), labels)
+
+
+def _queue_ages(state: NodeState) -> Iterator[Observation]:
+    now = state.clock.now()
+    for pool in _pools(state):
+        for work_class in WorkClass:
+            heads = state.dispatcher.queues.heads(pool, work_class).values()
+            oldest = min((item.arrived for item in heads), default=now)
+            labels = {"pool": pool, "work_class": work_class.value}
+            yield Observation(now - oldest, labels)
+
+
+def _ejected(state: NodeState) -> Iterator[Observation]:
+    for pool in _pools(state):
+        rows = state.dispatcher.endpoints.members(pool)
+        ejected = sum(row.ejected_until is not None for row in rows)
+        yield Observation(ejected, {"pool": pool})
+
+
+def _freshness_age(state: NodeState) -> Iterator[Observation]:
+    view = state.replica.freshness.view(state.clock.now(), quiet=True)
+    if view.age is not None:
+        yield Observation(view.age)
+
+
+def _offset(state: NodeState) -> Iterator[Observation]:
+    yield Observation(state.replica.offset)
+
+
+def _peers_alive(state: NodeState) -> Iterator[Observation]:
+    yield Observation(len(state.members.alive()) - 1)
+
+
+def _folded(state: NodeState) -> Iterator[Observation]:
+    yield Observation(state.replica.tables.sequence)
+
+
+def _moves(state: NodeState) -> Iterator[Observation]:
+    yield Observation(state.measures.moved)
+
+
+def _refused(state: NodeState) -> Iterator[Observation]:
+    yield Observation(state.peers.refused)
+
+
+def _dropped(state: NodeState) -> Iterator[Observation]:
+    yield Observation(state.peers.dropped)
+
+
+_GAUGES: tuple[tuple[str, str, str, Read], ...] = (
+    ("buffer_vms", "", "Idle VMs of the spare pools", _buffer),
+    ("vms", "", "VMs by pool and whether in service", _vms),
+    ("wave_progress", "1", "Part of a wave's VMs that are done", _wave_progress),
+    ("running_units", "", "Units that teams have running here", _running),
+    ("share_distance", "", "Units above a team's share, averaged", _distance),
+    ("units_held", "", "Units of a team's limit held here", _held),
+    ("queue_length", "", "Requests that wait here", _queue_lengths),
+    ("queue_age", "s", "Wait of the oldest request", _queue_ages),
+    ("ejected_endpoints", "", "Endpoints that get no work here", _ejected),
+    ("freshness_age", "s", "Age of this node's view of the log", _freshness_age),
+    ("log_offset", "", "Log offset that is folded next", _offset),
+    ("peers_alive", "", "Peers believed alive", _peers_alive),
+)
+
+_COUNTERS: tuple[tuple[str, str, Read], ...] = (
+    ("records_folded", "Records folded into the tables", _folded),
+    ("vm_moves", "VMs that changed their pool since the node joined", _moves),
+    ("peer_messages_refused", "Peer messages that were not genuine", _refused),
+    ("peer_messages_dropped", "Peer messages that found no way out", _dropped),
+)
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -38,12 +38,15 @@
 from hickoryplank.shell.dispatcher import Dispatcher
 from hickoryplank.shell.edge import Edge
 from hickoryplank.shell.history import History
+from hickoryplank.shell.measures import Measures
 from hickoryplank.shell.members import HEARTBEAT_SECONDS, Members
+from hickoryplank.shell.metrics import Metrics, NodeState, observe_state
 from hickoryplank.shell.operator_http import OperatorSecurity
 from hickoryplank.shell.operators import operator_routes
 from hickoryplank.shell.peers import Peers
 from hickoryplank.shell.replica import Replica, new_record_id
 from hickoryplank.shell.service import Service
+from hickoryplank.shell.telemetry import Telemetry
 from hickoryplank.shell.units import UnitsKeeper
 from hickoryplank.shell.upkeep import Upkeep
 from hickoryplank.shell.witness import Witness
@@ -51,6 +54,8 @@
 
 __all__ = ["Node", "Platform"]
 
+METRICS_MEDIA_TYPE = "text/plain; version=0.0.4"
+
 
 @dataclass(frozen=True)
 class Platform:
@@ -71,7 +76,10 @@
         replica: Replica,
         group: TaskGroup,
         clock: Clock,
+        metrics: Metrics,
+        telemetry: Telemetry,
     ):
+        self._metrics = metrics
         self.name: NodeId = cfg.node.name
         self._replica = replica
         self._group = group
@@ -83,8 +91,8 @@
         self._workers = WorkerPool(platform.workers, clock)
         self._claims = Claims(replica, self._workers, group, clock)
         escrow = Escrow(replica.incarnation, new_record_id)
-        attempts = Attempts(replica, self._workers, self._claims, clock)
-        self._dispatcher = Dispatcher(replica, escrow, attempts, clock)
+        attempts = Attempts(replica, self._workers, self._claims, clock, telemetry)
+        self._dispatcher = Dispatcher(replica, escrow, attempts, clock, telemetry)
         self._units = UnitsKeeper(
             escrow, replica, self._peers, self._dispatcher.waiting, group, clock
         )
@@ -111,26 +119,45 @@
             group,
             clock,
         )
-        self._edge = Edge(replica, self._members, self._peers, self._service, clock)
+        self._edge = Edge(
+            replica, self._members, self._peers, self._service, clock, telemetry
+        )
         limits = CallerLimits(
             body_bytes=cfg.limits.body_bytes,
             wait_seconds=cfg.limits.request_timeout_seconds,
         )
-        self._api = CallerApi(replica, self._edge, limits, clock)
+        self._api = CallerApi(replica, self._edge, limits, clock, telemetry)
+        self._measures = Measures(replica, self._members, self._dispatcher, clock)
+        self._observe(metrics, escrow)
         self._history = History()
         self._edited = anyio.Event()
         self._told: dict[TeamId, int] = {}
         replica.subscribe(self._note_record)
         self.app = self._make_app(cfg)
 
+    def _observe(self, metrics: Metrics, escrow: Escrow) -> None:
+        state = NodeState(
+            replica=self._replica,
+            members=self._members,
+            peers=self._peers,
+            dispatcher=self._dispatcher,
+            escrow=escrow,
+            measures=self._measures,
+            clock=self._clock,
+        )
+        observe_state(metrics.meter, state)
+
     def _make_app(self, cfg: Settings) -> Starlette:
         security = OperatorSecurity(cfg.security.operators, cfg.limits.body_bytes)
         return Starlette(
             routes=[
                 *self._api.routes(),
-                *operator_routes(self._replica, self._history, security),
+                *operator_routes(
+                    self._replica, self._history, security, measures=self._measures
+                ),
                 Route("/health", self._health),
                 Route("/ready", self._ready),
+                Route("/metrics", self._metrics_page),
             ]
         )
 
@@ -142,6 +169,7 @@
             self._witness.serve,
             self._dispatcher.serve,
             self._units.serve,
+            self._measures.serve,
             self._service.adopt_orphans,
             self._upkeep.serve,
             self._upkeep.read_list,
@@ -186,6 +214,7 @@
 
     def _note_record(self, record: Record, verdict: Verdict) -> None:
         self._history.note(record, verdict, self._replica.offset - 1, time.time())
+        self._measures.note_record(record, verdict)
         if isinstance(record, EditSet):
             self._edited.set()
 
@@ -220,6 +249,9 @@
     async def _health(self, _: Request) -> Response:
         return PlainTextResponse("alive\n")
 
+    async def _metrics_page(self, _: Request) -> Response:
+        return Response(self._metrics.text(), media_type=METRICS_MEDIA_TYPE)
+
     async def _ready(self, _: Request) -> Response:
         fresh = self._replica.freshness.is_fresh(self._clock.now())
         ready = fresh and not self._members.leaving
--- a/hickoryplank/shell/operators.py
+++ b/hickoryplank/shell/operators.py
@@ -3,14 +3,22 @@
 import time
 from collections.abc import Callable
 
+from result import Ok
 from starlette.routing import Route
 
 from hickoryplank.operator_api import PREFIX
 from hickoryplank.shell.control import Control
 from hickoryplank.shell.history import History
+from hickoryplank.shell.measures import Measures
 from hickoryplank.shell.operator_edits import EditHandlers
 from hickoryplank.shell.operator_fleet import FleetHandlers
-from hickoryplank.shell.operator_http import OperatorSecurity, operator_route
+from hickoryplank.shell.operator_http import (
+    Handler,
+    OperatorRequest,
+    OperatorSecurity,
+    Reply,
+    operator_route,
+)
 from hickoryplank.shell.publisher import Publisher
 
 __all__ = ["operator_routes"]
@@ -21,11 +29,13 @@
     history: History,
     security: OperatorSecurity,
     now: Callable[[], float] = time.time,
+    measures: Measures | None = None,
 ) -> list[Route]:
     """Return the routes under ``/operator/v1``.
 
     :param history: fed by whoever folds the log.
     :param now: the time in seconds since the epoch.
+    :param measures: what ``report`` shows; without it there is no such route.
     """
     publisher = Publisher(control, history)
     edits = EditHandlers(publisher, now)
@@ -44,7 +54,18 @@
         ("claims", "GET", fleet.claims),
         ("claims/{claim:path}/settle", "POST", fleet.settle),
     )
-    return [
+    found = [
         operator_route(f"{PREFIX}/{path}", method, handler, security)
         for path, method, handler in routes
     ]
+    if measures is not None:
+        report = _report_handler(measures)
+        found.append(operator_route(f"{PREFIX}/report", "GET", report, security))
+    return found
+
+
+def _report_handler(measures: Measures) -> Handler:
+    async def report(_: OperatorRequest) -> Reply:
+        return Ok(measures.report())
+
+    return report
--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -19,6 +19,7 @@
 from hickoryplank.platform.log import Entry, Log, Page
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.control import Control
+from hickoryplank.shell.telemetry import Telemetry
 
 __all__ = ["CONTROL_STREAM", "Replica", "new_record_id"]
 
@@ -67,8 +68,9 @@
 class Replica(Control):
     """The tables of this node, kept up with the log."""
 
-    def __init__(self, log: Log, clock: Clock):
+    def __init__(self, log: Log, clock: Clock, telemetry: Telemetry | None = None):
         self._log = log
+        self._telemetry = telemetry or Telemetry()
         self._clock = clock
         self._tables = Tables()
         self._pending: dict[RecordId, _Pending] = {}
@@ -182,7 +184,8 @@
         self._waiting.append(pending)
         self._wake.set()
         try:
-            await pending.done.wait()
+            with self._telemetry.append():
+                await pending.done.wait()
         finally:
             self._withdraw(pending)
         if pending.verdict is None or _is_repeat(pending.verdict):
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -20,8 +20,10 @@
 from hickoryplank.settings import PlatformSettings, Settings
 from hickoryplank.shell.clock import MonotonicClock
 from hickoryplank.shell.logs import configure_logs
+from hickoryplank.shell.metrics import Metrics
 from hickoryplank.shell.node import Node, Platform
 from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.telemetry import LogSpanExporter, Telemetry, make_tracer
 
 __all__ = ["run"]
 
@@ -44,12 +46,15 @@
 async def _serve(cfg: Settings) -> None:
     clock = MonotonicClock()
     platform = connect_platform(cfg.platform)
-    replica = Replica(platform.log, clock)
+    metrics = Metrics(cfg.node.name)
+    tracer = make_tracer(cfg.node.name, cfg.log.trace_ratio, LogSpanExporter())
+    telemetry = Telemetry(tracer, metrics.meter)
+    replica = Replica(platform.log, clock, telemetry)
     async with anyio.create_task_group() as group:
         group.start_soon(replica.follow)
         group.start_soon(replica.append)
         await _join(replica, cfg)
-        node = Node(cfg, platform, replica, group, clock)
+        node = Node(cfg, platform, replica, group, clock, metrics, telemetry)
         await node.start()
         stop = anyio.Event()
         stopped = anyio.Event()
--- /dev/null
+++ b/tests/demo.py
@@ -0,0 +1,226 @@
+"""A demonstration on loopback: three entries, Cascoteo Sur's objects, real requests."""
+
+import argparse
+import json
+import re
+import signal
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from tests.fleet import TOKEN, Fleet, Program, wait_until
+
+OBJECTS = Path(__file__).parent.parent / "examples" / "cascoteo-sur.ini"
+VMS = 30
+SLOTS = 8
+TASK_SECONDS = 0.02
+STARTERS = 8
+_ADDRESS = re.compile(r"192\.0\.2\.(\d+):9000")
+
+
+def say(text: str = "") -> None:
+    """Print one line at once."""
+    sys.stdout.write(text + "\n")
+    sys.stdout.flush()
+
+
+class Demo:
+    """The steps of the demonstration, in their order."""
+
+    def __init__(self, fleet: Fleet):
+        self._fleet = fleet
+        self._keys: dict[str, str] = {}
+        self._step = 0
+
+    def run(self) -> None:
+        """Run all steps."""
+        for step in (
+            self.start,
+            self.publish,
+            self.create_keys,
+            self.urgent,
+            self.settle_twice,
+            self.batch,
+            self.withdraw,
+            self.drain,
+            self.kill_entry,
+            self.report,
+        ):
+            step()
+
+    def _title(self, text: str) -> None:
+        self._step += 1
+        say(f"\n{self._step}. {text}")
+
+    def start(self) -> None:
+        """Start stand-ins and entries."""
+        self._title("Start a log, a VM list, 30 workers and three entries on loopback")
+        fleet = self._fleet
+        fleet.log = fleet.standin("log", "log")
+        fleet.vms = fleet.standin("vms", "vms", "--reboot-seconds", "0.5")
+        with ThreadPoolExecutor(STARTERS) as pool:
+            fleet.workers = list(pool.map(self._worker, range(VMS)))
+        for number in range(3):
+            fleet.add_entry(number)
+        fleet.wait_ready()
+        for entry in fleet.entries:
+            say(f"   {entry.name} is ready at http://{entry.address}")
+
+    def _worker(self, number: int) -> Program:
+        args = ("--slots", str(SLOTS), "--seconds", str(TASK_SECONDS))
+        return self._fleet.standin("worker", f"worker-{number}", *args)
+
+    def publish(self) -> None:
+        """Publish the objects of Cascoteo Sur as one set."""
+        self._title("Publish pools, teams, shares, limits, queues and endpoints")
+        text = OBJECTS.read_text("utf-8")
+        text = _ADDRESS.sub(lambda m: self._fleet.workers[int(m[1]) - 1].address, text)
+        self._indent(self._fleet.publish(text).stdout)
+
+    def create_keys(self) -> None:
+        """Give each team that the demonstration uses a key."""
+        self._title("Create keys for the teams rutas and pagos")
+        for team in ("rutas", "pagos"):
+            name = f"{team}-demo"
+            args = ("key", "create", name, team, "--wait", "--format", "json")
+            made = self._checked(*args)
+            self._keys[team] = json.loads(made)["secret"]
+            say(f"   key {name} is in force; its secret is shown once")
+
+    def urgent(self) -> None:
+        """Run a route request through each entry."""
+        self._title("A route request through each entry")
+        for number, entry in enumerate(self._fleet.entries):
+            began = time.monotonic()
+            res = self._submit(number, "rondas-norte", b"ronda del alba", "rutas")
+            millis = (time.monotonic() - began) * 1000
+            outcome = res.headers["hickoryplank-outcome"]
+            say(f"   {entry.name}: {res.status_code} {outcome} in {millis:.0f} ms")
+
+    def settle_twice(self) -> None:
+        """Send one settlement twice under one idempotency key."""
+        self._title("A weighing slip sent twice, through two entries, runs once")
+        claims = []
+        for number in (0, 1):
+            res = self._submit(
+                number, "socios", b"boleta 17", "pagos", Idempotency_Key="boleta-17"
+            )
+            claims.append(res.headers.get("location") or res.text)
+            say(f"   entry-{number}: {res.status_code} {claims[-1]}")
+        answers = {self._answer(number, claims[0]) for number in (0, 1)}
+        same = len(set(claims)) == len(answers) == 1
+        say(f"   same work and same answer: {'yes' if same else 'NO'}")
+
+    def batch(self) -> None:
+        """Hand in batch work and follow its status."""
+        self._title("A settlement batch is accepted, and its status followed")
+        res = self._submit(2, "socios", b"lote", "pagos", Idempotency_Key="lote-1")
+        place = res.headers["location"]
+        say(f"   {res.status_code}, status at {place}")
+        self._answer(2, place)
+        say(f"   {self._get(2, place).text}")
+
+    def withdraw(self) -> None:
+        """Withdraw a key and see it refused everywhere."""
+        self._title("Withdraw the key of pagos")
+        began = time.monotonic()
+        self._checked("key", "withdraw", "pagos-demo", "--wait")
+        for number in range(len(self._fleet.entries)):
+            res = self._submit(number, "socios", b"x", "pagos", Idempotency_Key="x")
+            say(f"   entry-{number}: {res.status_code} {res.json()['title']}")
+        say(f"   in force everywhere after {time.monotonic() - began:.1f} s")
+
+    def drain(self) -> None:
+        """Drain a VM while requests go on."""
+        self._title("Drain talcahuano-1 while requests go on")
+        self._checked("drain", "talcahuano-1", "--wait")
+        say(f"   {self._burst(0)} of 20 requests completed")
+        row = wait_until(self._drained, what="the drain")
+        say(f"   talcahuano-1 is {row['state']}")
+        self._checked("undrain", "talcahuano-1", "--wait")
+
+    def _drained(self) -> dict | None:
+        status = json.loads(self._checked("status", "--format", "json"))
+        rows = [row for row in status["out_of_service"] if row["vm"] == "talcahuano-1"]
+        return rows[0] if rows and rows[0]["state"] == "drained" else None
+
+    def kill_entry(self) -> None:
+        """Kill an entry and see work go on."""
+        self._title("Kill entry-2, and send requests to the others at once")
+        self._fleet.entries.pop().kill()
+        say(f"   {self._burst(0)} of 20 requests through entry-0 completed")
+        say(f"   {self._burst(1)} of 20 requests through entry-1 completed")
+
+    def report(self) -> None:
+        """Show status and measures."""
+        self._title("What the operators see: 'hickoryplank report'")
+        self._indent(self._checked("report"))
+
+    def _burst(self, entry: int) -> int:
+        answers = (
+            self._submit(entry, "rondas-norte", b"ronda", "rutas") for _ in range(20)
+        )
+        return sum(res.status_code == 200 for res in answers)
+
+    def _submit(self, entry: int, queue: str, body: bytes, team: str, **headers):
+        return self._fleet.submit(entry, queue, body, self._keys[team], **headers)
+
+    def _get(self, entry: int, path: str):
+        url = f"http://{self._fleet.entries[entry].address}{path}"
+        bearer = {"Authorization": f"Bearer {self._keys['pagos']}"}
+        return self._fleet.client.get(url, headers=bearer)
+
+    def _answer(self, entry: int, place: str) -> bytes:
+        def finished():
+            res = self._get(entry, f"{place}/answer")
+            return res if res.status_code == 200 else None
+
+        return wait_until(finished, what=place).content
+
+    def _checked(self, *args: str) -> str:
+        done = self._fleet.cli(*args)
+        if done.returncode:
+            raise SystemExit(f"hickoryplank {' '.join(args)}: {done.stderr}")
+        return done.stdout
+
+    def _indent(self, text: str) -> None:
+        for line in text.splitlines():
+            say(f"   {line}")
+
+    def stay(self) -> None:
+        """Print commands to try by hand, and wait for an interrupt."""
+        entries = [f"http://{entry.address}" for entry in self._fleet.entries]
+        options = " ".join(f"--entry {entry}" for entry in entries)
+        token = self._fleet.root / "token"
+        cli = f".venv/bin/hickoryplank {options} --token-file {token}"
+        say(f"\nOpen until Ctrl-C. The operator's token is {TOKEN!r}. Try:")
+        for command in ("status", "report", "history", "move coronel-10 rondas-norte"):
+            say(f"   {cli} {command}")
+        say(
+            f"   curl -H 'Authorization: Bearer {self._keys['rutas']}' -d ronda"
+            f" {entries[0]}/v1/queues/rondas-norte/work"
+        )
+        say(f"   curl {entries[0]}/metrics")
+        signal.pause()
+
+
+def main() -> None:
+    """Run the demonstration."""
+    parser = argparse.ArgumentParser(prog="tests.demo", description=__doc__)
+    parser.add_argument("--stay", action="store_true", help="leave everything open")
+    args = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    with tempfile.TemporaryDirectory() as root, Fleet(Path(root)) as fleet:
+        demo = Demo(fleet)
+        try:
+            demo.run()
+            if args.stay:
+                demo.stay()
+        except KeyboardInterrupt:
+            say("interrupted")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -70,6 +70,7 @@
         ("operator.olga", "tls_cert_file", "needs both tls_cert_file and"),
         ("[node]", "[limits]\nbody_bytes=-1\n[node]", "body_bytes: must be 0 or more"),
         ("[node]", "[log]\nlevel=x\n[node]", "level: must be debug or info or"),
+        ("[node]", "[log]\ntrace_ratio=2\n[node]", "must be between 0 and 1"),
         ("[node]", "[peers]\nseeds=x\n[node]", "seeds: must be an IP address"),
     ],
 )
