--- a/hickoryplank/cli/fleet_commands.py
+++ b/hickoryplank/cli/fleet_commands.py
@@ -35,7 +35,7 @@
 
 
 def report(args: Namespace) -> Reply:
-    """Show the measures of the policies since the entry began."""
+    """Show the measures of the policies since the oldest entry began."""
     return with_session(
         args,
         lambda session: reply_of(
--- a/hickoryplank/client.py
+++ b/hickoryplank/client.py
@@ -36,6 +36,7 @@
     PlanAnswer,
     PlanRequest,
     Problem,
+    ProblemOutcome,
     Published,
     PublishState,
     SettleRequest,
@@ -48,6 +49,7 @@
     ClaimState,
     ReportAnswer,
     StatusAnswer,
+    merge_reports,
 )
 
 __all__ = [
@@ -77,6 +79,7 @@
 _TIMEOUT_SECONDS = 10.0
 _POLL_SECONDS = 0.1
 _KEY_BYTES = 32
+_NO_ENTRIES = Unreachable("no entry is named", ProblemOutcome.NOT_RUN)
 
 
 class NewKey(msgspec.Struct, frozen=True):
@@ -189,8 +192,17 @@
 
 
 def get_report(session: Session) -> Result[ReportAnswer, ClientError]:
-    """Return the entry's report of the policies' measures."""
-    return get(session, "report", ReportAnswer)
+    """Return the policies' measures, added up over the entries that answer."""
+    reports: list[ReportAnswer] = []
+    failed: Result[ReportAnswer, ClientError] = Err(_NO_ENTRIES)
+    for entry in session.entries:
+        one = msgspec.structs.replace(session, entries=(entry,))
+        match get(one, "report", ReportAnswer):
+            case Ok(report):
+                reports.append(report)
+            case Err() as failed:
+                pass
+    return Ok(merge_reports(reports)) if reports else failed
 
 
 def drain_vm(session: Session, vm: VmId) -> Result[Published, ClientError]:
--- a/hickoryplank/operator_status.py
+++ b/hickoryplank/operator_status.py
@@ -1,5 +1,7 @@
 """Messages of the operator HTTP API that show the state of the fleet."""
 
+from collections import Counter
+from collections.abc import Sequence
 from enum import Enum
 
 import msgspec
@@ -35,6 +37,7 @@
     "VmView",
     "WaveReport",
     "WaveView",
+    "merge_reports",
 ]
 
 
@@ -190,3 +193,33 @@
     pools: tuple[PoolReport, ...]
     waves: tuple[WaveReport, ...]
     teams: tuple[TeamReport, ...]
+
+
+def merge_reports(reports: Sequence[ReportAnswer]) -> ReportAnswer:
+    """Return one report for the fleet; there must be at least one.
+
+    Each node adds up the buffer and the running work of the pools that it serves.
+    Moves and waves are seen by all nodes, and by the oldest one the longest.
+    """
+    oldest = min(reports, key=lambda report: report.since)
+    hours: Counter[PoolId] = Counter()
+    running: Counter[TeamId] = Counter()
+    distance: Counter[TeamId] = Counter()
+    for report in reports:
+        hours.update({one.pool: one.buffer_vm_hours for one in report.pools})
+        running.update({one.team: one.running for one in report.teams})
+        distance.update({one.team: one.distance for one in report.teams})
+    return ReportAnswer(
+        since=oldest.since,
+        pools=tuple(
+            msgspec.structs.replace(one, buffer_vm_hours=hours[one.pool])
+            for one in oldest.pools
+        ),
+        waves=oldest.waves,
+        teams=tuple(
+            TeamReport(
+                team=one.team, running=running[one.team], distance=distance[one.team]
+            )
+            for one in oldest.teams
+        ),
+    )
