--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 import msgspec
 
 #: Modules of this package that expose ``figures() -> Iterator[Figure]``.
-MODULES = ("shares", "placement", "routing")
+MODULES = ("shares", "placement", "routing", "edge")
 
 
 def main() -> None:
