--- a/hickoryplank/platform/channel.py
+++ b/hickoryplank/platform/channel.py
@@ -8,6 +8,7 @@
 
 import ssl
 from collections.abc import Mapping
+from contextlib import aclosing
 from enum import Enum
 from uuid import uuid4
 
@@ -33,6 +34,7 @@
 KEEPALIVE_SECONDS = 15.0
 MAX_CONNECTIONS = 64
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+_HEADERS = {"accept-encoding": "identity"}
 
 
 class TlsOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -91,15 +93,15 @@
 class _Pool:
     """One generation of connections."""
 
-    def __init__(self, client: httpx.AsyncClient) -> None:
-        self.client = client
+    def __init__(self, transport: httpx.AsyncHTTPTransport) -> None:
+        self.transport = transport
         self.calls = 0
         self.retired = False
 
     async def close_if_unused(self) -> None:
         if self.retired and self.calls == 0:
             with anyio.CancelScope(shield=True):
-                await self.client.aclose()
+                await self.transport.aclose()
 
 
 class Channel:
@@ -140,14 +142,16 @@
         pool = self._pool
         pool.calls += 1
         try:
-            async with pool.client.stream(
-                method,
-                path,
-                headers={**(headers or {}), wire.REQUEST: request},
-                params=params,
-                content=body,
-                timeout=self._timeout(read_seconds),
-            ) as response:
+            response = await pool.transport.handle_async_request(
+                httpx.Request(
+                    method,
+                    httpx.URL(self._base_url + path, params=params),
+                    headers={**_HEADERS, **(headers or {}), wire.REQUEST: request},
+                    content=body,
+                    extensions={"timeout": self._timeout(read_seconds).as_dict()},
+                )
+            )
+            async with aclosing(response):
                 answer = await self._body(response)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
             return Err(CallFailure(CallError.NOT_SENT, repr(exc)))
@@ -168,7 +172,7 @@
     async def aclose(self) -> None:
         """Close every connection."""
         self._pool.retired = True
-        await self._pool.client.aclose()
+        await self._pool.transport.aclose()
 
     async def _body(self, response: httpx.Response) -> bytes:
         body = bytearray()
@@ -178,13 +182,11 @@
                 raise httpx.ReadError("the answer is too long")
         return bytes(body)
 
-    def _open(self) -> httpx.AsyncClient:
+    def _open(self) -> httpx.AsyncHTTPTransport:
         most = self._options.max_connections
-        return httpx.AsyncClient(
-            base_url=self._base_url,
+        return httpx.AsyncHTTPTransport(
             verify=self._context,
             trust_env=False,
-            headers={"accept-encoding": "identity"},
             limits=httpx.Limits(
                 max_connections=most,
                 max_keepalive_connections=most,
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -34,6 +34,7 @@
 logger = logging.getLogger(__name__)
 
 BEAT_SECONDS = 0.05
+IDLE_BEAT_SECONDS = 1.0
 OVERLOAD_RETRY_SECONDS = 2.0
 UNIT = 1.0
 
@@ -108,7 +109,8 @@
             self._group = group
             while True:
                 self._tick()
-                with anyio.move_on_after(BEAT_SECONDS):
+                beat = BEAT_SECONDS if self.busy else IDLE_BEAT_SECONDS
+                with anyio.move_on_after(beat):
                     await self._wake.wait()
                 self._wake = anyio.Event()
 
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -48,7 +48,7 @@
     platform = connect_platform(cfg.platform)
     metrics = Metrics(cfg.node.name)
     tracer = make_tracer(cfg.node.name, cfg.log.trace_ratio, LogSpanExporter())
-    telemetry = Telemetry(tracer, metrics.meter)
+    telemetry = Telemetry(tracer, metrics.meter, cfg.log.trace_ratio > 0)
     replica = Replica(platform.log, clock, telemetry)
     async with anyio.create_task_group() as group:
         group.start_soon(replica.follow)
--- a/hickoryplank/shell/telemetry.py
+++ b/hickoryplank/shell/telemetry.py
@@ -95,10 +95,19 @@
     """What the parts of a node call to tell what they do.
 
     Without arguments it records nothing.
+
+    :param opens_traces: whether to trace requests that their callers do not, as
+        often as the tracer samples.
     """
 
-    def __init__(self, tracer: Tracer | None = None, meter: Meter | None = None):
+    def __init__(
+        self,
+        tracer: Tracer | None = None,
+        meter: Meter | None = None,
+        opens_traces: bool = True,
+    ):
         self._tracer = tracer or NoOpTracer()
+        self._opens_traces = opens_traces
         meter = meter or NoOpMeter("hickoryplank")
         self._answers = meter.create_counter(
             "answers", description="Answers to callers by queue, team and outcome"
@@ -135,7 +144,7 @@
         Yields the request with the trace context to pass on. A request that
         nobody traces opens a trace in the first hop only, if it is sampled.
         """
-        if hop is not Hop.API and not request.traceparent.endswith(_SAMPLED):
+        if not self._is_traced(hop, request.traceparent):
             with _working_on(request):
                 yield request
             return
@@ -152,6 +161,11 @@
         finally:
             span.end()
 
+    def _is_traced(self, hop: Hop, traceparent: str) -> bool:
+        if not traceparent:
+            return hop is Hop.API and self._opens_traces
+        return traceparent.endswith(_SAMPLED)
+
     def _start(self, hop: Hop, traceparent: str, start: int | None = None) -> Span:
         return self._tracer.start_span(
             hop.value, _context_of(traceparent), _KINDS[hop], start_time=start
