--- a/hickoryplank/settings_file.py
+++ b/hickoryplank/settings_file.py
@@ -121,6 +121,9 @@
             ]
         case MoveSettings(fill=fill) if not 0 < fill <= 1:
             found = [IniFault(file, header, "fill", "must be above 0 and up to 1")]
+        case LogSettings(trace_ratio=ratio) if not 0 <= ratio <= 1:
+            message = "must be between 0 and 1"
+            found = [IniFault(file, header, "trace_ratio", message)]
         case _:
             found = _check_positive(value, header, file)
     return Err(tuple(found)) if found else Ok(value)
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -27,13 +27,16 @@
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.jobs import Again, Closed, Job, Run
 from hickoryplank.shell.replica import Replica
+from hickoryplank.shell.telemetry import Telemetry
 
 __all__ = ["Dispatcher"]
 
 logger = logging.getLogger(__name__)
 
 BEAT_SECONDS = 0.05
+IDLE_BEAT_SECONDS = 1.0
 OVERLOAD_RETRY_SECONDS = 2.0
+UNIT = 1.0
 
 
 class Dispatcher:
@@ -44,8 +47,14 @@
     """
 
     def __init__(
-        self, replica: Replica, escrow: Escrow, attempts: Attempts, clock: Clock
+        self,
+        replica: Replica,
+        escrow: Escrow,
+        attempts: Attempts,
+        clock: Clock,
+        telemetry: Telemetry | None = None,
     ):
+        self._telemetry = telemetry or Telemetry()
         self._replica = replica
         self._escrow = escrow
         self._attempts = attempts
@@ -93,6 +102,14 @@
         heads = self._queues.heads(pool, WorkClass.URGENT).values()
         return max((now - item.arrived for item in heads), default=0.0)
 
+    def busy_vms(self) -> Counter[VmId]:
+        """Return how many tasks of this node run on each VM."""
+        return Counter(run.vm for run in self._runs.values())
+
+    def due(self) -> dict[TeamId, float]:
+        """Return the units that each team is due on the pools served here."""
+        return entitlements(self._team_demands(self._all_running()), self._capacity())
+
     @property
     def queues(self) -> WorkQueues:
         """Work that waits on this node."""
@@ -109,7 +126,8 @@
             self._group = group
             while True:
                 self._tick()
-                with anyio.move_on_after(BEAT_SECONDS):
+                beat = BEAT_SECONDS if self.busy else IDLE_BEAT_SECONDS
+                with anyio.move_on_after(beat):
                     await self._wake.wait()
                 self._wake = anyio.Event()
 
@@ -119,6 +137,7 @@
 
     def submit(self, job: Job) -> None:
         """Queue a job; its ``done`` is set with the answer."""
+        job.queued = self._clock.now()
         self._jobs[job.request.id] = job
         self._pools[job.queue.pool] += 1
         shed = self._queues.push(job.item(), self._current_shares())
@@ -190,6 +209,9 @@
         now = self._clock.now()
         if not self._replica.freshness.is_fresh(now):
             return
+        if self.endpoints.pick(pool, (), now) is None:
+            return
+        due = self.due()
         while self.endpoints.pick(pool, (), now) is not None:
             item = self._queues.next_item(
                 pool,
@@ -197,6 +219,7 @@
                 self._all_running(),
                 self._may_start,
                 now,
+                due,
             )
             if item is None:
                 return
@@ -216,7 +239,7 @@
         runs = [run for run in self._runs.values() if run.job.queue.pool == pool]
         running = self._all_running()
         free = sum(_free(row, now) for row in self.endpoints.members(pool))
-        due = entitlements(self._team_demands(running), self._capacity())
+        due = self.due()
         tasks = [_running_task(run) for run in runs]
         for decision in self._preemption.decide(
             demands, tasks, free, running, due, now
@@ -270,6 +293,7 @@
         self.running[team] += 1
         self.endpoints.note_start(vm, job.request.task, now)
         job.attempts += 1
+        self._telemetry.note_wait(job.request, now - job.queued)
         run = Run(job, vm, now)
         self._runs[job.request.task] = run
         self._group.start_soon(self._run, run)
@@ -296,6 +320,7 @@
 
     def _try_again(self, job: Job) -> None:
         if job.request.id in self._jobs:
+            job.queued = self._clock.now()
             self._queues.put_back(job.item())
             self.wake()
 
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -20,9 +20,11 @@
 from hickoryplank.settings import PlatformSettings, Settings
 from hickoryplank.shell.clock import MonotonicClock
 from hickoryplank.shell.logs import configure_logs
+from hickoryplank.shell.metrics import Metrics
 from hickoryplank.shell.node import Node, Platform
 from hickoryplank.shell.replica import Replica, new_record_id
 from hickoryplank.shell.snapshots import Snapshots
+from hickoryplank.shell.telemetry import LogSpanExporter, Telemetry, make_tracer
 
 __all__ = ["run"]
 
@@ -45,7 +47,10 @@
 async def _serve(cfg: Settings) -> None:
     clock = MonotonicClock()
     platform = connect_platform(cfg.platform)
-    replica = Replica(platform.log, clock)
+    metrics = Metrics(cfg.node.name)
+    tracer = make_tracer(cfg.node.name, cfg.log.trace_ratio, LogSpanExporter())
+    telemetry = Telemetry(tracer, metrics.meter, cfg.log.trace_ratio > 0)
+    replica = Replica(platform.log, clock, telemetry)
     async with anyio.create_task_group() as group:
         snapshots = Snapshots(platform.log, replica, clock)
         await snapshots.restore()
@@ -53,7 +58,7 @@
         group.start_soon(replica.append)
         group.start_soon(snapshots.recover)
         await _join(replica, cfg)
-        node = Node(cfg, platform, replica, group, clock)
+        node = Node(cfg, platform, replica, group, clock, metrics, telemetry)
         await node.start()
         group.start_soon(snapshots.serve)
         stop = anyio.Event()
