Adopt claims that a new process finds open, and count free slots again

A wave that killed all entries at once left every open claim to nobody: the new processes fold the log before Claims subscribes, so its set of open claims stayed empty. Seen in test_settlement_finishes_exactly_once[instant_wave]: six claims open after 40 s, none taken over. Ruled out: units (48 free) and the holders' state (gone). Claims now starts from the tables.

EndpointRow lost room() in the placement rewrite while the dispatcher still called it: the first job that waited in a full or failing pool ended the whole process. Seen in [kill_owner]. It uses has_room() and the learned capacity.

Each fault of the table now runs over real processes, with the log behind a forwarder that tests can cut.

--- a/hickoryplank/shell/claims.py
+++ b/hickoryplank/shell/claims.py
@@ -104,6 +104,7 @@
         self._settled: dict[ClaimId, anyio.Event] = {}
         self._unsaved = 0
         replica.subscribe(self._note_record)
+        self.rebuild()
 
     @property
     def unsaved(self) -> int:
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -34,6 +34,7 @@
 
 BEAT_SECONDS = 0.05
 OVERLOAD_RETRY_SECONDS = 2.0
+UNIT = 1.0
 
 
 class Dispatcher:
@@ -198,7 +199,7 @@
             return
         runs = [run for run in self._runs.values() if run.job.queue.pool == pool]
         running = self._all_running()
-        free = sum(row.room(now) for row in self.endpoints.members(pool))
+        free = sum(_free_units(row, now) for row in self.endpoints.members(pool))
         due = entitlements(self._team_demands(running), self._capacity())
         tasks = [_running_task(run) for run in runs]
         for decision in self._preemption.decide(
@@ -239,7 +240,7 @@
         pool = job.queue.pool
         if job.pinned is not None:
             row = self.endpoints.row(job.pinned)
-            return job.pinned if row is not None and row.room(now) > 0 else None
+            return job.pinned if row is not None and row.has_room(UNIT, now) else None
         avoided = job.avoided | self.endpoints.failed_on(job.request.task)
         may_probe = job.queue.idempotent and not job.attempts
         found = self.endpoints.pick(pool, avoided, now, may_probe=may_probe)
@@ -323,6 +324,10 @@
         )
 
 
+def _free_units(row: EndpointRow, now: float) -> int:
+    return int(row.capacity - row.used) if row.has_room(UNIT, now) else 0
+
+
 def _broken(job: Job) -> Failed | Unknown:
     detail = "the attempt broke off inside the system"
     return Failed(detail=detail) if job.queue.idempotent else Unknown(detail=detail)
--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,89 @@
+"""Callers that retry through other entries, as the failure tests need them."""
+
+import json
+import time
+from concurrent.futures import ThreadPoolExecutor
+from itertools import count
+
+import httpx
+
+from hickoryplank.platform.worker_engine import answer_body
+from hickoryplank.shell.claims import claim_of
+from tests.fleet import KEY, Fleet, wait_until
+
+TEAM = "rutas"
+GIVE_UP_SECONDS = 40.0
+CALL_SECONDS = 4.0
+PAUSE_SECONDS = 0.1
+FINAL_STATES = ("done", "unknown")
+
+
+class Caller:
+    """Submits one settlement under one key until its outcome is final."""
+
+    def __init__(self, fleet: Fleet, queue: str, name: str, seconds: float = 0.0):
+        self.fleet = fleet
+        self.queue = queue
+        self.name = name
+        self.body = json.dumps({"effect": name, "seconds": seconds}).encode()
+        self.claim = claim_of(TEAM, queue, name)
+
+    def post(self, entry: int, wait: float = CALL_SECONDS) -> httpx.Response | None:
+        """Submit through one entry; ``None`` if no whole answer came."""
+        headers = {"Idempotency_Key": self.name, "Prefer": f"wait={wait}"}
+        try:
+            return self.fleet.submit(
+                entry, self.queue, self.body, timeout=CALL_SECONDS, **headers
+            )
+        except httpx.HTTPError:
+            return None
+
+    def state(self, entry: int) -> str:
+        """Return the state of the claim as one entry shows it."""
+        url = f"http://{self.fleet.entries[entry].address}/v1/work/{self.claim}"
+        headers = {"Authorization": f"Bearer {KEY}"}
+        try:
+            res = self.fleet.client.get(url, headers=headers, timeout=CALL_SECONDS)
+        except httpx.HTTPError:
+            return ""
+        return res.json()["state"] if res.status_code == 200 else ""
+
+    def settle(self, first: int) -> str:
+        """Retry through one entry after the other; return the final state."""
+        until = time.monotonic() + GIVE_UP_SECONDS
+        for turn in count(first):
+            entry = turn % len(self.fleet.entries)
+            if time.monotonic() > until:
+                return f"not settled: {self.state(entry)}"
+            res = self.post(entry)
+            if res is not None and res.status_code == 200:
+                return "done"
+            if (state := self.state(entry)) in FINAL_STATES:
+                return state
+            time.sleep(PAUSE_SECONDS)
+
+    def check(self, effects: int) -> None:
+        """Check effects against the answers that every entry gives."""
+        assert effects <= 1, f"{self.name} took effect {effects} times"
+        answers = [self.post(i) for i in range(len(self.fleet.entries))]
+        assert None not in answers, self.name
+        assert len({(res.status_code, res.content) for res in answers}) == 1
+        if answers[0].status_code == 200:
+            assert (effects, answers[0].content) == (1, answer_body(self.body))
+        else:
+            assert answers[0].json()["outcome"] == "unknown"
+            assert self.state(0) == "unknown"
+
+
+def settle_all(fleet: Fleet, callers: list[Caller], fault) -> list[str]:
+    """Run all callers while ``fault`` happens; return their final states."""
+    with ThreadPoolExecutor(len(callers)) as pool:
+        running = [pool.submit(c.settle, i) for i, c in enumerate(callers)]
+        fault()
+        states = [future.result() for future in running]
+    for entry in fleet.entries:
+        wait_until(lambda e=entry: fleet.is_ready(e), what=entry.name)
+    effects = fleet.effects()
+    for caller in callers:
+        caller.check(effects[caller.name])
+    return states
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,11 +8,15 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import httpx
 
+from hickoryplank.core.ownership import owner
+from tests.proxy import Proxy
+
 TOKEN = "operator-token-for-tests"
 SECRET = "cluster-secret-for-tests"
 KEY = "caller-key-of-rutas"
@@ -91,6 +95,7 @@
     programs: list[Program] = field(default_factory=list)
     workers: list[Program] = field(default_factory=list)
     entries: list[Program] = field(default_factory=list)
+    proxies: list[Proxy] = field(default_factory=list)
     client: httpx.Client = field(default_factory=lambda: httpx.Client(timeout=60))
 
     def __enter__(self):
@@ -99,6 +104,8 @@
 
     def __exit__(self, *exc):
         self.client.close()
+        for proxy in self.proxies:
+            proxy.close()
         for program in self.programs:
             if program.process.poll() is None:
                 program.signal(signal.SIGCONT)
@@ -128,6 +135,7 @@
         """Start entry ``i`` with settings of its own."""
         name = f"entry-{i}"
         address = f"127.0.0.1:{free_port()}"
+        self.proxies.append(Proxy(self.log.address))
         settings = self.root / f"{name}.ini"
         settings.write_text(self._settings(name, i, address))
         command = [sys.executable, "-m", "hickoryplank", "serve", str(settings)]
@@ -147,7 +155,7 @@
 api_bind = {address}
 peer_bind = 127.0.0.1:{free_port()}
 [platform]
-log_url = http://{self.log.address}
+log_url = http://{self.proxies[i].address}
 vms_url = http://{self.vms.address}
 [security]
 cluster_secret = {SECRET}
@@ -218,20 +226,47 @@
 """
         return text
 
-    def submit(self, entry: int, queue: str, body: bytes, key: str = KEY, **headers):
+    def submit(
+        self,
+        entry: int,
+        queue: str,
+        body: bytes,
+        key: str = KEY,
+        timeout: float = 60.0,
+        **headers: str,
+    ):
         """Post one request as a caller does."""
         url = f"http://{self.entries[entry].address}/v1/queues/{queue}/work"
         names = {name.replace("_", "-"): value for name, value in headers.items()}
         if key:
             names["Authorization"] = f"Bearer {key}"
-        return self.client.post(url, content=body, headers=names)
+        return self.client.post(url, content=body, headers=names, timeout=timeout)
 
-    def effects(self) -> dict[str, int]:
-        """Return how often each task took effect, over all workers."""
-        total: dict[str, int] = {}
+    def effects(self) -> Counter[str]:
+        """Return how often each named effect took place, over all workers."""
+        total: Counter[str] = Counter()
         for worker in self.workers:
-            if worker.process.poll() is None:
-                res = self.client.get(f"http://{worker.address}/effects")
-                for task, number in res.json().items():
-                    total[task] = total.get(task, 0) + number
+            res = self.client.get(f"http://{worker.address}/effects")
+            total.update(res.json()["did"]["effects"])
         return total
+
+    def replace(self, entry: int) -> None:
+        """Start a new process under the name and addresses of an ended one."""
+        self.entries[entry].process.stdout.close()
+        self.entries[entry].start()
+
+    def status(self) -> dict:
+        """Return what the command line shows of the fleet."""
+        shown = self.cli("status", "--format", "json")
+        assert shown.returncode == 0, shown.stderr
+        return json.loads(shown.stdout)
+
+    def owner(self, pool: str = "rondas-norte") -> int:
+        """Return the entry that owns ``pool`` while all entries are alive."""
+        live = {
+            row["incarnation"]: row["node"]
+            for row in self.status()["nodes"]
+            if row["state"] == "live"
+        }
+        name = live[owner(pool, list(live))]
+        return [entry.name for entry in self.entries].index(name)
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,120 @@
+"""Settlement under faults over real processes: each batch finishes exactly once."""
+
+import signal
+import time
+
+import pytest
+
+from tests.callers import FINAL_STATES, Caller, settle_all
+from tests.fleet import Fleet
+
+BATCHES = 6
+SERVICE_SECONDS = 0.6
+QUEUES = ("cierre", "pagos")
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with Fleet(tmp_path_factory.mktemp("settlement")) as running:
+        running.start(workers=3)
+        running.publish(running.objects(budget=1))
+        yield running
+
+
+def kill_owner(fleet):
+    owner = fleet.owner()
+    fleet.entries[owner].kill()
+    time.sleep(0.5)
+    fleet.replace(owner)
+
+
+def pause_owner(fleet):
+    owner = fleet.entries[fleet.owner()]
+    owner.signal(signal.SIGSTOP)
+    time.sleep(2.5)
+    owner.signal(signal.SIGCONT)
+
+
+def lose_log_answers(fleet):
+    fleet.log.fault(lose_answers=3)
+
+
+def log_down(fleet):
+    fleet.log.fault(outage=True)
+    time.sleep(3)
+    fleet.log.fault(outage=False)
+
+
+def log_silent(fleet):
+    fleet.client.post(f"http://{fleet.log.address}/silence")
+
+
+def lose_answers(fleet):
+    for worker in fleet.workers:
+        worker.fault(lose_answers=1)
+
+
+def worker_restarts(fleet):
+    worker = fleet.workers[0]
+    fleet.client.post(f"http://{worker.address}/restart", json={"seconds": 0.5})
+
+
+def worker_paused(fleet):
+    fleet.workers[0].fault(paused=True)
+    time.sleep(2)
+    fleet.workers[0].fault(paused=False)
+
+
+def worker_silent(fleet):
+    for worker in fleet.workers:
+        fleet.client.post(f"http://{worker.address}/silence")
+
+
+def cross_and_shorten(fleet):
+    for worker in fleet.workers:
+        worker.fault(cross_answers=1, shorten_answers=1)
+
+
+def rolling_wave(fleet):
+    for i, entry in enumerate(fleet.entries):
+        assert entry.stop() == 0
+        fleet.replace(i)
+        fleet.wait_ready()
+
+
+def instant_wave(fleet):
+    for entry in fleet.entries:
+        entry.kill()
+    for i in range(len(fleet.entries)):
+        fleet.replace(i)
+
+
+FAULTS = [
+    kill_owner,
+    pause_owner,
+    lose_log_answers,
+    log_down,
+    log_silent,
+    lose_answers,
+    worker_restarts,
+    worker_paused,
+    worker_silent,
+    cross_and_shorten,
+    rolling_wave,
+    instant_wave,
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_settlement_finishes_exactly_once(fleet, fault):
+    callers = [
+        Caller(fleet, QUEUES[i % 2], f"{fault.__name__}-{i}", SERVICE_SECONDS)
+        for i in range(BATCHES)
+    ]
+
+    def after_start():
+        time.sleep(0.3)
+        fault(fleet)
+
+    states = settle_all(fleet, callers, after_start)
+    assert set(states) <= set(FINAL_STATES), states
