--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -36,7 +36,6 @@
 BEAT_SECONDS = 0.05
 IDLE_BEAT_SECONDS = 1.0
 OVERLOAD_RETRY_SECONDS = 2.0
-UNIT = 1.0
 
 
 class Dispatcher:
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -61,6 +61,7 @@
             if (state := self.state(entry)) in FINAL_STATES:
                 return state
             time.sleep(PAUSE_SECONDS)
+        return None
 
     def check(self, effects: int) -> None:
         """Check effects against the answers that every entry gives."""
