--- a/hickoryplank/shell/logs.py
+++ b/hickoryplank/shell/logs.py
@@ -8,14 +8,14 @@
 
 from hickoryplank.shell.telemetry import current_work
 
-__all__ = ["configure_logs"]
+__all__ = ["WorkFormatter", "configure_logs"]
 
 _FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 _NAMES = {"asctime": "time", "levelname": "level", "name": "logger"}
 _QUIET_LOGGERS = ("httpx", "httpcore", "hypercorn.access", "asyncio")
 
 
-class _WorkFormatter(JsonFormatter):
+class WorkFormatter(JsonFormatter):
     """Adds the ids of the request that the logging task works on."""
 
     def add_fields(
@@ -38,7 +38,7 @@
     """Write logs of ``level`` and above to standard error as JSON lines."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
-        _WorkFormatter(_FIELDS, rename_fields=_NAMES, static_fields={"node": node})
+        WorkFormatter(_FIELDS, rename_fields=_NAMES, static_fields={"node": node})
     )
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/hickoryplank/shell/telemetry.py
+++ b/hickoryplank/shell/telemetry.py
@@ -25,7 +25,7 @@
 )
 
 from hickoryplank.core.ids import RequestId, TeamId
-from hickoryplank.core.work import Completed, Queued, WorkAnswer, WorkRequest
+from hickoryplank.core.work import NotRun, WorkAnswer, WorkRequest
 
 __all__ = [
     "Hop",
@@ -222,12 +222,10 @@
 
 def _outcome_of(answer: WorkAnswer) -> str:
     match answer:
-        case Completed() | Queued():
-            return answer.__struct_config__.tag
+        case NotRun(reason=reason):
+            return f"not_run_{reason.value}"
         case _:
-            reason = getattr(answer, "reason", None)
-            tag = answer.__struct_config__.tag
-            return f"{tag}_{reason.value}" if reason else tag
+            return answer.__struct_config__.tag
 
 
 class _OneHeader(Getter[str]):
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -1,6 +1,7 @@
 """Spans and metrics of real entries, and what their logs must not hold."""
 
 import json
+import logging
 import time
 
 import pytest
@@ -8,6 +9,7 @@
 
 from hickoryplank.core.ids import QueueId, RequestId, TaskId, TeamId
 from hickoryplank.core.work import WorkRequest
+from hickoryplank.shell.logs import WorkFormatter
 from hickoryplank.shell.telemetry import Hop, Telemetry, current_work, make_tracer
 from tests.fleet import KEY, SECRET, TOKEN, Fleet, wait_until
 
@@ -47,7 +49,12 @@
 def test_spans_follow_the_caller_or_the_ratio(traceparent, ratio, spans):
     exporter = InMemorySpanExporter()
     telemetry = Telemetry(make_tracer("entry-1", ratio, exporter))
+    formatter = WorkFormatter("%(message)s")
+    record = logging.makeLogRecord({"msg": "late"})
     with telemetry.hop(Hop.API, work(traceparent)) as api:
+        line = json.loads(formatter.format(record))
+        assert (line["request"], line["team"]) == ("r1", "rutas")
+        assert line.get("trace", "") == current_work().trace
         telemetry.note_wait(api, 0.5)
         with telemetry.hop(Hop.ATTEMPT, api) as attempt, telemetry.append():
             assert current_work().traceparent == attempt.traceparent
