--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -61,7 +61,7 @@
         axes.annotate(point.settings, (point.x, point.y), fontsize="x-small")
     axes.set_xlabel(x)
     axes.set_ylabel(y)
-    plot.savefig(output)
+    plot.savefig(output, bbox_inches="tight")
 
 
 def main() -> None:
