Answer truly when an entry falls silent, and lose no claim on the way

Found over real processes; each test failed first: - one batch submitted everywhere at once: 6 of 12 callers got no answer and one a 500, for forwards shared the task's id. Forwards now have ids of their own, a claim that is open is answered with 202, also by the loser. - log slow for 2 s, caller waits 0.5 s: 503 not_run, then the batch ran. A durable claim that was sent and has no verdict is answered unknown. - caller hangs up while its claim is logged: the claim stayed open for good, for it counted as worked on. Claims under way are counted apart from jobs. - owner killed while it runs idempotent work: the next owner answered not_run after the effect. An entry no longer passes on such a denial. - claimed start proved not run after its caller's deadline: open for good. The job goes on once the caller has its unknown. By reading, without a test that failed: cancel between attempts, refusal after a lost attempt, refused dispatch without proof, key withdrawn during a body.

--- a/hickoryplank/shell/api.py
+++ b/hickoryplank/shell/api.py
@@ -101,8 +101,7 @@
 
     async def _submit(self, req: Request) -> Response:
         if not self._replica.freshness.is_fresh(self._clock.now()):
-            detail = "this node has lost touch with the configuration"
-            return refusal(503, "not run: stale_node", detail, 1.0)
+            return _stale()
         queue = find_queue(self._replica.tables, req.path_params["queue"])
         if queue is None:
             return refusal(404, "there is no such queue")
@@ -112,6 +111,11 @@
         body = await self._read_body(req)
         if body.is_err():
             return body.unwrap_err()
+        if not self._replica.freshness.is_fresh(self._clock.now()):
+            return _stale()
+        admitted = self._admit(req, queue)
+        if admitted != team:
+            return admitted if isinstance(admitted, Response) else _key_changed()
         work = self._work_request(req, queue, team, body.unwrap())
         if work.is_err():
             return work.unwrap_err()
@@ -166,7 +170,7 @@
         task = task_of(claim) if claim else TaskId(unique)
         return Ok(
             WorkRequest(
-                id=RequestId(task) if durable else RequestId(unique),
+                id=RequestId(unique),
                 task=task,
                 queue=queue.name,
                 team=team,
@@ -247,6 +251,15 @@
     return secret.strip() if scheme.lower() == "bearer" else None
 
 
+def _stale() -> Response:
+    detail = "this node has lost touch with the configuration"
+    return refusal(503, "not run: stale_node", detail, 1.0)
+
+
+def _key_changed() -> Response:
+    return _unauthorized("the key went to another team in the meantime")
+
+
 def _unauthorized(detail: str) -> Response:
     response = refusal(401, "no valid key", detail)
     response.headers["WWW-Authenticate"] = "Bearer"
--- a/hickoryplank/shell/attempts.py
+++ b/hickoryplank/shell/attempts.py
@@ -19,7 +19,7 @@
 from hickoryplank.shell.replica import Replica
 from hickoryplank.shell.workers import LEASE_SECONDS, WorkerPool
 
-__all__ = ["Attempts", "completed"]
+__all__ = ["Attempts", "completed", "withdrawn"]
 
 logger = logging.getLogger(__name__)
 
@@ -35,6 +35,11 @@
     )
 
 
+def withdrawn() -> Failed:
+    """Return the answer to a request that its caller no longer waits for."""
+    return Failed(detail="the request was withdrawn")
+
+
 class Attempts:
     """Runs attempts and tells the table of endpoints how they ended."""
 
@@ -106,6 +111,8 @@
         known = await self._workers.clock_of(worker, vm)
         if known.is_err():
             return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+        if job.cancelled:
+            return RunResult.STOPPED, Closed(withdrawn())
         now = self._clock.now()
         fresh = self._replica.freshness.fresh_until() - now
         start = Start(
@@ -150,6 +157,7 @@
                 result = RunResult.SILENT if refusal is None else RunResult.STOPPED
                 return result, Again(RETRY_PAUSE_SECONDS)
             case Err(StartLost()):
+                job.may_have_run = True
                 self._workers.forget(vm)
                 job.avoided.add(vm)
                 return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
--- a/hickoryplank/shell/claims.py
+++ b/hickoryplank/shell/claims.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import logging
+from collections import Counter
 
 import anyio
 import msgspec
@@ -25,6 +26,7 @@
     Completed,
     NotRun,
     NotRunReason,
+    Queued,
     Unknown,
     WorkAnswer,
     WorkRequest,
@@ -101,6 +103,7 @@
         self._clock = clock
         self._open: set[ClaimId] = set()
         self._active: set[ClaimId] = set()
+        self._claiming: Counter[ClaimId] = Counter()
         self._settled: dict[ClaimId, anyio.Event] = {}
         self._unsaved = 0
         replica.subscribe(self._note_record)
@@ -122,12 +125,15 @@
     def orphans(self) -> list[ClaimRow]:
         """Return open claims that no live process of any node works on."""
         tables = self._replica.tables
-        rows = [tables.claims[claim] for claim in self._open - self._active]
+        rows = [tables.claims[claim] for claim in self._idle()]
         me = self._replica.incarnation
         return [
             row for row in rows if row.holder == me or not tables.is_live(row.holder)
         ]
 
+    def _idle(self) -> set[ClaimId]:
+        return self._open - self._active - self._claiming.keys()
+
     def _note_record(self, record: Record, verdict: Verdict) -> None:
         if verdict.is_err():
             return
@@ -168,26 +174,35 @@
                 return Err(known)
             claimed = await self._try_claim(record, deadline)
             if claimed is None or claimed.is_err():
-                return claimed or Err(
-                    NotRun(
-                        reason=NotRunReason.LOG_DOWN,
-                        detail="the claim could not be logged before the deadline",
-                    )
-                )
+                return claimed or Err(self._not_logged(record))
             if claimed.unwrap():
                 return Ok(None)
             record = _renamed(record)
 
+    def _not_logged(self, record: Claim) -> NotRun | Unknown:
+        """Return the answer to a claim that had no verdict by its deadline.
+
+        Durable work whose claim is still logged later runs; other work does not.
+        """
+        detail = "the claim could not be logged before the deadline"
+        if record.durable and self._replica.may_take_effect(record.id):
+            return Unknown(detail=detail)
+        return NotRun(reason=NotRunReason.LOG_DOWN, detail=detail)
+
     async def _try_claim(
         self, record: Claim, deadline: float
     ) -> Result[bool, WorkAnswer] | None:
         """Return whether the claim was won, or ``None`` at the deadline."""
-        self._active.add(record.claim)
         claimed = None
-        with anyio.move_on_after(deadline - self._clock.now()):
-            claimed = await self._submit_claim(record)
-        if claimed != Ok(True):
-            self._active.discard(record.claim)
+        self._claiming[record.claim] += 1
+        try:
+            with anyio.move_on_after(deadline - self._clock.now()):
+                claimed = await self._submit_claim(record)
+            if claimed == Ok(True):
+                self._active.add(record.claim)
+        finally:
+            self._claiming[record.claim] -= 1
+            self._claiming += Counter()
         return claimed
 
     async def _submit_claim(self, record: Claim) -> Result[bool, WorkAnswer]:
@@ -220,6 +235,8 @@
             held = self._replica.tables.is_live(row.holder)
             if not held and not row.durable and row.attempt == 0:
                 return None
+            if row.durable:
+                return Queued(claim=record.claim)
             if not await self._outcome_by(record.claim, deadline):
                 return Unknown(detail="the first request is still under way")
         return None
@@ -352,6 +369,8 @@
             return None
         if isinstance(failure, Refusal) and not self._holds(job.request.claim):
             return Closed(Unknown(detail="another node has taken the request over"))
+        if isinstance(failure, Refusal) and job.proof is None:
+            return Closed(Unknown(detail="another attempt is under way"))
         job.proof = job.proof or Proof.REFUSED
         return Again(LOG_PAUSE_SECONDS)
 
@@ -428,6 +447,7 @@
         while self._clock.now() < until:
             if self._clock.now() > job.deadline:
                 job.close(Unknown(detail="the worker's answer was lost"))
+                job.deadline = self._clock.now() + CLAIM_SECONDS
             found = await worker.find(job.request.task)
             step = None
             if found.is_ok():
@@ -450,6 +470,7 @@
             case TaskState.CHECKPOINTED:
                 job.proof = Proof.CHECKPOINTED
                 job.pinned = vm
+                job.deadline = self._clock.now() + CLAIM_SECONDS
                 return Again(FIND_PAUSE_SECONDS)
             case TaskState.NEVER_SEEN if report.clock > sent.start_by:
                 job.proof = Proof.START_MISSED
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -23,7 +23,7 @@
 from hickoryplank.core.shares import TeamDemand, entitlements
 from hickoryplank.core.tables import Tables, VmRow
 from hickoryplank.core.work import Failed, NotRun, NotRunReason, Unknown, WorkAnswer
-from hickoryplank.shell.attempts import Attempts
+from hickoryplank.shell.attempts import Attempts, withdrawn
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.jobs import Again, Closed, Job, Run
 from hickoryplank.shell.replica import Replica
@@ -114,12 +114,14 @@
     def cancel(self, request: RequestId) -> None:
         """Withdraw a job that waits, or stop it if it can be stopped."""
         job = self._jobs.get(request)
-        if job is None:
+        if job is None or job.pinned is not None:
             return
         if self._queues.cancel(request) is not None:
             self._close(job, NotRun(reason=NotRunReason.CANCELLED))
-        elif job.scope is not None:
-            job.scope.cancel()
+        elif job.request.claim is None:
+            job.cancelled = True
+            if job.scope is not None:
+                job.scope.cancel()
 
     def clear_batch(self, vm: VmId) -> None:
         """Move the idempotent batch work that this node runs off ``vm``.
@@ -152,11 +154,15 @@
         self, request: RequestId, reason: NotRunReason, detail: str
     ) -> None:
         job = self._jobs.get(request)
-        if job is not None:
-            answer = NotRun(
-                reason=reason, detail=detail, retry_after=OVERLOAD_RETRY_SECONDS
-            )
-            self._close(job, job.answer or answer)
+        if job is None:
+            return
+        if job.may_have_run:
+            self._close(job, Failed(detail=f"an attempt was lost; then {detail}"))
+            return
+        answer = NotRun(
+            reason=reason, detail=detail, retry_after=OVERLOAD_RETRY_SECONDS
+        )
+        self._close(job, job.answer or answer)
 
     def _close(self, job: Job, answer: WorkAnswer) -> None:
         self._forget(job)
@@ -279,7 +285,9 @@
                 self._try_again(job)
 
     def _try_again(self, job: Job) -> None:
-        if job.request.id in self._jobs:
+        if job.cancelled:
+            self._close(job, withdrawn())
+        elif job.request.id in self._jobs:
             self._queues.put_back(job.item())
             self.wake()
 
--- a/hickoryplank/shell/edge.py
+++ b/hickoryplank/shell/edge.py
@@ -8,7 +8,14 @@
 
 from hickoryplank.core.ids import Incarnation, RequestId
 from hickoryplank.core.messages import Accepted, Answered, Cancel, Forward
-from hickoryplank.core.work import NotRun, NotRunReason, WorkAnswer, WorkRequest
+from hickoryplank.core.work import (
+    Failed,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    WorkAnswer,
+    WorkRequest,
+)
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.members import Members
 from hickoryplank.shell.peers import Peers
@@ -30,6 +37,7 @@
     """A request in the hands of its pool's owner."""
 
     owner: Incarnation
+    sent: bool = False
     accepted: anyio.Event = field(default_factory=anyio.Event)
     answered: anyio.Event = field(default_factory=anyio.Event)
     answer: WorkAnswer | None = None
@@ -66,18 +74,18 @@
         one: idempotent work may run again, claimed work finds its claim.
         """
         deadline = self._clock.now() + request.patience
+        sent = False
         for _ in range(FORWARDS):
             queue = find_queue(self._replica.tables, request.queue)
-            if queue is None:
-                return NotRun(reason=NotRunReason.UNKNOWN_QUEUE)
-            owner = self._members.owner_of(queue.pool)
+            owner = self._members.owner_of(queue.pool) if queue else self._members.me
             if owner == self._members.me:
                 break
-            answer = await self._forward(owner, request, deadline)
-            if answer is not None:
-                return answer
+            forwarded = await self._forward(owner, request, deadline)
+            if forwarded.answer is not None:
+                return _truthful(forwarded.answer, request, sent)
+            sent = sent or forwarded.sent
             request = self._renewed(request, deadline)
-        return await self._service.handle(request)
+        return _truthful(await self._service.handle(request), request, sent)
 
     def _renewed(self, request: WorkRequest, deadline: float) -> WorkRequest:
         patience = max(0.0, deadline - self._clock.now())
@@ -85,17 +93,18 @@
 
     async def _forward(
         self, owner: Incarnation, request: WorkRequest, deadline: float
-    ) -> WorkAnswer | None:
+    ) -> _Forwarded:
         forwarded = _Forwarded(owner)
         self._forwarded[request.id] = forwarded
         try:
-            if not self._peers.send(owner, Forward(request)):
-                return None
+            forwarded.sent = self._peers.send(owner, Forward(request))
+            if not forwarded.sent:
+                return forwarded
             with anyio.move_on_after(ACCEPT_SECONDS):
                 await forwarded.accepted.wait()
             if forwarded.accepted.is_set():
                 await self._await_answer(forwarded, deadline)
-            return forwarded.answer
+            return forwarded
         finally:
             del self._forwarded[request.id]
             if forwarded.answer is None:
@@ -153,3 +162,16 @@
             self._service.cancel(request)
         else:
             self._peers.send(holder, Cancel(request))
+
+
+def _truthful(answer: WorkAnswer, request: WorkRequest, sent: bool) -> WorkAnswer:
+    """Return an answer that does not deny what a silent owner may have run.
+
+    :param sent: whether an owner that never answered was sent the request.
+    """
+    if not sent or not isinstance(answer, NotRun):
+        return answer
+    if answer.reason is NotRunReason.KEY_REUSED:
+        return answer
+    detail = f"an entry fell silent; then: {answer.reason.value}"
+    return Unknown(detail=detail) if request.claim else Failed(detail=detail)
--- a/hickoryplank/shell/jobs.py
+++ b/hickoryplank/shell/jobs.py
@@ -20,6 +20,9 @@
 
     :param deadline: when the caller gives up, on this node's clock in seconds.
     :param preempted: whether the running attempt was told to make room.
+    :param cancelled: whether nobody waits for the answer any more.
+    :param may_have_run: whether an attempt of idempotent work was lost after it
+        was sent.
     :param proof: why the attempt before the next one did not run.
     :param pinned: the only VM that the next attempt may run on.
     :param durable: whether the request was accepted for good, so that it is
@@ -32,6 +35,8 @@
     deadline: float
     durable: bool = False
     preempted: bool = False
+    cancelled: bool = False
+    may_have_run: bool = False
     proof: Proof | None = None
     pinned: VmId | None = None
     attempts: int = 0
--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -73,6 +73,7 @@
         self._tables = Tables()
         self._pending: dict[RecordId, _Pending] = {}
         self._waiting: deque[_Pending] = deque()
+        self._left_behind: set[RecordId] = set()
         self._wake = anyio.Event()
         self._advanced = anyio.Event()
         self._listeners: list[Listener] = []
@@ -155,6 +156,7 @@
                 listener(record, verdict)
 
     def _settle(self, record: Record, verdict: Verdict) -> None:
+        self._left_behind.discard(record.id)
         pending = self._pending.pop(record.id, None)
         if pending is not None:
             pending.verdict = verdict
@@ -195,7 +197,12 @@
         if isinstance(pending.record, EditSet) and pending.sent:
             return
         pending.withdrawn = True
-        self._pending.pop(pending.record.id, None)
+        if self._pending.pop(pending.record.id, None) and pending.sent:
+            self._left_behind.add(pending.record.id)
+
+    def may_take_effect(self, record: RecordId) -> bool:
+        """Return whether a record that nobody waits for may yet be folded."""
+        return record in self._left_behind
 
     async def append(self) -> None:
         """Append waiting records until cancelled, many in one append."""
--- a/hickoryplank/shell/service.py
+++ b/hickoryplank/shell/service.py
@@ -4,6 +4,7 @@
 import time
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 from result import Err
 
@@ -120,9 +121,6 @@
         self, request: WorkRequest, queue: Queue, deadline: float
     ) -> WorkAnswer:
         expires = time.time() + CLAIM_SECONDS
-        known = self._replica.tables.claims.get(request.claim)
-        if known is not None and known.outcome is None:
-            return Queued(claim=request.claim)
         claimed = await self._claims.acquire(request, expires, True, deadline)
         if isinstance(claimed, Err):
             return claimed.unwrap_err()
@@ -130,7 +128,8 @@
         return Queued(claim=request.claim)
 
     def _launch(self, request: WorkRequest, queue: Queue) -> None:
-        job = self._job(request, queue, self._clock.now() + CLAIM_SECONDS)
+        named = msgspec.structs.replace(request, id=RequestId(request.task))
+        job = self._job(named, queue, self._clock.now() + CLAIM_SECONDS)
         job.durable = True
         self._group.start_soon(self._finish_claimed, job)
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,8 +13,10 @@
 from pathlib import Path
 
 import httpx
+import msgspec
 
 from hickoryplank.core.ownership import owner
+from hickoryplank.platform.worker import WorkerStatus
 from tests.proxy import Proxy
 
 TOKEN = "operator-token-for-tests"
@@ -270,3 +272,11 @@
         }
         name = live[owner(pool, list(live))]
         return [entry.name for entry in self.entries].index(name)
+
+    def running(self) -> int:
+        """Return how many tasks the workers run now."""
+        answers = [self.client.get(f"http://{w.address}/status") for w in self.workers]
+        statuses = [
+            msgspec.msgpack.decode(r.content, type=WorkerStatus) for r in answers
+        ]
+        return sum(status.running for status in statuses)
