Refuse new work at an entry that is shutting down

After the grace for balancers, such an entry answers 503 not_run and closes the connection; what is under way is finished.

Adds tests of keys, limits, restarts and drains under faults.

--- a/hickoryplank/shell/api.py
+++ b/hickoryplank/shell/api.py
@@ -81,6 +81,7 @@
         self._clock = clock
         self._keys = KeyIndex()
         self.open_requests = 0
+        self.refusing = False
 
     def routes(self) -> list[Route]:
         """Return the routes under ``/v1``."""
@@ -93,6 +94,8 @@
 
     async def submit(self, req: Request) -> Response:
         """Run one request on a VM of the queue's pool."""
+        if self.refusing:
+            return _stopping()
         self.open_requests += 1
         try:
             return await self._submit(req)
@@ -256,6 +259,12 @@
     return refusal(503, "not run: stale_node", detail, 1.0)
 
 
+def _stopping() -> Response:
+    response = refusal(503, "not run: stopping", "this entry is shutting down", 1.0)
+    response.headers["Connection"] = "close"
+    return response
+
+
 def _key_changed() -> Response:
     return _unauthorized("the key went to another team in the meantime")
 
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -154,6 +154,10 @@
         self._members.leaving = True
         self._members.beat()
 
+    def refuse_work(self) -> None:
+        """Refuse callers' new requests; those under way are finished."""
+        self._api.refusing = True
+
     @property
     def busy(self) -> bool:
         """Whether work is under way that leaving would cut off."""
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -139,6 +139,7 @@
     """Finish what is running, hand over the rest, and leave the table of nodes."""
     node.begin_leaving()
     await anyio.sleep(EDGE_GRACE_SECONDS)
+    node.refuse_work()
     with anyio.move_on_after(DRAIN_SECONDS):
         while node.busy:
             await anyio.sleep(DRAIN_BEAT_SECONDS)
--- /dev/null
+++ b/tests/test_fault_promises.py
@@ -0,0 +1,215 @@
+"""Keys, limits, drains and replacement under faults, over real processes."""
+
+import json
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import httpx
+import pytest
+
+from tests.callers import Caller
+from tests.fleet import Fleet, wait_until
+
+IN_FORCE_SECONDS = 3.0
+LIMIT = 2
+SHORT_WORK = 40
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with Fleet(tmp_path_factory.mktemp("promises")) as running:
+        running.start(workers=4)
+        running.publish(running.objects(budget=2))
+        yield running
+
+
+def make_key(fleet, name):
+    made = fleet.cli("key", "create", name, "rutas", "--wait", "--format", "json")
+    assert made.returncode == 0, made.stderr
+    return json.loads(made.stdout)["secret"]
+
+
+def withdraw(fleet, name, entry):
+    done = fleet.cli("key", "withdraw", name, entry=entry)
+    assert done.returncode in (0, 4), done.stderr
+
+
+def refusals(fleet, secret):
+    """Return the status of each entry's answer to ``secret``."""
+    entries = range(len(fleet.entries))
+    return [fleet.submit(i, "rondas", b"x", secret).status_code for i in entries]
+
+
+def cut(fleet, entry):
+    fleet.proxies[entry].cut()
+
+
+def freeze(fleet, entry):
+    fleet.proxies[entry].freeze()
+
+
+def pause(fleet, entry):
+    fleet.entries[entry].signal(signal.SIGSTOP)
+
+
+def leave_alone(fleet, entry):
+    pass
+
+
+@pytest.mark.parametrize("fault", [leave_alone, cut, freeze, pause])
+def test_withdrawn_key_is_refused_everywhere(fleet, fault):
+    secret = make_key(fleet, f"rutas-{fault.__name__}")
+    assert refusals(fleet, secret) == [200, 200, 200]
+    fault(fleet, 2)
+    withdraw(fleet, f"rutas-{fault.__name__}", entry=0)
+    time.sleep(IN_FORCE_SECONDS)
+    fleet.entries[2].signal(signal.SIGCONT)
+    for _ in range(3):
+        assert set(refusals(fleet, secret)) <= {401, 503}
+    assert refusals(fleet, secret)[:2] == [401, 401]
+    fleet.proxies[2].mend()
+    wait_until(lambda: refusals(fleet, secret) == [401, 401, 401])
+
+
+def test_key_withdrawn_while_a_body_arrives_is_refused(fleet):
+    secret = make_key(fleet, "rutas-slow")
+
+    def body():
+        yield b"first"
+        withdraw(fleet, "rutas-slow", entry=0)
+        time.sleep(IN_FORCE_SECONDS)
+        yield b"last"
+
+    assert fleet.submit(1, "rondas", body(), secret).status_code == 401
+
+
+def test_log_down_for_everybody_keeps_keys_and_work(fleet):
+    secret = make_key(fleet, "rutas-down")
+    fleet.log.fault(outage=True)
+    refused = fleet.cli("key", "withdraw", "rutas-down")
+    assert refused.returncode not in (0, 4), refused.stdout
+    until = time.monotonic() + IN_FORCE_SECONDS
+    while time.monotonic() < until:
+        assert refusals(fleet, secret) == [200, 200, 200]
+    fleet.log.fault(outage=False)
+    withdraw(fleet, "rutas-down", entry=1)
+    time.sleep(IN_FORCE_SECONDS)
+    assert refusals(fleet, secret) == [401, 401, 401]
+
+
+def test_accepted_set_does_not_revert_after_restarts(fleet):
+    secret = make_key(fleet, "rutas-kept")
+    withdraw(fleet, "rutas-kept", entry=0)
+    for i, entry in enumerate(fleet.entries):
+        entry.kill()
+        fleet.replace(i)
+    seen = set()
+    for i, entry in enumerate(fleet.entries):
+        wait_until(lambda e=entry: fleet.is_ready(e), what=entry.name)
+        seen.add(fleet.submit(i, "rondas", b"x", secret).status_code)
+    assert seen == {401}
+
+
+def work(fleet, first, name):
+    """Submit short work through one entry after the other until one answers."""
+    body = json.dumps({"effect": name, "seconds": 0.2}).encode()
+    for turn in range(first, first + 100):
+        try:
+            entry = turn % len(fleet.entries)
+            res = fleet.submit(entry, "rondas", body, timeout=30.0)
+        except httpx.ConnectError:
+            continue
+        if res.status_code != 503:
+            return res
+        assert res.json()["outcome"] == "not_run"
+        time.sleep(0.05)
+    return res
+
+
+def test_upper_limit_holds_while_an_entry_is_killed(fleet):
+    fleet.publish(fleet.objects(budget=2, limit=LIMIT))
+    most, done = 0, threading.Event()
+
+    def watch():
+        nonlocal most
+        while not done.wait(0.02):
+            most = max(most, fleet.running())
+
+    with ThreadPoolExecutor(SHORT_WORK + 1) as pool:
+        watching = pool.submit(watch)
+        running = [
+            pool.submit(submit_anyhow, fleet, i, f"limit-{i}")
+            for i in range(SHORT_WORK)
+        ]
+        time.sleep(1.0)
+        fleet.entries[1].kill()
+        outcomes = [future.result() for future in running]
+        done.set()
+        watching.result()
+    fleet.replace(1)
+    fleet.wait_ready()
+    fleet.publish(fleet.objects(budget=2))
+    effects = fleet.effects()
+    assert 0 < most <= LIMIT
+    for i, outcome in enumerate(outcomes):
+        assert outcome in ("completed", "not_run", "broken"), (i, outcome)
+        assert outcome == "broken" or effects[f"limit-{i}"] == (outcome == "completed")
+
+
+def submit_anyhow(fleet, i, name):
+    body = json.dumps({"effect": name, "seconds": 0.2}).encode()
+    try:
+        res = fleet.submit(i % 3, "rondas", body, Prefer="wait=20")
+    except httpx.HTTPError:
+        return "broken" if i % 3 == 1 else "broken by a live entry"
+    return res.headers["hickoryplank-outcome"]
+
+
+def test_rolling_replacement_breaks_no_request(fleet):
+    stop = threading.Event()
+
+    def load(i):
+        answers = []
+        while not stop.is_set():
+            answers.append(work(fleet, i, f"rolling-{i}").status_code)
+        return answers
+
+    with ThreadPoolExecutor(8) as pool:
+        loads = [pool.submit(load, i) for i in range(8)]
+        try:
+            for i, entry in enumerate(fleet.entries):
+                assert entry.stop() == 0
+                fleet.replace(i)
+                fleet.wait_ready()
+        finally:
+            stop.set()
+        assert {status for future in loads for status in future.result()} == {200}
+
+
+def test_drained_vm_gets_no_new_work_and_comes_back(fleet):
+    def state():
+        out = fleet.status()["out_of_service"]
+        return {row["vm"]: row["state"] for row in out}.get("vm-0", "active")
+
+    worker = fleet.workers[0]
+
+    def started():
+        return len(
+            fleet.client.get(f"http://{worker.address}/effects").json()["did"]["starts"]
+        )
+
+    callers = [Caller(fleet, "cierre", f"drain-{i}", 4.0) for i in range(8)]
+    assert {c.post(i % 3).status_code for i, c in enumerate(callers)} == {202}
+    assert fleet.cli("drain", "vm-0").returncode in (0, 4)
+    time.sleep(IN_FORCE_SECONDS)
+    before = started()
+    with ThreadPoolExecutor(12) as pool:
+        list(pool.map(lambda i: work(fleet, i, f"drained-{i}"), range(24)))
+    assert started() == before
+    wait_until(lambda: state() == "drained", what="the drain")
+    wait_until(lambda: all(c.state(0) == "done" for c in callers), what="the batches")
+    assert {fleet.effects()[c.name] for c in callers} == {1}
+    assert fleet.cli("undrain", "vm-0").returncode in (0, 4)
+    wait_until(lambda: state() == "active", what="the VM")
