--- a/hickoryplank/shell/api.py
+++ b/hickoryplank/shell/api.py
@@ -88,6 +88,7 @@
         self._clock = clock
         self._keys = KeyIndex()
         self.open_requests = 0
+        self.refusing = False
 
     def routes(self) -> list[Route]:
         """Return the routes under ``/v1``."""
@@ -100,6 +101,8 @@
 
     async def submit(self, req: Request) -> Response:
         """Run one request on a VM of the queue's pool."""
+        if self.refusing:
+            return _stopping()
         self.open_requests += 1
         try:
             return await self._submit(req)
@@ -108,8 +111,7 @@
 
     async def _submit(self, req: Request) -> Response:
         if not self._replica.freshness.is_fresh(self._clock.now()):
-            detail = "this node has lost touch with the configuration"
-            return refusal(503, "not run: stale_node", detail, 1.0)
+            return _stale()
         queue = find_queue(self._replica.tables, req.path_params["queue"])
         if queue is None:
             return refusal(404, "there is no such queue")
@@ -119,6 +121,11 @@
         body = await self._read_body(req)
         if body.is_err():
             return body.unwrap_err()
+        if not self._replica.freshness.is_fresh(self._clock.now()):
+            return _stale()
+        admitted = self._admit(req, queue)
+        if admitted != team:
+            return admitted if isinstance(admitted, Response) else _key_changed()
         work = self._work_request(req, queue, team, body.unwrap())
         if work.is_err():
             return work.unwrap_err()
@@ -173,7 +180,7 @@
         task = task_of(claim) if claim else TaskId(unique)
         return Ok(
             WorkRequest(
-                id=RequestId(task) if durable else RequestId(unique),
+                id=RequestId(unique),
                 task=task,
                 queue=queue.name,
                 team=team,
@@ -257,6 +264,21 @@
     return secret.strip() if scheme.lower() == "bearer" else None
 
 
+def _stale() -> Response:
+    detail = "this node has lost touch with the configuration"
+    return refusal(503, "not run: stale_node", detail, 1.0)
+
+
+def _stopping() -> Response:
+    response = refusal(503, "not run: stopping", "this entry is shutting down", 1.0)
+    response.headers["Connection"] = "close"
+    return response
+
+
+def _key_changed() -> Response:
+    return _unauthorized("the key went to another team in the meantime")
+
+
 def _unauthorized(detail: str) -> Response:
     response = refusal(401, "no valid key", detail)
     response.headers["WWW-Authenticate"] = "Bearer"
--- a/hickoryplank/shell/attempts.py
+++ b/hickoryplank/shell/attempts.py
@@ -20,7 +20,7 @@
 from hickoryplank.shell.telemetry import Hop, Telemetry
 from hickoryplank.shell.workers import LEASE_SECONDS, WorkerPool
 
-__all__ = ["Attempts", "completed"]
+__all__ = ["Attempts", "completed", "withdrawn"]
 
 logger = logging.getLogger(__name__)
 
@@ -36,6 +36,11 @@
     )
 
 
+def withdrawn() -> Failed:
+    """Return the answer to a request that its caller no longer waits for."""
+    return Failed(detail="the request was withdrawn")
+
+
 class Attempts:
     """Runs attempts and tells the table of endpoints how they ended."""
 
@@ -116,6 +121,8 @@
         known = await self._workers.clock_of(worker, vm)
         if known.is_err():
             return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
+        if job.cancelled:
+            return RunResult.STOPPED, Closed(withdrawn())
         now = self._clock.now()
         fresh = self._replica.freshness.fresh_until() - now
         start = Start(
@@ -160,6 +167,7 @@
                 result = RunResult.SILENT if refusal is None else RunResult.STOPPED
                 return result, Again(RETRY_PAUSE_SECONDS)
             case Err(StartLost()):
+                job.may_have_run = True
                 self._workers.forget(vm)
                 job.avoided.add(vm)
                 return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
--- a/hickoryplank/shell/jobs.py
+++ b/hickoryplank/shell/jobs.py
@@ -20,6 +20,9 @@
 
     :param deadline: when the caller gives up, on this node's clock in seconds.
     :param preempted: whether the running attempt was told to make room.
+    :param cancelled: whether nobody waits for the answer any more.
+    :param may_have_run: whether an attempt of idempotent work was lost after it
+        was sent.
     :param proof: why the attempt before the next one did not run.
     :param pinned: the only VM that the next attempt may run on.
     :param queued: when it was last queued, on this node's clock in seconds.
@@ -36,6 +39,8 @@
     queued: float = 0.0
     traceparent: str = ""
     preempted: bool = False
+    cancelled: bool = False
+    may_have_run: bool = False
     proof: Proof | None = None
     pinned: VmId | None = None
     attempts: int = 0
