--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -134,11 +134,13 @@
         :param seconds: how long the workers take for a request.
         """
         self.log = self.standin("log", "log")
-        self.vms = self.standin("vms", "vms")
         for i in range(workers):
             args = ("--vm", f"vm-{i}", "--slots", str(slots))
             args += ("--seconds", str(seconds))
             self.workers.append(self.standin("worker", f"worker-{i}", *args))
+        listed = [f"vm-{i}={w.address}" for i, w in enumerate(self.workers)]
+        options = [word for vm in listed for word in ("--vm", vm)]
+        self.vms = self.standin("vms", "vms", *options)
         for i in range(entries):
             self.add_entry(i)
         self.wait_ready()
