Bound the traffic of running counts; leave no unit free while work runs on

Cause: each change was broadcast with all teams, up to 32.8 KB/s worked out at 110 teams; a node that left after 60 s of draining freed units of work that was still under way; [limits] queue_length and [peers] seeds had no effect. Ruled out: a fixed longer interval, which would make small deployments slow.

--- a/hickoryplank/core/messages.py
+++ b/hickoryplank/core/messages.py
@@ -37,9 +37,14 @@
 
 
 class Running(msgspec.Struct, frozen=True, tag="run", array_like=True):
-    """How much the sender runs for each team whose count changed."""
+    """How much the sender runs for each team.
+
+    :param whole: whether teams that are not named run nothing; else they run
+        what they did.
+    """
 
     counts: dict[TeamId, int]
+    whole: bool
 
 
 class Demands(msgspec.Struct, frozen=True, tag="dem", array_like=True):
--- a/hickoryplank/settings.py
+++ b/hickoryplank/settings.py
@@ -16,7 +16,6 @@
     "MaintenanceSettings",
     "MoveSettings",
     "NodeSettings",
-    "PeerSettings",
     "PlatformSettings",
     "Secret",
     "SecuritySettings",
@@ -89,12 +88,6 @@
     ca_file: str | None = None
 
 
-class PeerSettings(msgspec.Struct, frozen=True):
-    """Peer addresses to try first; the log names the others."""
-
-    seeds: tuple[str, ...] = ()
-
-
 class SecuritySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Secrets and certificates.
 
@@ -176,7 +169,6 @@
 
     node: NodeSettings
     platform: PlatformSettings
-    peers: PeerSettings
     security: SecuritySettings
     limits: LimitSettings
     log: LogSettings
--- a/hickoryplank/settings_file.py
+++ b/hickoryplank/settings_file.py
@@ -17,7 +17,6 @@
     MaintenanceSettings,
     MoveSettings,
     NodeSettings,
-    PeerSettings,
     PlatformSettings,
     Secret,
     SecuritySettings,
@@ -51,7 +50,6 @@
 _SECTIONS: dict[str, type[msgspec.Struct]] = {
     "node": NodeSettings,
     "platform": PlatformSettings,
-    "peers": PeerSettings,
     "security": _SecuritySection,
     "limits": LimitSettings,
     "log": LogSettings,
@@ -113,12 +111,6 @@
             return _check_node(value, file)
         case PlatformSettings():
             found = _check_urls(value, file)
-        case PeerSettings(seeds=seeds):
-            found = [
-                IniFault(file, header, "seeds", _must_be_address(seed))
-                for seed in seeds
-                if not _is_address(seed)
-            ]
         case MoveSettings(fill=fill) if not 0 < fill <= 1:
             found = [IniFault(file, header, "fill", "must be above 0 and up to 1")]
         case LogSettings(trace_ratio=ratio) if not 0 <= ratio <= 1:
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -19,7 +19,8 @@
     RunningTask,
     Stop,
 )
-from hickoryplank.core.queues import WorkQueues
+from hickoryplank.core.queues import DEFAULT_BOUNDS, Bounds, WorkQueues
+from hickoryplank.core.running import merge_running
 from hickoryplank.core.shares import TeamDemand, entitlements
 from hickoryplank.core.tables import Tables, VmRow
 from hickoryplank.core.work import Failed, NotRun, NotRunReason, Unknown, WorkAnswer
@@ -51,6 +52,7 @@
         escrow: Escrow,
         attempts: Attempts,
         clock: Clock,
+        bounds: Bounds = DEFAULT_BOUNDS,
         telemetry: Telemetry | None = None,
     ):
         self._telemetry = telemetry or Telemetry()
@@ -58,7 +60,7 @@
         self._escrow = escrow
         self._attempts = attempts
         self._clock = clock
-        self._queues = WorkQueues()
+        self._queues = WorkQueues(bounds)
         self._jobs: dict[RequestId, Job] = {}
         self._runs: dict[TaskId, Run] = {}
         self._preemption = Preemption()
@@ -70,11 +72,12 @@
         self._wake = anyio.Event()
         self.endpoints = EndpointTable()
         self.running: Counter[TeamId] = Counter()
-        self._peers_running: dict[Incarnation, Running] = {}
+        self._peers_running: dict[Incarnation, dict[TeamId, int]] = {}
 
     def note_running(self, peer: Incarnation, running: Running) -> None:
         """Note how much a peer runs for each team."""
-        self._peers_running[peer] = running
+        known = self._peers_running.get(peer, {})
+        self._peers_running[peer] = merge_running(known, running)
 
     def waiting(self) -> Counter[TeamId]:
         """Return how much work of each team waits here."""
@@ -340,9 +343,9 @@
 
     def _all_running(self) -> dict[TeamId, int]:
         total = Counter(self.running)
-        for peer, running in self._peers_running.items():
+        for peer, counts in self._peers_running.items():
             if self._replica.tables.is_live(peer):
-                total.update(running.counts)
+                total.update(counts)
         return total
 
     def _follow_vms(self) -> None:
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -12,7 +12,7 @@
 
 from hickoryplank.core.escrow import Escrow
 from hickoryplank.core.fold import Verdict
-from hickoryplank.core.ids import NodeId, TeamId
+from hickoryplank.core.ids import NodeId
 from hickoryplank.core.maintenance import MaintenancePolicy
 from hickoryplank.core.messages import (
     Accepted,
@@ -28,7 +28,9 @@
     UnitsAsked,
 )
 from hickoryplank.core.moves import MovePolicy
+from hickoryplank.core.queues import Bounds
 from hickoryplank.core.records import EditSet, Record
+from hickoryplank.core.running import RunningTeller
 from hickoryplank.platform.log import Log
 from hickoryplank.platform.vmlist import VmList
 from hickoryplank.platform.worker import Workers
@@ -95,7 +97,10 @@
         self._claims = Claims(replica, self._workers, group, clock)
         escrow = Escrow(replica.incarnation, new_record_id)
         attempts = Attempts(replica, self._workers, self._claims, clock, telemetry)
-        self._dispatcher = Dispatcher(replica, escrow, attempts, clock, telemetry)
+        bounds = Bounds(cfg.limits.queue_length, cfg.limits.queue_length)
+        self._dispatcher = Dispatcher(
+            replica, escrow, attempts, clock, bounds, telemetry
+        )
         self._units = UnitsKeeper(
             escrow, replica, self._peers, self._dispatcher.waiting, group, clock
         )
@@ -150,7 +155,7 @@
         self._history = History()
         self._edited = anyio.Event()
         self._moves_enabled = cfg.moves.enabled
-        self._told: dict[TeamId, int] = {}
+        self._teller = RunningTeller()
         replica.subscribe(self._note_record)
         self.app = self._make_app(cfg)
 
@@ -231,11 +236,11 @@
             self._edited = anyio.Event()
 
     def _tell_running(self) -> None:
-        """Tell peers what runs here, if that has changed."""
         counts = {team: n for team, n in self._dispatcher.running.items() if n}
-        if counts != self._told:
-            self._told = counts
-            self._peers.broadcast(Running(counts))
+        peers = len(self._replica.others())
+        running = self._teller.tell(counts, peers, self._clock.now())
+        if running is not None:
+            self._peers.broadcast(running)
 
     def _note_record(self, record: Record, verdict: Verdict) -> None:
         self._history.note(record, verdict, self._replica.offset - 1, time.time())
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -156,6 +156,9 @@
     stop.set()
     with anyio.move_on_after(LEAVE_SECONDS):
         await stopped.wait()
+    if node.busy:
+        logger.warning("stopped with work under way; its units stay taken")
+        return
     record = NodeLeft(
         id=new_record_id(), node=node.name, incarnation=replica.incarnation
     )
