Keep a unit taken while a lost attempt may still run on its worker

Cause, found by reading: after a lost answer or an unconfirmed stop the unit was free at once, though the worker may go on under the lease, so a team could run more than its limit. A preemption was shared by all pools, and a claim whose worker still ran it was given up as unknown after 30 s. Ruled out: asking the worker to stop first; it cannot be reached in this case. Before: the new test tests/shell/test_dispatcher.py started a second request while the first might run; after: it is refused as not run. The lease of 6 s and 1 s for a late start bound the wait. The rolling replacement broke one connection on the busy machine; a leaving node now goes on refusing for 1 s before it closes.

--- a/hickoryplank/shell/attempts.py
+++ b/hickoryplank/shell/attempts.py
@@ -18,7 +18,7 @@
 from hickoryplank.shell.jobs import Again, Closed, Job, Step
 from hickoryplank.shell.replica import Replica
 from hickoryplank.shell.telemetry import Hop, Telemetry
-from hickoryplank.shell.workers import LEASE_SECONDS, WorkerPool
+from hickoryplank.shell.workers import LEASE_SECONDS, LINGER_SECONDS, WorkerPool
 
 __all__ = ["Attempts", "completed", "withdrawn"]
 
@@ -142,14 +142,17 @@
             if not isinstance(answer.err(), StartLost):
                 freshness.close_start(start.task)
             return self._read(job, vm, answer)
-        await self._stop(worker, job)
+        if not await self._stop(worker, job):
+            job.linger = LINGER_SECONDS
         return RunResult.STOPPED, Closed(
             Failed(detail="no answer came before the deadline")
         )
 
-    async def _stop(self, worker: Worker, job: Job) -> None:
+    async def _stop(self, worker: Worker, job: Job) -> bool:
+        """Stop a task, and return whether the worker has confirmed it."""
         with anyio.move_on_after(START_SECONDS):
-            await worker.stop(job.request.task)
+            return (await worker.stop(job.request.task)).is_ok()
+        return False
 
     def _read(
         self, job: Job, vm: VmId, answer: Ok[Answer] | Err[StartFailure | StartLost]
@@ -168,6 +171,7 @@
                 return result, Again(RETRY_PAUSE_SECONDS)
             case Err(StartLost()):
                 job.may_have_run = True
+                job.linger = LINGER_SECONDS
                 self._workers.forget(vm)
                 job.avoided.add(vm)
                 return RunResult.SILENT, Again(RETRY_PAUSE_SECONDS)
--- a/hickoryplank/shell/claimed_runs.py
+++ b/hickoryplank/shell/claimed_runs.py
@@ -32,7 +32,12 @@
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.jobs import Again, Closed, Job, Step
 from hickoryplank.shell.replica import Replica, new_record_id
-from hickoryplank.shell.workers import LEASE_SECONDS, WorkerClock, WorkerPool
+from hickoryplank.shell.workers import (
+    LEASE_SECONDS,
+    LINGER_SECONDS,
+    WorkerClock,
+    WorkerPool,
+)
 
 __all__ = ["ClaimedRuns"]
 
@@ -149,6 +154,7 @@
             case _ if job.queue.idempotent:
                 self._workers.forget(vm)
                 job.proof = Proof.IDEMPOTENT
+                job.linger = 0.0 if job.preempted else LINGER_SECONDS
                 result = RunResult.STOPPED if job.preempted else RunResult.SILENT
                 job.preempted = False
                 return result, Again(RETRY_PAUSE_SECONDS)
@@ -199,8 +205,11 @@
             step = None
             if found.is_ok():
                 step = self._read_report(job, vm, sent, found.unwrap())
-                if renew and found.unwrap().state is TaskState.RUNNING:
-                    await worker.renew(job.request.task, sent.attempt, LEASE_SECONDS)
+                if found.unwrap().state is TaskState.RUNNING:
+                    until = self._clock.now() + RESOLVE_SECONDS
+                    if renew:
+                        task = job.request.task
+                        await worker.renew(task, sent.attempt, LEASE_SECONDS)
             if step is not None:
                 return step
             await anyio.sleep(FIND_PAUSE_SECONDS)
--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -63,7 +63,8 @@
         self._queues = WorkQueues(bounds)
         self._jobs: dict[RequestId, Job] = {}
         self._runs: dict[TaskId, Run] = {}
-        self._preemption = Preemption()
+        self._preemptions: dict[PoolId, Preemption] = {}
+        self._lingering = 0
         self._shares: dict[TeamId, float] = {}
         self._shares_revision = -1
         self._pools: Counter[PoolId] = Counter()
@@ -119,8 +120,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether any job waits or runs here."""
-        return bool(self._jobs)
+        """Whether any job waits here, or any work may still run."""
+        return bool(self._jobs) or self._lingering > 0
 
     async def serve(self) -> None:
         """Start jobs as units and slots come free, until cancelled."""
@@ -249,13 +250,15 @@
         free = sum(_free(row, now) for row in self.endpoints.members(pool))
         due = self.due()
         tasks = [_running_task(run) for run in runs]
-        for decision in self._preemption.decide(
-            demands, tasks, free, running, due, now
-        ):
+        preemption = self._preemption(pool)
+        for decision in preemption.decide(demands, tasks, free, running, due, now):
             run = self._runs.get(decision.task)
             if run is not None and isinstance(decision, Checkpoint | Stop):
                 self._preempt(run)
 
+    def _preemption(self, pool: PoolId) -> Preemption:
+        return self._preemptions.setdefault(pool, Preemption())
+
     def _demands(self, pool: PoolId) -> Iterator[Demand]:
         for work_class in WorkClass:
             waiting = self._queues.waiting(pool, work_class)
@@ -315,10 +318,8 @@
             step = Closed(_broken(job))
         finally:
             self._runs.pop(job.request.task, None)
-            self._preemption.note_finish(job.request.task)
-            self.running[job.request.team] -= 1
-            self._escrow.finish(job.request.team)
-            self.wake()
+            self._preemption(job.queue.pool).note_finish(job.request.task)
+            self._release(job)
         match step:
             case Closed(answer):
                 self._close(job, answer)
@@ -326,6 +327,25 @@
                 await anyio.sleep(pause)
                 self._try_again(job)
 
+    def _release(self, job: Job) -> None:
+        """Free the unit of an attempt, once its work can run no more."""
+        linger, job.linger = job.linger, 0.0
+        if linger > 0:
+            self._lingering += 1
+            self._group.start_soon(self._release_later, job.request.team, linger)
+        else:
+            self._free_unit(job.request.team)
+
+    async def _release_later(self, team: TeamId, linger: float) -> None:
+        await anyio.sleep(linger)
+        self._lingering -= 1
+        self._free_unit(team)
+
+    def _free_unit(self, team: TeamId) -> None:
+        self.running[team] -= 1
+        self._escrow.finish(team)
+        self.wake()
+
     def _try_again(self, job: Job) -> None:
         if job.cancelled:
             self._close(job, withdrawn())
--- a/hickoryplank/shell/jobs.py
+++ b/hickoryplank/shell/jobs.py
@@ -24,6 +24,8 @@
     :param may_have_run: whether an attempt of idempotent work was lost after it
         was sent.
     :param proof: why the attempt before the next one did not run.
+    :param linger: seconds for which the attempt that just ended may still run on
+        its worker, so that its unit stays taken.
     :param pinned: the only VM that the next attempt may run on.
     :param queued: when it was last queued, on this node's clock in seconds.
     :param traceparent: the trace context of the running attempt.
@@ -44,6 +46,7 @@
     proof: Proof | None = None
     pinned: VmId | None = None
     attempts: int = 0
+    linger: float = 0.0
     avoided: set[VmId] = field(default_factory=set)
     answer: WorkAnswer | None = None
     scope: anyio.CancelScope | None = None
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -33,6 +33,7 @@
 JOIN_PAUSE_SECONDS = 0.2
 LEAVE_SECONDS = 5.0
 EDGE_GRACE_SECONDS = 1.0
+REFUSE_SECONDS = 1.0
 DRAIN_SECONDS = 60.0
 DRAIN_BEAT_SECONDS = 0.05
 READ_TIMEOUT_SECONDS = 5.0
@@ -150,6 +151,7 @@
     node.begin_leaving()
     await anyio.sleep(EDGE_GRACE_SECONDS)
     node.refuse_work()
+    await anyio.sleep(REFUSE_SECONDS)
     with anyio.move_on_after(DRAIN_SECONDS):
         while node.busy:
             await anyio.sleep(DRAIN_BEAT_SECONDS)
--- a/hickoryplank/shell/workers.py
+++ b/hickoryplank/shell/workers.py
@@ -12,12 +12,13 @@
 from hickoryplank.platform.worker import Answer, Start, Worker, Workers
 from hickoryplank.shell.clock import Clock
 
-__all__ = ["LEASE_SECONDS", "WorkerClock", "WorkerPool"]
+__all__ = ["LEASE_SECONDS", "LINGER_SECONDS", "WorkerClock", "WorkerPool"]
 
 logger = logging.getLogger(__name__)
 
 LEASE_SECONDS = 6.0
 RENEW_SECONDS = 2.0
+LINGER_SECONDS = LEASE_SECONDS + 1.0
 STATUS_SECONDS = 30.0
 
 
--- /dev/null
+++ b/tests/shell/test_dispatcher.py
@@ -0,0 +1,74 @@
+"""Tests of the dispatcher: units stay taken while work may still run."""
+
+import anyio
+import pytest
+
+from hickoryplank.core.escrow import Escrow
+from hickoryplank.core.objects import WorkClass
+from hickoryplank.core.records import Put, UnitsTaken
+from hickoryplank.core.work import Completed, NotRun, WorkRequest
+from hickoryplank.platform.log_memory import MemoryLog
+from hickoryplank.shell.clock import MonotonicClock
+from hickoryplank.shell.dispatcher import Dispatcher
+from hickoryplank.shell.jobs import Closed, Job
+from hickoryplank.shell.replica import new_record_id
+from tests.core.build import edit_set, small_fleet
+from tests.shell.test_replica import joined
+
+pytestmark = pytest.mark.anyio
+
+DONE = Completed(status=200, content_type="", body=b"whole")
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class InstantAttempts:
+    """Attempts that end at once, with work that may go on for ``linger`` s."""
+
+    def __init__(self, linger: float):
+        self._linger = linger
+
+    async def run(self, job, vm, endpoints):
+        job.linger = self._linger
+        return Closed(DONE)
+
+
+def job_of(queue, number: int) -> Job:
+    request = WorkRequest(
+        id=f"request-{number}",
+        task=f"task-{number}",
+        queue=queue.name,
+        team="rutas",
+        patience=1.0,
+    )
+    now = MonotonicClock().now()
+    return Job(request, queue, now, now + 1.0)
+
+
+@pytest.mark.parametrize(
+    ("linger", "second"), [(0.0, Completed), (0.2, Completed), (30.0, NotRun)]
+)
+async def test_unit_of_work_that_may_go_on_is_not_used_again(linger, second):
+    queue = next(o for o in small_fleet() if getattr(o, "work_class", None))
+    assert queue.work_class is WorkClass.URGENT
+    async with joined(MemoryLog(), "entry-1") as (replica, _):
+        edits = [Put(obj) for obj in small_fleet(limit=1)]
+        (await replica.submit(edit_set(replica.tables, *edits))).unwrap()
+        me = replica.incarnation
+        taken = UnitsTaken(id=new_record_id(), team="rutas", holder=me, units=1)
+        (await replica.submit(taken)).unwrap()
+        escrow = Escrow(me, new_record_id)
+        attempts = InstantAttempts(linger)
+        dispatcher = Dispatcher(replica, escrow, attempts, MonotonicClock())
+        async with anyio.create_task_group() as group:
+            group.start_soon(dispatcher.serve)
+            for number, kind in ((1, Completed), (2, second)):
+                job = job_of(queue, number)
+                dispatcher.submit(job)
+                await job.done.wait()
+                assert isinstance(job.answer, kind)
+            assert dispatcher.busy is (linger > 0)
+            group.cancel_scope.cancel()
