Reckon reclaim and lingering units from the freshness that bounds a start

Cause: a start is bounded by 2 s of freshness, not 1 s, so the wait for a lost attempt was 1 s short, and that for a gone node had no margin.

--- a/hickoryplank/shell/upkeep.py
+++ b/hickoryplank/shell/upkeep.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 from result import Err, Ok
 
+from hickoryplank.core.freshness import FRESH_SECONDS
 from hickoryplank.core.ids import Incarnation, PoolId, Revision, VmId
 from hickoryplank.core.maintenance import (
     MaintenancePolicy,
@@ -43,7 +44,7 @@
 INQUIRIES_A_BEAT = 5
 LIST_SECONDS = 2.0
 RETRY_SECONDS = 2.0
-RECLAIM_SECONDS = LEASE_SECONDS + 2.0
+RECLAIM_SECONDS = LEASE_SECONDS + FRESH_SECONDS + 1.0
 FORGET_SECONDS = 60.0
 UPKEEP = PoolId("upkeep")
 
--- a/hickoryplank/shell/workers.py
+++ b/hickoryplank/shell/workers.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from hickoryplank.core.freshness import FRESH_SECONDS
 from hickoryplank.core.ids import TaskId, VmId
 from hickoryplank.core.tables import Tables
 from hickoryplank.platform.errors import StartFailure, StartLost, WorkerFailure
@@ -18,7 +19,7 @@
 
 LEASE_SECONDS = 6.0
 RENEW_SECONDS = 2.0
-LINGER_SECONDS = LEASE_SECONDS + 1.0
+LINGER_SECONDS = LEASE_SECONDS + FRESH_SECONDS
 STATUS_SECONDS = 30.0
 
 
