--- a/hickoryplank/shell/clock.py
+++ b/hickoryplank/shell/clock.py
@@ -3,7 +3,7 @@
 import time
 from abc import ABC, abstractmethod
 
-__all__ = ["Clock", "ManualClock", "MonotonicClock"]
+__all__ = ["Clock", "MonotonicClock"]
 
 
 class Clock(ABC):
@@ -23,14 +23,3 @@
     def now(self) -> float:
         """Return the reading in seconds."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-class ManualClock(Clock):
-    """A clock that stands until it is moved."""
-
-    def __init__(self, reading: float = 0.0):
-        self.reading = reading
-
-    def now(self) -> float:
-        """Return the reading in seconds."""
-        return self.reading
--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -87,7 +87,6 @@
         self._entries: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
         self.freshness = Freshness()
         self.incarnation = Incarnation(0)
-        self.reading = False
 
     @property
     def tables(self) -> Tables:
@@ -131,7 +130,6 @@
                 case Ok(page):
                     self._take_page(page, sent_at)
                 case Err(failure):
-                    self.reading = False
                     if isinstance(failure, Trimmed):
                         logger.warning("the log starts at %d only", failure.first)
                         self._trimmed.set()
@@ -139,7 +137,6 @@
 
     def _take_page(self, page: Page, sent_at: float) -> None:
         self.fold_entries(page.entries)
-        self.reading = True
         if self.offset >= page.tail:
             self.freshness.note_tail_read(sent_at, self.offset)
 
