--- a/hickoryplank/core/escrow.py
+++ b/hickoryplank/core/escrow.py
@@ -235,6 +235,14 @@
         if isinstance(record, UnitsRecord):
             self._team(record.team).pending.pop(record.id, None)
 
+    def unsettled(self) -> list[UnitsRecord]:
+        """Return the records not folded yet, which may be appended again."""
+        return [
+            record
+            for state in self._teams.values()
+            for record in state.pending.values()
+        ]
+
     def teams(self) -> Collection[TeamId]:
         """Return the teams that the node has had to do with."""
         return self._teams.keys()
