--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from benchmarks.figure import Figure
-from hickoryplank.platform import wire
+from hickoryplank.external import wire
 from tests.fleet import KEY, Fleet, Program
 from tests.load import HIGH, MEDIAN, percentile
 
--- a/hickoryplank/platform/channel.py
+++ b/hickoryplank/external/channel.py
@@ -17,7 +17,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from hickoryplank.platform import wire
+from hickoryplank.external import wire
 
 __all__ = [
     "CallError",
--- a/hickoryplank/platform/faults.py
+++ b/hickoryplank/external/faults.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hickoryplank.platform.errors import RefusedStart
+from hickoryplank.external.errors import RefusedStart
 
 __all__ = ["LogFaults", "VmListFaults", "WorkerFaults"]
 
--- a/hickoryplank/platform/log.py
+++ b/hickoryplank/external/log.py
@@ -5,7 +5,7 @@
 import msgspec
 from result import Result
 
-from hickoryplank.platform.errors import LogFailure, Trimmed
+from hickoryplank.external.errors import LogFailure, Trimmed
 
 __all__ = ["Entry", "Log", "Page"]
 
--- a/hickoryplank/platform/log_http.py
+++ b/hickoryplank/external/log_http.py
@@ -6,16 +6,16 @@
 import msgspec
 from result import Err, Ok, Result
 
-from hickoryplank.platform import wire
-from hickoryplank.platform.channel import (
+from hickoryplank.external import wire
+from hickoryplank.external.channel import (
     CallError,
     CallFailure,
     Channel,
     ChannelOptions,
     Reply,
 )
-from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
-from hickoryplank.platform.log import Log, Page
+from hickoryplank.external.errors import LogError, LogFailure, Trimmed
+from hickoryplank.external.log import Log, Page
 
 __all__ = ["HttpLog"]
 
--- a/hickoryplank/platform/log_memory.py
+++ b/hickoryplank/external/log_memory.py
@@ -8,9 +8,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
-from hickoryplank.platform.faults import LogFaults
-from hickoryplank.platform.log import Entry, Log, Page
+from hickoryplank.external.errors import LogError, LogFailure, Trimmed
+from hickoryplank.external.faults import LogFaults
+from hickoryplank.external.log import Entry, Log, Page
 
 __all__ = ["MemoryLog"]
 
--- a/hickoryplank/platform/vmlist.py
+++ b/hickoryplank/external/vmlist.py
@@ -7,7 +7,7 @@
 from result import Result
 
 from hickoryplank.core.ids import VmId
-from hickoryplank.platform.errors import VmListFailure
+from hickoryplank.external.errors import VmListFailure
 
 __all__ = ["ListedState", "ListedVm", "VmList"]
 
--- a/hickoryplank/platform/vmlist_http.py
+++ b/hickoryplank/external/vmlist_http.py
@@ -6,10 +6,10 @@
 from result import Err, Ok, Result
 
 from hickoryplank.core.ids import VmId
-from hickoryplank.platform import wire
-from hickoryplank.platform.channel import Channel, ChannelOptions, Reply
-from hickoryplank.platform.errors import VmListFailure
-from hickoryplank.platform.vmlist import ListedVm, VmList
+from hickoryplank.external import wire
+from hickoryplank.external.channel import Channel, ChannelOptions, Reply
+from hickoryplank.external.errors import VmListFailure
+from hickoryplank.external.vmlist import ListedVm, VmList
 
 __all__ = ["HttpVmList"]
 
--- a/hickoryplank/platform/vmlist_memory.py
+++ b/hickoryplank/external/vmlist_memory.py
@@ -7,9 +7,9 @@
 from result import Err, Ok, Result
 
 from hickoryplank.core.ids import VmId
-from hickoryplank.platform.errors import VmListFailure
-from hickoryplank.platform.faults import VmListFaults
-from hickoryplank.platform.vmlist import ListedState, ListedVm, VmList
+from hickoryplank.external.errors import VmListFailure
+from hickoryplank.external.faults import VmListFaults
+from hickoryplank.external.vmlist import ListedState, ListedVm, VmList
 
 __all__ = ["MemoryVmList"]
 
--- a/hickoryplank/platform/worker.py
+++ b/hickoryplank/external/worker.py
@@ -7,7 +7,7 @@
 from result import Result
 
 from hickoryplank.core.ids import TaskId
-from hickoryplank.platform.errors import StartFailure, StartLost, WorkerFailure
+from hickoryplank.external.errors import StartFailure, StartLost, WorkerFailure
 
 __all__ = [
     "Answer",
--- a/hickoryplank/platform/worker_engine.py
+++ b/hickoryplank/external/worker_engine.py
@@ -16,9 +16,9 @@
 import msgspec
 
 from hickoryplank.core.ids import TaskId
-from hickoryplank.platform.errors import RefusedStart
-from hickoryplank.platform.faults import WorkerFaults
-from hickoryplank.platform.worker import (
+from hickoryplank.external.errors import RefusedStart
+from hickoryplank.external.faults import WorkerFaults
+from hickoryplank.external.worker import (
     Answer,
     Start,
     TaskReport,
--- a/hickoryplank/platform/worker_http.py
+++ b/hickoryplank/external/worker_http.py
@@ -10,8 +10,8 @@
 from result import Err, Ok, Result
 
 from hickoryplank.core.ids import TaskId
-from hickoryplank.platform import wire
-from hickoryplank.platform.channel import (
+from hickoryplank.external import wire
+from hickoryplank.external.channel import (
     CallError,
     CallFailure,
     Channel,
@@ -19,13 +19,13 @@
     Reply,
     make_tls_context,
 )
-from hickoryplank.platform.errors import (
+from hickoryplank.external.errors import (
     RefusedStart,
     StartFailure,
     StartLost,
     WorkerFailure,
 )
-from hickoryplank.platform.worker import (
+from hickoryplank.external.worker import (
     Answer,
     Start,
     TaskReport,
--- a/hickoryplank/platform/worker_memory.py
+++ b/hickoryplank/external/worker_memory.py
@@ -4,13 +4,13 @@
 from result import Err, Ok, Result
 
 from hickoryplank.core.ids import TaskId
-from hickoryplank.platform.errors import (
+from hickoryplank.external.errors import (
     RefusedStart,
     StartFailure,
     StartLost,
     WorkerFailure,
 )
-from hickoryplank.platform.worker import (
+from hickoryplank.external.worker import (
     Answer,
     Start,
     TaskReport,
@@ -18,7 +18,7 @@
     Workers,
     WorkerStatus,
 )
-from hickoryplank.platform.worker_engine import Interrupted, Sent, WorkerEngine
+from hickoryplank.external.worker_engine import Interrupted, Sent, WorkerEngine
 
 __all__ = ["MemoryWorker", "MemoryWorkers"]
 
--- a/hickoryplank/shell/attempts.py
+++ b/hickoryplank/shell/attempts.py
@@ -11,8 +11,8 @@
 from hickoryplank.core.placement import EndpointTable, RunResult, Verdict
 from hickoryplank.core.retries import GiveUp, Retry, RetryBudget, next_attempt
 from hickoryplank.core.work import Completed, Failed, WorkAnswer
-from hickoryplank.platform.errors import RefusedStart, StartFailure, StartLost
-from hickoryplank.platform.worker import Answer, Start, Worker
+from hickoryplank.external.errors import RefusedStart, StartFailure, StartLost
+from hickoryplank.external.worker import Answer, Start, Worker
 from hickoryplank.shell.claimed_runs import ClaimedRuns
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.jobs import Again, Closed, Job, Step, completed
--- a/hickoryplank/shell/claimed_runs.py
+++ b/hickoryplank/shell/claimed_runs.py
@@ -18,14 +18,14 @@
 from hickoryplank.core.work import (
     Unknown,
 )
-from hickoryplank.platform.errors import (
+from hickoryplank.external.errors import (
     LogError,
     LogFailure,
     RefusedStart,
     StartFailure,
     StartLost,
 )
-from hickoryplank.platform.worker import Answer, Start, TaskReport, TaskState, Worker
+from hickoryplank.external.worker import Answer, Start, TaskReport, TaskState, Worker
 from hickoryplank.shell.claim_ids import answer_of
 from hickoryplank.shell.claims import CLAIM_SECONDS, Claims
 from hickoryplank.shell.clock import Clock
--- a/hickoryplank/shell/claims.py
+++ b/hickoryplank/shell/claims.py
@@ -26,10 +26,10 @@
     WorkAnswer,
     WorkRequest,
 )
-from hickoryplank.platform.errors import (
+from hickoryplank.external.errors import (
     LogFailure,
 )
-from hickoryplank.platform.worker import Answer
+from hickoryplank.external.worker import Answer
 from hickoryplank.shell.claim_ids import answer_of, digest_of
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.replica import Replica, new_record_id
--- a/hickoryplank/shell/control.py
+++ b/hickoryplank/shell/control.py
@@ -8,7 +8,7 @@
 from hickoryplank.core.ids import NodeId, Revision
 from hickoryplank.core.records import Record
 from hickoryplank.core.tables import Tables
-from hickoryplank.platform.errors import LogFailure
+from hickoryplank.external.errors import LogFailure
 
 __all__ = ["Control"]
 
--- a/hickoryplank/shell/jobs.py
+++ b/hickoryplank/shell/jobs.py
@@ -10,7 +10,7 @@
 from hickoryplank.core.queues import WorkItem
 from hickoryplank.core.records import Proof
 from hickoryplank.core.work import Completed, WorkAnswer, WorkRequest
-from hickoryplank.platform.worker import Answer
+from hickoryplank.external.worker import Answer
 
 __all__ = ["Again", "Closed", "Job", "Run", "Step", "completed"]
 
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -31,9 +31,9 @@
 from hickoryplank.core.queues import Bounds
 from hickoryplank.core.records import EditSet, Record
 from hickoryplank.core.running import RunningTeller
-from hickoryplank.platform.log import Log
-from hickoryplank.platform.vmlist import VmList
-from hickoryplank.platform.worker import Workers
+from hickoryplank.external.log import Log
+from hickoryplank.external.vmlist import VmList
+from hickoryplank.external.worker import Workers
 from hickoryplank.settings import Settings
 from hickoryplank.shell.api import CallerApi, CallerLimits
 from hickoryplank.shell.attempts import Attempts
--- a/hickoryplank/shell/operator_problems.py
+++ b/hickoryplank/shell/operator_problems.py
@@ -1,8 +1,8 @@
 """Problems of the operator API: why a request is refused."""
 
 from hickoryplank.core.errors import Fault, FaultCode, Refusal
+from hickoryplank.external.errors import LogError, LogFailure
 from hickoryplank.operator_api import Problem, ProblemOutcome
-from hickoryplank.platform.errors import LogError, LogFailure
 
 __all__ = [
     "bad_parameter",
--- a/hickoryplank/shell/publisher.py
+++ b/hickoryplank/shell/publisher.py
@@ -7,8 +7,8 @@
 from hickoryplank.core.ids import RecordId, Revision
 from hickoryplank.core.records import Record
 from hickoryplank.core.tables import Tables
+from hickoryplank.external.errors import LogError, LogFailure
 from hickoryplank.operator_api import HistoryEntry, Published, PublishState
-from hickoryplank.platform.errors import LogError, LogFailure
 from hickoryplank.shell.control import Control
 from hickoryplank.shell.history import History
 from hickoryplank.shell.operator_http import Reply
--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -15,8 +15,8 @@
 from hickoryplank.core.ids import Incarnation, NodeId, RecordId, Revision
 from hickoryplank.core.records import EditSet, Record, decode_batch, encode_batch
 from hickoryplank.core.tables import Tables
-from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
-from hickoryplank.platform.log import Entry, Log, Page
+from hickoryplank.external.errors import LogError, LogFailure, Trimmed
+from hickoryplank.external.log import Entry, Log, Page
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.control import Control
 from hickoryplank.shell.telemetry import Telemetry
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -12,11 +12,11 @@
 
 from hickoryplank.core.ids import Incarnation
 from hickoryplank.core.records import NodeJoined, NodeLeft
-from hickoryplank.platform.channel import ChannelOptions, TlsOptions
-from hickoryplank.platform.errors import LogFailure
-from hickoryplank.platform.log_http import HttpLog
-from hickoryplank.platform.vmlist_http import HttpVmList
-from hickoryplank.platform.worker_http import HttpWorkers
+from hickoryplank.external.channel import ChannelOptions, TlsOptions
+from hickoryplank.external.errors import LogFailure
+from hickoryplank.external.log_http import HttpLog
+from hickoryplank.external.vmlist_http import HttpVmList
+from hickoryplank.external.worker_http import HttpWorkers
 from hickoryplank.settings import PlatformSettings, Settings
 from hickoryplank.shell.clock import MonotonicClock
 from hickoryplank.shell.logs import configure_logs
--- a/hickoryplank/shell/snapshots.py
+++ b/hickoryplank/shell/snapshots.py
@@ -17,8 +17,8 @@
     split,
 )
 from hickoryplank.core.tables import Tables
-from hickoryplank.platform.errors import LogFailure, Trimmed
-from hickoryplank.platform.log import Log, Page
+from hickoryplank.external.errors import LogFailure, Trimmed
+from hickoryplank.external.log import Log, Page
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.replica import Replica
 
--- a/hickoryplank/shell/units.py
+++ b/hickoryplank/shell/units.py
@@ -11,7 +11,7 @@
 from hickoryplank.core.ids import Incarnation, TeamId
 from hickoryplank.core.messages import UnitsAsked
 from hickoryplank.core.records import Record
-from hickoryplank.platform.errors import LogFailure
+from hickoryplank.external.errors import LogFailure
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.peers import Peers
 from hickoryplank.shell.replica import Replica
--- a/hickoryplank/shell/upkeep.py
+++ b/hickoryplank/shell/upkeep.py
@@ -28,7 +28,7 @@
     VmState,
 )
 from hickoryplank.core.tables import NodeState, VmRow
-from hickoryplank.platform.vmlist import ListedState, ListedVm, VmList
+from hickoryplank.external.vmlist import ListedState, ListedVm, VmList
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.dispatcher import Dispatcher
 from hickoryplank.shell.members import Members
--- a/hickoryplank/shell/witness.py
+++ b/hickoryplank/shell/witness.py
@@ -6,7 +6,7 @@
 
 from hickoryplank.core.ids import Incarnation
 from hickoryplank.core.messages import Inquiry, InquiryAnswer, LogEntry
-from hickoryplank.platform.log import Entry
+from hickoryplank.external.log import Entry
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.peers import Peers
 from hickoryplank.shell.replica import Replica
--- a/hickoryplank/shell/workers.py
+++ b/hickoryplank/shell/workers.py
@@ -9,8 +9,8 @@
 from hickoryplank.core.freshness import FRESH_SECONDS
 from hickoryplank.core.ids import TaskId, VmId
 from hickoryplank.core.tables import Tables
-from hickoryplank.platform.errors import StartFailure, StartLost, WorkerFailure
-from hickoryplank.platform.worker import Answer, Start, Worker, Workers
+from hickoryplank.external.errors import StartFailure, StartLost, WorkerFailure
+from hickoryplank.external.worker import Answer, Start, Worker, Workers
 from hickoryplank.shell.clock import Clock
 
 __all__ = ["LEASE_SECONDS", "LINGER_SECONDS", "WorkerClock", "WorkerPool"]
--- a/tests/platform/conftest.py
+++ b/tests/external/conftest.py
@@ -9,15 +9,15 @@
 import msgspec
 import pytest
 
-from hickoryplank.platform.channel import ChannelOptions
-from hickoryplank.platform.log_http import HttpLog
-from hickoryplank.platform.log_memory import MemoryLog
-from hickoryplank.platform.vmlist import ListedState, ListedVm
-from hickoryplank.platform.vmlist_http import HttpVmList
-from hickoryplank.platform.vmlist_memory import MemoryVmList
-from hickoryplank.platform.worker_engine import WorkerEngine
-from hickoryplank.platform.worker_http import HttpWorkers
-from hickoryplank.platform.worker_memory import MemoryWorker
+from hickoryplank.external.channel import ChannelOptions
+from hickoryplank.external.log_http import HttpLog
+from hickoryplank.external.log_memory import MemoryLog
+from hickoryplank.external.vmlist import ListedState, ListedVm
+from hickoryplank.external.vmlist_http import HttpVmList
+from hickoryplank.external.vmlist_memory import MemoryVmList
+from hickoryplank.external.worker_engine import WorkerEngine
+from hickoryplank.external.worker_http import HttpWorkers
+from hickoryplank.external.worker_memory import MemoryWorker
 from tests.standins import log, service, vms, worker
 
 READ_SECONDS = 0.3
--- a/tests/platform/test_channel.py
+++ b/tests/external/test_channel.py
@@ -7,17 +7,17 @@
 import anyio
 import pytest
 
-from hickoryplank.platform import wire
-from hickoryplank.platform.channel import (
+from hickoryplank.external import wire
+from hickoryplank.external.channel import (
     CallError,
     Channel,
     ChannelOptions,
     TlsOptions,
 )
-from hickoryplank.platform.errors import StartFailure, StartLost
-from hickoryplank.platform.worker import Start
-from hickoryplank.platform.worker_http import HttpWorker
-from tests.platform.conftest import OPTIONS, served
+from hickoryplank.external.errors import StartFailure, StartLost
+from hickoryplank.external.worker import Start
+from hickoryplank.external.worker_http import HttpWorker
+from tests.external.conftest import OPTIONS, served
 from tests.standins import service
 
 pytestmark = pytest.mark.anyio
--- a/tests/platform/test_log.py
+++ b/tests/external/test_log.py
@@ -3,10 +3,10 @@
 import anyio
 import pytest
 
-from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
-from hickoryplank.platform.log import Entry, Page
-from hickoryplank.platform.log_http import HttpLog
-from tests.platform.conftest import OPTIONS, READ_SECONDS
+from hickoryplank.external.errors import LogError, LogFailure, Trimmed
+from hickoryplank.external.log import Entry, Page
+from hickoryplank.external.log_http import HttpLog
+from tests.external.conftest import OPTIONS, READ_SECONDS
 from tests.standins import service
 
 pytestmark = pytest.mark.anyio
--- a/tests/platform/test_programs.py
+++ b/tests/external/test_programs.py
@@ -10,11 +10,11 @@
 import httpx
 import pytest
 
-from hickoryplank.platform.log_http import HttpLog
-from hickoryplank.platform.vmlist import ListedState
-from hickoryplank.platform.vmlist_http import HttpVmList
-from hickoryplank.platform.worker import Start
-from hickoryplank.platform.worker_http import HttpWorkers
+from hickoryplank.external.log_http import HttpLog
+from hickoryplank.external.vmlist import ListedState
+from hickoryplank.external.vmlist_http import HttpVmList
+from hickoryplank.external.worker import Start
+from hickoryplank.external.worker_http import HttpWorkers
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/platform/test_vmlist.py
+++ b/tests/external/test_vmlist.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from hickoryplank.platform.vmlist import ListedState
+from hickoryplank.external.vmlist import ListedState
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/platform/test_worker.py
+++ b/tests/external/test_worker.py
@@ -7,12 +7,12 @@
 import pytest
 from result import Err, Ok
 
-from hickoryplank.platform.channel import ChannelOptions
-from hickoryplank.platform.errors import RefusedStart, StartFailure, StartLost
-from hickoryplank.platform.worker import Start, TaskReport, TaskState
-from hickoryplank.platform.worker_engine import WorkerEngine, answer_body
-from hickoryplank.platform.worker_http import HttpWorkers
-from tests.platform.conftest import OPTIONS, PROBE_SECONDS, READ_SECONDS, SLOTS, served
+from hickoryplank.external.channel import ChannelOptions
+from hickoryplank.external.errors import RefusedStart, StartFailure, StartLost
+from hickoryplank.external.worker import Start, TaskReport, TaskState
+from hickoryplank.external.worker_engine import WorkerEngine, answer_body
+from hickoryplank.external.worker_http import HttpWorkers
+from tests.external.conftest import OPTIONS, PROBE_SECONDS, READ_SECONDS, SLOTS, served
 from tests.standins import service, worker
 
 pytestmark = pytest.mark.anyio
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from hickoryplank.core.ownership import owner
-from hickoryplank.platform.worker import WorkerStatus
+from hickoryplank.external.worker import WorkerStatus
 from tests.proxy import Proxy
 
 TOKEN = "operator-token-for-tests"
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -13,7 +13,7 @@
 from hickoryplank.core.ids import NodeId, Revision
 from hickoryplank.core.records import Record
 from hickoryplank.core.tables import Tables
-from hickoryplank.platform.errors import LogError, LogFailure
+from hickoryplank.external.errors import LogError, LogFailure
 from hickoryplank.shell.control import Control
 from hickoryplank.shell.history import History
 from hickoryplank.shell.operator_http import OperatorSecurity
--- a/tests/shell/test_dispatcher.py
+++ b/tests/shell/test_dispatcher.py
@@ -7,7 +7,7 @@
 from hickoryplank.core.objects import WorkClass
 from hickoryplank.core.records import Put, UnitsTaken
 from hickoryplank.core.work import Completed, NotRun, WorkRequest
-from hickoryplank.platform.log_memory import MemoryLog
+from hickoryplank.external.log_memory import MemoryLog
 from hickoryplank.shell.clock import MonotonicClock
 from hickoryplank.shell.dispatcher import Dispatcher
 from hickoryplank.shell.jobs import Closed, Job
--- a/tests/shell/test_operators.py
+++ b/tests/shell/test_operators.py
@@ -20,8 +20,8 @@
     VmStep,
 )
 from hickoryplank.core.tables import encode_tables
+from hickoryplank.external.errors import LogError
 from hickoryplank.operator_api import PREFIX, EditRequest
-from hickoryplank.platform.errors import LogError
 from hickoryplank.shell.history import History, operator_record_id
 from tests.core.build import folded, join, new_id, small_fleet
 from tests.operators import BODY_BYTES, ENTRY, TOKEN, FakeControl, operator_app
--- a/tests/shell/test_replica.py
+++ b/tests/shell/test_replica.py
@@ -11,9 +11,9 @@
 from hickoryplank.core.objects import Kind, Pool
 from hickoryplank.core.records import EditSet, NodeJoined, Put
 from hickoryplank.core.snapshots import encode_chunk, split
-from hickoryplank.platform.errors import LogError, LogFailure
-from hickoryplank.platform.faults import LogFaults
-from hickoryplank.platform.log_memory import MemoryLog
+from hickoryplank.external.errors import LogError, LogFailure
+from hickoryplank.external.faults import LogFaults
+from hickoryplank.external.log_memory import MemoryLog
 from hickoryplank.shell.clock import MonotonicClock
 from hickoryplank.shell.replica import Replica, new_record_id
 from hickoryplank.shell.snapshots import SNAPSHOT_STREAM, Snapshots
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -5,9 +5,9 @@
 from result import Err, Ok
 from starlette.requests import Request
 
-from hickoryplank.platform import wire
-from hickoryplank.platform.errors import LogError, LogFailure, Trimmed
-from hickoryplank.platform.log_memory import MemoryLog
+from hickoryplank.external import wire
+from hickoryplank.external.errors import LogError, LogFailure, Trimmed
+from hickoryplank.external.log_memory import MemoryLog
 from tests.standins import service
 
 MAX_WAIT_SECONDS = 60.0
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -13,7 +13,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from hickoryplank.platform import wire
+from hickoryplank.external import wire
 
 BACKLOG = 512
 
--- a/tests/standins/vms.py
+++ b/tests/standins/vms.py
@@ -5,9 +5,9 @@
 from starlette.background import BackgroundTask
 from starlette.requests import Request
 
-from hickoryplank.platform import wire
-from hickoryplank.platform.vmlist import ListedState, ListedVm
-from hickoryplank.platform.vmlist_memory import MemoryVmList
+from hickoryplank.external import wire
+from hickoryplank.external.vmlist import ListedState, ListedVm
+from hickoryplank.external.vmlist_memory import MemoryVmList
 from tests.standins import service
 
 
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -8,10 +8,10 @@
 from starlette.requests import Request
 
 from hickoryplank.core.ids import TaskId
-from hickoryplank.platform import wire
-from hickoryplank.platform.errors import RefusedStart
-from hickoryplank.platform.worker import Start
-from hickoryplank.platform.worker_engine import Interrupted, Sent, WorkerEngine
+from hickoryplank.external import wire
+from hickoryplank.external.errors import RefusedStart
+from hickoryplank.external.worker import Start
+from hickoryplank.external.worker_engine import Interrupted, Sent, WorkerEngine
 from tests.standins import service
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,8 +12,8 @@
 from hickoryplank.core.fold import fold
 from hickoryplank.core.objects import Kind, Pool
 from hickoryplank.core.records import VmState, VmStep
+from hickoryplank.external.errors import LogError
 from hickoryplank.operator_api import ObjectsAnswer, PublishState
-from hickoryplank.platform.errors import LogError
 from tests.core.build import folded, join, new_id, small_fleet
 from tests.operators import ENTRY, TOKEN, AppTransport, FakeControl, operator_app
 
