--- a/hickoryplank/__main__.py
+++ b/hickoryplank/__main__.py
@@ -2,9 +2,23 @@
 
 import sys
 
-from hickoryplank.cli import main
-
 __all__ = ["main"]
 
+
+def main() -> int:
+    """Run the command that the arguments name.
+
+    ``entry`` is kept apart, so that an entry starts without the imports of the
+    operators' commands.
+    """
+    if sys.argv[1:2] == ["entry"]:
+        from hickoryplank.entry import main as entry_main
+
+        return entry_main(sys.argv[2:])
+    from hickoryplank.cli import main as cli_main
+
+    return cli_main()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/hickoryplank/coordinator/lease.py
@@ -0,0 +1,258 @@
+"""The coordinator's lease: one record in the store, written under a condition."""
+
+import logging
+import secrets
+
+import anyio
+import msgspec
+from result import Err, Ok
+
+from hickoryplank.coordinator.ports import (
+    CallFault,
+    Condition,
+    Fault,
+    StorePort,
+    Topic,
+)
+from hickoryplank.jobs.records import Record
+from hickoryplank.shell.clock import Clock
+
+__all__ = ["Holder", "LeaseKeeper", "LeaseRecord"]
+
+logger = logging.getLogger(__name__)
+
+#: Time between two renewals, in seconds. Four fit into the validity, so that two
+#: lost answers don't end it.
+RENEW_SECONDS = 0.25
+#: How long a holder counts on its lease after it sent the last renewal, in seconds:
+#: a renewal's timeout, another try, and some margin.
+VALID_SECONDS = 1.1
+#: How long others wait after the last renewal that they saw, in seconds. Longer than
+#: the validity, as clocks may differ by some percent.
+TAKEOVER_SECONDS = 1.3
+#: Wait of one read of the lease, in milliseconds; without records a read that was
+#: answered proves that there was no renewal.
+READ_WAIT_MS = 400
+#: Wait after a failed call, in seconds.
+RETRY_SECONDS = 0.1
+#: Spread of the first tries of several candidates, in seconds: a few appends.
+SPREAD_SECONDS = 0.05
+
+_KEY = "lease"
+
+
+class LeaseRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The lease as stored.
+
+    :param number: grows with each holder; epoch and fencing token.
+    :param holder: one life of one entry.
+    :param address: where the holder's peers reach it.
+    :param released: the holder has given it up.
+    """
+
+    number: int
+    holder: str
+    address: str
+    released: bool = False
+
+
+class Holder(msgspec.Struct, frozen=True):
+    """This life of this entry."""
+
+    name: str
+    address: str
+
+    @classmethod
+    def fresh(cls, node: str, address: str) -> "Holder":
+        """Return a holder that no other life of the entry equals."""
+        return cls(f"{node}/{secrets.token_hex(4)}", address)
+
+
+class LeaseKeeper:
+    """Follows the lease, takes it when its holder is gone, and renews it."""
+
+    def __init__(self, store: StorePort, me: Holder, clock: Clock):
+        self._store = store
+        self._me = me
+        self._clock = clock
+        self._end: int | None = None
+        self._seen_at = clock.now()
+        self._renewed_at = 0.0
+        self._spread = secrets.randbelow(1000) / 1000 * SPREAD_SECONDS
+        self._suspected = False
+        self.known: LeaseRecord | None = None
+        self.changed = anyio.Event()
+        self.stopping = False
+
+    @property
+    def number(self) -> int:
+        """Number of the newest lease that was seen."""
+        return self.known.number if self.known is not None else 0
+
+    @property
+    def held(self) -> bool:
+        """Whether the newest lease is this entry's, valid or not."""
+        return (
+            self.known is not None
+            and self.known.holder == self._me.name
+            and not self.known.released
+        )
+
+    def valid(self) -> bool:
+        """Return whether no other entry can hold the lease now."""
+        return self.held and self._clock.now() - self._renewed_at < VALID_SECONDS
+
+    def proof_age(self) -> float:
+        """Return how long ago the last successful renewal was sent, in seconds."""
+        return self._clock.now() - self._renewed_at
+
+    @property
+    def coordinator(self) -> str | None:
+        """Address of the holder, unless it is this entry or nobody."""
+        if self.known is None or self.known.released or self.held:
+            return None
+        return self.known.address
+
+    def suspect(self) -> None:
+        """Note that nothing listens at the holder's address any more."""
+        self._suspected = True
+
+    async def run(self) -> None:
+        """Follow and renew until cancelled."""
+        while True:
+            if self.held:
+                await self._renew()
+            else:
+                await self._watch()
+
+    async def release(self) -> None:
+        """Give the lease up, so that another entry takes it at once."""
+        self.stopping = True
+        if self.held:
+            record = LeaseRecord(
+                self.number, self._me.name, self._me.address, released=True
+            )
+            await self._write(record)
+
+    async def lose(self) -> None:
+        """Read the lease anew after a sign that another entry has taken it."""
+        await self._read_newest()
+
+    # Watching
+
+    async def _watch(self) -> None:
+        if self._end is None:
+            if not await self._read_newest():
+                await anyio.sleep(RETRY_SECONDS)
+            return
+        if self._free() and not self.stopping:
+            await anyio.sleep(self._spread)
+            await self._take()
+            return
+        match await self._store.read(Topic.LEASE, self._end, READ_WAIT_MS):
+            case Ok(page):
+                self._end = page.next
+                for record in page.records:
+                    self._note(record)
+            case Err(CallFault(Fault.TRIMMED, _)):
+                self._end = None
+            case Err(fault):
+                # Without an answer nothing shows that the holder is silent.
+                self._seen_at = max(
+                    self._seen_at, self._clock.now() - TAKEOVER_SECONDS / 2
+                )
+                logger.info("lease not read", extra={"detail": fault.detail})
+                await anyio.sleep(RETRY_SECONDS)
+
+    async def _read_newest(self) -> bool:
+        match await self._store.newest(Topic.LEASE):
+            case Ok(newest):
+                self._end = newest.end
+                for record in newest.records:
+                    self._note(record)
+                return True
+            case Err(fault):
+                logger.info("lease not read", extra={"detail": fault.detail})
+                return False
+
+    def _note(self, record: Record) -> None:
+        if record.key != _KEY:
+            return
+        try:
+            lease = msgspec.msgpack.decode(record.value, type=LeaseRecord)
+        except msgspec.MsgspecError as exc:
+            logger.error("lease can't be read", extra={"detail": str(exc)})
+            return
+        self._set(lease)
+        self._seen_at = self._clock.now()
+        self._suspected = False
+
+    def _set(self, lease: LeaseRecord) -> None:
+        before, self.known = self.known, lease
+        if before is not None and (before.holder, before.released) == (
+            lease.holder,
+            lease.released,
+        ):
+            return
+        logger.info(
+            "coordinator changed",
+            extra={
+                "number": lease.number,
+                "holder": lease.holder,
+                "released": lease.released,
+            },
+        )
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _free(self) -> bool:
+        lease = self.known
+        if lease is None or lease.released:
+            return True
+        if lease.address == self._me.address and lease.holder != self._me.name:
+            # An earlier life of this entry held it, and has ended.
+            return True
+        silence = self._clock.now() - self._seen_at
+        return silence > (VALID_SECONDS if self._suspected else TAKEOVER_SECONDS)
+
+    # Writing
+
+    async def _take(self) -> None:
+        number = self.number + 1
+        lease = LeaseRecord(number, self._me.name, self._me.address)
+        if await self._write(lease):
+            logger.info("lease taken", extra={"number": number})
+
+    async def _renew(self) -> None:
+        assert self.known is not None
+        begun = self._clock.now()
+        if await self._write(self.known):
+            spent = self._clock.now() - begun
+            await anyio.sleep(max(0.0, RENEW_SECONDS - spent))
+        elif self.held:
+            await anyio.sleep(RETRY_SECONDS)
+
+    async def _write(self, lease: LeaseRecord) -> bool:
+        assert self._end is not None
+        sent_at = self._clock.now()
+        record = Record(_KEY, msgspec.msgpack.encode(lease))
+        match await self._store.append(Topic.LEASE, [record], Condition(self._end)):
+            case Ok(done):
+                self._end = done.end
+                self._renewed_at = sent_at
+                self._seen_at = self._clock.now()
+                self._set(lease)
+                return True
+            case Err(CallFault(Fault.MOVED | Fault.UNKNOWN, detail)):
+                logger.info("lease not written", extra={"detail": detail})
+                await self._settle(lease, sent_at)
+                return False
+            case Err(fault):
+                logger.info("lease not written", extra={"detail": fault.detail})
+                return False
+        return False
+
+    async def _settle(self, wanted: LeaseRecord, sent_at: float) -> None:
+        """Find out what a write without a clear answer has done."""
+        if await self._read_newest() and self.known == wanted:
+            self._renewed_at = sent_at
--- /dev/null
+++ b/hickoryplank/coordinator/watcher.py
@@ -0,0 +1,123 @@
+"""Follows the operators' records: the configuration, and waves."""
+
+import logging
+
+import anyio
+from result import Err, Ok
+
+from hickoryplank.coordinator.ports import (
+    CallFault,
+    Fault,
+    OperatorRecords,
+    StorePort,
+    Topic,
+    WaveOrder,
+)
+from hickoryplank.core.ids import WaveId
+from hickoryplank.jobs.directory import Directory
+from hickoryplank.jobs.records import Record
+from hickoryplank.shell.clock import Clock
+
+__all__ = ["OperatorWatcher"]
+
+logger = logging.getLogger(__name__)
+
+#: Wait of one read, in milliseconds: how often a view without changes is renewed.
+READ_WAIT_MS = 500
+#: Wait after a failed read, in seconds.
+RETRY_SECONDS = 0.1
+
+
+class OperatorWatcher:
+    """The newest configuration and waves, and how old that view is."""
+
+    def __init__(self, store: StorePort, codec: OperatorRecords, clock: Clock):
+        self._store = store
+        self._codec = codec
+        self._clock = clock
+        self._next: int | None = None
+        self._fresh_at: float | None = None
+        self.directory: Directory | None = None
+        self.waves: dict[WaveId, WaveOrder] = {}
+        self.wave_seen_at: dict[WaveId, float] = {}
+        self.changed = anyio.Event()
+
+    def age(self) -> float:
+        """Return for how long an edit may have gone unseen, in seconds."""
+        if self._fresh_at is None:
+            return float("inf")
+        return self._clock.now() - self._fresh_at
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration; 0 for none."""
+        return self.directory.version if self.directory is not None else 0
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if not await self._step(READ_WAIT_MS):
+                await anyio.sleep(RETRY_SECONDS)
+
+    async def refresh(self) -> None:
+        """Read until the view is younger than this call."""
+        begun = self._clock.now()
+        while self._fresh_at is None or self._fresh_at < begun:
+            if not await self._read_newest():
+                await anyio.sleep(RETRY_SECONDS)
+
+    async def _step(self, wait_ms: int) -> bool:
+        if self._next is None:
+            return await self._read_newest()
+        sent_at = self._clock.now()
+        match await self._store.read(Topic.OPERATOR, self._next, wait_ms):
+            case Ok(page):
+                self._take(page.records)
+                self._next = max(self._next, page.next)
+                if page.next >= page.end:
+                    self._renew(sent_at)
+                return True
+            case Err(CallFault(Fault.TRIMMED, _)):
+                return await self._read_newest()
+            case Err(fault):
+                logger.info("configuration not read", extra={"detail": fault.detail})
+                return False
+        return False
+
+    async def _read_newest(self) -> bool:
+        sent_at = self._clock.now()
+        match await self._store.newest(Topic.OPERATOR):
+            case Ok(newest):
+                self._take(newest.records)
+                self._next = max(self._next or 0, newest.end)
+                self._renew(sent_at)
+                return True
+            case Err(fault):
+                logger.info("configuration not read", extra={"detail": fault.detail})
+                return False
+        return False
+
+    def _renew(self, sent_at: float) -> None:
+        self._fresh_at = max(self._fresh_at or 0.0, sent_at)
+
+    def _take(self, records: tuple[Record, ...]) -> None:
+        for record in records:
+            match self._codec.decode(record):
+                case Directory() as directory if directory.version > self.version:
+                    self._apply(directory)
+                case WaveOrder() as wave:
+                    self.waves[wave.id] = wave
+                    self.wave_seen_at.setdefault(wave.id, self._clock.now())
+                    self._notify()
+
+    def _apply(self, directory: Directory) -> None:
+        logger.info(
+            "configuration in force",
+            extra={"version": directory.version, "before": self.version},
+        )
+        self.directory = directory
+        self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
--- a/hickoryplank/core/ids.py
+++ b/hickoryplank/core/ids.py
@@ -4,7 +4,9 @@
 
 __all__ = [
     "ClaimId",
+    "EndpointId",
     "Incarnation",
+    "JobId",
     "KeyId",
     "NodeId",
     "OperatorId",
@@ -35,6 +37,8 @@
 RequestId = NewType("RequestId", str)
 TaskId = NewType("TaskId", str)
 ClaimId = NewType("ClaimId", str)
+JobId = NewType("JobId", str)
+EndpointId = NewType("EndpointId", str)
 Region = NewType("Region", str)
 Zone = NewType("Zone", str)
 Rack = NewType("Rack", str)
--- /dev/null
+++ b/hickoryplank/entry.py
@@ -0,0 +1,171 @@
+"""An entry on the users' platform: the composition root of its process."""
+
+import argparse
+import logging
+import os
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import anyio
+from aiohttp import web
+from result import Err, Ok
+
+from hickoryplank.coordinator.calls import NotRun, Why, decode_call, encode
+from hickoryplank.coordinator.coordinator import Coordinator, Outside
+from hickoryplank.coordinator.gateway import CALL_PATH, Gateway
+from hickoryplank.coordinator.lease import Holder, LeaseKeeper
+from hickoryplank.coordinator.watcher import OperatorWatcher
+from hickoryplank.entry_logs import configure_entry_logs
+from hickoryplank.entry_settings import EntrySettings, load_entry_settings
+from hickoryplank.http_client import HttpClient
+from hickoryplank.jobs.engine import Timing
+from hickoryplank.platform.endpoints import PlatformEndpoints
+from hickoryplank.platform.ingress import Ingress
+from hickoryplank.platform.records import PlatformListings, PlatformOperatorRecords
+from hickoryplank.platform.store import PlatformStore
+from hickoryplank.shell.clock import MonotonicClock
+
+__all__ = ["main"]
+
+logger = logging.getLogger(__name__)
+
+#: Variable that holds the path of the settings file.
+SETTINGS_VARIABLE = "HICKORYPLANK_CONFIG"
+#: Lease of what runs on an endpoint, in ms: what runs on a silent one is given up
+#: after it, and a hand-over between coordinators must fit into it.
+LEASE_MS = 4000
+#: How long an endpoint waits for an end before it answers a look, in ms.
+LOOK_WAIT_MS = 600
+#: How long leases that a former coordinator granted may last, in seconds: it may
+#: renew without proof for five, and the clocks may be slow.
+INHERIT_SECONDS = 5.0 + LEASE_MS / 1000 * 1.05
+#: Age of the configuration from which an entry reports that it isn't ready, in
+#: seconds: two answers of its longest reads.
+READY_SECONDS = 2.5
+#: Time between the order to stop and the end of the process, in seconds: callers'
+#: new connections go elsewhere after two missed checks of one second each.
+STOP_SECONDS = 2.4
+#: Part of the grace after which the process ends whatever is open.
+GRACE_PART = 0.9
+
+
+class Entry:
+    """One entry: its listeners, its view of the platform, and its terms."""
+
+    def __init__(self, cfg: EntrySettings):
+        self._cfg = cfg
+        self._clock = MonotonicClock()
+        self._client = HttpClient()
+        store = PlatformStore(self._client, cfg.store)
+        self._watcher = OperatorWatcher(store, PlatformOperatorRecords(), self._clock)
+        self._lease = LeaseKeeper(store, Holder.fresh(cfg.name, cfg.peers), self._clock)
+        self._gateway = Gateway(self._lease, self._client)
+        self._ingress = Ingress(self._gateway.answer, lambda: self._watcher.version)
+        self._outside = Outside(
+            store=store,
+            endpoints=PlatformEndpoints(self._client),
+            listings=PlatformListings(),
+            clock=self._clock,
+            timing=Timing(
+                min(LEASE_MS, cfg.lease_max_ms), LOOK_WAIT_MS, INHERIT_SECONDS
+            ),
+        )
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        runners = [
+            await _listen(self._cfg.callers, self._ingress.handle),
+            await _listen(self._cfg.readiness, self._readiness),
+            await _listen(self._cfg.peers, self._peer_call),
+        ]
+        logger.info("started")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watcher.run)
+            tasks.start_soon(self._lease.run)
+            tasks.start_soon(self._terms)
+            await self._until_told()
+            await self._stop()
+            tasks.cancel_scope.cancel()
+        for runner in runners:
+            await runner.cleanup()
+        await self._client.close()
+        logger.info("stopped")
+
+    async def _terms(self) -> None:
+        while True:
+            changed = self._lease.changed
+            if self._lease.held:
+                term = Coordinator(self._outside, self._lease, self._watcher)
+                self._gateway.term = term
+                try:
+                    await term.run()
+                finally:
+                    self._gateway.term = None
+                if self._lease.held:
+                    await self._lease.release()
+                    self._lease.stopping = self._ingress.closing
+            else:
+                await changed.wait()
+
+    async def _until_told(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    return
+                logger.info("settings file changed; it is read at the next start")
+
+    async def _stop(self) -> None:
+        logger.info("stopping")
+        self._ingress.closing = True
+        await self._lease.release()
+        begun = self._clock.now()
+        limit = self._cfg.grace_s * GRACE_PART
+        await anyio.sleep(min(STOP_SECONDS, limit))
+        while self._ingress.open_requests and self._clock.now() - begun < limit:
+            await anyio.sleep(0.05)
+
+    async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        ready = not self._ingress.closing and self._watcher.age() < READY_SECONDS
+        return web.Response(status=200 if ready else 503)
+
+    async def _peer_call(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != CALL_PATH:
+            return web.Response(status=404)
+        call = decode_call(await request.read())
+        term = self._gateway.term
+        if term is None:
+            answer = NotRun(Why.NO_COORDINATOR)
+        else:
+            answer = await term.answer(call)
+        return web.Response(body=encode(answer))
+
+
+async def _listen(address: str, handler) -> web.ServerRunner:
+    host, port = address.rsplit(":", 1)
+    runner = web.ServerRunner(web.Server(handler), handle_signals=False)
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port), backlog=512).start()
+    return runner
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run an entry until it is told to stop; return its exit code."""
+    parser = argparse.ArgumentParser(prog="hickoryplank entry")
+    parser.add_argument(
+        "file", nargs="?", help=f"settings; by default the path in {SETTINGS_VARIABLE}"
+    )
+    args = parser.parse_args(argv)
+    path = args.file or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        sys.stderr.write(f"no settings file, and {SETTINGS_VARIABLE} isn't set\n")
+        return 2
+    match load_entry_settings(Path(path)):
+        case Err(fault):
+            sys.stderr.write(fault + "\n")
+            return 2
+        case Ok(cfg):
+            configure_entry_logs(cfg.log_level, cfg.name)
+            anyio.run(Entry(cfg).run)
+            return 0
--- /dev/null
+++ b/hickoryplank/entry_logs.py
@@ -0,0 +1,56 @@
+"""Logs of an entry: JSON lines on standard output, bounded under load."""
+
+import logging
+import sys
+import time
+
+from pythonjsonlogger.json import JsonFormatter
+
+__all__ = ["LineBudget", "configure_entry_logs"]
+
+#: Lines a second that an entry writes; one costs about 30 microseconds.
+LINES_PER_SECOND = 300.0
+#: Lines that may be written at once after a quiet time.
+BURST_LINES = 600.0
+_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+_NAMES = {"asctime": "time", "levelname": "level", "name": "logger"}
+
+
+class LineBudget(logging.Filter):
+    """Drops lines beyond a rate, and says how many with the next one."""
+
+    def __init__(self, per_second: float, burst: float):
+        super().__init__()
+        self._per_second = per_second
+        self._burst = burst
+        self._left = burst
+        self._at = time.monotonic()
+        self._dropped = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether the line is written."""
+        now = time.monotonic()
+        earned = (now - self._at) * self._per_second
+        self._left = min(self._burst, self._left + earned)
+        self._at = now
+        if self._left < 1 and record.levelno < logging.WARNING:
+            self._dropped += 1
+            return False
+        self._left -= 1
+        if self._dropped:
+            record.dropped_lines = self._dropped
+            self._dropped = 0
+        return True
+
+
+def configure_entry_logs(level: str, node: str) -> None:
+    """Write logs of ``level`` and above to standard output."""
+    handler = logging.StreamHandler(sys.stdout)
+    handler.setFormatter(
+        JsonFormatter(_FIELDS, rename_fields=_NAMES, static_fields={"node": node})
+    )
+    handler.addFilter(LineBudget(LINES_PER_SECOND, BURST_LINES))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    logging.getLogger("asyncio").setLevel(logging.WARNING)
--- /dev/null
+++ b/hickoryplank/entry_settings.py
@@ -0,0 +1,79 @@
+"""Settings of an entry on the users' platform, read from INI."""
+
+import configparser
+from pathlib import Path
+
+import msgspec
+from result import Err, Ok, Result
+
+__all__ = ["EntrySettings", "load_entry_settings"]
+
+
+class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of one entry.
+
+    :param name: name of the entry, unique in the deployment.
+    :param callers: address that callers reach, as ``host:port``.
+    :param readiness: address at which readiness is asked for.
+    :param peers: address that other entries reach.
+    :param store: address of the platform's store.
+    :param vms: address of the platform's list of VMs.
+    :param grace_s: time from the order to stop until the process is killed.
+    :param lease_max_ms: longest lease that endpoints grant.
+    :param move_s: time that a VM's move takes.
+    :param maintenance_s: time that a VM's maintenance takes.
+    :param notice_ms: for how long a task that was away counts as missed.
+    :param orders_apart_ms: least time between orders for one VM by two holders.
+    """
+
+    name: str
+    callers: str
+    readiness: str
+    peers: str
+    store: str
+    vms: str
+    grace_s: float
+    lease_max_ms: int
+    move_s: float
+    maintenance_s: float
+    notice_ms: int
+    orders_apart_ms: int
+    log_level: str = "info"
+
+
+_SECTIONS = {
+    "node": ("name",),
+    "listen": ("callers", "readiness", "peers"),
+    "platform": ("store", "vms"),
+    "bounds": (
+        "grace_s",
+        "lease_max_ms",
+        "move_s",
+        "maintenance_s",
+        "notice_ms",
+        "orders_apart_ms",
+    ),
+    "log": ("log_level",),
+}
+
+
+def load_entry_settings(path: Path) -> Result[EntrySettings, str]:
+    """Read and check a settings file; the error names section and key."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError, configparser.Error) as exc:
+        return Err(f"{path}: {exc}")
+    values: dict[str, str] = {}
+    for section in parser.sections():
+        known = _SECTIONS.get(section)
+        if known is None:
+            return Err(f"{path}: unknown section [{section}]")
+        for key, value in parser.items(section):
+            if key not in known:
+                return Err(f"{path}: unknown key {key} in [{section}]")
+            values[key] = value
+    try:
+        return Ok(msgspec.convert(values, EntrySettings, strict=False))
+    except msgspec.ValidationError as exc:
+        return Err(f"{path}: {exc}")
--- /dev/null
+++ b/hickoryplank/http_client.py
@@ -0,0 +1,87 @@
+"""The one HTTP client, for the platform and for peers."""
+
+import msgspec
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+)
+from result import Err, Ok, Result
+
+from hickoryplank.coordinator.ports import CallFault, Fault
+
+__all__ = ["HttpClient", "Reply"]
+
+#: Open connections to one address; the platform allows 64 to an endpoint from all
+#: entries together.
+CONNECTIONS_PER_ADDRESS = 16
+#: How long an unused connection is kept, in seconds; below the 15 s after which the
+#: users' servers close it.
+KEEPALIVE_SECONDS = 12.0
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """An HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Calls by address, with a bound on each."""
+
+    def __init__(self) -> None:
+        self._session: ClientSession | None = None
+
+    def _open(self) -> ClientSession:
+        if self._session is None:
+            self._session = ClientSession(
+                connector=TCPConnector(
+                    limit=0,
+                    limit_per_host=CONNECTIONS_PER_ADDRESS,
+                    keepalive_timeout=KEEPALIVE_SECONDS,
+                    use_dns_cache=False,
+                ),
+                cookie_jar=DummyCookieJar(),
+                auto_decompress=False,
+            )
+        return self._session
+
+    async def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Result[Reply, CallFault]:
+        """Make one call; ``NOT_DONE`` only if no connection could be opened."""
+        sent = {"Content-Type": "application/json"} if body is not None else {}
+        if headers:
+            sent.update(headers)
+        try:
+            async with self._open().request(
+                method,
+                f"http://{address}{path}",
+                data=body,
+                headers=sent,
+                timeout=ClientTimeout(total=timeout_s),
+                allow_redirects=False,
+            ) as resp:
+                return Ok(Reply(resp.status, await resp.read()))
+        except ClientConnectorError as exc:
+            return Err(CallFault(Fault.NOT_DONE, f"no connection: {exc}"))
+        except TimeoutError:
+            return Err(CallFault(Fault.UNKNOWN, f"no answer in {timeout_s} s"))
+        except (ClientError, OSError) as exc:
+            return Err(CallFault(Fault.UNKNOWN, f"{type(exc).__name__}: {exc}"))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/hickoryplank/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""The engine of jobs: tables, and systems that run over them, without I/O."""
--- /dev/null
+++ b/hickoryplank/jobs/records.py
@@ -0,0 +1,141 @@
+"""Records of jobs in the store: the job as accepted, and its state."""
+
+import msgspec
+
+from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.jobs.model import Job, TaskKey
+from hickoryplank.jobs.table import JobRow, JobState, Place, Task, TaskState
+
+__all__ = [
+    "Record",
+    "RecordFault",
+    "apply_state",
+    "decode_job",
+    "encode_job",
+    "encode_state",
+    "job_of_key",
+    "is_job_key",
+]
+
+_JOB_PREFIX = "j:"
+_STATE_PREFIX = "s:"
+
+
+class RecordFault(msgspec.Struct, frozen=True):
+    """A record that can't be read."""
+
+    key: str
+    detail: str
+
+
+class Record(msgspec.Struct, frozen=True):
+    """A record of a keyed topic."""
+
+    key: str
+    value: bytes
+
+
+class _TaskRecord(msgspec.Struct, array_like=True):
+    """State of one task that isn't as it was at the start."""
+
+    occurrence: int
+    step: int
+    index: int
+    state: int
+    attempt: int
+    failures: int
+    endpoint: str = ""
+    born_ms: int = 0
+    saved: str = ""
+
+
+class _StateRecord(msgspec.Struct, array_like=True):
+    """State of one job; tasks that never ran are left out."""
+
+    state: JobState
+    tasks: list[_TaskRecord]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_job_decoder = msgspec.msgpack.Decoder(Job)
+_state_decoder = msgspec.msgpack.Decoder(_StateRecord)
+
+
+def is_job_key(key: str) -> bool:
+    """Return whether ``key`` holds a job as accepted."""
+    return key.startswith(_JOB_PREFIX)
+
+
+def job_of_key(key: str) -> JobId:
+    """Return the id of the job that a key belongs to."""
+    return JobId(key[2:])
+
+
+def encode_job(job: Job) -> Record:
+    """Return the record of a job as accepted."""
+    return Record(_JOB_PREFIX + job.id, _encoder.encode(job))
+
+
+def decode_job(record: Record) -> Job | RecordFault:
+    """Read a job as accepted."""
+    try:
+        return _job_decoder.decode(record.value)
+    except msgspec.MsgspecError as exc:
+        return RecordFault(record.key, str(exc))
+
+
+def encode_state(row: JobRow) -> Record:
+    """Return the record of a job's state."""
+    tasks = [_task_record(task) for task in row.all_tasks() if task.attempt]
+    record = _StateRecord(row.state, tasks)
+    return Record(_STATE_PREFIX + row.job.id, _encoder.encode(record))
+
+
+def _task_record(task: Task) -> _TaskRecord:
+    key = task.key
+    record = _TaskRecord(
+        key.occurrence,
+        key.step,
+        key.index,
+        task.state.value,
+        task.attempt,
+        task.failures,
+        saved=task.saved,
+    )
+    if task.run is not None:
+        record.endpoint = task.run.endpoint.id
+        record.born_ms = task.run.endpoint.listing.born_ms
+    elif task.place is not None:
+        record.endpoint = task.place.endpoint
+        record.born_ms = task.place.born_ms
+    return record
+
+
+def apply_state(row: JobRow, record: Record) -> RecordFault | None:
+    """Bring a new row to the state that the store has.
+
+    Tasks with a run are left active with their ``place`` set.
+    """
+    try:
+        stored = _state_decoder.decode(record.value)
+    except msgspec.MsgspecError as exc:
+        return RecordFault(record.key, str(exc))
+    row.state = row.stored = stored.state
+    for one in stored.tasks:
+        key = TaskKey(row.job.id, one.occurrence, one.step, one.index)
+        task = row.task(key)
+        if task is None:
+            return RecordFault(record.key, f"no task {key}")
+        row.begun = True
+        task.attempt = one.attempt
+        task.failures = one.failures
+        task.saved = one.saved
+        task.state = TaskState(one.state)
+        step = row.step_of(key)
+        if task.state is not TaskState.WAITING:
+            step.waiting.pop(one.index, None)
+        if task.state is TaskState.DONE:
+            step.left -= 1
+        if one.endpoint:
+            task.place = Place(EndpointId(one.endpoint), one.born_ms)
+    return None
--- /dev/null
+++ b/hickoryplank/jobs/sizes.py
@@ -0,0 +1,58 @@
+"""What tasks need and endpoints have: processor, memory and accelerators."""
+
+import msgspec
+
+__all__ = ["ZERO", "Size"]
+
+
+class Size(msgspec.Struct, frozen=True, array_like=True):
+    """An amount of each resource.
+
+    :param cpu: thousandths of a core.
+    :param mem_mb: memory in MB.
+    :param gpu: accelerators.
+    """
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+    def plus(self, other: "Size") -> "Size":
+        """Return the sum."""
+        return Size(
+            self.cpu + other.cpu, self.mem_mb + other.mem_mb, self.gpu + other.gpu
+        )
+
+    def minus(self, other: "Size") -> "Size":
+        """Return the difference; it may be negative."""
+        return Size(
+            self.cpu - other.cpu, self.mem_mb - other.mem_mb, self.gpu - other.gpu
+        )
+
+    def times(self, count: int) -> "Size":
+        """Return ``count`` times the amount."""
+        return Size(self.cpu * count, self.mem_mb * count, self.gpu * count)
+
+    def fits(self, room: "Size") -> bool:
+        """Return whether ``room`` holds this much of each resource."""
+        return (
+            self.cpu <= room.cpu and self.mem_mb <= room.mem_mb and self.gpu <= room.gpu
+        )
+
+    def without_cpu(self) -> "Size":
+        """Return the amount without its processor part."""
+        return Size(0, self.mem_mb, self.gpu)
+
+    def within_limit(self, limit: "Size") -> bool:
+        """Return whether this is within ``limit``, where 0 means no limit."""
+        return all(
+            not most or used <= most
+            for used, most in (
+                (self.cpu, limit.cpu),
+                (self.mem_mb, limit.mem_mb),
+                (self.gpu, limit.gpu),
+            )
+        )
+
+
+ZERO = Size()
--- /dev/null
+++ b/hickoryplank/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/hickoryplank/platform/endpoints.py
@@ -0,0 +1,240 @@
+"""Calls to executors, which hickoryplank calls endpoints."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.coordinator.ports import (
+    CallFault,
+    EndpointPort,
+    Fault,
+    StartAnswer,
+)
+from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.http_client import HttpClient, Reply
+from hickoryplank.jobs.endpoints import Run
+from hickoryplank.jobs.messages import (
+    End,
+    EndKind,
+    HoldOrder,
+    HoldReport,
+    RunningTask,
+    StartOutcome,
+)
+from hickoryplank.jobs.model import TaskKey
+
+__all__ = ["PlatformEndpoints"]
+
+#: Longest wait for the answer to an order, in seconds: a hundred times what one
+#: takes on a calm day.
+ORDER_SECONDS = 0.4
+#: Longest wait for a list beyond the time that it may wait for an end, in seconds.
+LIST_SECONDS = 0.5
+_CONFLICT = 409
+_OTHER_LIFE = 421
+_UNWELL = (429, 503)
+
+_REASONS = {
+    "fence": StartOutcome.FENCED,
+    "old": StartOutcome.OLD,
+    "late": StartOutcome.LATE,
+    "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.NO_TICKET,
+}
+
+
+class _Start(msgspec.Struct, omit_defaults=True):
+    task: str
+    attempt: int
+    spec: str
+    until_ms: int
+    fencing_token: int
+    saved_state: str = ""
+
+
+class _Stop(msgspec.Struct):
+    task: str
+    attempt: int
+    fencing_token: int
+
+
+class _Pace(msgspec.Struct):
+    task: str
+    attempt: int
+    percent: int
+    fencing_token: int
+
+
+class _Hold(msgspec.Struct, omit_defaults=True):
+    fencing_token: int
+    last_seen: int
+    until_ms: int | None = None
+    wait_ms: int = 0
+
+
+class _Running(msgspec.Struct, array_like=True):
+    task: str
+    attempt: int
+    saved: str = ""
+    percent: int = 0
+    load: float = 0
+
+
+class _Ended(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    attempt: int
+    how: EndKind
+    saved: str = ""
+
+
+class _Lists(msgspec.Struct):
+    clock_ms: int
+    running: list[_Running]
+    ended: list[_Ended]
+    born: int = 0
+
+
+class _Clock(msgspec.Struct):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+_lists = msgspec.json.Decoder(_Lists)
+_clock = msgspec.json.Decoder(_Clock)
+_encoder = msgspec.json.Encoder()
+
+
+def task_name(key: TaskKey) -> str:
+    """Return a task's name on the wire."""
+    return f"{key.job}.{key.occurrence}.{key.step}.{key.index}"
+
+
+def task_key(name: str) -> TaskKey:
+    """Read a task's name.
+
+    :raises ValueError: it isn't one.
+    """
+    job, occurrence, step, index = name.split(".")
+    return TaskKey(JobId(job), int(occurrence), int(step), int(index))
+
+
+def _read_clock(body: bytes) -> _Clock:
+    try:
+        return _clock.decode(body)
+    except msgspec.MsgspecError:
+        # An answer without a readable body tells no time, which 0 stands for.
+        return _Clock()
+
+
+class PlatformEndpoints(EndpointPort):
+    """Orders over HTTP."""
+
+    def __init__(self, client: HttpClient):
+        self._client = client
+
+    async def start(self, run: Run, payload: str, token: int) -> StartAnswer:
+        """Start a run under a lease until ``run.until_ms``."""
+        order = _Start(
+            task_name(run.key), run.attempt, payload, run.until_ms, token, run.saved
+        )
+        match await self._order(run, "/api/run-start", order):
+            case Ok(Reply(200, body)):
+                return StartAnswer(StartOutcome.STARTED, _read_clock(body).clock_ms)
+            case Ok(Reply(409, body)):
+                told = _read_clock(body)
+                outcome = _REASONS.get(told.reason, StartOutcome.REFUSED)
+                return StartAnswer(outcome, told.clock_ms, told.reason)
+            case Ok(reply):
+                return StartAnswer(_outcome(reply.status), detail=str(reply))
+            case Err(CallFault(Fault.NOT_DONE, detail)):
+                return StartAnswer(StartOutcome.NOT_SENT, detail=detail)
+            case Err(fault):
+                return StartAnswer(StartOutcome.UNKNOWN, detail=fault.detail)
+
+    async def stop(self, run: Run, token: int) -> Result[int, CallFault]:
+        """Stop a run; return the endpoint's clock."""
+        order = _Stop(task_name(run.key), run.attempt, token)
+        return _told_clock(await self._order(run, "/api/run-stop", order))
+
+    async def pace(self, run: Run, percent: int, token: int) -> Result[int, CallFault]:
+        """Let a run work at a share of its speed; return the endpoint's clock."""
+        order = _Pace(task_name(run.key), run.attempt, percent, token)
+        return _told_clock(await self._order(run, "/api/pace", order))
+
+    async def _order(
+        self, run: Run, path: str, order: msgspec.Struct
+    ) -> Result[Reply, CallFault]:
+        listing = run.endpoint.listing
+        return await self._client.call(
+            "POST",
+            listing.address,
+            path,
+            body=_encoder.encode(order),
+            headers={"Hickoryplank-Expect-Instance": listing.id},
+            timeout_s=ORDER_SECONDS,
+        )
+
+    async def hold(self, order: HoldOrder, token: int) -> Result[HoldReport, CallFault]:
+        """Look at what runs and has ended, and renew the lease."""
+        body = _Hold(token, order.last_seen, order.until_ms, order.wait_ms)
+        answer = await self._client.call(
+            "POST",
+            order.address,
+            "/api/hold",
+            body=_encoder.encode(body),
+            headers={"Hickoryplank-Expect-Instance": order.endpoint},
+            timeout_s=LIST_SECONDS + order.wait_ms / 1000,
+        )
+        match answer:
+            case Ok(Reply(200, data)):
+                return _decode_lists(data)
+            case Ok(reply):
+                return Err(_fault(reply))
+            case Err(fault):
+                return Err(fault)
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Connections of an endpoint that is gone close when their time is up."""
+
+
+def _outcome(status: int) -> StartOutcome:
+    if status in _UNWELL:
+        return StartOutcome.UNWELL
+    return StartOutcome.OTHER_LIFE if status == _OTHER_LIFE else StartOutcome.REFUSED
+
+
+def _fault(reply: Reply) -> CallFault:
+    detail = f"{reply.status} {reply.body[:200]!r}"
+    if reply.status == _CONFLICT:
+        return CallFault(Fault.FENCED, detail)
+    if reply.status == _OTHER_LIFE:
+        return CallFault(Fault.OTHER_LIFE, detail)
+    return CallFault(Fault.NOT_DONE, detail)
+
+
+def _told_clock(answer: Result[Reply, CallFault]) -> Result[int, CallFault]:
+    match answer:
+        case Ok(Reply(200, body)):
+            return Ok(_read_clock(body).clock_ms)
+        case Ok(reply):
+            return Err(_fault(reply))
+        case Err(fault):
+            return Err(fault)
+
+
+def _decode_lists(data: bytes) -> Result[HoldReport, CallFault]:
+    try:
+        lists = _lists.decode(data)
+        running = tuple(
+            RunningTask(
+                task_key(one.task), one.attempt, one.saved, one.percent, int(one.load)
+            )
+            for one in lists.running
+        )
+        ends = tuple(
+            End(one.number, task_key(one.task), one.attempt, one.how, one.saved)
+            for one in lists.ended
+        )
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(CallFault(Fault.UNREADABLE, str(exc)))
+    return Ok(HoldReport(lists.born, lists.clock_ms, running, ends))
--- /dev/null
+++ b/hickoryplank/platform/records.py
@@ -0,0 +1,211 @@
+"""Records that the operator and the executors write to the store."""
+
+import logging
+
+import msgspec
+
+from hickoryplank.coordinator.ports import Listings, OperatorRecords, WaveOrder
+from hickoryplank.core.ids import (
+    EndpointId,
+    PoolId,
+    QueueId,
+    TeamId,
+    VmId,
+    WaveId,
+    Zone,
+)
+from hickoryplank.jobs.directory import Advice, Directory, Pool, Queue, Team
+from hickoryplank.jobs.endpoints import Listing
+from hickoryplank.jobs.records import Record
+from hickoryplank.jobs.sizes import Size
+
+__all__ = ["PlatformListings", "PlatformOperatorRecords", "to_size"]
+
+logger = logging.getLogger(__name__)
+
+_CONFIG_KEY = "config"
+_WAVE_PREFIX = "wave/"
+
+
+class _Size(msgspec.Struct, frozen=True):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Advice(msgspec.Struct):
+    decide_ms: int = 0
+    #: Time for each endpoint that a request for advice names.
+    interval_ms: int = 0
+    valid_ms: int = 0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    #: Added to the stretched chain of work; no latency by itself.
+    target_latency_ms: int = 0
+    #: Calls need no key.
+    public: bool = False
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    enforces_capacity: bool = False
+    standby: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    #: Share when all is full.
+    weight: float = 1.0
+    #: Upper limit of what it may have running; 0 in a part is none.
+    cap: _Size = _Size()
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    tenants: list[_Tenant] = []
+
+
+class _Wave(msgspec.Struct):
+    machines: list[str]
+    #: Counted from the operator's write.
+    deadline_s: float = 0.0
+    #: Most machines that are down for the wave at once; no tenant's limit.
+    cap: int = 1
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Size
+    labels: list[str] = []
+    #: Start of this life; no date of birth of the machine.
+    born: int = 0
+    remaining_ms: int = 0
+
+
+class _Status(msgspec.Struct):
+    state: str
+
+
+_configs = msgspec.json.Decoder(_Config)
+_waves = msgspec.json.Decoder(_Wave)
+_servers = msgspec.json.Decoder(_Server)
+_STATES = ("ready", "draining")
+
+
+def to_size(size: _Size) -> Size:
+    """Return an amount in the engine's type."""
+    return Size(size.cpu, size.mem_mb, size.gpu)
+
+
+class PlatformListings(Listings):
+    """Entries under ``servers``."""
+
+    def decode(self, record: Record) -> Listing | None:
+        """Return the listing, or none if the record names no usable endpoint."""
+        try:
+            server = _servers.decode(record.value)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            logger.info(
+                "listing ignored", extra={"endpoint": record.key, "detail": str(exc)}
+            )
+            return None
+        if server.state not in _STATES:
+            logger.info(
+                "listing ignored",
+                extra={"endpoint": record.key, "detail": f"state {server.state!r}"},
+            )
+            return None
+        return Listing(
+            id=EndpointId(record.key),
+            born_ms=server.born,
+            address=server.address,
+            pool=PoolId(server.service),
+            zone=Zone(server.zone),
+            capacity=to_size(server.capacity),
+            labels=tuple(server.labels),
+            draining=server.state == "draining",
+            leaves_ms=server.remaining_ms,
+        )
+
+
+class PlatformOperatorRecords(OperatorRecords):
+    """Records under ``op``, and ``status``."""
+
+    def decode(self, record: Record) -> Directory | WaveOrder | None:
+        """Return what the record holds, or none for a record of another kind."""
+        try:
+            if record.key == _CONFIG_KEY:
+                return _directory(_configs.decode(record.value))
+            if record.key.startswith(_WAVE_PREFIX):
+                return _wave(record)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            logger.error(
+                "operator's record can't be read",
+                extra={"key": record.key, "detail": str(exc)},
+            )
+        return None
+
+    def encode_wave_status(self, wave: WaveId, *, completed: bool) -> Record:
+        """Return the record that tells how far a wave is."""
+        status = _Status("completed" if completed else "running")
+        return Record(_WAVE_PREFIX + wave, msgspec.json.encode(status))
+
+
+def _wave(record: Record) -> WaveOrder:
+    wave = _waves.decode(record.value)
+    return WaveOrder(
+        id=WaveId(record.key[len(_WAVE_PREFIX) :]),
+        vms=tuple(VmId(machine) for machine in wave.machines),
+        within_s=wave.deadline_s,
+        at_once=wave.cap,
+    )
+
+
+def _directory(config: _Config) -> Directory:
+    return Directory.build(
+        config.version,
+        [_queue(route) for route in config.routes],
+        [
+            Pool(PoolId(one.name), one.enforces_capacity, one.standby)
+            for one in config.services
+        ],
+        [
+            Team(
+                TeamId(one.name), frozenset(one.api_keys), one.weight, to_size(one.cap)
+            )
+            for one in config.tenants
+        ],
+    )
+
+
+def _queue(route: _Route) -> Queue:
+    advice = route.advice
+    return Queue(
+        id=QueueId(route.name),
+        host=route.host,
+        prefix=route.path_prefix,
+        pool=PoolId(route.service),
+        priority=route.priority,
+        attempts=route.attempts,
+        stretch=route.stretch,
+        slack_ms=route.target_latency_ms,
+        open=route.public,
+        advice=Advice(advice.decide_ms, advice.interval_ms, advice.valid_ms)
+        if advice is not None
+        else None,
+    )
--- /dev/null
+++ b/hickoryplank/platform/store.py
@@ -0,0 +1,192 @@
+"""The platform's store: appends, reads, and the newest record of each key."""
+
+import base64
+import struct
+from urllib.parse import urlencode
+
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.coordinator.ports import (
+    Appended,
+    CallFault,
+    Condition,
+    Fault,
+    Fence,
+    Newest,
+    Page,
+    StorePort,
+    Topic,
+)
+from hickoryplank.http_client import HttpClient, Reply
+from hickoryplank.jobs.records import Record
+
+__all__ = ["PlatformStore"]
+
+_TOPICS = {
+    Topic.LEASE: "keyed.coordinator",
+    Topic.JOBS: "keyed.jobs",
+    Topic.OPERATOR: "keyed.op",
+    Topic.LISTINGS: "keyed.servers",
+    Topic.STATUS: "keyed.status",
+}
+#: Producer under which every coordinator writes; epochs count for each producer.
+_PRODUCER = "coordinator"
+#: Longest wait for a write, in seconds: above an answer of a store that is 60 times
+#: as slow as its 4 ms, and below the lease that depends on it.
+WRITE_SECONDS = 0.6
+#: Longest wait for a read beyond the time that the read itself may wait, in seconds.
+READ_SECONDS = 0.8
+#: Longest wait for a page of newest records, in seconds.
+NEWEST_SECONDS = 1.5
+_LENGTH = struct.Struct(">I")
+_HEAD = struct.Struct(">QQ")
+_TOO_MANY = 429
+_AWAY = 503
+_CONFLICT = 409
+
+
+class _Offsets(msgspec.Struct):
+    offset: int = 0
+    end_offset: int = 0
+    reason: str = ""
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Items(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    end_offset: int
+
+
+_offsets = msgspec.json.Decoder(_Offsets)
+_items = msgspec.json.Decoder(_Items)
+
+
+def _frame(record: Record) -> bytes:
+    key = record.key.encode()
+    body = bytes((len(key),)) + key + record.value
+    return _LENGTH.pack(len(body)) + body
+
+
+def _unframe(data: bytes, position: int) -> list[Record]:
+    records = []
+    while position < len(data):
+        (length,) = _LENGTH.unpack_from(data, position)
+        position += _LENGTH.size
+        body = data[position : position + length]
+        position += length
+        key_end = 1 + body[0]
+        key = body[1:key_end].decode(errors="replace")
+        records.append(Record(key, body[key_end:]))
+    return records
+
+
+def _fault(reply: Reply) -> CallFault:
+    detail = f"{reply.status} {reply.body[:200]!r}"
+    if reply.status in (_TOO_MANY, _AWAY):
+        return CallFault(Fault.NOT_DONE, detail)
+    if reply.status == _CONFLICT and b'"fenced"' not in reply.body:
+        return CallFault(Fault.OUT_OF_ORDER, detail)
+    known = {_CONFLICT: Fault.FENCED, 410: Fault.TRIMMED, 412: Fault.MOVED}
+    return CallFault(known.get(reply.status, Fault.UNREADABLE), detail)
+
+
+class PlatformStore(StorePort):
+    """The store at one address."""
+
+    def __init__(self, client: HttpClient, address: str):
+        self._client = client
+        self._address = address
+
+    async def append(
+        self, topic: Topic, records: list[Record], guard: Condition | Fence | None
+    ) -> Result[Appended, CallFault]:
+        """Add records, all or none."""
+        query: dict[str, str | int] = {"topic": _TOPICS[topic], "part": 0}
+        match guard:
+            case Condition(end):
+                query["at"] = end
+            case Fence(epoch, sequence):
+                query |= {"producer": _PRODUCER, "epoch": epoch, "seq": sequence}
+        answer = await self._client.call(
+            "POST",
+            self._address,
+            "/api/log-append?" + urlencode(query),
+            body=b"".join(_frame(record) for record in records),
+            headers={"Content-Type": "application/octet-stream"},
+            timeout_s=WRITE_SECONDS,
+        )
+        match answer:
+            case Ok(Reply(200, body)):
+                found = _offsets.decode(body)
+                return Ok(Appended(found.offset, found.end_offset))
+            case Ok(reply):
+                return Err(_fault(reply))
+            case Err(fault):
+                return Err(fault)
+
+    async def read(
+        self, topic: Topic, offset: int, wait_ms: int
+    ) -> Result[Page, CallFault]:
+        """Return records from ``offset`` on, waiting for the first one."""
+        query = {"topic": _TOPICS[topic], "part": 0, "from": offset}
+        if wait_ms:
+            query["wait_ms"] = wait_ms
+        answer = await self._client.call(
+            "GET",
+            self._address,
+            "/api/log-read?" + urlencode(query),
+            timeout_s=READ_SECONDS + wait_ms / 1000,
+        )
+        match answer:
+            case Ok(Reply(200, body)):
+                try:
+                    end, _first = _HEAD.unpack_from(body)
+                    records = tuple(_unframe(body, _HEAD.size))
+                except (struct.error, IndexError) as exc:
+                    return Err(CallFault(Fault.UNREADABLE, str(exc)))
+                return Ok(Page(records, offset + len(records), end))
+            case Ok(reply):
+                return Err(_fault(reply))
+            case Err(fault):
+                return Err(fault)
+
+    async def newest(self, topic: Topic) -> Result[Newest, CallFault]:
+        """Return the newest record of each key; the pages aren't a snapshot.
+
+        ``end`` is that of the first page, so that what changes between pages is
+        read again.
+        """
+        records: list[Record] = []
+        end: int | None = None
+        after = ""
+        while True:
+            query = {"topic": _TOPICS[topic], "part": 0}
+            if after:
+                query["after"] = after
+            answer = await self._client.call(
+                "GET",
+                self._address,
+                "/api/log-newest?" + urlencode(query),
+                timeout_s=NEWEST_SECONDS,
+            )
+            match answer:
+                case Ok(Reply(200, body)):
+                    page = _items.decode(body)
+                case Ok(reply):
+                    return Err(_fault(reply))
+                case Err(fault):
+                    return Err(fault)
+            records += [
+                Record(item.key, base64.b64decode(item.value)) for item in page.items
+            ]
+            end = page.end_offset if end is None else end
+            if not page.has_more or not page.items:
+                return Ok(Newest(tuple(records), end))
+            after = page.items[-1].key
--- /dev/null
+++ b/hickoryplank/platform/vms.py
@@ -0,0 +1,151 @@
+"""The platform's machines, which hickoryplank calls VMs."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.coordinator.ports import (
+    CallFault,
+    Fault,
+    ListedVm,
+    OrderOutcome,
+    VmPort,
+    VmState,
+)
+from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId, Zone
+from hickoryplank.http_client import HttpClient, Reply
+from hickoryplank.jobs.sizes import Size
+
+__all__ = ["PlatformVms"]
+
+#: Longest wait for an answer, in seconds.
+CALL_SECONDS = 1.0
+
+_STATES = {
+    "up": VmState.UP,
+    "moving": VmState.MOVING,
+    "upkeep": VmState.MAINTENANCE,
+    "down": VmState.DOWN,
+}
+_REASONS = {
+    "fence": OrderOutcome.FENCED,
+    "busy": OrderOutcome.BUSY,
+    "wave": OrderOutcome.NOT_IN_WAVE,
+}
+
+
+class _Capacity(msgspec.Struct, frozen=True):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Machine(msgspec.Struct):
+    machine: str
+    pool: str
+    state: str
+    zone: str = ""
+    labels: list[str] = []
+    capacity: _Capacity = _Capacity()
+    #: Of the executor that runs on it, not of the machine.
+    id: str | None = None
+
+
+class _Machines(msgspec.Struct):
+    machines: list[_Machine]
+    next_token: str | None = None
+
+
+class _Reason(msgspec.Struct):
+    reason: str = ""
+
+
+class _Move(msgspec.Struct):
+    machine: str
+    pool: str
+
+
+class _Upkeep(msgspec.Struct):
+    machine: str
+    wave: int
+
+
+_pages = msgspec.json.Decoder(_Machines)
+
+
+class PlatformVms(VmPort):
+    """The list of machines, and orders to them."""
+
+    def __init__(self, client: HttpClient, address: str, holder: str):
+        self._client = client
+        self._address = address
+        self._holder = holder
+
+    async def list(self) -> Result[tuple[ListedVm, ...], CallFault]:
+        """Return all VMs."""
+        vms: list[ListedVm] = []
+        token = ""
+        while True:
+            path = "/api/machines" + (f"?page_token={token}" if token else "")
+            answer = await self._client.call(
+                "GET", self._address, path, timeout_s=CALL_SECONDS
+            )
+            match answer:
+                case Ok(Reply(200, body)):
+                    try:
+                        page = _pages.decode(body)
+                    except msgspec.MsgspecError as exc:
+                        return Err(CallFault(Fault.UNREADABLE, str(exc)))
+                case Ok(reply):
+                    return Err(CallFault(Fault.NOT_DONE, str(reply)))
+                case Err(fault):
+                    return Err(fault)
+            vms += [_listed(one) for one in page.machines if one.state in _STATES]
+            if not page.next_token:
+                return Ok(tuple(vms))
+            token = page.next_token
+
+    async def move(self, vm: VmId, pool: PoolId, token: int) -> OrderOutcome:
+        """Move a VM to another pool."""
+        return await self._order("/api/machine-move", _Move(vm, pool), token)
+
+    async def maintain(self, vm: VmId, wave: WaveId, token: int) -> OrderOutcome:
+        """Take a VM down for its maintenance."""
+        return await self._order("/api/machine-upkeep", _Upkeep(vm, int(wave)), token)
+
+    async def _order(self, path: str, order, token: int) -> OrderOutcome:
+        answer = await self._client.call(
+            "POST",
+            self._address,
+            path,
+            body=msgspec.json.encode(order),
+            headers={
+                "Hickoryplank-Lease-Holder": self._holder,
+                "Hickoryplank-Fencing-Token": str(token),
+            },
+            timeout_s=CALL_SECONDS,
+        )
+        match answer:
+            case Ok(Reply(200, _)):
+                return OrderOutcome.DONE
+            case Ok(Reply(409, body)):
+                reason = msgspec.json.decode(body, type=_Reason).reason
+                return _REASONS.get(reason, OrderOutcome.IMPOSSIBLE)
+            case Ok(Reply(400, _)):
+                return OrderOutcome.IMPOSSIBLE
+            case Ok(_) | Err(CallFault(Fault.NOT_DONE, _)):
+                return OrderOutcome.NOT_DONE
+            case Err(_):
+                return OrderOutcome.UNKNOWN
+
+
+def _listed(one: _Machine) -> ListedVm:
+    size = Size(one.capacity.cpu, one.capacity.mem_mb, one.capacity.gpu)
+    return ListedVm(
+        id=VmId(one.machine),
+        pool=PoolId(one.pool),
+        state=_STATES[one.state],
+        zone=Zone(one.zone),
+        labels=tuple(one.labels),
+        capacity=size,
+        endpoint=EndpointId(one.id) if one.id else None,
+    )
