--- /dev/null
+++ b/hickoryplank/coordinator/caretaker.py
@@ -0,0 +1,248 @@
+"""Runs moves and waves of maintenance during a term."""
+
+import logging
+
+import anyio
+import msgspec
+from result import Err, Ok
+
+from hickoryplank.coordinator.journal import Journal
+from hickoryplank.coordinator.lease import LeaseKeeper
+from hickoryplank.coordinator.ports import (
+    ListedVm,
+    OperatorRecords,
+    OrderOutcome,
+    StorePort,
+    Topic,
+    VmPort,
+    VmState,
+    WaveOrder,
+)
+from hickoryplank.coordinator.watcher import OperatorWatcher
+from hickoryplank.core.ids import VmId, WaveId
+from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.evacuation import empty, evacuate
+from hickoryplank.jobs.maintenance import WaveRow, begin_maintenance, wave_done
+from hickoryplank.jobs.records import encode_wave
+from hickoryplank.jobs.vms import Errand, Phase, VmTable, VmView
+from hickoryplank.shell.clock import Clock
+
+__all__ = ["Caretaker", "FleetBounds"]
+
+logger = logging.getLogger(__name__)
+
+#: Time between two rounds, in seconds.
+ROUND_SECONDS = 0.1
+#: Time between two reads of the list of VMs while something is under way, in seconds.
+LIST_SECONDS = 0.4
+#: Time between two reads of the list while nothing is, in seconds.
+IDLE_LIST_SECONDS = 2.0
+#: How long other tasks may run out on a VM that is to leave, in seconds; then it
+#: leaves with what still runs.
+PATIENCE_SECONDS = 5.0
+#: Part of the stated time that a VM is away at least; the platform may be faster.
+LEAST_AWAY_PART = 0.8
+#: Added to the least time between the orders of two holders, in seconds.
+APART_MARGIN_SECONDS = 0.3
+
+
+class FleetBounds(msgspec.Struct, frozen=True):
+    """The platform's bounds on VMs, in seconds.
+
+    :param orders_apart_s: least time between orders for one VM by two holders.
+    """
+
+    move_s: float
+    maintenance_s: float
+    orders_apart_s: float
+
+
+class Caretaker:
+    """Empties VMs, orders what they are emptied for, and follows their return."""
+
+    def __init__(
+        self,
+        vms: VmPort,
+        store: StorePort,
+        codec: OperatorRecords,
+        lease: LeaseKeeper,
+        watcher: OperatorWatcher,
+        clock: Clock,
+        bounds: FleetBounds,
+    ):
+        self._port = vms
+        self._store = store
+        self._codec = codec
+        self._lease = lease
+        self._watcher = watcher
+        self._clock = clock
+        self._bounds = bounds
+        self._table = VmTable()
+        self._waves: dict[WaveId, WaveRow] = {}
+        self._done: dict[WaveId, set[VmId]] = {}
+        self._asked_at = 0.0
+
+    def restore(self, wave: WaveId, done: set[VmId]) -> None:
+        """Take over which VMs of a wave were maintained."""
+        self._done[wave] = done
+
+    async def run(self, engine: Engine, journal: Journal, token: int) -> None:
+        """Look after VMs until the term ends."""
+        begun = self._clock.now()
+        may_order_at = begun + self._bounds.orders_apart_s + APART_MARGIN_SECONDS
+        if token == 1:
+            may_order_at = begun
+        while True:
+            await anyio.sleep(ROUND_SECONDS)
+            now = self._clock.now()
+            if await self._list(now):
+                self._plan(engine, now)
+                if now >= may_order_at:
+                    await self._round(engine, journal, token)
+
+    async def _list(self, now: float) -> bool:
+        """Read the list of VMs when it is time; return whether there is one."""
+        busy = bool(self._table.errands()) or self._open_waves()
+        period = LIST_SECONDS if busy else IDLE_LIST_SECONDS
+        if now - self._asked_at >= period:
+            self._asked_at = now
+            match await self._port.list():
+                case Ok(listed):
+                    views = tuple(_view(one) for one in listed)
+                    self._table.take(views, now)
+                case Err(fault):
+                    logger.info("VMs not listed", extra={"detail": fault.detail})
+        return self._table.listed_at is not None
+
+    def _open_waves(self) -> bool:
+        return any(
+            wave not in self._waves or not self._waves[wave].told_completed
+            for wave in self._watcher.waves
+        )
+
+    def _plan(self, engine: Engine, now: float) -> None:
+        for order in self._watcher.waves.values():
+            wave = self._wave(order)
+            if not wave.told_completed:
+                begun = begin_maintenance(
+                    wave, self._table, engine, now, self._bounds.maintenance_s
+                )
+                for errand in begun:
+                    logger.info(
+                        "VM is emptied",
+                        extra={
+                            "vm": errand.vm,
+                            "wave": errand.wave,
+                            "left": len(wave.vms) - len(wave.done),
+                        },
+                    )
+
+    def _wave(self, order: WaveOrder) -> WaveRow:
+        wave = self._waves.get(order.id)
+        if wave is None:
+            seen_at = self._watcher.wave_seen_at[order.id]
+            wave = self._waves[order.id] = WaveRow(
+                order.id,
+                order.vms,
+                seen_at + order.within_s,
+                order.at_once,
+                self._done.get(order.id, set()),
+            )
+        return wave
+
+    async def _round(self, engine: Engine, journal: Journal, token: int) -> None:
+        for errand in self._table.errands():
+            match errand.phase:
+                case Phase.EMPTYING:
+                    if self._emptied(engine, errand):
+                        await self._order(engine, journal, errand, token)
+                case Phase.ORDERED:
+                    await self._order(engine, journal, errand, token)
+        for wave in self._waves.values():
+            if not wave.told_completed and wave_done(wave, self._table):
+                await self._tell_completed(wave)
+
+    def _emptied(self, engine: Engine, errand: Errand) -> bool:
+        now = self._clock.now()
+        endpoint = engine.endpoint_of(self._table.rows[errand.vm].view.endpoint)
+        if endpoint is None:
+            return True
+        endpoint.closing = True
+        evacuate(engine, endpoint, now)
+        if empty(endpoint):
+            return True
+        late = now - errand.since > PATIENCE_SECONDS
+        return late and not any(run.step.lasting for run in endpoint.runs.values())
+
+    async def _order(
+        self, engine: Engine, journal: Journal, errand: Errand, token: int
+    ) -> None:
+        if not self._lease.valid():
+            return
+        errand.phase = Phase.ORDERED
+        errand.since = self._clock.now()
+        if errand.wave is not None:
+            outcome = await self._port.maintain(errand.vm, errand.wave, token)
+        else:
+            assert errand.pool is not None
+            outcome = await self._port.move(errand.vm, errand.pool, token)
+        logger.info(
+            "VM ordered",
+            extra={
+                "vm": errand.vm,
+                "pool": errand.pool,
+                "wave": errand.wave,
+                "outcome": outcome.value,
+            },
+        )
+        match outcome:
+            case OrderOutcome.DONE:
+                await self._carried_out(engine, journal, errand)
+            case OrderOutcome.UNKNOWN | OrderOutcome.NOT_DONE:
+                # It stays ordered, and is sent again.
+                pass
+            case OrderOutcome.NOT_IN_WAVE if errand.wave is not None:
+                self._waves[errand.wave].done.add(errand.vm)
+                self._drop(engine, errand)
+            case _:
+                self._drop(engine, errand)
+
+    async def _carried_out(
+        self, engine: Engine, journal: Journal, errand: Errand
+    ) -> None:
+        now = self._clock.now()
+        errand.phase = Phase.AWAY
+        errand.since = now
+        away_s = self._bounds.move_s
+        if errand.wave is not None:
+            away_s = self._bounds.maintenance_s
+        errand.back_at = now + away_s * LEAST_AWAY_PART
+        endpoint = engine.endpoint_of(self._table.rows[errand.vm].view.endpoint)
+        if endpoint is not None:
+            engine.lose_endpoint(endpoint, now)
+        if errand.wave is not None:
+            wave = self._waves[errand.wave]
+            wave.done.add(errand.vm)
+            await journal.append([encode_wave(wave.id, wave.done)])
+
+    def _drop(self, engine: Engine, errand: Errand) -> None:
+        row = self._table.rows[errand.vm]
+        row.errand = None
+        endpoint = (
+            engine.endpoints.get(row.view.endpoint) if row.view.endpoint else None
+        )
+        if endpoint is not None:
+            endpoint.closing = False
+
+    async def _tell_completed(self, wave: WaveRow) -> None:
+        record = self._codec.encode_wave_status(wave.id, completed=True)
+        match await self._store.append(Topic.STATUS, [record], None):
+            case Ok(_):
+                wave.told_completed = True
+                logger.info("wave completed", extra={"wave": wave.id})
+            case Err(fault):
+                logger.info("wave's end not told", extra={"detail": fault.detail})
+
+
+def _view(one: ListedVm) -> VmView:
+    return VmView(one.id, one.pool, one.state is VmState.UP, one.endpoint)
--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -28,6 +28,7 @@
     Where,
     Why,
 )
+from hickoryplank.coordinator.caretaker import Caretaker, FleetBounds
 from hickoryplank.coordinator.journal import Deposed, Journal
 from hickoryplank.coordinator.lease import LeaseKeeper
 from hickoryplank.coordinator.ports import (
@@ -35,8 +36,10 @@
     EndpointPort,
     Fault,
     Listings,
+    OperatorRecords,
     StorePort,
     Topic,
+    VmPort,
 )
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.core.ids import EndpointId, TeamId
@@ -44,13 +47,16 @@
 from hickoryplank.jobs.endpoints import Endpoint, Run
 from hickoryplank.jobs.engine import Engine, Timing
 from hickoryplank.jobs.messages import StartOutcome
-from hickoryplank.jobs.model import Job
+from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.records import (
     Record,
     RecordFault,
+    WaveProgress,
     apply_state,
     decode_job,
+    decode_wave,
     is_job_key,
+    is_wave_key,
     job_of_key,
 )
 from hickoryplank.jobs.table import JobRow, JobState
@@ -94,6 +100,9 @@
     listings: Listings
     clock: Clock
     timing: Timing
+    vms: VmPort
+    operator: OperatorRecords
+    fleet: FleetBounds
 
 
 class Coordinator:
@@ -113,6 +122,15 @@
         self._missing: dict[EndpointId, float] = {}
         self._looked_at: set[Endpoint] = set()
         self._tasks: TaskGroup | None = None
+        self._caretaker = Caretaker(
+            outside.vms,
+            outside.store,
+            outside.operator,
+            lease,
+            watcher,
+            outside.clock,
+            outside.fleet,
+        )
 
     # A term
 
@@ -126,6 +144,9 @@
                 tasks.start_soon(self._commit_loop)
                 tasks.start_soon(self._listings_loop)
                 tasks.start_soon(self._directory_loop)
+                tasks.start_soon(
+                    self._caretaker.run, self._running(), self._journal, self.token
+                )
         except* Deposed as group:
             detail = str(group.exceptions[0])
             logger.warning("term ended", extra={"number": self.token, "detail": detail})
@@ -167,6 +188,9 @@
         states: list[Record] = []
         wall_ms = time.time_ns() // 1_000_000
         for record in await self._newest(Topic.JOBS):
+            if is_wave_key(record.key):
+                self._restore_wave(record)
+                continue
             if not is_job_key(record.key):
                 states.append(record)
                 continue
@@ -185,6 +209,13 @@
                 logger.error("state can't be read", extra={"detail": fault.detail})
         return list(rows.values())
 
+    def _restore_wave(self, record: Record) -> None:
+        match decode_wave(record):
+            case WaveProgress(wave, done):
+                self._caretaker.restore(wave, set(done))
+            case RecordFault(key, detail):
+                logger.error("wave can't be read", extra={"key": key, "detail": detail})
+
     async def _newest(self, topic: Topic) -> tuple[Record, ...]:
         while True:
             match await self._out.store.newest(topic):
@@ -482,7 +513,18 @@
             period_ms=told.period_ms,
         )
         engine.submit(job, self._out.clock.now())
-        if await self._until_stored():
+        stored = await self._until_stored()
+        logger.info(
+            "job taken",
+            extra={
+                "request": job.id,
+                "queue": job.queue,
+                "team": job.team,
+                "stored": stored,
+                "steps": [_step_summary(step) for step in job.steps],
+            },
+        )
+        if stored:
             return Accepted()
         return Unsettled("the job isn't stored yet")
 
@@ -513,6 +555,26 @@
     team: TeamId
 
 
+def _step_summary(step: Step) -> str:
+    """Return a step in a few words, for logs."""
+    flags = [
+        name
+        for name in ("gang", "same_rack", "checkpointing", "speculative", "lasting")
+        if getattr(step, name)
+    ]
+    flags += ["fills"] if step.fills else []
+    flags += [f"most {step.max_per_endpoint}"] if step.max_per_endpoint else []
+    flags += [f"target {step.target_ms} ms"] if step.target_ms else []
+    flags += [f"may miss {step.may_miss}"] if step.may_miss else []
+    flags += [f"label {step.required_label}"] if step.required_label else []
+    flags += [f"near {step.affinity}"] if step.affinity else []
+    size = step.size
+    return (
+        f"{step.count}x{size.cpu}m/{size.mem_mb}MB/{size.gpu}"
+        f" {step.estimate_ms}ms after {list(step.after)} {' '.join(flags)}"
+    )
+
+
 def _check_steps(call: Submit) -> str:
     steps = call.submission.steps
     if not steps:
--- a/hickoryplank/coordinator/journal.py
+++ b/hickoryplank/coordinator/journal.py
@@ -31,6 +31,7 @@
         self._store = store
         self._epoch = epoch
         self._sequence = 0
+        self._turn = anyio.Lock()
         #: Whether the last try of an append failed.
         self.failing = False
 
@@ -46,6 +47,10 @@
 
         :raises Deposed: a higher epoch rules.
         """
+        async with self._turn:
+            await self._append_chunks(records)
+
+    async def _append_chunks(self, records: list[Record]) -> None:
         chunk: list[Record] = []
         size = 0
         for record in records:
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -13,6 +13,7 @@
 from result import Err, Ok
 
 from hickoryplank.coordinator.calls import NotRun, Why, decode_call, encode
+from hickoryplank.coordinator.caretaker import FleetBounds
 from hickoryplank.coordinator.coordinator import Coordinator, Outside
 from hickoryplank.coordinator.gateway import CALL_PATH, Gateway
 from hickoryplank.coordinator.lease import Holder, LeaseKeeper
@@ -25,6 +26,7 @@
 from hickoryplank.platform.ingress import Ingress
 from hickoryplank.platform.records import PlatformListings, PlatformOperatorRecords
 from hickoryplank.platform.store import PlatformStore
+from hickoryplank.platform.vms import PlatformVms
 from hickoryplank.shell.clock import MonotonicClock
 
 __all__ = ["main"]
@@ -59,7 +61,8 @@
         self._clock = MonotonicClock()
         self._client = HttpClient()
         store = PlatformStore(self._client, cfg.store)
-        self._watcher = OperatorWatcher(store, PlatformOperatorRecords(), self._clock)
+        operator = PlatformOperatorRecords()
+        self._watcher = OperatorWatcher(store, operator, self._clock)
         self._lease = LeaseKeeper(store, Holder.fresh(cfg.name, cfg.peers), self._clock)
         self._gateway = Gateway(self._lease, self._client)
         self._ingress = Ingress(self._gateway.answer, lambda: self._watcher.version)
@@ -71,6 +74,11 @@
             timing=Timing(
                 min(LEASE_MS, cfg.lease_max_ms), LOOK_WAIT_MS, INHERIT_SECONDS
             ),
+            vms=PlatformVms(self._client, cfg.vms, cfg.name),
+            operator=operator,
+            fleet=FleetBounds(
+                cfg.move_s, cfg.maintenance_s, cfg.orders_apart_ms / 1000
+            ),
         )
 
     async def run(self) -> None:
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -130,6 +130,8 @@
         self.distrusted_until = 0.0
         #: Its VM is to leave; nothing new is placed here.
         self.closing = False
+        #: Its VM is to be maintained later; what lasts had better not start here.
+        self.due = False
 
     @property
     def draining(self) -> bool:
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -147,6 +147,10 @@
             if row.state.final:
                 self._stop(run, endpoint.listed_at)
 
+    def endpoint_of(self, id: EndpointId | None) -> Endpoint | None:
+        """Return an endpoint by its id, if there is one."""
+        return self.endpoints.get(id) if id is not None else None
+
     def unlist_endpoint(self, id: EndpointId) -> None:
         """Note that an endpoint is gone from the platform's list."""
         known = self.endpoints.get(id)
@@ -258,7 +262,7 @@
             return
         if shown.saved:
             task.saved = shown.saved
-        working = shown.percent >= 100
+        working = shown.percent >= 100 and run.state is RunState.STARTED
         if run.step.lasting and working != task.working:
             task.working = working
             task.away_since = now
@@ -426,9 +430,14 @@
         if run.state is RunState.ASSIGNED:
             self._lose_run(run, now)
             return
-        if run not in self._stop_due:
-            run.state = RunState.STOPPING
-            self._stop_due[run] = now
+        if run in self._stop_due:
+            return
+        run.state = RunState.STOPPING
+        self._stop_due[run] = now
+        row = self.jobs.get(run.key.job)
+        task = row.task(run.key) if row is not None else None
+        if task is not None and task.run is run:
+            task.working = False
 
     # Each tick
 
--- /dev/null
+++ b/hickoryplank/jobs/evacuation.py
@@ -0,0 +1,47 @@
+"""Empties endpoints whose VMs are to leave, within the budgets of lasting steps."""
+
+from hickoryplank.jobs.endpoints import Endpoint, Run, RunState
+from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.placement import choose
+from hickoryplank.jobs.table import StepRow
+
+__all__ = ["empty", "evacuate"]
+
+
+def empty(endpoint: Endpoint) -> bool:
+    """Return whether nothing runs, or may run, on an endpoint."""
+    return not endpoint.runs
+
+
+def evacuate(engine: Engine, endpoint: Endpoint, now: float) -> None:
+    """Move lasting tasks off an endpoint, as many as their steps can miss.
+
+    Other tasks run out: what they have done would be lost.
+    """
+    for run in list(endpoint.runs.values()):
+        if run.step.lasting and run.state is RunState.STARTED:
+            _move_off(engine, run, now)
+
+
+def _move_off(engine: Engine, run: Run, now: float) -> None:
+    row = engine.jobs.get(run.key.job)
+    if row is None or row.state.final:
+        return
+    step = row.step_of(run.key)
+    if not _may_miss_one(step, run):
+        return
+    others = [
+        one
+        for one in engine.endpoints.values()
+        if one.listing.pool == run.endpoint.listing.pool and one.usable(now)
+    ]
+    if choose(others, step, run.endpoint) is not None:
+        engine.stop_run(run, now)
+
+
+def _may_miss_one(step: StepRow, run: Run) -> bool:
+    """Return whether a task may be stopped, with those away that are away."""
+    others_away = sum(
+        1 for task in step.tasks if not task.working and task.run is not run
+    )
+    return others_away < max(1, step.step.may_miss)
--- /dev/null
+++ b/hickoryplank/jobs/maintenance.py
@@ -0,0 +1,85 @@
+"""Waves of maintenance: which VM is taken next, within the wave's bounds."""
+
+import msgspec
+
+from hickoryplank.core.ids import PoolId, VmId, WaveId
+from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.vms import Errand, Phase, VmRow, VmTable
+
+__all__ = ["WaveRow", "begin_maintenance", "wave_done"]
+
+#: Time that emptying a VM, its maintenance and its return take, in seconds, beside
+#: the maintenance itself: the run time of most tasks, and a look at the list.
+CYCLE_SECONDS = 3.0
+#: Part of the time until a wave's deadline in which it is to be done.
+DEADLINE_PART = 0.7
+#: VMs of one pool that may be away at once, as a part of those that are up.
+POOL_PART = 0.34
+
+
+class WaveRow(msgspec.Struct):
+    """A wave under way.
+
+    :param until: its deadline, by our clock.
+    :param at_once: most VMs that may be down for it at the same time.
+    """
+
+    id: WaveId
+    vms: tuple[VmId, ...]
+    until: float
+    at_once: int
+    done: set[VmId]
+    told_completed: bool = False
+
+
+def wave_done(wave: WaveRow, vms: VmTable) -> bool:
+    """Return whether every VM of a wave that still exists was maintained."""
+    return all(vm in wave.done or vm not in vms.rows for vm in wave.vms)
+
+
+def begin_maintenance(
+    wave: WaveRow, vms: VmTable, engine: Engine, now: float, maintenance_s: float
+) -> list[Errand]:
+    """Begin errands for the wave's next VMs: idle ones first, few in each pool."""
+    left = [vm for vm in wave.vms if vm not in wave.done and vm in vms.rows]
+    for vm in left:
+        endpoint = engine.endpoint_of(vms.rows[vm].view.endpoint)
+        if endpoint is not None:
+            endpoint.due = True
+    free = [vm for vm in left if vms.rows[vm].errand is None and vms.rows[vm].view.up]
+    under_way = sum(1 for errand in vms.errands() if errand.wave == wave.id)
+    wanted = _wanted(wave, len(left), now, maintenance_s) - under_way
+    begun: list[Errand] = []
+    for vm in sorted(free, key=lambda one: _rank(vms.rows[one], engine)):
+        if len(begun) >= wanted:
+            break
+        row = vms.rows[vm]
+        if not _pool_allows(row.view.pool, vms, engine):
+            continue
+        row.errand = Errand(vm, None, wave.id, Phase.EMPTYING, now)
+        begun.append(row.errand)
+    return begun
+
+
+def _wanted(wave: WaveRow, left: int, now: float, maintenance_s: float) -> int:
+    """Return how many VMs are to be under way at once to be done in time."""
+    cycle = CYCLE_SECONDS + maintenance_s
+    time_left = max(cycle, (wave.until - now) * DEADLINE_PART)
+    rounds = max(1, int(time_left / cycle))
+    return min(wave.at_once, -(-left // rounds))
+
+
+def _rank(row: VmRow, engine: Engine) -> tuple[int, int]:
+    pool = engine.directory.pools.get(row.view.pool)
+    standby = pool is not None and pool.standby
+    endpoint = engine.endpoint_of(row.view.endpoint)
+    return (not standby, len(endpoint.runs) if endpoint is not None else 0)
+
+
+def _pool_allows(pool: PoolId, vms: VmTable, engine: Engine) -> bool:
+    known = engine.directory.pools.get(pool)
+    if known is not None and known.standby:
+        return True
+    rows = [row for row in vms.rows.values() if row.view.pool == pool]
+    away = sum(1 for row in rows if row.errand is not None or not row.view.up)
+    return away < max(1, int(len(rows) * POOL_PART))
--- a/hickoryplank/jobs/placement.py
+++ b/hickoryplank/jobs/placement.py
@@ -48,8 +48,8 @@
     free = endpoint.room.cpu
     if step.fills:
         return (far, _serving(endpoint), -free)
-    if step.target_ms:
-        return (far, _filling(endpoint), free)
+    if step.lasting:
+        return (endpoint.due, far, _filling(endpoint), free)
     return (far, free)
 
 
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -2,23 +2,28 @@
 
 import msgspec
 
-from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId
 from hickoryplank.jobs.model import Job, TaskKey
 from hickoryplank.jobs.table import JobRow, JobState, Place, Task, TaskState
 
 __all__ = [
     "Record",
     "RecordFault",
+    "WaveProgress",
     "apply_state",
     "decode_job",
+    "decode_wave",
     "encode_job",
     "encode_state",
+    "encode_wave",
     "job_of_key",
     "is_job_key",
+    "is_wave_key",
 ]
 
 _JOB_PREFIX = "j:"
 _STATE_PREFIX = "s:"
+_WAVE_PREFIX = "w:"
 
 
 class RecordFault(msgspec.Struct, frozen=True):
@@ -35,6 +40,13 @@
     value: bytes
 
 
+class WaveProgress(msgspec.Struct, frozen=True):
+    """Which VMs of a wave were maintained."""
+
+    wave: WaveId
+    done: tuple[VmId, ...]
+
+
 class _TaskRecord(msgspec.Struct, array_like=True):
     """State of one task that isn't as it was at the start."""
 
@@ -139,3 +151,23 @@
         if one.endpoint:
             task.place = Place(EndpointId(one.endpoint), one.born_ms)
     return None
+
+
+def is_wave_key(key: str) -> bool:
+    """Return whether ``key`` holds the progress of a wave."""
+    return key.startswith(_WAVE_PREFIX)
+
+
+def encode_wave(wave: WaveId, done: set[VmId]) -> Record:
+    """Return the record of a wave's progress."""
+    return Record(_WAVE_PREFIX + wave, _encoder.encode(sorted(done)))
+
+
+def decode_wave(record: Record) -> WaveProgress | RecordFault:
+    """Read the progress of a wave."""
+    try:
+        done = msgspec.msgpack.decode(record.value, type=tuple[str, ...])
+    except msgspec.MsgspecError as exc:
+        return RecordFault(record.key, str(exc))
+    wave = WaveId(record.key[len(_WAVE_PREFIX) :])
+    return WaveProgress(wave, tuple(VmId(vm) for vm in done))
