--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -24,6 +24,7 @@
 from hickoryplank.jobs.evacuation import empty, evacuate
 from hickoryplank.jobs.maintenance import WaveRow, begin_maintenance, wave_done
 from hickoryplank.jobs.records import encode_wave
+from hickoryplank.jobs.standby import Demand, balance
 from hickoryplank.jobs.vms import Errand, Phase, VmTable, VmView
 from hickoryplank.shell.clock import Clock
 
@@ -80,6 +81,7 @@
         self._table = VmTable()
         self._waves: dict[WaveId, WaveRow] = {}
         self._done: dict[WaveId, set[VmId]] = {}
+        self._demand = Demand()
         self._asked_at = 0.0
 
     def restore(self, wave: WaveId, done: set[VmId]) -> None:
@@ -137,6 +139,23 @@
                         },
                     )
 
+        self._balance(engine, now)
+
+    def _balance(self, engine: Engine, now: float) -> None:
+        pools = engine.directory.pools.values()
+        standby = next((pool.id for pool in pools if pool.standby), None)
+        if standby is None:
+            return
+        for errand in balance(engine, self._table, self._demand, now, standby):
+            logger.info(
+                "VM is to move",
+                extra={
+                    "vm": errand.vm,
+                    "from": self._table.rows[errand.vm].view.pool,
+                    "to": errand.pool,
+                },
+            )
+
     def _wave(self, order: WaveOrder) -> WaveRow:
         wave = self._waves.get(order.id)
         if wave is None:
@@ -151,13 +170,12 @@
         return wave
 
     async def _round(self, engine: Engine, journal: Journal, token: int) -> None:
-        for errand in self._table.errands():
-            match errand.phase:
-                case Phase.EMPTYING:
-                    if self._emptied(engine, errand):
-                        await self._order(engine, journal, errand, token)
-                case Phase.ORDERED:
-                    await self._order(engine, journal, errand, token)
+        async with anyio.create_task_group() as tasks:
+            for errand in self._table.errands():
+                if errand.phase is Phase.AWAY:
+                    continue
+                if errand.phase is Phase.ORDERED or self._emptied(engine, errand):
+                    tasks.start_soon(self._order, engine, journal, errand, token)
         for wave in self._waves.values():
             if not wave.told_completed and wave_done(wave, self._table):
                 await self._tell_completed(wave)
@@ -245,4 +263,4 @@
 
 
 def _view(one: ListedVm) -> VmView:
-    return VmView(one.id, one.pool, one.state is VmState.UP, one.endpoint)
+    return VmView(one.id, one.pool, one.state is VmState.UP, one.endpoint, one.capacity)
--- /dev/null
+++ b/hickoryplank/jobs/standby.py
@@ -0,0 +1,211 @@
+"""Moves VMs between pools as demand turns, by way of the standby pool.
+
+Load that this answers: queues ask several times their mean by turns, more than
+their pools hold, and nearly nothing in between. A pool that lacks room gets VMs
+from the standby pool, and from pools that have had room to spare for a while;
+what nobody needs goes to standby, where it costs nothing.
+"""
+
+from collections import deque
+
+import msgspec
+
+from hickoryplank.core.ids import PoolId
+from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.sizes import Size
+from hickoryplank.jobs.vms import Errand, Phase, VmRow, VmTable
+
+__all__ = ["Demand", "balance"]
+
+#: For how long a pool must have had room to spare before it gives a VM up, in
+#: seconds. A move there and back costs as much as about 2.3 s in a pool, so a
+#: shorter idle time isn't worth it.
+IDLE_SECONDS = 1.6
+#: Part of a pool's capacity that is planned to be used: sizes don't fill VMs
+#: evenly.
+FILL = 0.85
+#: VMs that a pool keeps however idle it is: one may fail or be maintained while
+#: another takes what comes.
+LEAST_VMS = 3
+#: Moves that are begun in one round; the platform bounds orders a second.
+MOST_BEGUN = 8
+
+
+class _Sample(msgspec.Struct, frozen=True):
+    at: float
+    wanted: int
+
+
+class Demand:
+    """How many VMs each pool has wanted over the last seconds."""
+
+    def __init__(self) -> None:
+        self._samples: dict[PoolId, deque[_Sample]] = {}
+
+    def note(self, pool: PoolId, wanted: int, now: float) -> None:
+        """Add a sample."""
+        samples = self._samples.setdefault(pool, deque())
+        samples.append(_Sample(now, wanted))
+        while samples[0].at < now - IDLE_SECONDS:
+            samples.popleft()
+
+    def most(self, pool: PoolId) -> int:
+        """Return the most that was wanted over the last seconds."""
+        return max((one.wanted for one in self._samples.get(pool, ())), default=0)
+
+
+class _PoolNeed(msgspec.Struct):
+    pool: PoolId
+    have: int
+    wanted: int
+    steady: int
+    rows: list[VmRow]
+
+
+def balance(
+    engine: Engine, vms: VmTable, demand: Demand, now: float, standby: PoolId
+) -> list[Errand]:
+    """Begin the moves that demand asks for; take back those it no longer does."""
+    needs = _needs(engine, vms, demand, now, standby)
+    _take_back(engine, vms, needs, standby)
+    spares = [row for row in vms.rows.values() if _in_pool(row, standby) and _free(row)]
+    begun: list[Errand] = []
+    for need in sorted(needs, key=lambda one: one.have - one.wanted):
+        while need.have < need.wanted and len(begun) < MOST_BEGUN:
+            row = spares.pop() if spares else _surplus(engine, needs)
+            if row is None:
+                break
+            begun.append(_begin(row, need.pool, now))
+            need.have += 1
+    for need in needs:
+        while need.have > need.steady and len(begun) < MOST_BEGUN:
+            row = _idlest(engine, need)
+            if row is None:
+                break
+            begun.append(_begin(row, standby, now))
+            need.have -= 1
+    return begun
+
+
+def _in_pool(row: VmRow, pool: PoolId) -> bool:
+    return row.view.pool == pool
+
+
+def _free(row: VmRow) -> bool:
+    return row.view.up and row.errand is None
+
+
+def _begin(row: VmRow, pool: PoolId, now: float) -> Errand:
+    row.errand = Errand(row.view.id, pool, None, Phase.EMPTYING, now)
+    return row.errand
+
+
+def _needs(
+    engine: Engine, vms: VmTable, demand: Demand, now: float, standby: PoolId
+) -> list[_PoolNeed]:
+    wanted = _wanted_sizes(engine)
+    needs = []
+    for pool in engine.directory.pools:
+        rows = [row for row in vms.rows.values() if _in_pool(row, pool)]
+        if pool == standby:
+            continue
+        coming = sum(
+            1
+            for row in vms.rows.values()
+            if row.errand is not None
+            and row.errand.pool == pool
+            and not _in_pool(row, pool)
+        )
+        leaving = sum(
+            1
+            for row in rows
+            if row.errand is not None
+            and row.errand.pool is not None
+            and row.errand.pool != pool
+        )
+        count = max(LEAST_VMS, _vms_for(wanted.get(pool, Size()), rows, vms))
+        demand.note(pool, count, now)
+        have = len(rows) - leaving + coming
+        needs.append(_PoolNeed(pool, have, count, demand.most(pool), rows))
+    return needs
+
+
+def _wanted_sizes(engine: Engine) -> dict[PoolId, Size]:
+    """Return what runs, and what could run now if there were room, by pool."""
+    wanted: dict[PoolId, Size] = {}
+    for endpoint in engine.endpoints.values():
+        pool = endpoint.listing.pool
+        wanted[pool] = wanted.get(pool, Size()).plus(endpoint.used)
+    for row in engine.open.values():
+        pool = row.job.pool
+        for occurrence in row.steps:
+            for step in row.ready_steps(occurrence):
+                more = step.step.counted_size.times(len(step.waiting))
+                wanted[pool] = wanted.get(pool, Size()).plus(more)
+    return wanted
+
+
+def _vms_for(size: Size, rows: list[VmRow], vms: VmTable) -> int:
+    """Return how many VMs of the pool's usual capacity hold ``size``."""
+    some = rows or list(vms.rows.values())
+    capacity = max((row.view.capacity for row in some), key=lambda one: one.cpu)
+    parts = [
+        part / (whole * FILL)
+        for part, whole in (
+            (size.cpu, capacity.cpu),
+            (size.mem_mb, capacity.mem_mb),
+            (size.gpu, capacity.gpu),
+        )
+        if whole
+    ]
+    return -int(-max(parts, default=0.0) // 1)
+
+
+def _take_back(
+    engine: Engine, vms: VmTable, needs: list[_PoolNeed], standby: PoolId
+) -> None:
+    """Keep VMs that were to leave a pool which wants them again."""
+    for need in needs:
+        for row in need.rows:
+            errand = row.errand
+            if need.have >= need.wanted:
+                break
+            if errand is None or errand.pool != standby:
+                continue
+            if errand.phase is not Phase.EMPTYING:
+                continue
+            row.errand = None
+            endpoint = engine.endpoint_of(row.view.endpoint)
+            if endpoint is not None:
+                endpoint.closing = False
+            need.have += 1
+
+
+def _surplus(engine: Engine, needs: list[_PoolNeed]) -> VmRow | None:
+    """Return a VM that a pool can spare for another one, if any."""
+    for need in sorted(needs, key=lambda one: one.steady - one.have):
+        if need.have <= need.steady:
+            return None
+        row = _idlest(engine, need)
+        if row is not None:
+            need.have -= 1
+            return row
+    return None
+
+
+def _idlest(engine: Engine, need: _PoolNeed) -> VmRow | None:
+    """Return the VM with the least on it, and nothing that lasts."""
+    best: VmRow | None = None
+    least = 0
+    for row in need.rows:
+        if not _free(row):
+            continue
+        endpoint = engine.endpoint_of(row.view.endpoint)
+        if endpoint is None or not endpoint.held:
+            continue
+        if any(run.step.lasting for run in endpoint.runs.values()):
+            continue
+        load = endpoint.used.cpu
+        if best is None or load < least:
+            best, least = row, load
+    return best
--- a/hickoryplank/jobs/vms.py
+++ b/hickoryplank/jobs/vms.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId
+from hickoryplank.jobs.sizes import Size
 
 __all__ = ["Errand", "Phase", "VmRow", "VmTable", "VmView"]
 
@@ -19,6 +20,7 @@
     pool: PoolId
     up: bool
     endpoint: EndpointId | None
+    capacity: Size = Size()
 
 
 class Phase(Enum):
