--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -87,6 +87,8 @@
 STORE_SECONDS = 1.5
 #: Longest wait for stored ends before an endpoint is looked at again, in seconds.
 ENDS_SECONDS = 0.3
+#: Longest wait for open calls before the lease is given up, in seconds.
+FINISH_SECONDS = 0.4
 #: How long after the store was away a missing endpoint may still come back, in
 #: seconds; the platform states about two.
 RELIST_SECONDS = 2.5
@@ -121,6 +123,8 @@
         self._listings_failed_at = outside.clock.now()
         self._missing: dict[EndpointId, float] = {}
         self._looked_at: set[Endpoint] = set()
+        self._open_calls = 0
+        self._finishing = False
         self._tasks: TaskGroup | None = None
         self._caretaker = Caretaker(
             outside.vms,
@@ -292,7 +296,7 @@
             if answer.outcome is not StartOutcome.STARTED or tries > 1:
                 self._log_start(run, tries, answer.outcome, answer.detail)
             if answer.outcome is StartOutcome.FENCED:
-                await self._check_fenced()
+                self._fenced()
             if again:
                 await anyio.sleep(RESEND_SECONDS)
             elif answer.outcome is not StartOutcome.STARTED:
@@ -325,7 +329,7 @@
                 run.endpoint.heard(clock_ms, now)
                 self._running().stop_answered(run, now)
             case Err(CallFault(Fault.FENCED, _)):
-                await self._check_fenced()
+                self._fenced()
             case Err(fault):
                 logger.info(
                     "stop not answered",
@@ -336,10 +340,13 @@
                     },
                 )
 
-    async def _check_fenced(self) -> None:
-        await self._lease.lose()
-        if not self._lease.held:
-            raise Deposed("an endpoint has seen a higher fencing token")
+    def _fenced(self) -> None:
+        """End the term, as only a later coordinator has a higher token.
+
+        :raises Deposed: always.
+        """
+        self._lease.lose()
+        raise Deposed("an endpoint has seen a higher fencing token")
 
     # Looks at endpoints
 
@@ -361,8 +368,7 @@
                         with anyio.move_on_after(ENDS_SECONDS):
                             await stored.wait()
                 case Err(CallFault(Fault.FENCED, _)):
-                    await self._check_fenced()
-                    await anyio.sleep(SILENT_SECONDS)
+                    self._fenced()
                 case Err(CallFault(Fault.OTHER_LIFE, detail)):
                     logger.info(
                         "endpoint's life ended",
@@ -453,8 +459,22 @@
 
     async def answer(self, call: Call) -> Answer:
         """Answer a caller's call."""
-        if self.engine is None or not self._lease.valid():
+        if self.engine is None or self._finishing or not self._lease.valid():
             return NotRun(Why.NO_COORDINATOR)
+        self._open_calls += 1
+        try:
+            return await self._answer(call)
+        finally:
+            self._open_calls -= 1
+
+    async def finish(self) -> None:
+        """Take no more calls, and wait for the answers to those taken."""
+        self._finishing = True
+        with anyio.move_on_after(FINISH_SECONDS):
+            while self._open_calls:
+                await anyio.sleep(0.01)
+
+    async def _answer(self, call: Call) -> Answer:
         await self._await_version(call.where.version)
         found = self._admit(call.where)
         if not isinstance(found, _Admitted):
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -80,6 +80,7 @@
         self._renewed_at = 0.0
         self._spread = secrets.randbelow(1000) / 1000 * SPREAD_SECONDS
         self._suspected = False
+        self._lost = False
         self.known: LeaseRecord | None = None
         self.changed = anyio.Event()
         self.stopping = False
@@ -96,6 +97,7 @@
             self.known is not None
             and self.known.holder == self._me.name
             and not self.known.released
+            and not self._lost
         )
 
     def valid(self) -> bool:
@@ -134,9 +136,11 @@
             )
             await self._write(record)
 
-    async def lose(self) -> None:
-        """Read the lease anew after a sign that another entry has taken it."""
-        await self._read_newest()
+    def lose(self) -> None:
+        """Give the lease up after a sign that another entry has taken it."""
+        self._lost = True
+        self._end = None
+        self._notify()
 
     # Watching
 
@@ -189,6 +193,8 @@
 
     def _set(self, lease: LeaseRecord) -> None:
         before, self.known = self.known, lease
+        if before is None or lease.number > before.number:
+            self._lost = False
         if before is not None and (before.holder, before.released) == (
             lease.holder,
             lease.released,
@@ -202,6 +208,9 @@
                 "released": lease.released,
             },
         )
+        self._notify()
+
+    def _notify(self) -> None:
         self.changed.set()
         self.changed = anyio.Event()
 
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -111,9 +111,7 @@
                     await term.run()
                 finally:
                     self._gateway.term = None
-                if self._lease.held:
-                    await self._lease.release()
-                    self._lease.stopping = self._ingress.closing
+                self._lease.lose()
             else:
                 await changed.wait()
 
@@ -127,6 +125,8 @@
     async def _stop(self) -> None:
         logger.info("stopping")
         self._ingress.closing = True
+        if self._gateway.term is not None:
+            await self._gateway.term.finish()
         await self._lease.release()
         begun = self._clock.now()
         limit = self._cfg.grace_s * GRACE_PART
--- /dev/null
+++ b/tests/coordinator/memory.py
@@ -0,0 +1,303 @@
+"""The platform in memory, behind the coordinator's interfaces, with faults."""
+
+import time
+from collections.abc import Callable
+
+import anyio
+from result import Err, Ok, Result
+
+from hickoryplank.coordinator.ports import (
+    Appended,
+    CallFault,
+    Condition,
+    EndpointPort,
+    Fault,
+    Fence,
+    ListedVm,
+    Listings,
+    Newest,
+    OperatorRecords,
+    OrderOutcome,
+    Page,
+    StartAnswer,
+    StorePort,
+    Topic,
+    VmPort,
+    VmState,
+    WaveOrder,
+)
+from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId
+from hickoryplank.jobs.directory import Directory
+from hickoryplank.jobs.endpoints import Listing, Run
+from hickoryplank.jobs.messages import HoldOrder, HoldReport, StartOutcome
+from hickoryplank.jobs.records import Record
+from tests.jobs.endpoint import StandInEndpoint
+
+AWAY = CallFault(Fault.NOT_DONE, "away")
+LOST = CallFault(Fault.UNKNOWN, "no answer")
+
+
+class _Partition:
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+        self.first = 0
+        self.epoch = -1
+        self.last_sequence = -1
+        self.answers: dict[int, Appended] = {}
+        self.grown = anyio.Event()
+
+
+class MemoryStore(StorePort):
+    """Keyed partitions; shared by the stores that entries see."""
+
+    def __init__(self) -> None:
+        self.partitions: dict[Topic, _Partition] = {}
+
+    def partition(self, topic: Topic) -> _Partition:
+        """Return the partition of a topic."""
+        return self.partitions.setdefault(topic, _Partition())
+
+    async def append(
+        self, topic: Topic, records: list[Record], guard: Condition | Fence | None
+    ) -> Result[Appended, CallFault]:
+        """Add records, all or none."""
+        await anyio.lowlevel.checkpoint()
+        part = self.partition(topic)
+        match guard:
+            case Condition(end) if end != len(part.records):
+                return Err(CallFault(Fault.MOVED, str(len(part.records))))
+            case Fence(epoch, _) if epoch < part.epoch:
+                return Err(CallFault(Fault.FENCED, str(part.epoch)))
+            case Fence(epoch, sequence) if epoch == part.epoch:
+                if sequence in part.answers:
+                    return Ok(part.answers[sequence])
+                if sequence != part.last_sequence + 1:
+                    return Err(CallFault(Fault.OUT_OF_ORDER, str(sequence)))
+        offset = len(part.records)
+        part.records += records
+        done = Appended(offset, len(part.records))
+        if isinstance(guard, Fence):
+            if guard.epoch > part.epoch:
+                part.answers.clear()
+            part.epoch, part.last_sequence = guard.epoch, guard.sequence
+            part.answers[guard.sequence] = done
+        if records:
+            part.grown.set()
+            part.grown = anyio.Event()
+        return Ok(done)
+
+    async def read(
+        self, topic: Topic, offset: int, wait_ms: int
+    ) -> Result[Page, CallFault]:
+        """Return records from ``offset`` on, waiting for the first one."""
+        await anyio.lowlevel.checkpoint()
+        part = self.partition(topic)
+        if offset < part.first:
+            return Err(CallFault(Fault.TRIMMED))
+        if offset >= len(part.records) and wait_ms:
+            with anyio.move_on_after(wait_ms / 1000):
+                await part.grown.wait()
+        records = tuple(part.records[offset:])
+        return Ok(Page(records, offset + len(records), len(part.records)))
+
+    async def newest(self, topic: Topic) -> Result[Newest, CallFault]:
+        """Return the newest record of each key."""
+        await anyio.lowlevel.checkpoint()
+        part = self.partition(topic)
+        newest = {record.key: record for record in part.records}
+        records = tuple(record for record in newest.values() if record.value)
+        return Ok(Newest(records, len(part.records)))
+
+    def trim(self, topic: Topic) -> None:
+        """Delete the history of a topic; the newest of each key stays."""
+        part = self.partition(topic)
+        part.first = len(part.records)
+
+
+class SeenStore(StorePort):
+    """The store as one entry sees it: it may be away, or lose answers.
+
+    :param store: what lies behind.
+    """
+
+    def __init__(self, store: StorePort):
+        self._store = store
+        self.away = False
+        self.lose: Callable[[], bool] = lambda: False
+
+    async def append(self, topic, records, guard):
+        """Add records, all or none."""
+        if self.away:
+            return Err(AWAY)
+        done = await self._store.append(topic, records, guard)
+        return Err(LOST) if self.lose() else done
+
+    async def read(self, topic, offset, wait_ms):
+        """Return records from ``offset`` on, waiting for the first one."""
+        if self.away:
+            return Err(AWAY)
+        return await self._store.read(topic, offset, wait_ms)
+
+    async def newest(self, topic):
+        """Return the newest record of each key."""
+        if self.away:
+            return Err(AWAY)
+        return await self._store.newest(topic)
+
+
+class MemoryEndpoints(EndpointPort):
+    """Orders to stand-in endpoints whose clocks follow the machine's.
+
+    :param cut: endpoints that don't answer.
+    """
+
+    def __init__(self, endpoints: dict[EndpointId, StandInEndpoint]):
+        self.endpoints = endpoints
+        self.cut: set[EndpointId] = set()
+        self._at = time.monotonic()
+
+    def _advance(self) -> None:
+        now = time.monotonic()
+        ms, self._at = (now - self._at) * 1000, now
+        for one in self.endpoints.values():
+            one.advance(ms)
+
+    def _find(self, id: EndpointId) -> StandInEndpoint | None:
+        self._advance()
+        return None if id in self.cut else self.endpoints.get(id)
+
+    async def start(self, run: Run, payload: str, token: int) -> StartAnswer:
+        """Start a run under a lease until ``run.until_ms``."""
+        await anyio.lowlevel.checkpoint()
+        one = self._find(run.endpoint.id)
+        if one is None:
+            return StartAnswer(StartOutcome.UNKNOWN)
+        outcome = one.start(run.key, run.attempt, payload, run.until_ms, token)
+        return StartAnswer(outcome, int(one.clock_ms))
+
+    async def stop(self, run: Run, token: int) -> Result[int, CallFault]:
+        """Stop a run; return the endpoint's clock."""
+        await anyio.lowlevel.checkpoint()
+        one = self._find(run.endpoint.id)
+        if one is None:
+            return Err(LOST)
+        if not one.stop(run.key, run.attempt, token):
+            return Err(CallFault(Fault.FENCED))
+        return Ok(int(one.clock_ms))
+
+    async def pace(self, run: Run, percent: int, token: int) -> Result[int, CallFault]:
+        """Let a run work at a share of its speed; return the endpoint's clock."""
+        await anyio.lowlevel.checkpoint()
+        one = self._find(run.endpoint.id)
+        return Err(LOST) if one is None else Ok(int(one.clock_ms))
+
+    async def hold(self, order: HoldOrder, token: int) -> Result[HoldReport, CallFault]:
+        """Look at what runs and has ended, and renew the lease."""
+        await anyio.sleep(0.02)
+        one = self._find(order.endpoint)
+        if one is None:
+            return Err(LOST)
+        report = one.hold(token, order.last_seen, order.until_ms)
+        return Err(CallFault(Fault.FENCED)) if report is None else Ok(report)
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Nothing is kept."""
+
+
+class MemoryListings(Listings):
+    """Listings under the endpoint's id, from a table."""
+
+    def __init__(self, listings: dict[EndpointId, Listing]):
+        self.listings = listings
+
+    def decode(self, record: Record) -> Listing | None:
+        """Return the listing, or none if the record names no usable endpoint."""
+        return self.listings.get(EndpointId(record.key))
+
+
+class MemoryOperator(OperatorRecords):
+    """Operators' records, from tables by the record's value."""
+
+    def __init__(self) -> None:
+        self.objects: dict[bytes, Directory | WaveOrder] = {}
+
+    def encode(self, key: str, item: Directory | WaveOrder) -> Record:
+        """Return a record that decodes to ``item``."""
+        value = f"{key}-{len(self.objects)}".encode()
+        self.objects[value] = item
+        return Record(key, value)
+
+    def decode(self, record: Record) -> Directory | WaveOrder | None:
+        """Return what the record holds, or none for a record of another kind."""
+        return self.objects.get(record.value)
+
+    def encode_wave_status(self, wave: WaveId, *, completed: bool) -> Record:
+        """Return the record that tells how far a wave is."""
+        return Record(f"wave/{wave}", b"completed" if completed else b"running")
+
+
+class MemoryVms(VmPort):
+    """VMs that come back some time after an order.
+
+    :param away_s: how long an order takes a VM away.
+    """
+
+    def __init__(self, vms: dict[VmId, ListedVm], away_s: float = 0.1):
+        self.vms = vms
+        self.away_s = away_s
+        self.away: dict[VmId, float] = {}
+        self.orders: list[tuple[str, VmId, str, int]] = []
+        self.on_down: Callable[[ListedVm], None] = lambda vm: None
+        self.on_back: Callable[[ListedVm], None] = lambda vm: None
+        self.down_at_once = 0
+
+    def _return(self) -> None:
+        for id, until in list(self.away.items()):
+            if time.monotonic() >= until:
+                del self.away[id]
+                self.on_back(self.vms[id])
+
+    async def list(self) -> Result[tuple[ListedVm, ...], CallFault]:
+        """Return all VMs."""
+        await anyio.lowlevel.checkpoint()
+        self._return()
+        return Ok(tuple(self._shown(vm) for vm in self.vms.values()))
+
+    def _shown(self, vm: ListedVm) -> ListedVm:
+        if vm.id not in self.away:
+            return vm
+        return ListedVm(
+            vm.id, vm.pool, VmState.MAINTENANCE, vm.zone, vm.labels, vm.capacity, None
+        )
+
+    async def move(self, vm: VmId, pool: PoolId, token: int) -> OrderOutcome:
+        """Move a VM to another pool."""
+        await anyio.lowlevel.checkpoint()
+        known = self.vms[vm]
+        if known.pool == pool:
+            return OrderOutcome.DONE
+        self.orders.append(("move", vm, pool, token))
+        self.vms[vm] = ListedVm(
+            vm,
+            pool,
+            known.state,
+            known.zone,
+            known.labels,
+            known.capacity,
+            known.endpoint,
+        )
+        self._take_down(vm)
+        return OrderOutcome.DONE
+
+    async def maintain(self, vm: VmId, wave: WaveId, token: int) -> OrderOutcome:
+        """Take a VM down for its maintenance."""
+        await anyio.lowlevel.checkpoint()
+        self.orders.append(("maintain", vm, wave, token))
+        self._take_down(vm)
+        return OrderOutcome.DONE
+
+    def _take_down(self, vm: VmId) -> None:
+        self._return()
+        self.away[vm] = time.monotonic() + self.away_s
+        self.down_at_once = max(self.down_at_once, len(self.away))
+        self.on_down(self.vms[vm])
--- /dev/null
+++ b/tests/coordinator/test_coordinator.py
@@ -0,0 +1,319 @@
+"""A coordinator's term on a platform in memory: calls, and hand-overs."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from hickoryplank.coordinator.calls import (
+    Accepted,
+    Ask,
+    Cancel,
+    Cancelled,
+    Count,
+    Faulty,
+    NoKey,
+    NoSuchJob,
+    NoSuchQueue,
+    NotRun,
+    PendingIs,
+    StateIs,
+    Submission,
+    Submit,
+    Where,
+    Why,
+)
+from hickoryplank.coordinator.caretaker import FleetBounds
+from hickoryplank.coordinator.coordinator import Coordinator, Outside
+from hickoryplank.coordinator.lease import Holder, LeaseKeeper
+from hickoryplank.coordinator.ports import ListedVm, Topic, VmState, WaveOrder
+from hickoryplank.coordinator.watcher import OperatorWatcher
+from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId, Zone
+from hickoryplank.jobs.engine import Timing
+from hickoryplank.jobs.model import Step
+from hickoryplank.jobs.records import Record
+from hickoryplank.jobs.table import JobState
+from hickoryplank.shell.clock import MonotonicClock
+from tests.coordinator.memory import (
+    MemoryEndpoints,
+    MemoryListings,
+    MemoryOperator,
+    MemoryStore,
+    MemoryVms,
+    SeenStore,
+)
+from tests.jobs.driver import CAPACITY, POOL, TASK, directory, listing
+from tests.jobs.endpoint import StandInEndpoint
+
+pytestmark = pytest.mark.anyio
+LONG_SECONDS = 8.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Platform:
+    """A platform in memory with two endpoints on two VMs."""
+
+    def __init__(self, work_ms=lambda key: 100.0, count: int = 2):
+        self.store = MemoryStore()
+        self.work_ms = work_ms
+        ids = [EndpointId(f"e{number}") for number in range(count)]
+        self.stand_ins = {id: StandInEndpoint(1, work_ms) for id in ids}
+        self.endpoints = MemoryEndpoints(self.stand_ins)
+        self.listings = MemoryListings({id: listing(id, 1) for id in ids})
+        self.operator = MemoryOperator()
+        self.vms = MemoryVms(
+            {
+                VmId(f"m-{id}"): ListedVm(
+                    VmId(f"m-{id}"), POOL, VmState.UP, Zone("z"), (), CAPACITY, id
+                )
+                for id in ids
+            }
+        )
+
+    async def open(self) -> None:
+        """Publish the configuration, and list the endpoints."""
+        await self.publish(directory())
+        for id in self.stand_ins:
+            await self.store.append(Topic.LISTINGS, [Record(id, b"listed")], None)
+
+    async def publish(self, cfg) -> None:
+        """Publish a configuration."""
+        record = self.operator.encode("config", cfg)
+        await self.store.append(Topic.OPERATOR, [record], None)
+
+
+class Node:
+    """One entry without its listeners."""
+
+    def __init__(self, platform: Platform, name: str):
+        self.store = SeenStore(platform.store)
+        clock = MonotonicClock()
+        self.watcher = OperatorWatcher(self.store, platform.operator, clock)
+        holder = Holder.fresh(name, f"{name}:7000")
+        self.lease = LeaseKeeper(self.store, holder, clock)
+        self.outside = Outside(
+            store=self.store,
+            endpoints=platform.endpoints,
+            listings=platform.listings,
+            clock=clock,
+            timing=Timing(4000, 100, 9.2),
+            vms=platform.vms,
+            operator=platform.operator,
+            fleet=FleetBounds(0.1, 0.1, 0.2),
+        )
+        self.term: Coordinator | None = None
+
+    async def run(self) -> None:
+        """Serve terms until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.watcher.run)
+            tasks.start_soon(self.lease.run)
+            while True:
+                changed = self.lease.changed
+                if self.lease.held:
+                    self.term = Coordinator(self.outside, self.lease, self.watcher)
+                    await self.term.run()
+                    self.term = None
+                else:
+                    await changed.wait()
+
+    @property
+    def serving(self) -> bool:
+        """Whether it is the coordinator and has restored its engine."""
+        return self.term is not None and self.term.engine is not None
+
+
+@asynccontextmanager
+async def running(*nodes: Node) -> AsyncIterator[None]:
+    async with anyio.create_task_group() as tasks:
+        for node in nodes:
+            tasks.start_soon(node.run)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+async def until(condition) -> None:
+    with anyio.fail_after(LONG_SECONDS):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def where(path: str, key: str = "key", version: int = 0) -> Where:
+    return Where("a.example", path, key, version)
+
+
+def submit(id: str, *steps: Step, key: str = "key") -> Submit:
+    path = f"/p/{id}"
+    return Submit(where(path, key), JobId(id), Submission("payload", steps))
+
+
+async def state(node: Node, id: str):
+    return await node.term.answer(Ask(where(f"/p/{id}"), JobId(id)))
+
+
+async def until_state(node: Node, id: str, wanted: JobState) -> None:
+    with anyio.fail_after(LONG_SECONDS):
+        while await state(node, id) != StateIs(wanted):
+            await anyio.sleep(0.02)
+
+
+async def test_a_job_is_taken_run_and_shown_completed():
+    platform = Platform()
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        assert await node.term.answer(submit("j", Step(3, TASK))) == Accepted()
+        await until_state(node, "j", JobState.COMPLETED)
+        assert await node.term.answer(submit("j", Step(3, TASK))) == Accepted()
+        assert await node.term.answer(Count(where("/p/"))) == PendingIs(0)
+    assert sum(len(one.started) for one in platform.stand_ins.values()) == 3
+
+
+@pytest.mark.parametrize(
+    ("call", "answer"),
+    [
+        (submit("j", Step(1, TASK), key="other"), NoKey()),
+        (submit("j", Step(1, TASK), key=""), NoKey()),
+        (Ask(where("/p/none"), JobId("none")), NoSuchJob()),
+        (Cancel(where("/p/none"), JobId("none")), NoSuchJob()),
+        (Count(where("/q/")), NoSuchQueue()),
+        (Count(where("/p/more/")), NoSuchQueue()),
+    ],
+)
+async def test_calls_that_are_not_served(call, answer):
+    platform = Platform()
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        assert await node.term.answer(call) == answer
+
+
+@pytest.mark.parametrize(
+    "steps", [(), (Step(0, TASK),), (Step(1, TASK), Step(1, TASK, after=(1,)))]
+)
+async def test_jobs_that_cannot_be_read_are_refused(steps):
+    platform = Platform()
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        assert isinstance(await node.term.answer(submit("j", *steps)), Faulty)
+
+
+async def test_a_key_that_was_withdrawn_is_refused_and_others_go_on():
+    platform = Platform()
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        cfg = directory()
+        bare = type(cfg).build(
+            2, list(cfg.queues.values()), list(cfg.pools.values()), []
+        )
+        await platform.publish(bare)
+        call = Submit(
+            where("/p/j", version=2), JobId("j"), Submission("", (Step(1, TASK),))
+        )
+        assert await node.term.answer(call) == NoKey()
+
+
+async def test_a_cancelled_job_ends_and_stays_cancelled():
+    platform = Platform(work_ms=lambda key: None)
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        await node.term.answer(submit("j", Step(2, TASK, lasting=True)))
+        await until(lambda: any(one.running for one in platform.stand_ins.values()))
+        cancel = Cancel(where("/p/j"), JobId("j"))
+        assert await node.term.answer(cancel) == Cancelled()
+        await until_state(node, "j", JobState.CANCELLED)
+        await until(lambda: not any(one.running for one in platform.stand_ins.values()))
+
+
+async def test_the_next_coordinator_knows_the_jobs_and_starts_none_twice():
+    platform = Platform(work_ms=lambda key: None)
+    await platform.open()
+    a, b = Node(platform, "a"), Node(platform, "b")
+    async with running(a):
+        await until(lambda: a.serving)
+        await a.term.answer(submit("j", Step(3, TASK, lasting=True)))
+        await until(
+            lambda: sum(len(one.running) for one in platform.stand_ins.values()) == 3
+        )
+        async with running(b):
+            a.store.away = True
+            await until(lambda: b.serving)
+            assert await state(b, "j") == StateIs(JobState.RUNNING)
+            await anyio.sleep(0.5)
+            await until(lambda: a.term is None)
+    assert sum(len(one.started) for one in platform.stand_ins.values()) == 3
+
+
+async def test_without_the_store_new_jobs_are_refused_and_leases_go_on():
+    platform = Platform(work_ms=lambda key: None)
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        await node.term.answer(submit("j", Step(2, TASK, lasting=True)))
+        await until(
+            lambda: sum(len(one.running) for one in platform.stand_ins.values()) == 2
+        )
+        node.store.away = True
+        await anyio.sleep(1.5)
+        answer = await node.term.answer(submit("k", Step(1, TASK)))
+        assert isinstance(answer, NotRun)
+        await anyio.sleep(3.0)
+        assert sum(len(one.running) for one in platform.stand_ins.values()) == 2
+        node.store.away = False
+        with anyio.fail_after(LONG_SECONDS):
+            while answer != Accepted():
+                assert isinstance(answer, NotRun)
+                await anyio.sleep(0.05)
+                answer = await node.term.answer(submit("k", Step(1, TASK)))
+
+
+async def test_a_call_waits_for_the_version_that_its_entry_has():
+    platform = Platform()
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        call = Count(where("/p/", version=9))
+        assert await node.term.answer(call) == PendingIs(0)
+
+
+async def test_an_entry_without_a_valid_lease_answers_nothing_from_memory():
+    platform = Platform()
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        node.store.away = True
+        await until(lambda: not node.lease.valid())
+        answer = await state(node, "none")
+        assert answer == NotRun(Why.NO_COORDINATOR)
+
+
+async def test_a_wave_maintains_each_vm_once_within_its_bound():
+    platform = Platform(count=4)
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        wave = WaveOrder(WaveId("1"), tuple(platform.vms.vms), 5.0, 2)
+        record = platform.operator.encode("wave/1", wave)
+        await platform.store.append(Topic.OPERATOR, [record], None)
+        status = platform.store.partition(Topic.STATUS)
+        await until(lambda: [one.value for one in status.records] == [b"completed"])
+    maintained = [vm for kind, vm, _, _ in platform.vms.orders if kind == "maintain"]
+    assert sorted(maintained) == sorted(platform.vms.vms)
+    assert platform.vms.down_at_once <= 2
--- /dev/null
+++ b/tests/coordinator/test_journal.py
@@ -0,0 +1,65 @@
+"""Fenced appends: repeated until done, and ended by a higher epoch."""
+
+import anyio
+import pytest
+
+from hickoryplank.coordinator.journal import MAX_APPEND_BYTES, Deposed, Journal
+from hickoryplank.coordinator.ports import Topic
+from hickoryplank.jobs.records import Record
+from tests.coordinator.memory import MemoryStore, SeenStore
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def test_a_higher_epoch_ends_an_older_journal():
+    store = MemoryStore()
+    old, new = Journal(store, 1), Journal(store, 2)
+    await old.open()
+    await old.append([Record("k", b"old")])
+    await new.open()
+    with pytest.raises(Deposed):
+        await old.append([Record("k", b"late")])
+    assert [one.value for one in store.partition(Topic.JOBS).records] == [b"old"]
+
+
+async def test_appends_without_answer_are_repeated_and_done_once():
+    store = MemoryStore()
+    seen = SeenStore(store)
+    answers = iter([True, True, False] * 10)
+    seen.lose = lambda: next(answers)
+    journal = Journal(seen, 1)
+    await journal.open()
+    for number in range(4):
+        await journal.append([Record("k", bytes([number]))])
+    values = [one.value for one in store.partition(Topic.JOBS).records]
+    assert values == [bytes([number]) for number in range(4)]
+
+
+async def test_an_append_waits_for_the_store_to_come_back():
+    store = MemoryStore()
+    seen = SeenStore(store)
+    journal = Journal(seen, 1)
+    await journal.open()
+    seen.away = True
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(journal.append, [Record("k", b"v")])
+        await anyio.sleep(0.2)
+        assert journal.failing
+        seen.away = False
+    assert not journal.failing
+    assert len(store.partition(Topic.JOBS).records) == 1
+
+
+async def test_large_batches_are_split():
+    store = MemoryStore()
+    journal = Journal(store, 1)
+    await journal.open()
+    value = b"x" * (MAX_APPEND_BYTES // 2 + 1)
+    await journal.append([Record(str(number), value) for number in range(3)])
+    assert len(store.partition(Topic.JOBS).records) == 3
+    assert store.partition(Topic.JOBS).last_sequence == 3
--- /dev/null
+++ b/tests/coordinator/test_lease.py
@@ -0,0 +1,145 @@
+"""The coordinator's lease among several entries."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from hickoryplank.coordinator.lease import (
+    TAKEOVER_SECONDS,
+    VALID_SECONDS,
+    Holder,
+    LeaseKeeper,
+)
+from hickoryplank.shell.clock import MonotonicClock
+from tests.coordinator.memory import MemoryStore, SeenStore
+
+pytestmark = pytest.mark.anyio
+LONG_SECONDS = 6.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Entry:
+    """A lease keeper with its own view of the store."""
+
+    def __init__(self, store: MemoryStore, name: str):
+        self.store = SeenStore(store)
+        holder = Holder.fresh(name, f"{name}:7000")
+        self.lease = LeaseKeeper(self.store, holder, MonotonicClock())
+
+
+@asynccontextmanager
+async def running(*entries: Entry) -> AsyncIterator[None]:
+    async with anyio.create_task_group() as tasks:
+        for entry in entries:
+            tasks.start_soon(entry.lease.run)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+async def until(condition) -> None:
+    with anyio.fail_after(LONG_SECONDS):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def holders(*entries: Entry) -> list[Entry]:
+    return [entry for entry in entries if entry.lease.valid()]
+
+
+async def test_one_of_several_takes_the_lease_and_the_others_know_where():
+    store = MemoryStore()
+    entries = [Entry(store, name) for name in "abc"]
+    async with running(*entries):
+        await until(lambda: len(holders(*entries)) == 1)
+        (holder,) = holders(*entries)
+        others = [entry for entry in entries if entry is not holder]
+        address = holder.lease.known.address
+        await until(lambda: all(one.lease.coordinator == address for one in others))
+        assert holder.lease.coordinator is None
+
+
+async def test_validity_ends_before_another_may_take_over():
+    assert VALID_SECONDS < TAKEOVER_SECONDS
+
+
+async def test_a_holder_that_the_store_turns_away_is_replaced_and_never_two_at_once():
+    store = MemoryStore()
+    a, b = Entry(store, "a"), Entry(store, "b")
+    async with running(a):
+        await until(a.lease.valid)
+        async with running(b):
+            a.store.away = True
+            with anyio.fail_after(LONG_SECONDS):
+                while not b.lease.valid():
+                    assert len(holders(a, b)) <= 1
+                    await anyio.sleep(0.005)
+            assert not a.lease.valid()
+            assert b.lease.number == 2
+            a.store.away = False
+            await until(lambda: a.lease.number == 2)
+            assert not a.lease.held
+
+
+async def test_while_the_store_is_away_for_all_nobody_takes_over():
+    store = MemoryStore()
+    a, b = Entry(store, "a"), Entry(store, "b")
+    async with running(a, b):
+        await until(lambda: len(holders(a, b)) == 1)
+        (holder,) = holders(a, b)
+        a.store.away = b.store.away = True
+        await anyio.sleep(TAKEOVER_SECONDS * 2)
+        assert holders(a, b) == []
+        a.store.away = b.store.away = False
+        await until(lambda: len(holders(a, b)) == 1)
+
+
+async def test_a_released_lease_is_taken_at_once():
+    store = MemoryStore()
+    a, b = Entry(store, "a"), Entry(store, "b")
+    async with running(a):
+        await until(a.lease.valid)
+        async with running(b):
+            await until(lambda: b.lease.number == 1)
+            await a.lease.release()
+            with anyio.fail_after(VALID_SECONDS / 2):
+                while not b.lease.valid():
+                    await anyio.sleep(0.005)
+
+
+async def test_an_entry_takes_the_lease_of_its_own_earlier_life_at_once():
+    store = MemoryStore()
+    before = Entry(store, "a")
+    async with running(before):
+        await until(before.lease.valid)
+    after = Entry(store, "a")
+    async with running(after):
+        with anyio.fail_after(VALID_SECONDS / 2):
+            while not after.lease.valid():
+                await anyio.sleep(0.005)
+    assert after.lease.number == 2
+
+
+async def test_lost_answers_to_renewals_do_not_end_the_lease():
+    store = MemoryStore()
+    a, b = Entry(store, "a"), Entry(store, "b")
+    async with running(a):
+        await until(a.lease.valid)
+        turn = 0
+
+        def every_other() -> bool:
+            nonlocal turn
+            turn += 1
+            return turn % 2 == 0
+
+        a.store.lose = every_other
+        async with running(b):
+            for _ in range(300):
+                assert a.lease.valid()
+                await anyio.sleep(0.01)
+            assert b.lease.number == 1
--- /dev/null
+++ b/tests/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the engine."""
--- /dev/null
+++ b/tests/jobs/driver.py
@@ -0,0 +1,204 @@
+"""Drives an engine against stand-in endpoints, with faults between them."""
+
+from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId, TeamId, Zone
+from hickoryplank.jobs.directory import Directory, Pool, Queue, Team
+from hickoryplank.jobs.endpoints import Listing, Run
+from hickoryplank.jobs.engine import Engine, Timing
+from hickoryplank.jobs.messages import StartOutcome
+from hickoryplank.jobs.model import Job, Step, TaskKey
+from hickoryplank.jobs.records import (
+    Record,
+    apply_state,
+    decode_job,
+    is_job_key,
+    job_of_key,
+)
+from hickoryplank.jobs.sizes import ZERO, Size
+from hickoryplank.jobs.table import JobRow
+from tests.jobs.endpoint import StandInEndpoint
+
+POOL = PoolId("routes")
+QUEUE = QueueId("plan")
+TEAM = TeamId("norte")
+CAPACITY = Size(4000, 8000, 0)
+TASK = Size(1000, 1000, 0)
+LEASE_MS = 4000
+INHERIT_SECONDS = 9.0
+
+
+def directory(limit: Size = ZERO, attempts: int = 3) -> Directory:
+    """Return a configuration with one queue and team."""
+    return Directory.build(
+        1,
+        [
+            Queue(
+                QUEUE,
+                "a.example",
+                "/p/",
+                POOL,
+                attempts=attempts,
+                slack_ms=600,
+                open=False,
+            )
+        ],
+        [Pool(POOL)],
+        [Team(TEAM, frozenset(["key"]), 1.0, limit)],
+    )
+
+
+def job(id: str, *steps: Step) -> Job:
+    """Return a job of the one team."""
+    return Job(JobId(id), QUEUE, POOL, TEAM, "payload", steps, accepted_ms=0)
+
+
+class Driver:
+    """An engine, its endpoints, and the store between its terms.
+
+    :param work_ms: run time of a task, by its key; none for one that lasts.
+    """
+
+    def __init__(self, count: int = 2, work_ms=lambda key: 500.0, cfg=None):
+        self.now = 100.0
+        self.cfg = cfg or directory()
+        self.work_ms = work_ms
+        self.token = 1
+        self.store: dict[str, bytes] = {}
+        self.endpoints = {
+            EndpointId(f"e{number}"): StandInEndpoint(1, work_ms)
+            for number in range(count)
+        }
+        self.cut: set[EndpointId] = set()
+        self.lose_answers: set[EndpointId] = set()
+        self.late: list[tuple[float, Run, int]] = []
+        self.tries: dict[Run, int] = {}
+        self.engine = self._fresh_engine()
+
+    def _fresh_engine(self) -> Engine:
+        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS)
+        engine = Engine(self.cfg, timing, self.now)
+        for id, one in self.endpoints.items():
+            engine.list_endpoint(listing(id, one.born_ms), self.now)
+        return engine
+
+    def take_over(self) -> None:
+        """Begin another coordinator's term, from what is stored."""
+        self.token += 1
+        self.tries.clear()
+        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS)
+        self.engine = Engine(self.cfg, timing, self.now)
+        rows: dict[str, JobRow] = {}
+        for record in self.records():
+            if is_job_key(record.key):
+                decoded = decode_job(record)
+                rows[decoded.id] = JobRow(decoded, self.now)
+        for record in self.records():
+            if not is_job_key(record.key):
+                assert apply_state(rows[job_of_key(record.key)], record) is None
+        self.engine.restore(rows.values())
+        for id, one in self.endpoints.items():
+            self.engine.list_endpoint(listing(id, one.born_ms), self.now)
+
+    def records(self):
+        """Return the stored records."""
+        return [Record(key, value) for key, value in self.store.items()]
+
+    def step(self, ms: int = 100, store_up: bool = True) -> None:
+        """Let time pass, look at every endpoint, and run one tick."""
+        self.now += ms / 1000
+        for one in self.endpoints.values():
+            one.advance(ms)
+        self._carry_out_late()
+        self.look()
+        self.engine.tick(self.now, int(self.now * 1000))
+        self._stop()
+        if store_up:
+            self.commit()
+        self._resend()
+
+    def look(self) -> None:
+        """Look at every endpoint once."""
+        for endpoint in list(self.engine.endpoints.values()):
+            order = self.engine.hold_order(endpoint, self.now, renew=True)
+            asked_at = self.now
+            stand_in = self.endpoints[endpoint.id]
+            if endpoint.id in self.cut:
+                self.engine.hold_lost(endpoint, self.now)
+                continue
+            report = stand_in.hold(self.token, order.last_seen, order.until_ms)
+            assert report is not None
+            self.engine.hold_answered(endpoint, report, asked_at, self.now)
+
+    def commit(self) -> None:
+        """Store a batch, and send its starts."""
+        batch = self.engine.take_batch()
+        for record in batch.records:
+            self.store[record.key] = record.value
+        for run in self.engine.stored(batch, self.now):
+            self._send(run)
+
+    def _send(self, run: Run) -> None:
+        self.tries[run] = self.tries.get(run, 0) + 1
+        stand_in = self.endpoints[run.endpoint.id]
+        outcome = StartOutcome.UNKNOWN
+        clock_ms = 0
+        if run.endpoint.id not in self.cut:
+            told = stand_in.start(
+                run.key, run.attempt, "payload", run.until_ms, self.token
+            )
+            if run.endpoint.id not in self.lose_answers:
+                outcome, clock_ms = told, int(stand_in.clock_ms)
+        again = self.engine.start_answered(
+            run, outcome, self.tries[run], clock_ms, self.now
+        )
+        if not again:
+            self.tries.pop(run, None)
+
+    def _resend(self) -> None:
+        for run in list(self.tries):
+            if run.endpoint.runs.get(run.name) is run:
+                self._send(run)
+            else:
+                del self.tries[run]
+
+    def _stop(self) -> None:
+        stops, self.engine.stops = self.engine.stops, []
+        for run in stops:
+            if run.endpoint.id in self.cut:
+                continue
+            stand_in = self.endpoints[run.endpoint.id]
+            if stand_in.stop(run.key, run.attempt, self.token):
+                self.engine.stop_answered(run, self.now)
+
+    def start_late(self, run: Run, seconds: float) -> None:
+        """Have a start carried out again later, under the token of now."""
+        self.late.append((self.now + seconds, run, self.token))
+
+    def _carry_out_late(self) -> None:
+        for at, run, token in list(self.late):
+            if at <= self.now:
+                self.late.remove((at, run, token))
+                self.endpoints[run.endpoint.id].start(
+                    run.key, run.attempt, "payload", run.until_ms, token
+                )
+
+    def restart_endpoint(self, id: EndpointId) -> None:
+        """End an endpoint's life; a new one begins under the same id."""
+        before = self.endpoints[id]
+        self.endpoints[id] = StandInEndpoint(before.born_ms + 1, self.work_ms)
+        self.engine.list_endpoint(listing(id, before.born_ms + 1), self.now)
+
+    def run_count(self, key: TaskKey) -> int:
+        """Return on how many endpoints a task runs now."""
+        return sum(
+            1
+            for one in self.endpoints.values()
+            for name in one.names()
+            if name[0] == key
+        )
+
+
+def listing(id: EndpointId, born_ms: int, draining: bool = False) -> Listing:
+    """Return what an endpoint says of itself."""
+    return Listing(
+        id, born_ms, f"{id}:1", POOL, Zone("z"), CAPACITY, ("a", "r1"), draining
+    )
--- /dev/null
+++ b/tests/jobs/test_engine.py
@@ -0,0 +1,364 @@
+"""The engine against stand-in endpoints: what is started, and what never is."""
+
+import pytest
+
+from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.jobs.messages import StartOutcome
+from hickoryplank.jobs.model import Step, TaskKey
+from hickoryplank.jobs.sizes import Size
+from hickoryplank.jobs.table import JobState
+from tests.jobs.driver import TASK, Driver, directory, job, listing
+
+E0 = EndpointId("e0")
+E1 = EndpointId("e1")
+
+
+def run_until(driver: Driver, done, steps: int = 200) -> None:
+    for _ in range(steps):
+        if done():
+            return
+        driver.step()
+    raise AssertionError("not reached")
+
+
+def state(driver: Driver, id: str) -> JobState:
+    return driver.engine.jobs[JobId(id)].stored
+
+
+def test_steps_run_in_order_and_the_job_completes():
+    driver = Driver()
+    row = driver.engine.submit(
+        job("a", Step(2, TASK), Step(3, TASK, after=(0,))), driver.now
+    )
+    started = []
+    for _ in range(30):
+        driver.step()
+        for one in driver.endpoints.values():
+            for key, _attempt in one.started:
+                if key.step == 1 and not started:
+                    assert not row.steps[0][0].left
+                    started.append(key)
+    assert state(driver, "a") is JobState.COMPLETED
+    assert len(started) == 1
+
+
+def test_a_job_handed_in_twice_runs_once():
+    driver = Driver()
+    first = driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    run_until(driver, lambda: state(driver, "a") is JobState.COMPLETED)
+    assert driver.engine.submit(job("a", Step(1, TASK)), driver.now) is first
+    for _ in range(10):
+        driver.step()
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+
+
+def test_nothing_starts_before_its_assignment_is_stored():
+    driver = Driver()
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    for _ in range(5):
+        driver.step(store_up=False)
+    assert not any(one.started for one in driver.endpoints.values())
+    driver.step()
+    assert any(one.started for one in driver.endpoints.values())
+
+
+def test_ends_are_acknowledged_only_once_they_are_stored():
+    driver = Driver()
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.step()
+    driver.step()
+    for _ in range(10):
+        driver.step(store_up=False)
+    assert all(one.acknowledged == 0 for one in driver.endpoints.values())
+    assert state(driver, "a") is not JobState.COMPLETED
+    driver.step()
+    driver.step()
+    assert any(one.acknowledged == 1 for one in driver.endpoints.values())
+    assert state(driver, "a") is JobState.COMPLETED
+
+
+def test_capacity_counts_what_is_being_stopped():
+    driver = Driver(count=1, work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(4, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    driver.engine.cancel(driver.engine.jobs[JobId("a")], driver.now)
+    driver.engine.submit(job("b", Step(4, TASK, lasting=True)), driver.now)
+    most = 0
+    for _ in range(20):
+        driver.step()
+        most = max(most, len(driver.endpoints[E0].running))
+    assert most == 4
+    assert all(name[0].job == "b" for name in driver.endpoints[E0].names())
+
+
+def test_team_limit_binds_across_jobs():
+    driver = Driver(cfg=directory(limit=Size(3000, 0, 0)))
+    for id in "abc":
+        driver.engine.submit(job(id, Step(2, TASK)), driver.now)
+    most = 0
+    for _ in range(60):
+        driver.step()
+        most = max(most, sum(len(one.running) for one in driver.endpoints.values()))
+    assert most == 3
+    assert all(state(driver, id) is JobState.COMPLETED for id in "abc")
+
+
+def test_jobs_without_a_known_team_are_bound_by_no_limit():
+    driver = Driver(cfg=directory(limit=Size(1000, 0, 0)))
+    open_job = job("a", Step(4, TASK, lasting=True))
+    driver.engine.submit(
+        type(open_job)(
+            open_job.id, open_job.queue, open_job.pool, "", "p", open_job.steps, 0
+        ),
+        driver.now,
+    )
+    driver.step()
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 4
+
+
+@pytest.mark.parametrize("attempts", [1, 2, 3])
+def test_a_task_that_keeps_failing_fails_its_job_after_its_attempts(attempts):
+    driver = Driver(cfg=directory(attempts=attempts))
+    for one in driver.endpoints.values():
+        one.failing = True
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    run_until(driver, lambda: state(driver, "a") is JobState.FAILED)
+    assert sum(len(one.started) for one in driver.endpoints.values()) == attempts
+
+
+def test_a_lasting_task_is_started_again_however_it_ends():
+    driver = Driver(count=1, work_ms=lambda key: 300.0)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    for _ in range(40):
+        driver.step()
+    assert len(driver.endpoints[E0].started) > 3
+    assert state(driver, "a") is JobState.RUNNING
+
+
+def test_a_silent_endpoint_gets_nothing_and_its_tasks_wait_for_the_lease():
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    key = TaskKey(JobId("a"), 0, 0, 0)
+    at = next(id for id, one in driver.endpoints.items() if one.running)
+    driver.cut.add(at)
+    for _ in range(120):
+        driver.step()
+        assert driver.run_count(key) <= 1
+    other = E1 if at == E0 else E0
+    assert any(name[0] == key for name in driver.endpoints[other].names())
+
+
+def test_a_start_without_answer_is_repeated_to_the_same_endpoint():
+    driver = Driver(count=2, work_ms=lambda key: None)
+    driver.lose_answers = {E0, E1}
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    for _ in range(10):
+        driver.step()
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+
+
+def test_a_late_start_does_not_run_beside_the_next_attempt():
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.cut = {E0, E1}
+    for _ in range(3):
+        driver.step()
+    driver.cut = set()
+    driver.step()
+    key = TaskKey(JobId("a"), 0, 0, 0)
+    runs = [
+        run for one in driver.engine.endpoints.values() for run in one.runs.values()
+    ]
+    for run in runs:
+        driver.start_late(run, 5.0)
+    for _ in range(120):
+        driver.step()
+        assert driver.run_count(key) <= 1
+
+
+@pytest.mark.parametrize("same_life", [True, False])
+def test_a_take_over_finds_what_runs_and_starts_it_no_second_time(same_life):
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(3, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    if not same_life:
+        for id in list(driver.endpoints):
+            driver.restart_endpoint(id)
+    driver.take_over()
+    for _ in range(20):
+        driver.step()
+        for index in range(3):
+            assert driver.run_count(TaskKey(JobId("a"), 0, 0, index)) <= 1
+    assert all(driver.run_count(TaskKey(JobId("a"), 0, 0, i)) == 1 for i in range(3))
+    starts = sum(len(one.started) for one in driver.endpoints.values())
+    assert starts == 3
+
+
+def test_a_take_over_waits_for_an_endpoint_that_it_cannot_reach():
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    at = next(id for id, one in driver.endpoints.items() if one.running)
+    driver.cut.add(at)
+    driver.take_over()
+    key = TaskKey(JobId("a"), 0, 0, 0)
+    for _ in range(150):
+        driver.step()
+        assert driver.run_count(key) <= 1
+    assert driver.run_count(key) == 1
+
+
+def test_a_cancelled_job_stops_and_does_not_start_again():
+    driver = Driver(work_ms=lambda key: None)
+    row = driver.engine.submit(job("a", Step(3, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    driver.engine.cancel(row, driver.now)
+    for _ in range(20):
+        driver.step()
+    assert state(driver, "a") is JobState.CANCELLED
+    assert not any(one.running for one in driver.endpoints.values())
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 3
+
+
+def test_a_job_cancelled_while_its_start_is_stored_is_not_started():
+    driver = Driver()
+    row = driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.look()
+    driver.engine.tick(driver.now, 0)
+    batch = driver.engine.take_batch()
+    assert batch.starts
+    driver.engine.cancel(row, driver.now)
+    assert driver.engine.stored(batch, driver.now) == []
+
+
+def test_a_new_life_under_the_same_id_begins_with_its_own_numbers():
+    driver = Driver(count=1)
+    driver.engine.submit(job("a", Step(2, TASK)), driver.now)
+    run_until(driver, lambda: state(driver, "a") is JobState.COMPLETED)
+    driver.step()
+    driver.restart_endpoint(E0)
+    driver.engine.submit(job("b", Step(2, TASK)), driver.now)
+    run_until(driver, lambda: state(driver, "b") is JobState.COMPLETED)
+    driver.step()
+    assert driver.endpoints[E0].acknowledged == 2
+
+
+def test_a_new_life_that_only_the_list_of_runs_shows_ends_the_old_one():
+    driver = Driver(count=1, work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    before = driver.endpoints[E0]
+    driver.endpoints[E0] = type(before)(before.born_ms + 1, before.work_ms)
+    for _ in range(10):
+        driver.step()
+    assert driver.run_count(TaskKey(JobId("a"), 0, 0, 0)) == 1
+
+
+def test_a_draining_endpoint_gets_nothing_new_and_loses_what_lasts():
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    at = next(id for id, one in driver.endpoints.items() if one.running)
+    driver.engine.list_endpoint(listing(at, 1, draining=True), driver.now)
+    for _ in range(20):
+        driver.step()
+    assert not driver.endpoints[at].running
+    assert driver.run_count(TaskKey(JobId("a"), 0, 0, 0)) == 1
+
+
+def test_most_tasks_of_a_step_on_an_endpoint():
+    driver = Driver(work_ms=lambda key: None)
+    step = Step(4, Size(100, 100, 0), lasting=True, max_per_endpoint=1)
+    driver.engine.submit(job("a", step), driver.now)
+    for _ in range(10):
+        driver.step()
+    assert [len(one.running) for one in driver.endpoints.values()] == [1, 1]
+
+
+def test_a_label_that_no_endpoint_has_keeps_a_task_waiting():
+    driver = Driver()
+    driver.engine.submit(job("a", Step(1, TASK, required_label="b")), driver.now)
+    for _ in range(10):
+        driver.step()
+    assert state(driver, "a") is JobState.QUEUED
+
+
+def test_filling_tasks_take_memory_but_no_processor():
+    driver = Driver(count=1, work_ms=lambda key: None)
+    step = Step(8, Size(4000, 1000, 0), lasting=True, fills=True)
+    driver.engine.submit(job("a", step), driver.now)
+    driver.engine.submit(job("b", Step(1, TASK, lasting=True)), driver.now)
+    for _ in range(5):
+        driver.step()
+    assert len(driver.endpoints[E0].running) == 8
+
+
+def test_a_gang_starts_together_under_one_attempt_or_not_at_all():
+    driver = Driver()
+    driver.engine.submit(job("a", Step(9, TASK, gang=True)), driver.now)
+    driver.engine.submit(job("b", Step(6, TASK, gang=True)), driver.now)
+    driver.step()
+    started = [name for one in driver.endpoints.values() for name in one.started]
+    assert {name[0].job for name in started} == {"b"}
+    assert len(started) == 6
+    assert {name[1] for name in started} == {1}
+
+
+def test_occurrences_start_when_they_are_due():
+    driver = Driver()
+    timed = job("a", Step(1, TASK))
+    due = int(driver.now * 1000) + 1000
+    timed = type(timed)(
+        timed.id, timed.queue, timed.pool, timed.team, "p", timed.steps, 0, 2, due, 500
+    )
+    driver.engine.submit(timed, driver.now)
+    starts: dict[int, float] = {}
+    for _ in range(40):
+        driver.step()
+        for one in driver.endpoints.values():
+            for key, _ in one.started:
+                starts.setdefault(key.occurrence, driver.now * 1000)
+    assert starts[0] >= due
+    assert starts[1] >= due + 500
+    assert state(driver, "a") is JobState.COMPLETED
+
+
+@pytest.mark.parametrize(
+    ("outcome", "again"),
+    [
+        (StartOutcome.NO_ROOM, False),
+        (StartOutcome.UNWELL, False),
+        (StartOutcome.NOT_SENT, False),
+        (StartOutcome.LATE, False),
+        (StartOutcome.UNKNOWN, True),
+    ],
+)
+def test_refused_starts_free_their_room_and_unknown_ones_keep_it(outcome, again):
+    driver = Driver(count=1)
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.look()
+    driver.engine.tick(driver.now, 0)
+    batch = driver.engine.take_batch()
+    (run,) = driver.engine.stored(batch, driver.now)
+    endpoint = run.endpoint
+    assert driver.engine.start_answered(run, outcome, 1, 0, driver.now) is again
+    assert bool(endpoint.runs) is again
+
+
+def test_a_refusal_of_a_repeated_start_does_not_free_its_room():
+    driver = Driver(count=1)
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.look()
+    driver.engine.tick(driver.now, 0)
+    (run,) = driver.engine.stored(driver.engine.take_batch(), driver.now)
+    driver.engine.start_answered(run, StartOutcome.UNKNOWN, 1, 0, driver.now)
+    driver.engine.start_answered(run, StartOutcome.LATE, 2, 0, driver.now)
+    assert run.endpoint.runs
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
