Hand lost calls to the next coordinator, and serve a team's excess last

Cause: 65 calls were answered 504 after 1.9 s because the coordinator had died, and their callers could not ask again; a team that sent several times its share kept the others' jobs waiting. Both calls are idempotent, so an entry now hands them to the next coordinator while the caller waits. The lease is shorter (take-over 0.95 s instead of 1.3), as is the wait for writes while the store is quick.

--- a/hickoryplank/coordinator/gateway.py
+++ b/hickoryplank/coordinator/gateway.py
@@ -21,6 +21,7 @@
 from hickoryplank.coordinator.lease import LeaseKeeper
 from hickoryplank.coordinator.ports import CallFault, Fault
 from hickoryplank.http_client import HttpClient, Reply
+from hickoryplank.shell.clock import Clock
 
 __all__ = ["CALL_PATH", "Gateway"]
 
@@ -28,46 +29,74 @@
 
 #: Path at which a coordinator takes calls from its peers.
 CALL_PATH = "/call"
-#: Longest wait for the coordinator's answer, in seconds: longer than it waits for the
-#: store, shorter than callers wait.
-PEER_SECONDS = 1.9
+#: Longest wait for the coordinator's answer, in seconds: several appends, and less
+#: than half of the time that callers wait, so that another coordinator can be asked.
+PEER_SECONDS = 1.2
+#: Least time for the coordinator's answer, in seconds.
+LEAST_SECONDS = 0.1
 #: How long a call waits for a coordinator to be there, in seconds; a caller that is
 #: told to come back loses more than this, and a hand-over on a stop is shorter.
 ELECTION_SECONDS = 0.14
+#: Wait before a lost call is handed in again, in seconds, unless the coordinator
+#: changes earlier.
+AGAIN_SECONDS = 0.1
+#: Longest time for which a call is kept open, in seconds.
+LONGEST_SECONDS = 10.0
+#: Part of the caller's wait that is left for the answer's way back, in seconds.
+ANSWER_SECONDS = 0.3
 
 
 class Gateway:
     """The way to the coordinator."""
 
-    def __init__(self, lease: LeaseKeeper, client: HttpClient):
+    def __init__(self, lease: LeaseKeeper, client: HttpClient, clock: Clock):
         self._lease = lease
         self._client = client
+        self._clock = clock
         #: The term of this entry, while it has one.
         self.term: Coordinator | None = None
 
-    async def answer(self, call: Call) -> Answer:
-        """Answer a call, waiting briefly where no coordinator is known."""
-        with anyio.move_on_after(ELECTION_SECONDS):
-            while True:
-                changed = self._lease.changed
-                answer = await self._try(call)
-                if not _no_coordinator(answer):
-                    return answer
+    async def answer(self, call: Call, within_s: float) -> Answer:
+        """Answer a call.
+
+        A job or a cancellation that may have reached a coordinator is handed to the
+        next one as long as the caller waits; both are idempotent.
+
+        :param within_s: how long the caller waits, in seconds.
+        """
+        begun = self._clock.now()
+        limit = begun + min(within_s, LONGEST_SECONDS) - ANSWER_SECONDS
+        patience = begun + ELECTION_SECONDS
+        lost: Answer | None = None
+        while True:
+            changed = self._lease.changed
+            answer = await self._try(call, limit - self._clock.now())
+            if isinstance(answer, Unsettled):
+                lost = answer
+            elif not _no_coordinator(answer):
+                return answer
+            until = patience if lost is None else limit
+            left = until - self._clock.now()
+            if left <= 0:
+                return lost or answer
+            with anyio.move_on_after(min(left, AGAIN_SECONDS)):
                 await changed.wait()
-        return NotRun(Why.NO_COORDINATOR)
-
-    async def _try(self, call: Call) -> Answer:
-        with anyio.CancelScope(shield=True):
-            if self.term is not None:
-                return await self.term.answer(call)
-            address = self._lease.coordinator
-            if address is None:
-                return NotRun(Why.NO_COORDINATOR)
-            return await self._pass(call, address)
 
-    async def _pass(self, call: Call, address: str) -> Answer:
+    async def _try(self, call: Call, left_s: float) -> Answer:
+        if self.term is not None:
+            return await self.term.answer(call)
+        address = self._lease.coordinator
+        if address is None:
+            return NotRun(Why.NO_COORDINATOR)
+        return await self._pass(call, address, left_s)
+
+    async def _pass(self, call: Call, address: str, left_s: float) -> Answer:
         answer = await self._client.call(
-            "POST", address, CALL_PATH, body=encode(call), timeout_s=PEER_SECONDS
+            "POST",
+            address,
+            CALL_PATH,
+            body=encode(call),
+            timeout_s=max(LEAST_SECONDS, min(PEER_SECONDS, left_s)),
         )
         match answer:
             case Ok(Reply(200, body)):
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -23,16 +23,16 @@
 
 #: Time between two renewals, in seconds. Four fit into the validity, so that two
 #: lost answers don't end it.
-RENEW_SECONDS = 0.25
+RENEW_SECONDS = 0.2
 #: How long a holder counts on its lease after it sent the last renewal, in seconds:
 #: a renewal's timeout, another try, and some margin.
-VALID_SECONDS = 1.1
+VALID_SECONDS = 0.8
 #: How long others wait after the last renewal that they saw, in seconds. Longer than
 #: the validity, as clocks may differ by some percent.
-TAKEOVER_SECONDS = 1.3
+TAKEOVER_SECONDS = 0.95
 #: Wait of one read of the lease, in milliseconds; without records a read that was
 #: answered proves that there was no renewal.
-READ_WAIT_MS = 400
+READ_WAIT_MS = 300
 #: Wait after a failed call, in seconds.
 RETRY_SECONDS = 0.1
 #: Spread of the first tries of several candidates, in seconds: a few appends.
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -64,7 +64,7 @@
         operator = PlatformOperatorRecords()
         self._watcher = OperatorWatcher(store, operator, self._clock)
         self._lease = LeaseKeeper(store, Holder.fresh(cfg.name, cfg.peers), self._clock)
-        self._gateway = Gateway(self._lease, self._client)
+        self._gateway = Gateway(self._lease, self._client, self._clock)
         self._ingress = Ingress(self._gateway.answer, lambda: self._watcher.version)
         self._outside = Outside(
             store=store,
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -10,7 +10,7 @@
 from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId
 from hickoryplank.jobs.directory import Directory
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
-from hickoryplank.jobs.limits import TeamUse
+from hickoryplank.jobs.limits import TeamRates, TeamUse
 from hickoryplank.jobs.messages import (
     Batch,
     End,
@@ -60,6 +60,7 @@
         self.open: dict[JobId, JobRow] = {}
         self.endpoints: dict[EndpointId, Endpoint] = {}
         self.use = TeamUse()
+        self._rates = TeamRates()
         self.stops: list[Run] = []
         self._new: list[JobRow] = []
         self._dirty: dict[JobId, JobRow] = {}
@@ -86,7 +87,8 @@
         known = self.jobs.get(job.id)
         if known is not None:
             return known
-        row = JobRow(job, now)
+        within = self._rates.take(job.team, self.directory, now)
+        row = JobRow(job, now, excess=not within)
         self.jobs[job.id] = self.open[job.id] = row
         self._new.append(row)
         return row
--- a/hickoryplank/jobs/ordering.py
+++ b/hickoryplank/jobs/ordering.py
@@ -3,7 +3,8 @@
 Load that this answers: for some seconds a queue asks several times what its pool
 holds. Work that can still meet its objective goes before work that can't, nearest
 objective first; among work that is late anyway the shortest goes first, so that
-as many callers as possible are served.
+as many callers as possible are served. What a team hands in beyond its share comes
+last.
 """
 
 from hickoryplank.jobs.directory import Directory, Queue
@@ -54,6 +55,8 @@
         return (0, queue.priority, 0, row.accepted_at)
     objective = objective_at(row, queue)
     left = chain_ms(row.job, _remaining(row)) / 1000
+    if row.excess:
+        return (2, queue.priority, 0, row.accepted_at)
     if now + left <= objective:
         return (0, queue.priority, 1, objective - left)
     return (1, queue.priority, left, row.accepted_at)
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -106,11 +106,13 @@
 class JobRow:
     """A job and all that is known of its tasks.
 
+    :param excess: its team had handed in more than its share when it came.
     :param stored: state as the store has it; callers are told no other end.
     """
 
-    def __init__(self, job: Job, accepted_at: float):
+    def __init__(self, job: Job, accepted_at: float, excess: bool = False):
         self.job = job
+        self.excess = excess
         self.accepted_at = accepted_at
         self.state = JobState.QUEUED
         self.stored = JobState.QUEUED
--- a/hickoryplank/platform/ingress.py
+++ b/hickoryplank/platform/ingress.py
@@ -35,6 +35,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: How long a caller waits that doesn't say so, in seconds; the users' kinds of
+#: request all wait three.
+DEFAULT_WAIT_SECONDS = 3.0
 _ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 _BEARER = "Bearer "
 _STATE_PREFIX = '{"state":"'
@@ -144,6 +147,12 @@
             return _reply(504)
 
 
+def _wait_s(request: web.BaseRequest) -> float:
+    """Return how long the caller waits, in seconds."""
+    told = request.headers.get("Hickoryplank-Deadline-Ms", "")
+    return int(told) / 1000 if told.isdigit() else DEFAULT_WAIT_SECONDS
+
+
 class Ingress:
     """Turns requests into calls, and answers into responses.
 
@@ -152,7 +161,7 @@
 
     def __init__(
         self,
-        answer: Callable[[Call], Awaitable[Answer]],
+        answer: Callable[[Call, float], Awaitable[Answer]],
         version: Callable[[], int],
     ):
         self._answer = answer
@@ -165,17 +174,18 @@
         self.open_requests += 1
         try:
             call = await self._decode(request)
-            resp = encode_answer(
-                call if isinstance(call, Faulty) else await self._ask(call)
-            )
+            if isinstance(call, Faulty):
+                resp = encode_answer(call)
+            else:
+                resp = encode_answer(await self._ask(call, _wait_s(request)))
         finally:
             self.open_requests -= 1
         if self.closing:
             resp.force_close()
         return resp
 
-    async def _ask(self, call: Call) -> Answer:
-        answer = await self._answer(call)
+    async def _ask(self, call: Call, within_s: float) -> Answer:
+        answer = await self._answer(call, within_s)
         if isinstance(answer, NotRun | Unsettled | NoKey):
             logger.info(
                 "call not served",
--- a/hickoryplank/platform/store.py
+++ b/hickoryplank/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+import time
 from urllib.parse import urlencode
 
 import msgspec
@@ -32,9 +33,15 @@
 }
 #: Producer under which every coordinator writes; epochs count for each producer.
 _PRODUCER = "coordinator"
-#: Longest wait for a write, in seconds: above an answer of a store that is 60 times
-#: as slow as its 4 ms, and below the lease that depends on it.
-WRITE_SECONDS = 0.6
+#: Longest wait for a write, in seconds: two answers of a store that is 60 times as
+#: slow as its usual 6 ms.
+WRITE_SECONDS = 0.75
+#: Shortest time after which a write counts as lost, in seconds.
+LEAST_WRITE_SECONDS = 0.2
+#: A write counts as lost after this many times the usual time of late.
+USUAL_TIMES = 4.0
+#: Weight of the newest answer in the usual time.
+USUAL_GAIN = 0.2
 #: Longest wait for a read beyond the time that the read itself may wait, in seconds.
 READ_SECONDS = 0.8
 #: Longest wait for a page of newest records, in seconds.
@@ -103,6 +110,15 @@
     def __init__(self, client: HttpClient, address: str):
         self._client = client
         self._address = address
+        self._usual_s = 0.0
+
+    def _write_timeout(self) -> float:
+        """Return when a write counts as lost, by how long answers take of late."""
+        wanted = USUAL_TIMES * self._usual_s
+        return min(WRITE_SECONDS, max(LEAST_WRITE_SECONDS, wanted))
+
+    def _note_write(self, spent_s: float) -> None:
+        self._usual_s += USUAL_GAIN * (spent_s - self._usual_s)
 
     async def append(
         self, topic: Topic, records: list[Record], guard: Condition | Fence | None
@@ -114,14 +130,16 @@
                 query["at"] = end
             case Fence(epoch, sequence):
                 query |= {"producer": _PRODUCER, "epoch": epoch, "seq": sequence}
+        begun = time.monotonic()
         answer = await self._client.call(
             "POST",
             self._address,
             "/api/log-append?" + urlencode(query),
             body=b"".join(_frame(record) for record in records),
             headers={"Content-Type": "application/octet-stream"},
-            timeout_s=WRITE_SECONDS,
+            timeout_s=self._write_timeout(),
         )
+        self._note_write(time.monotonic() - begun)
         match answer:
             case Ok(Reply(200, body)):
                 found = _offsets.decode(body)
