--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -4,13 +4,14 @@
 
 from spec.base import Finding, check
 from spec.claims import CLAIMS
+from spec.coordinator import COORDINATOR
 from spec.escrow import ESCROW
 from spec.fold import FOLD
 from spec.freshness import FRESHNESS
 
 __all__ = ["MECHANISMS", "main"]
 
-MECHANISMS = (FOLD, FRESHNESS, ESCROW, CLAIMS)
+MECHANISMS = (FOLD, FRESHNESS, ESCROW, CLAIMS, COORDINATOR)
 
 
 def main() -> int:
