--- a/tests/coordinator/memory.py
+++ b/tests/coordinator/memory.py
@@ -156,14 +156,15 @@
         self.cut: set[EndpointId] = set()
         self._at = time.monotonic()
 
-    def _advance(self) -> None:
+    def catch_up(self) -> None:
+        """Let the time pass that has passed on the machine."""
         now = time.monotonic()
         ms, self._at = (now - self._at) * 1000, now
         for one in self.endpoints.values():
             one.advance(ms)
 
     def _find(self, id: EndpointId) -> StandInEndpoint | None:
-        self._advance()
+        self.catch_up()
         return None if id in self.cut else self.endpoints.get(id)
 
     async def start(self, run: Run, payload: str, token: int) -> StartAnswer:
--- /dev/null
+++ b/tests/platform/test_endpoints.py
@@ -0,0 +1,152 @@
+"""The adapter for executors against a stand-in."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+import pytest
+from aiohttp import web
+
+from hickoryplank.coordinator.ports import Fault
+from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.http_client import HttpClient
+from hickoryplank.jobs.endpoints import Endpoint, Run
+from hickoryplank.jobs.messages import EndKind, HoldOrder, StartOutcome
+from hickoryplank.jobs.model import Step, TaskKey
+from hickoryplank.platform.endpoints import PlatformEndpoints, task_key, task_name
+from tests.coordinator.memory import MemoryEndpoints, MemoryStore
+from tests.jobs.driver import TASK, listing
+from tests.jobs.endpoint import StandInEndpoint
+from tests.standins.users_platform import UsersPlatform
+
+pytestmark = pytest.mark.anyio
+E0 = EndpointId("e0")
+KEY = TaskKey(JobId("5c0e7a21d94b36f8"), 0, 1, 17)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Setting:
+    """An executor behind the adapter."""
+
+    def __init__(self, stand_in: StandInEndpoint, address: str, client: HttpClient):
+        self.stand_in = stand_in
+        self.port = PlatformEndpoints(client)
+        self.address = address
+        told = listing(E0, stand_in.born_ms)
+        self.endpoint = Endpoint(msgspec.structs.replace(told, address=address), 0.0)
+
+    def run(self, attempt: int = 1, until_ms: int = 9000) -> Run:
+        run = Run(KEY, attempt, Step(1, TASK), "", self.endpoint)
+        run.until_ms = until_ms
+        return run
+
+    async def hold(self, token: int, last_seen: int = 0, id: EndpointId = E0):
+        return await self.port.hold(
+            HoldOrder(id, self.address, last_seen, 9000, 0), token
+        )
+
+
+@asynccontextmanager
+async def setting(handler=None) -> AsyncIterator[Setting]:
+    stand_in = StandInEndpoint(77, lambda key: None)
+    platform = UsersPlatform(MemoryStore(), MemoryEndpoints({E0: stand_in}))
+    client = HttpClient()
+    address = await platform.serve(handler or platform.handle_endpoint)
+    yield Setting(stand_in, address, client)
+    await client.close()
+    await platform.close()
+
+
+async def test_a_start_runs_once_and_is_listed():
+    async with setting() as s:
+        for _ in range(2):
+            answer = await s.port.start(s.run(), "text", 3)
+            assert answer.outcome is StartOutcome.STARTED
+            assert answer.clock_ms >= 1000
+        report = (await s.hold(3)).unwrap()
+        assert [(one.key, one.attempt) for one in report.running] == [(KEY, 1)]
+        assert report.born_ms == 77
+        assert s.stand_in.started == [(KEY, 1)]
+
+
+async def test_a_stop_is_listed_as_an_end_until_it_is_seen():
+    async with setting() as s:
+        s.stand_in.stop_ms = 0
+        await s.port.start(s.run(), "text", 3)
+        (await s.port.stop(s.run(), 3)).unwrap()
+        s.stand_in.advance(1)
+        (end,) = (await s.hold(3)).unwrap().ends
+        assert (end.number, end.key, end.kind) == (1, KEY, EndKind.STOPPED)
+        assert (await s.hold(3, last_seen=1)).unwrap().ends == ()
+
+
+@pytest.mark.parametrize(
+    ("attempt", "until_ms", "token", "outcome"),
+    [
+        (1, 9000, 2, StartOutcome.FENCED),
+        (1, 10, 3, StartOutcome.LATE),
+        (2, 9000, 3, StartOutcome.OLD),
+    ],
+)
+async def test_refused_starts(attempt, until_ms, token, outcome):
+    async with setting() as s:
+        await s.hold(3)
+        s.stand_in.highest[KEY] = 2 if outcome is StartOutcome.OLD else 0
+        answer = await s.port.start(s.run(attempt, until_ms), "text", token)
+        assert answer.outcome is outcome
+        assert s.stand_in.started == []
+
+
+async def test_orders_of_a_replaced_coordinator_are_fenced():
+    async with setting() as s:
+        await s.hold(4)
+        assert (await s.hold(3)).unwrap_err().fault is Fault.FENCED
+        stopped = await s.port.stop(s.run(), 3)
+        assert stopped.unwrap_err().fault is Fault.FENCED
+
+
+async def test_another_life_at_the_address_is_told():
+    async with setting() as s:
+        answer = await s.hold(3, id=EndpointId("e1"))
+        assert answer.unwrap_err().fault is Fault.OTHER_LIFE
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "outcome"),
+    [
+        (429, "", StartOutcome.UNWELL),
+        (503, "", StartOutcome.UNWELL),
+        (421, "", StartOutcome.OTHER_LIFE),
+        (400, "{}", StartOutcome.REFUSED),
+        (409, '{"clock_ms":5,"reason":"room"}', StartOutcome.NO_ROOM),
+        (409, '{"clock_ms":5,"reason":"ticket"}', StartOutcome.NO_TICKET),
+        (409, "none of ours", StartOutcome.REFUSED),
+    ],
+)
+async def test_answers_to_starts(status, body, outcome):
+    async def answer(request):
+        return web.Response(status=status, text=body)
+
+    async with setting(answer) as s:
+        told = await s.port.start(s.run(), "text", 3)
+        assert told.outcome is outcome
+
+
+@pytest.mark.parametrize(
+    "body", ["", "[]", '{"clock_ms":1}', '{"clock_ms":1,"running":[["x"]],"ended":[]}']
+)
+async def test_lists_that_cannot_be_read(body):
+    async def answer(request):
+        return web.Response(text=body)
+
+    async with setting(answer) as s:
+        assert (await s.hold(3)).unwrap_err().fault is Fault.UNREADABLE
+
+
+async def test_task_names_are_read_back():
+    assert task_key(task_name(KEY)) == KEY
+    assert task_name(KEY) == "5c0e7a21d94b36f8.0.1.17"
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,124 @@
+"""Records of operators and executors, whole, partial and from other writers."""
+
+import json
+
+import pytest
+
+from hickoryplank.coordinator.ports import WaveOrder
+from hickoryplank.jobs.directory import Directory
+from hickoryplank.jobs.records import Record
+from hickoryplank.jobs.sizes import Size
+from hickoryplank.platform.records import PlatformListings, PlatformOperatorRecords
+
+SERVER = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "bergen-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "born": 1234,
+    "seq": 4,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "path_prefix": "/p/",
+            "kind": "non_idempotent",
+            "timeout_ms": 3000,
+            "target_latency_ms": 600,
+            "priority": 1,
+            "service": "s-1",
+            "attempts": 4,
+            "stretch": 1.6,
+            "public": False,
+        },
+        {"name": "r-2", "host": "a.example", "path_prefix": "/p/q/", "service": "s-2"},
+    ],
+    "services": [
+        {"name": "s-1", "enforces_capacity": False, "standby": False},
+        {"name": "s-2", "standby": True},
+    ],
+    "limits": {"max_header_bytes": 16384},
+    "tenants": [
+        {
+            "name": "t",
+            "api_keys": ["k1", "k2"],
+            "weight": 17,
+            "cap": {"cpu": 323023, "mem_mb": 931273, "gpu": 0},
+        }
+    ],
+}
+
+
+def record(key: str, body) -> Record:
+    return Record(key, json.dumps(body).encode())
+
+
+def test_a_server_is_a_listing():
+    listing = PlatformListings().decode(record("i-1", SERVER))
+    assert listing is not None
+    assert (listing.id, listing.pool, listing.born_ms) == ("i-1", "huvo11a", 1234)
+    assert listing.capacity == Size(16000, 32768, 0)
+    assert not listing.draining
+
+
+def test_a_draining_server_says_when_it_leaves():
+    body = {**SERVER, "state": "draining", "remaining_ms": 900}
+    listing = PlatformListings().decode(record("i-1", body))
+    assert listing is not None
+    assert listing.draining
+    assert listing.leaves_ms == 900
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        json.dumps({**SERVER, "state": "asleep"}).encode(),
+        json.dumps({**SERVER, "capacity": "much"}).encode(),
+        json.dumps({k: v for k, v in SERVER.items() if k != "address"}).encode(),
+        json.dumps({**SERVER, "born": "noon"}).encode(),
+    ],
+)
+def test_entries_of_other_writers_name_no_endpoint(value):
+    assert PlatformListings().decode(Record("i-1", value)) is None
+
+
+def test_a_configuration_is_a_directory():
+    cfg = PlatformOperatorRecords().decode(record("config", CONFIG))
+    assert isinstance(cfg, Directory)
+    assert cfg.version == 7
+    longest = cfg.resolve("a.example", "/p/q/0123")
+    assert longest is not None
+    assert (longest.queue.id, longest.rest) == ("r-2", "0123")
+    shorter = cfg.resolve("a.example", "/p/0123")
+    assert shorter is not None
+    assert (shorter.queue.id, shorter.queue.attempts) == ("r-1", 4)
+    assert cfg.resolve("b.example", "/p/0123") is None
+    assert cfg.team_of_key["k2"] == "t"
+    assert cfg.teams["t"].limit == Size(323023, 931273, 0)
+    assert cfg.pools["s-2"].standby
+
+
+def test_a_wave_is_an_order():
+    body = {"wave": 1, "machines": ["m-1", "m-2"], "deadline_s": 20, "cap": 1}
+    wave = PlatformOperatorRecords().decode(record("wave/1", body))
+    assert wave == WaveOrder("1", ("m-1", "m-2"), 20.0, 1)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [("config", b"{}"), ("config", b"\xff"), ("wave/1", b"[]"), ("other", b"{}")],
+)
+def test_records_that_are_none_of_ours_change_nothing(key, value):
+    assert PlatformOperatorRecords().decode(Record(key, value)) is None
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,158 @@
+"""One suite over the store in memory and the adapter against a stand-in."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from result import Err, Ok
+
+from hickoryplank.coordinator.ports import (
+    CallFault,
+    Condition,
+    Fault,
+    Fence,
+    StorePort,
+    Topic,
+)
+from hickoryplank.http_client import HttpClient
+from hickoryplank.jobs.records import Record
+from hickoryplank.platform.store import PlatformStore
+from tests.coordinator.memory import MemoryStore
+from tests.standins.users_platform import UsersPlatform
+
+pytestmark = pytest.mark.anyio
+A, B = Record("a", b"1"), Record("b", b"2")
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@asynccontextmanager
+async def over_http(store: MemoryStore) -> AsyncIterator[StorePort]:
+    platform = UsersPlatform(store)
+    client = HttpClient()
+    address = await platform.serve(platform.handle_store)
+    try:
+        yield PlatformStore(client, address)
+    finally:
+        await client.close()
+        await platform.close()
+
+
+@asynccontextmanager
+async def in_memory(store: MemoryStore) -> AsyncIterator[StorePort]:
+    yield store
+
+
+@pytest.fixture(params=[in_memory, over_http], ids=["memory", "http"])
+def opened(request):
+    return request.param
+
+
+async def test_appended_records_are_read_back_in_order(opened):
+    async with opened(MemoryStore()) as store:
+        done = (await store.append(Topic.JOBS, [A, B], None)).unwrap()
+        assert (done.offset, done.end) == (0, 2)
+        page = (await store.read(Topic.JOBS, 0, 0)).unwrap()
+        assert page.records == (A, B)
+        assert (page.next, page.end) == (2, 2)
+
+
+async def test_a_condition_lets_one_of_two_win(opened):
+    async with opened(MemoryStore()) as store:
+        first = await store.append(Topic.LEASE, [A], Condition(0))
+        second = await store.append(Topic.LEASE, [B], Condition(0))
+        assert isinstance(first, Ok)
+        assert second.unwrap_err().fault is Fault.MOVED
+
+
+async def test_an_older_epoch_appends_nothing(opened):
+    async with opened(MemoryStore()) as store:
+        await store.append(Topic.JOBS, [], Fence(2, 0))
+        late = await store.append(Topic.JOBS, [A], Fence(1, 0))
+        assert late.unwrap_err().fault is Fault.FENCED
+        page = (await store.read(Topic.JOBS, 0, 0)).unwrap()
+        assert page.records == ()
+
+
+async def test_a_repeated_append_gets_its_first_answer(opened):
+    async with opened(MemoryStore()) as store:
+        await store.append(Topic.JOBS, [], Fence(1, 0))
+        first = await store.append(Topic.JOBS, [A], Fence(1, 1))
+        again = await store.append(Topic.JOBS, [A], Fence(1, 1))
+        assert first == again
+        gap = await store.append(Topic.JOBS, [A], Fence(1, 5))
+        assert gap.unwrap_err().fault is Fault.OUT_OF_ORDER
+
+
+async def test_a_read_waits_for_the_first_record(opened):
+    async with opened(MemoryStore()) as store, anyio.create_task_group() as tasks:
+        tasks.start_soon(store.append, Topic.JOBS, [A], None)
+        page = (await store.read(Topic.JOBS, 0, 2000)).unwrap()
+        assert page.records == (A,)
+
+
+async def test_newest_has_each_key_once_over_several_pages(opened):
+    async with opened(MemoryStore()) as store:
+        records = [Record(f"{number:04}", b"x") for number in range(1100)]
+        await store.append(Topic.JOBS, records, None)
+        await store.append(
+            Topic.JOBS, [Record("0003", b"y"), Record("0004", b"")], None
+        )
+        newest = (await store.newest(Topic.JOBS)).unwrap()
+        found = {record.key: record.value for record in newest.records}
+        assert len(found) == len(newest.records) == 1099
+        assert found["0003"] == b"y"
+        assert newest.end == 1102
+
+
+async def test_deleted_history_is_said(opened):
+    memory = MemoryStore()
+    async with opened(memory) as store:
+        await store.append(Topic.OPERATOR, [A, B], None)
+        memory.trim(Topic.OPERATOR)
+        answer = await store.read(Topic.OPERATOR, 0, 0)
+        assert answer.unwrap_err().fault is Fault.TRIMMED
+        assert len((await store.newest(Topic.OPERATOR)).unwrap().records) == 2
+
+
+@pytest.mark.parametrize(
+    ("status", "fault"),
+    [(429, Fault.NOT_DONE), (503, Fault.NOT_DONE), (507, Fault.UNREADABLE)],
+)
+async def test_refusals_of_the_store(status, fault):
+    platform = UsersPlatform(MemoryStore())
+    platform.store_status = status
+    client = HttpClient()
+    store = PlatformStore(client, await platform.serve(platform.handle_store))
+    calls = [
+        store.append(Topic.JOBS, [A], None),
+        store.read(Topic.JOBS, 0, 0),
+        store.newest(Topic.JOBS),
+    ]
+    for call in calls:
+        assert (await call).unwrap_err().fault is fault
+    await client.close()
+    await platform.close()
+
+
+async def test_no_listener_means_not_done_and_silence_means_unknown():
+    client = HttpClient()
+    store = PlatformStore(client, "127.0.0.1:9")
+    answer = await store.append(Topic.JOBS, [A], None)
+    assert answer.unwrap_err().fault is Fault.NOT_DONE
+
+    async def silent(request):
+        await anyio.sleep(5)
+
+    platform = UsersPlatform(MemoryStore())
+    store = PlatformStore(client, await platform.serve(silent))
+    answer = await store.append(Topic.JOBS, [A], None)
+    assert isinstance(answer, Err)
+    assert isinstance(answer.err_value, CallFault)
+    assert answer.err_value.fault is Fault.UNKNOWN
+    await client.close()
+    await platform.close()
--- /dev/null
+++ b/tests/platform/test_vms.py
@@ -0,0 +1,62 @@
+"""The adapter for machines against a stand-in."""
+
+import pytest
+from aiohttp import web
+
+from hickoryplank.coordinator.ports import ListedVm, OrderOutcome, VmState
+from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId, Zone
+from hickoryplank.http_client import HttpClient
+from hickoryplank.platform.vms import PlatformVms
+from tests.coordinator.memory import MemoryStore, MemoryVms
+from tests.jobs.driver import CAPACITY
+from tests.standins.users_platform import UsersPlatform
+
+pytestmark = pytest.mark.anyio
+VM = VmId("m-1")
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def test_vms_are_listed_moved_and_maintained():
+    endpoint = EndpointId("e0")
+    vm = ListedVm(VM, PoolId("p"), VmState.UP, Zone("z"), ("a",), CAPACITY, endpoint)
+    memory = MemoryVms({VM: vm}, away_s=30.0)
+    platform = UsersPlatform(MemoryStore(), vms=memory)
+    client = HttpClient()
+    port = PlatformVms(client, await platform.serve(platform.handle_vms), "entry-1")
+    assert (await port.list()).unwrap() == (vm,)
+    assert await port.move(VM, PoolId("q"), 4) is OrderOutcome.DONE
+    assert await port.move(VM, PoolId("q"), 4) is OrderOutcome.DONE
+    assert await port.maintain(VM, WaveId("2"), 4) is OrderOutcome.DONE
+    assert await port.move(VmId("m-2"), PoolId("q"), 4) is OrderOutcome.IMPOSSIBLE
+    assert memory.orders == [("move", VM, "q", 4), ("maintain", VM, "2", 4)]
+    (listed,) = (await port.list()).unwrap()
+    assert listed.state is VmState.MAINTENANCE
+    await client.close()
+    await platform.close()
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "outcome"),
+    [
+        (409, '{"reason":"busy"}', OrderOutcome.BUSY),
+        (409, '{"reason":"wave"}', OrderOutcome.NOT_IN_WAVE),
+        (409, '{"reason":"fence"}', OrderOutcome.FENCED),
+        (400, "", OrderOutcome.IMPOSSIBLE),
+        (429, "", OrderOutcome.NOT_DONE),
+        (503, "", OrderOutcome.NOT_DONE),
+    ],
+)
+async def test_answers_to_orders(status, body, outcome):
+    async def answer(request):
+        return web.Response(status=status, text=body)
+
+    platform = UsersPlatform(MemoryStore())
+    client = HttpClient()
+    port = PlatformVms(client, await platform.serve(answer), "entry-1")
+    assert await port.move(VM, PoolId("q"), 4) is outcome
+    await client.close()
+    await platform.close()
--- /dev/null
+++ b/tests/standins/users_platform.py
@@ -0,0 +1,240 @@
+"""A small stand-in for the users' platform: store, executors, machines, over HTTP.
+
+It speaks the published protocol from in-memory versions of each part, and is for
+tests and trials on loopback only.
+"""
+
+import base64
+import json
+import struct
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from result import Err, Ok
+
+from hickoryplank.coordinator.ports import CallFault, Condition, Fault, Fence, Topic
+from hickoryplank.core.ids import EndpointId, JobId, PoolId, VmId, WaveId
+from hickoryplank.jobs.messages import StartOutcome
+from hickoryplank.jobs.model import TaskKey
+from hickoryplank.jobs.records import Record
+from tests.coordinator.memory import MemoryEndpoints, MemoryStore, MemoryVms
+
+__all__ = ["UsersPlatform"]
+
+TOPICS = {
+    "keyed.coordinator": Topic.LEASE,
+    "keyed.jobs": Topic.JOBS,
+    "keyed.op": Topic.OPERATOR,
+    "keyed.servers": Topic.LISTINGS,
+    "keyed.status": Topic.STATUS,
+}
+PAGE_ITEMS = 500
+_LENGTH = struct.Struct(">I")
+_REASONS = {
+    StartOutcome.FENCED: "fence",
+    StartOutcome.OLD: "old",
+    StartOutcome.LATE: "late",
+    StartOutcome.NO_ROOM: "room",
+}
+
+
+def _answer(status: int, body) -> web.Response:
+    return web.Response(
+        status=status, text=json.dumps(body), content_type="application/json"
+    )
+
+
+def _records(body: bytes) -> list[Record]:
+    records, position = [], 0
+    while position < len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        content = body[position + 4 : position + 4 + length]
+        position += 4 + length
+        key_end = 1 + content[0]
+        records.append(Record(content[1:key_end].decode(), content[key_end:]))
+    return records
+
+
+def _frame(record: Record) -> bytes:
+    key = record.key.encode()
+    content = bytes((len(key),)) + key + record.value
+    return _LENGTH.pack(len(content)) + content
+
+
+class UsersPlatform:
+    """Serves a store, executors and machines, each at an address of its own."""
+
+    def __init__(
+        self,
+        store: MemoryStore,
+        endpoints: MemoryEndpoints | None = None,
+        vms: MemoryVms | None = None,
+    ):
+        self.store = store
+        self.endpoints = endpoints
+        self.vms = vms
+        self.store_status: int | None = None
+        self.requests: list[web.BaseRequest] = []
+        self._runners: list[web.ServerRunner] = []
+
+    async def serve(self, handler) -> str:
+        """Listen on a free port of loopback; return the address."""
+        runner = web.ServerRunner(web.Server(handler))
+        await runner.setup()
+        self._runners.append(runner)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        return f"127.0.0.1:{runner.addresses[-1][1]}"
+
+    async def close(self) -> None:
+        """Stop listening."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    # The store
+
+    async def handle_store(self, request: web.BaseRequest) -> web.Response:
+        """Answer a call to the store."""
+        self.requests.append(request)
+        if self.store_status is not None:
+            return web.Response(status=self.store_status)
+        calls: dict[str, Callable[[web.BaseRequest], Awaitable[web.Response]]] = {
+            "/api/log-append": self._append,
+            "/api/log-read": self._read,
+            "/api/log-newest": self._newest,
+        }
+        return await calls[request.path](request)
+
+    async def _append(self, request: web.BaseRequest) -> web.Response:
+        query = request.query
+        guard: Condition | Fence | None = None
+        if "at" in query:
+            guard = Condition(int(query["at"]))
+        elif "producer" in query:
+            guard = Fence(int(query["epoch"]), int(query["seq"]))
+        records = _records(await request.read())
+        match await self.store.append(TOPICS[query["topic"]], records, guard):
+            case Ok(done):
+                body = {"offset": done.offset, "end_offset": done.end}
+                return _answer(200, body)
+            case Err(CallFault(Fault.FENCED, _)):
+                return _answer(409, {"reason": "fenced"})
+            case Err(CallFault(Fault.MOVED, detail)):
+                return _answer(412, {"end_offset": int(detail)})
+        return _answer(409, {"reason": "seq"})
+
+    async def _read(self, request: web.BaseRequest) -> web.Response:
+        query = request.query
+        topic = TOPICS[query["topic"]]
+        wait_ms = int(query.get("wait_ms", "0"))
+        first = self.store.partition(topic).first
+        match await self.store.read(topic, int(query["from"]), wait_ms):
+            case Ok(page):
+                head = struct.pack(">QQ", page.end, first)
+                return web.Response(body=head + b"".join(map(_frame, page.records)))
+        return _answer(410, {"first_offset": first})
+
+    async def _newest(self, request: web.BaseRequest) -> web.Response:
+        match await self.store.newest(TOPICS[request.query["topic"]]):
+            case Ok(newest):
+                after = request.query.get("after", "")
+                some = sorted(newest.records, key=lambda one: one.key)
+                some = [one for one in some if one.key > after]
+                items = [
+                    {
+                        "key": one.key,
+                        "value": base64.b64encode(one.value).decode(),
+                        "offset": 0,
+                    }
+                    for one in some[:PAGE_ITEMS]
+                ]
+                body = {
+                    "items": items,
+                    "has_more": len(some) > PAGE_ITEMS,
+                    "end_offset": newest.end,
+                }
+                return _answer(200, body)
+        return _answer(503, {})
+
+    # Executors
+
+    async def handle_endpoint(self, request: web.BaseRequest) -> web.Response:
+        """Answer an order to the executor that the header names."""
+        assert self.endpoints is not None
+        id = EndpointId(request.headers["Hickoryplank-Expect-Instance"])
+        one = self.endpoints.endpoints.get(id)
+        if one is None:
+            return _answer(421, {})
+        order = json.loads(await request.read())
+        token = order["fencing_token"]
+        self.endpoints.catch_up()
+        if request.path == "/api/hold":
+            report = one.hold(token, order["last_seen"], order.get("until_ms"))
+            if report is None:
+                return _answer(409, {"reason": "fence"})
+            running = [
+                [_name(run.key), run.attempt, run.saved, run.percent, run.load]
+                for run in report.running
+            ]
+            ended = [
+                [end.number, _name(end.key), end.attempt, end.kind.value, end.saved]
+                for end in report.ends
+            ]
+            body = {
+                "clock_ms": report.clock_ms,
+                "born": report.born_ms,
+                "running": running,
+                "ended": ended,
+            }
+            return _answer(200, body)
+        key = _key(order["task"])
+        clock = {"clock_ms": int(one.clock_ms)}
+        if request.path == "/api/run-stop":
+            done = one.stop(key, order["attempt"], token)
+            return _answer(200 if done else 409, clock)
+        outcome = one.start(
+            key, order["attempt"], order["spec"], order["until_ms"], token
+        )
+        if outcome is StartOutcome.STARTED:
+            return _answer(200, clock)
+        return _answer(409, {**clock, "reason": _REASONS[outcome]})
+
+    # Machines
+
+    async def handle_vms(self, request: web.BaseRequest) -> web.Response:
+        """Answer a call about machines."""
+        assert self.vms is not None
+        if request.method == "GET":
+            listed = (await self.vms.list()).unwrap()
+            machines = [
+                {
+                    "machine": vm.id,
+                    "pool": vm.pool,
+                    "state": "upkeep" if vm.state.value == "maintenance" else "up",
+                    "zone": vm.zone,
+                    "labels": list(vm.labels),
+                    "capacity": {"cpu": vm.capacity.cpu, "mem_mb": vm.capacity.mem_mb},
+                    "id": vm.endpoint,
+                }
+                for vm in listed
+            ]
+            return _answer(200, {"machines": machines, "next_token": None})
+        order = json.loads(await request.read())
+        token = int(request.headers["Hickoryplank-Fencing-Token"])
+        vm = VmId(order["machine"])
+        if vm not in self.vms.vms:
+            return _answer(400, {})
+        if request.path == "/api/machine-move":
+            await self.vms.move(vm, PoolId(order["pool"]), token)
+        else:
+            await self.vms.maintain(vm, WaveId(str(order["wave"])), token)
+        return _answer(200, {})
+
+
+def _name(key: TaskKey) -> str:
+    return f"{key.job}.{key.occurrence}.{key.step}.{key.index}"
+
+
+def _key(name: str) -> TaskKey:
+    job, occurrence, step, index = name.split(".")
+    return TaskKey(JobId(job), int(occurrence), int(step), int(index))
