--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -82,6 +82,7 @@
         self._waves: dict[WaveId, WaveRow] = {}
         self._done: dict[WaveId, set[VmId]] = {}
         self._demand = Demand()
+        self._states: dict[VmId, VmState] = {}
         self._asked_at = 0.0
 
     def restore(self, wave: WaveId, done: set[VmId]) -> None:
@@ -97,25 +98,48 @@
         while True:
             await anyio.sleep(ROUND_SECONDS)
             now = self._clock.now()
-            if await self._list(now):
+            if await self._list(engine, now) and self._lease.valid():
                 self._plan(engine, now)
-                if now >= may_order_at:
+                if now >= may_order_at and not journal.failing:
                     await self._round(engine, journal, token)
 
-    async def _list(self, now: float) -> bool:
+    async def _list(self, engine: Engine, now: float) -> bool:
         """Read the list of VMs when it is time; return whether there is one."""
-        busy = bool(self._table.errands()) or self._open_waves()
+        silent = any(one.silent_since for one in engine.endpoints.values())
+        busy = silent or bool(self._table.errands()) or self._open_waves()
+        busy = busy or engine.has_places
         period = LIST_SECONDS if busy else IDLE_LIST_SECONDS
         if now - self._asked_at >= period:
             self._asked_at = now
             match await self._port.list():
                 case Ok(listed):
+                    self._log_changes(listed)
                     views = tuple(_view(one) for one in listed)
                     self._table.take(views, now)
+                    alive = frozenset(
+                        view.endpoint for view in views if view.up and view.endpoint
+                    )
+                    engine.confirm_lives(alive, now, self._clock.now())
                 case Err(fault):
                     logger.info("VMs not listed", extra={"detail": fault.detail})
         return self._table.listed_at is not None
 
+    def _log_changes(self, listed: tuple[ListedVm, ...]) -> None:
+        for one in listed:
+            before = self._states.get(one.id)
+            self._states[one.id] = one.state
+            if before is not None and before is not one.state:
+                logger.info(
+                    "VM changed",
+                    extra={
+                        "vm": one.id,
+                        "pool": one.pool,
+                        "before": before.value,
+                        "state": one.state.value,
+                        "endpoint": one.endpoint,
+                    },
+                )
+
     def _open_waves(self) -> bool:
         return any(
             wave not in self._waves or not self._waves[wave].told_completed
--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -253,6 +253,7 @@
         engine.tick(now, time.time_ns() // 1_000_000)
         batch = engine.take_batch()
         stored, self._stored = self._stored, anyio.Event()
+        self._log_notes(engine)
         self._send_stops(engine)
         if batch.records:
             await self._journal.append(batch.records)
@@ -260,6 +261,19 @@
             self._group().start_soon(self._start, run)
         stored.set()
 
+    def _log_notes(self, engine: Engine) -> None:
+        notes, engine.notes = engine.notes, []
+        for note in notes:
+            extra = {"request": note.job, "why": note.why}
+            if note.key is not None:
+                extra |= {
+                    "step": note.key.step,
+                    "task": note.key.index,
+                    "attempt": note.attempt,
+                    "endpoint": note.endpoint,
+                }
+            logger.info(note.happening.value, extra=extra)
+
     def _running(self) -> Engine:
         if self.engine is None:
             raise Deposed("no engine")
@@ -377,7 +391,7 @@
                     engine.lose_endpoint(endpoint, clock.now())
                     self.wake()
                 case Err(fault):
-                    if endpoint.silent_since is None:
+                    if endpoint.silent_since is None and not endpoint.closing:
                         logger.info(
                             "endpoint silent",
                             extra={"endpoint": endpoint.id, "detail": fault.detail},
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -152,7 +152,9 @@
 
 async def _listen(address: str, handler) -> web.ServerRunner:
     host, port = address.rsplit(":", 1)
-    runner = web.ServerRunner(web.Server(handler), handle_signals=False)
+    runner = web.ServerRunner(
+        web.Server(handler), handle_signals=False, access_log=None
+    )
     await runner.setup()
     await web.TCPSite(runner, host, int(port), backlog=512).start()
     return runner
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -15,8 +15,10 @@
     Batch,
     End,
     EndKind,
+    Happening,
     HoldOrder,
     HoldReport,
+    Note,
     StartOutcome,
     StoredEnd,
 )
@@ -62,6 +64,7 @@
         self.use = TeamUse()
         self._rates = TeamRates()
         self.stops: list[Run] = []
+        self.notes: list[Note] = []
         self._new: list[JobRow] = []
         self._dirty: dict[JobId, JobRow] = {}
         self._starts: list[Run] = []
@@ -109,11 +112,14 @@
     def _end_job(self, row: JobRow, state: JobState, now: float) -> None:
         row.state = state
         row.ended_at = now
+        self.notes.append(
+            Note(Happening.JOB_ENDED, row.job.id, None, 0, None, state.value)
+        )
         self.open.pop(row.job.id, None)
         self._touch(row)
         for task in row.all_tasks():
             if task.run is not None:
-                self._stop(task.run, now)
+                self._stop(task.run, now, state.value)
 
     def _touch(self, row: JobRow) -> None:
         self._dirty[row.job.id] = row
@@ -147,7 +153,7 @@
             run.state = RunState.SENT
             run.confirmed_at = endpoint.listed_at
             if row.state.final:
-                self._stop(run, endpoint.listed_at)
+                self._stop(run, endpoint.listed_at, row.state.value)
 
     def endpoint_of(self, id: EndpointId | None) -> Endpoint | None:
         """Return an endpoint by its id, if there is one."""
@@ -162,19 +168,43 @@
     def lose_endpoint(self, endpoint: Endpoint, now: float) -> None:
         """Note that this life of an endpoint has ended, and all that ran there."""
         for run in list(endpoint.runs.values()):
-            self._lose_run(run, now)
+            self._lose_run(run, "the endpoint's life ended")
         if self.endpoints.get(endpoint.id) is endpoint:
             del self.endpoints[endpoint.id]
 
+    def confirm_lives(
+        self, alive: frozenset[EndpointId], asked_at: float, now: float
+    ) -> None:
+        """Give up what ran on VMs that are down, without waiting for its lease.
+
+        :param alive: endpoints of all VMs that are up, by the platform's list.
+        :param asked_at: when that list was asked for.
+        """
+        for endpoint in list(self.endpoints.values()):
+            silent_since = endpoint.silent_since
+            if endpoint.id in alive or silent_since is None:
+                continue
+            if silent_since < asked_at:
+                self.lose_endpoint(endpoint, now)
+        for id in [one for one in self._places if one not in alive]:
+            self._release_places(id)
+
+    @property
+    def has_places(self) -> bool:
+        """Whether the store names runs on endpoints that aren't listed."""
+        return bool(self._places)
+
+    def _release_places(self, id: EndpointId) -> None:
+        for row, task in self._places.pop(id):
+            task.place = None
+            self._release(row, task)
+
     def forget_places(self, now: float) -> None:
         """Give up stored places on endpoints that no list names any more."""
         if now < self.born_at + self.timing.inherit_seconds:
             return
-        for some in self._places.values():
-            for row, task in some:
-                task.place = None
-                self._release(row, task)
-        self._places.clear()
+        for id in list(self._places):
+            self._release_places(id)
 
     # Reports of endpoints
 
@@ -251,7 +281,7 @@
             if run.name in shown or run.confirmed_at is None:
                 continue
             if run.confirmed_at < asked_at:
-                self._lose_run(run, now)
+                self._lose_run(run, "its endpoint lists neither it nor its end")
 
     def _note_progress(self, run: Run, shown, now: float) -> None:
         if shown.percent != run.percent:
@@ -281,7 +311,7 @@
         run.confirmed_at = now
         endpoint.add(run)
         self.use.add(run.team, run.size)
-        self._stop(run, now)
+        self._stop(run, now, "no task is assigned to it")
 
     def _apply_end(self, endpoint: Endpoint, end: End, now: float) -> None:
         run = endpoint.runs.get((end.key, end.attempt))
@@ -298,6 +328,7 @@
             endpoint.note_success()
             self._task_done(row, task, now)
         elif current:
+            self._note(Happening.ENDED, run, end.kind.value)
             if end.kind is EndKind.FAILED:
                 self._task_failed(endpoint, row, task, now)
             if task.state is TaskState.ACTIVE:
@@ -313,7 +344,7 @@
             step.left -= 1
             step.waiting.pop(one.key.index, None)
             if one.run is not None and not step.step.gang:
-                self._stop(one.run, now)
+                self._stop(one.run, now, "another run is done")
         self._touch(row)
         if not row.state.final and row.complete:
             self._end_job(row, JobState.COMPLETED, now)
@@ -368,11 +399,11 @@
                 return False
         if tries > 1:
             # An earlier sending may still be carried out; a stop settles that.
-            self._stop(run, now)
+            self._stop(run, now, f"start {outcome.value} after another try")
             return False
         if outcome is StartOutcome.UNWELL:
             endpoint.note_failure(run.key.job, now)
-        self._lose_run(run, now)
+        self._lose_run(run, f"start {outcome.value}")
         return False
 
     def stop_answered(self, run: Run, now: float) -> None:
@@ -407,11 +438,18 @@
             task.run = None
             task.working = False
 
-    def _lose_run(self, run: Run, now: float) -> None:
+    def _note(self, happening: Happening, run: Run, why: str) -> None:
+        self.notes.append(
+            Note(happening, run.key.job, run.key, run.attempt, run.endpoint.id, why)
+        )
+
+    def _lose_run(self, run: Run, why: str) -> None:
         """Close a run whose end nobody will tell; its task waits again."""
         row = self.jobs.get(run.key.job)
         task = row.task(run.key) if row is not None else None
         current = task is not None and task.run is run
+        if run.endpoint.runs.get(run.name) is run:
+            self._note(Happening.LOST, run, why)
         self._close(run)
         if current and task.state is TaskState.ACTIVE:
             self._release(row, task)
@@ -424,16 +462,17 @@
         row.step_of(task.key).waiting[task.key.index] = task
         self._touch(row)
 
-    def stop_run(self, run: Run, now: float) -> None:
+    def stop_run(self, run: Run, now: float, why: str) -> None:
         """Stop a run; its task is started again elsewhere once it has ended."""
-        self._stop(run, now)
+        self._stop(run, now, why)
 
-    def _stop(self, run: Run, now: float) -> None:
+    def _stop(self, run: Run, now: float, why: str) -> None:
         if run.state is RunState.ASSIGNED:
-            self._lose_run(run, now)
+            self._lose_run(run, why)
             return
         if run in self._stop_due:
             return
+        self._note(Happening.STOPPED, run, why)
         run.state = RunState.STOPPING
         self._stop_due[run] = now
         row = self.jobs.get(run.key.job)
@@ -462,7 +501,7 @@
                 continue
             if endpoint.runs and endpoint.lapsed(now):
                 for run in list(endpoint.runs.values()):
-                    self._lose_run(run, now)
+                    self._lose_run(run, "its lease has lapsed on a silent endpoint")
             if not endpoint.listed and not endpoint.runs:
                 del self.endpoints[endpoint.id]
 
@@ -473,7 +512,7 @@
                 continue
             for run in list(endpoint.runs.values()):
                 if run.step.lasting and run.state is RunState.STARTED:
-                    self._stop(run, now)
+                    self._stop(run, now, "its endpoint leaves")
 
     def _place(self, now: float, wall_ms: int) -> None:
         usable: dict[PoolId, list[Endpoint]] = {}
@@ -549,6 +588,8 @@
         if row.state is JobState.QUEUED:
             row.state = JobState.RUNNING
         self._touch(row)
+        if task.key.index == 0 or attempt > 1:
+            self._note(Happening.ASSIGNED, task.run, row.state.value)
 
     # What is stored
 
@@ -583,7 +624,7 @@
         if endpoint.runs.get(run.name) is not run:
             return False
         if not endpoint.usable(now):
-            self._lose_run(run, now)
+            self._lose_run(run, "its endpoint can't be used any more")
             return False
         run.state = RunState.SENT
         run.until_ms = endpoint.clock(now) + self.timing.lease_ms
--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -36,7 +36,7 @@
         if one.listing.pool == run.endpoint.listing.pool and one.usable(now)
     ]
     if choose(others, step, run.endpoint) is not None:
-        engine.stop_run(run, now)
+        engine.stop_run(run, now, "its VM is to leave")
 
 
 def _may_miss_one(step: StepRow, run: Run) -> bool:
--- a/hickoryplank/jobs/messages.py
+++ b/hickoryplank/jobs/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hickoryplank.core.ids import EndpointId
+from hickoryplank.core.ids import EndpointId, JobId
 from hickoryplank.jobs.endpoints import Run
 from hickoryplank.jobs.model import TaskKey
 from hickoryplank.jobs.records import Record
@@ -13,8 +13,10 @@
     "Batch",
     "End",
     "EndKind",
+    "Happening",
     "HoldOrder",
     "HoldReport",
+    "Note",
     "Pace",
     "RunningTask",
     "StartOutcome",
@@ -125,6 +127,35 @@
     percent: int
 
 
+class Happening(Enum):
+    """What the engine decided, or took note of, for its logs."""
+
+    #: Tasks of a step were given endpoints.
+    ASSIGNED = "assigned"
+    #: A run ended otherwise than done.
+    ENDED = "ended"
+    #: A run was given up without an end.
+    LOST = "lost"
+    #: A run is to stop.
+    STOPPED = "stopped"
+    #: A job came to an end.
+    JOB_ENDED = "job ended"
+
+
+class Note(msgspec.Struct, frozen=True):
+    """One line for the logs.
+
+    :param why: what decided it.
+    """
+
+    happening: Happening
+    job: JobId
+    key: TaskKey | None
+    attempt: int
+    endpoint: EndpointId | None
+    why: str
+
+
 class Batch(msgspec.Struct):
     """What one append stores, and what may follow once it is stored."""
 
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -213,6 +213,38 @@
     assert driver.run_count(key) == 1
 
 
+@pytest.mark.parametrize("take_over", [False, True])
+def test_what_ran_on_a_vm_that_is_down_does_not_wait_for_its_lease(take_over):
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    at = next(id for id, one in driver.endpoints.items() if one.running)
+    other = E1 if at == E0 else E0
+    driver.cut.add(at)
+    driver.endpoints[at].running.clear()
+    if take_over:
+        down = driver.endpoints.pop(at)
+        driver.take_over()
+        driver.endpoints[at] = down
+    driver.step()
+    driver.engine.confirm_lives(frozenset([other]), driver.now + 0.1, driver.now)
+    driver.step()
+    driver.step()
+    assert driver.run_count(TaskKey(JobId("a"), 0, 0, 0)) == 1
+
+
+def test_an_endpoint_that_answers_is_believed_before_the_list_of_vms():
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    driver.engine.confirm_lives(frozenset(), driver.now + 0.1, driver.now)
+    for _ in range(3):
+        driver.step()
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+
+
 def test_a_cancelled_job_stops_and_does_not_start_again():
     driver = Driver(work_ms=lambda key: None)
     row = driver.engine.submit(job("a", Step(3, TASK, lasting=True)), driver.now)
