Let a new coordinator order all VMs but those ordered of late

Cause: after a take-over no VM moved for 3.3 s, the least time between two holders' orders for one VM, though only VMs ordered just before are bound by it. Orders are now recorded, fenced, before they are given. And pools shrank to three VMs before their queue had had any work, so that each first turn began short: unseen pools give VMs only to pools that want them.

--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -1,6 +1,7 @@
 """Runs moves and waves of maintenance during a term."""
 
 import logging
+import time
 
 import anyio
 import msgspec
@@ -23,7 +24,7 @@
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.evacuation import empty, evacuate
 from hickoryplank.jobs.maintenance import WaveRow, begin_maintenance, wave_done
-from hickoryplank.jobs.records import encode_wave
+from hickoryplank.jobs.records import VmOrdered, encode_order, encode_wave
 from hickoryplank.jobs.standby import Demand, balance
 from hickoryplank.jobs.vms import Errand, Phase, VmTable, VmView
 from hickoryplank.shell.clock import Clock
@@ -43,8 +44,9 @@
 PATIENCE_SECONDS = 5.0
 #: Part of the stated time that a VM is away at least; the platform may be faster.
 LEAST_AWAY_PART = 0.8
-#: Added to the least time between the orders of two holders, in seconds.
-APART_MARGIN_SECONDS = 0.3
+#: Added to the least time between the orders of two holders, in seconds: what their
+#: times of day may differ by, and the time that an order takes.
+APART_MARGIN_SECONDS = 1.0
 
 
 class FleetBounds(msgspec.Struct, frozen=True):
@@ -83,26 +85,38 @@
         self._done: dict[WaveId, set[VmId]] = {}
         self._demand = Demand()
         self._states: dict[VmId, VmState] = {}
+        self._former_orders: dict[VmId, int] = {}
         self._asked_at = 0.0
 
-    def restore(self, wave: WaveId, done: set[VmId]) -> None:
+    def restore_wave(self, wave: WaveId, done: set[VmId]) -> None:
         """Take over which VMs of a wave were maintained."""
         self._done[wave] = done
 
+    def restore_order(self, order: VmOrdered) -> None:
+        """Take over when a former coordinator last gave an order for a VM."""
+        self._former_orders[order.vm] = order.at_ms
+
     async def run(self, engine: Engine, journal: Journal, token: int) -> None:
         """Look after VMs until the term ends."""
-        begun = self._clock.now()
-        may_order_at = begun + self._bounds.orders_apart_s + APART_MARGIN_SECONDS
-        if token == 1:
-            may_order_at = begun
         while True:
             await anyio.sleep(ROUND_SECONDS)
             now = self._clock.now()
             if await self._list(engine, now) and self._lease.valid():
                 self._plan(engine, now)
-                if now >= may_order_at and not journal.failing:
+                if not journal.failing:
                     await self._round(engine, journal, token)
 
+    def _apart(self, vm: VmId) -> bool:
+        """Return whether a former coordinator's order for a VM is long past."""
+        at_ms = self._former_orders.get(vm)
+        if at_ms is None:
+            return True
+        least_s = self._bounds.orders_apart_s + APART_MARGIN_SECONDS
+        if time.time_ns() // 1_000_000 - at_ms < least_s * 1000:
+            return False
+        del self._former_orders[vm]
+        return True
+
     async def _list(self, engine: Engine, now: float) -> bool:
         """Read the list of VMs when it is time; return whether there is one."""
         silent = any(one.silent_since for one in engine.endpoints.values())
@@ -194,12 +208,22 @@
         return wave
 
     async def _round(self, engine: Engine, journal: Journal, token: int) -> None:
+        due = [
+            errand
+            for errand in self._table.errands()
+            if errand.phase is Phase.ORDERED
+            or (errand.phase is Phase.EMPTYING and self._emptied(engine, errand))
+        ]
+        due = [errand for errand in due if self._apart(errand.vm)]
+        if due:
+            # A successor has to know which VMs it must not give orders for yet.
+            at_ms = time.time_ns() // 1_000_000
+            await journal.append(
+                [encode_order(VmOrdered(errand.vm, at_ms)) for errand in due]
+            )
         async with anyio.create_task_group() as tasks:
-            for errand in self._table.errands():
-                if errand.phase is Phase.AWAY:
-                    continue
-                if errand.phase is Phase.ORDERED or self._emptied(engine, errand):
-                    tasks.start_soon(self._order, engine, journal, errand, token)
+            for errand in due:
+                tasks.start_soon(self._order, engine, journal, errand, token)
         for wave in self._waves.values():
             if not wave.told_completed and wave_done(wave, self._table):
                 await self._tell_completed(wave)
--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -51,11 +51,14 @@
 from hickoryplank.jobs.records import (
     Record,
     RecordFault,
+    VmOrdered,
     WaveProgress,
     apply_state,
     decode_job,
+    decode_order,
     decode_wave,
     is_job_key,
+    is_order_key,
     is_wave_key,
     job_of_key,
 )
@@ -192,8 +195,8 @@
         states: list[Record] = []
         wall_ms = time.time_ns() // 1_000_000
         for record in await self._newest(Topic.JOBS):
-            if is_wave_key(record.key):
-                self._restore_wave(record)
+            if is_wave_key(record.key) or is_order_key(record.key):
+                self._restore_vms(record)
                 continue
             if not is_job_key(record.key):
                 states.append(record)
@@ -213,12 +216,17 @@
                 logger.error("state can't be read", extra={"detail": fault.detail})
         return list(rows.values())
 
-    def _restore_wave(self, record: Record) -> None:
-        match decode_wave(record):
+    def _restore_vms(self, record: Record) -> None:
+        decode = decode_wave if is_wave_key(record.key) else decode_order
+        match decode(record):
             case WaveProgress(wave, done):
-                self._caretaker.restore(wave, set(done))
+                self._caretaker.restore_wave(wave, set(done))
+            case VmOrdered() as order:
+                self._caretaker.restore_order(order)
             case RecordFault(key, detail):
-                logger.error("wave can't be read", extra={"key": key, "detail": detail})
+                logger.error(
+                    "record can't be read", extra={"key": key, "detail": detail}
+                )
 
     async def _newest(self, topic: Topic) -> tuple[Record, ...]:
         while True:
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -63,6 +63,8 @@
         self.endpoints: dict[EndpointId, Endpoint] = {}
         self.use = TeamUse()
         self._rates = TeamRates()
+        #: Pools that have had jobs which end.
+        self.seen_pools: set[PoolId] = set()
         self.stops: list[Run] = []
         self.notes: list[Note] = []
         self._new: list[JobRow] = []
@@ -77,6 +79,7 @@
     def restore(self, rows: Iterable[JobRow]) -> None:
         """Take over the jobs that the store has, before any endpoint is known."""
         for row in rows:
+            self._see_pool(row.job)
             self.jobs[row.job.id] = row
             if not row.state.final:
                 self.open[row.job.id] = row
@@ -90,12 +93,17 @@
         known = self.jobs.get(job.id)
         if known is not None:
             return known
+        self._see_pool(job)
         within = self._rates.take(job.team, self.directory, now)
         row = JobRow(job, now, excess=not within)
         self.jobs[job.id] = self.open[job.id] = row
         self._new.append(row)
         return row
 
+    def _see_pool(self, job: Job) -> None:
+        if not job.lasting:
+            self.seen_pools.add(job.pool)
+
     def cancel(self, row: JobRow, now: float) -> None:
         """End a job; its runs are stopped."""
         if not row.state.final:
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -9,21 +9,26 @@
 __all__ = [
     "Record",
     "RecordFault",
+    "VmOrdered",
     "WaveProgress",
     "apply_state",
     "decode_job",
+    "decode_order",
     "decode_wave",
     "encode_job",
+    "encode_order",
     "encode_state",
     "encode_wave",
     "job_of_key",
     "is_job_key",
+    "is_order_key",
     "is_wave_key",
 ]
 
 _JOB_PREFIX = "j:"
 _STATE_PREFIX = "s:"
 _WAVE_PREFIX = "w:"
+_ORDER_PREFIX = "v:"
 
 
 class RecordFault(msgspec.Struct, frozen=True):
@@ -47,6 +52,16 @@
     done: tuple[VmId, ...]
 
 
+class VmOrdered(msgspec.Struct, frozen=True):
+    """An order for a VM that a coordinator was about to give.
+
+    :param at_ms: time of day, in Unix milliseconds.
+    """
+
+    vm: VmId
+    at_ms: int
+
+
 class _TaskRecord(msgspec.Struct, array_like=True):
     """State of one task that isn't as it was at the start."""
 
@@ -171,3 +186,22 @@
         return RecordFault(record.key, str(exc))
     wave = WaveId(record.key[len(_WAVE_PREFIX) :])
     return WaveProgress(wave, tuple(VmId(vm) for vm in done))
+
+
+def is_order_key(key: str) -> bool:
+    """Return whether ``key`` holds an order for a VM."""
+    return key.startswith(_ORDER_PREFIX)
+
+
+def encode_order(order: VmOrdered) -> Record:
+    """Return the record of an order for a VM."""
+    return Record(_ORDER_PREFIX + order.vm, _encoder.encode(order.at_ms))
+
+
+def decode_order(record: Record) -> VmOrdered | RecordFault:
+    """Read an order for a VM."""
+    try:
+        at_ms = msgspec.msgpack.decode(record.value, type=int)
+    except msgspec.MsgspecError as exc:
+        return RecordFault(record.key, str(exc))
+    return VmOrdered(VmId(record.key[len(_ORDER_PREFIX) :]), at_ms)
--- a/hickoryplank/jobs/standby.py
+++ b/hickoryplank/jobs/standby.py
@@ -55,10 +55,20 @@
 
 
 class _PoolNeed(msgspec.Struct):
+    """What a pool has and wants.
+
+    :param have: VMs that it has or is getting.
+    :param recent: what it has wanted at most of late; beyond that it gives VMs to
+        pools that want them.
+    :param keeps: beyond that it sends VMs to standby. A pool that has had no work
+        yet, other than what lasts, keeps all: nothing tells what it will want.
+    """
+
     pool: PoolId
     have: int
     wanted: int
-    steady: int
+    recent: int
+    keeps: int
     rows: list[VmRow]
 
 
@@ -78,7 +88,7 @@
             begun.append(_begin(row, need.pool, now))
             need.have += 1
     for need in needs:
-        while need.have > need.steady and len(begun) < MOST_BEGUN:
+        while need.have > need.keeps and len(begun) < MOST_BEGUN:
             row = _idlest(engine, need)
             if row is None:
                 break
@@ -126,7 +136,9 @@
         count = max(LEAST_VMS, _vms_for(wanted.get(pool, Size()), rows, vms))
         demand.note(pool, count, now)
         have = len(rows) - leaving + coming
-        needs.append(_PoolNeed(pool, have, count, demand.most(pool), rows))
+        recent = demand.most(pool)
+        keeps = recent if pool in engine.seen_pools else have
+        needs.append(_PoolNeed(pool, have, count, recent, keeps, rows))
     return needs
 
 
@@ -183,8 +195,8 @@
 
 def _surplus(engine: Engine, needs: list[_PoolNeed]) -> VmRow | None:
     """Return a VM that a pool can spare for another one, if any."""
-    for need in sorted(needs, key=lambda one: one.steady - one.have):
-        if need.have <= need.steady:
+    for need in sorted(needs, key=lambda one: one.recent - one.have):
+        if need.have <= need.recent:
             return None
         row = _idlest(engine, need)
         if row is not None:
