--- a/hickoryplank/jobs/standby.py
+++ b/hickoryplank/jobs/standby.py
@@ -12,6 +12,7 @@
 
 from hickoryplank.core.ids import PoolId
 from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.ordering import worth_serving
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.vms import Errand, Phase, VmRow, VmTable
 
@@ -27,6 +28,9 @@
 #: VMs that a pool keeps however idle it is: one may fail or be maintained while
 #: another takes what comes.
 LEAST_VMS = 3
+#: A pool that lacks VMs gives one to another that has this many times less of what
+#: it wants; a move costs both some seconds.
+UNEVEN_TIMES = 2.0
 #: Moves that are begun in one round; the platform bounds orders a second.
 MOST_BEGUN = 8
 
@@ -82,7 +86,7 @@
     begun: list[Errand] = []
     for need in sorted(needs, key=lambda one: one.have - one.wanted):
         while need.have < need.wanted and len(begun) < MOST_BEGUN:
-            row = spares.pop() if spares else _surplus(engine, needs)
+            row = spares.pop() if spares else _surplus(engine, needs, need)
             if row is None:
                 break
             begun.append(_begin(row, need.pool, now))
@@ -113,7 +117,7 @@
 def _needs(
     engine: Engine, vms: VmTable, demand: Demand, now: float, standby: PoolId
 ) -> list[_PoolNeed]:
-    wanted = _wanted_sizes(engine)
+    wanted = _wanted_sizes(engine, now)
     needs = []
     for pool in engine.directory.pools:
         rows = [row for row in vms.rows.values() if _in_pool(row, pool)]
@@ -142,14 +146,20 @@
     return needs
 
 
-def _wanted_sizes(engine: Engine) -> dict[PoolId, Size]:
-    """Return what runs, and what could run now if there were room, by pool."""
+def _wanted_sizes(engine: Engine, now: float) -> dict[PoolId, Size]:
+    """Return what runs, and what could run now if there were room, by pool.
+
+    A backlog that nobody waits for any more draws no VMs from other pools.
+    """
     wanted: dict[PoolId, Size] = {}
     for endpoint in engine.endpoints.values():
         pool = endpoint.listing.pool
         wanted[pool] = wanted.get(pool, Size()).plus(endpoint.used)
     for row in engine.open.values():
         pool = row.job.pool
+        queue = engine.directory.queues.get(row.job.queue)
+        if row.excess or not worth_serving(row, queue, now):
+            continue
         for occurrence in row.steps:
             for step in row.ready_steps(occurrence):
                 more = step.step.counted_size.times(len(step.waiting))
@@ -193,10 +203,16 @@
             need.have += 1
 
 
-def _surplus(engine: Engine, needs: list[_PoolNeed]) -> VmRow | None:
-    """Return a VM that a pool can spare for another one, if any."""
-    for need in sorted(needs, key=lambda one: one.recent - one.have):
-        if need.have <= need.recent:
+def _surplus(engine: Engine, needs: list[_PoolNeed], needy: _PoolNeed) -> VmRow | None:
+    """Return a VM that a pool can spare for another one, if any.
+
+    A pool without room to spare still gives one where it has far more of what it
+    wants than the other.
+    """
+    donors = [need for need in needs if need is not needy and need.have > LEAST_VMS]
+    for need in sorted(donors, key=_part_had, reverse=True):
+        spare = need.have > need.recent
+        if not spare and _part_had(need) < _part_had(needy) * UNEVEN_TIMES:
             return None
         row = _idlest(engine, need)
         if row is not None:
@@ -205,6 +221,11 @@
     return None
 
 
+def _part_had(need: _PoolNeed) -> float:
+    """Return what part of what it wants a pool has."""
+    return need.have / max(1, need.recent)
+
+
 def _idlest(engine: Engine, need: _PoolNeed) -> VmRow | None:
     """Return the VM with the least on it, and nothing that lasts."""
     best: VmRow | None = None
