--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -32,6 +32,7 @@
 from hickoryplank.coordinator.journal import Deposed, Journal
 from hickoryplank.coordinator.lease import LeaseKeeper
 from hickoryplank.coordinator.ports import (
+    AdvicePort,
     CallFault,
     EndpointPort,
     Fault,
@@ -43,10 +44,11 @@
 )
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.core.ids import EndpointId, TeamId
+from hickoryplank.jobs.advice import Wanted
 from hickoryplank.jobs.directory import Queue
 from hickoryplank.jobs.endpoints import Endpoint, Run
 from hickoryplank.jobs.engine import Engine, Timing
-from hickoryplank.jobs.messages import StartOutcome
+from hickoryplank.jobs.messages import Pace, StartOutcome
 from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.records import (
     Record,
@@ -90,6 +92,12 @@
 STORE_SECONDS = 1.5
 #: Longest wait for stored ends before an endpoint is looked at again, in seconds.
 ENDS_SECONDS = 0.3
+#: Time between two looks for advice that is wanted, in seconds.
+ADVICE_SECONDS = 0.02
+#: Shortest wait for advice, in seconds: a few times what another call takes.
+LEAST_ADVICE_SECONDS = 0.5
+#: Times that the stated time of an answer is waited for.
+ADVICE_TIMES = 3.0
 #: Longest wait for open calls before the lease is given up, in seconds.
 FINISH_SECONDS = 0.4
 #: How long after the store was away a missing endpoint may still come back, in
@@ -108,6 +116,7 @@
     vms: VmPort
     operator: OperatorRecords
     fleet: FleetBounds
+    advice: AdvicePort | None = None
 
 
 class Coordinator:
@@ -151,6 +160,8 @@
                 tasks.start_soon(self._commit_loop)
                 tasks.start_soon(self._listings_loop)
                 tasks.start_soon(self._directory_loop)
+                if self._out.advice is not None:
+                    tasks.start_soon(self._advice_loop, self._out.advice)
                 tasks.start_soon(
                     self._caretaker.run, self._running(), self._journal, self.token
                 )
@@ -343,6 +354,9 @@
         stops, engine.stops = engine.stops, []
         for run in stops:
             self._group().start_soon(self._stop, run)
+        paces, engine.paces = engine.paces, []
+        for change in paces:
+            self._group().start_soon(self._pace, change)
 
     async def _stop(self, run: Run) -> None:
         match await self._out.endpoints.stop(run, self.token):
@@ -362,6 +376,19 @@
                     },
                 )
 
+    async def _pace(self, change: Pace) -> None:
+        run = change.run
+        answer = await self._out.endpoints.pace(run, change.percent, self.token)
+        logger.info(
+            "paced",
+            extra={
+                "request": run.key.job,
+                "endpoint": run.endpoint.id,
+                "percent": change.percent,
+                "done": answer.is_ok(),
+            },
+        )
+
     def _fenced(self) -> None:
         """End the term, as only a later coordinator has a higher token.
 
@@ -467,6 +494,27 @@
             del self._missing[id]
             engine.unlist_endpoint(id)
 
+    async def _advice_loop(self, port: AdvicePort) -> None:
+        """Ask for advice, one call at a time, as the service answers them."""
+        clock = self._out.clock
+        while True:
+            engine = self._running()
+            wanted = engine.advice.next_wanted()
+            if wanted is None:
+                await anyio.sleep(ADVICE_SECONDS)
+                continue
+            asked_at = clock.now()
+            match await port.ask(wanted, _advice_wait_s(engine, wanted)):
+                case Ok(advised):
+                    engine.advice.take(wanted, advised, asked_at)
+                    self.wake()
+                case Err(fault):
+                    logger.info(
+                        "advice not given",
+                        extra={"request": wanted.step.job, "detail": fault.detail},
+                    )
+                    await anyio.sleep(SILENT_SECONDS)
+
     async def _directory_loop(self) -> None:
         while True:
             changed = self._watcher.changed
@@ -597,6 +645,17 @@
     team: TeamId
 
 
+def _advice_wait_s(engine: Engine, wanted: Wanted) -> float:
+    """Return how long advice may take, in seconds."""
+    row = engine.jobs.get(wanted.step.job)
+    queue = engine.directory.queues.get(row.job.queue) if row is not None else None
+    stated = queue.advice if queue is not None else None
+    if stated is None:
+        return LEAST_ADVICE_SECONDS
+    ms = stated.decide_ms + stated.per_endpoint_ms * len(wanted.endpoints)
+    return LEAST_ADVICE_SECONDS + ADVICE_TIMES * ms / 1000
+
+
 def _step_summary(step: Step) -> str:
     """Return a step in a few words, for logs."""
     flags = [
--- a/hickoryplank/coordinator/ports.py
+++ b/hickoryplank/coordinator/ports.py
@@ -7,13 +7,15 @@
 from result import Result
 
 from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId, Zone
+from hickoryplank.jobs.advice import Wanted
 from hickoryplank.jobs.directory import Directory
 from hickoryplank.jobs.endpoints import Listing, Run
-from hickoryplank.jobs.messages import HoldOrder, HoldReport, StartOutcome
+from hickoryplank.jobs.messages import Advised, HoldOrder, HoldReport, StartOutcome
 from hickoryplank.jobs.records import Record
 from hickoryplank.jobs.sizes import Size
 
 __all__ = [
+    "AdvicePort",
     "Appended",
     "CallFault",
     "Condition",
@@ -196,6 +198,14 @@
         """Close what is kept for an endpoint that is gone."""
 
 
+class AdvicePort(ABC):
+    """The outside policy that says which endpoints may run a step."""
+
+    @abstractmethod
+    async def ask(self, wanted: Wanted, within_s: float) -> Result[Advised, CallFault]:
+        """Ask which of the named endpoints may run a step."""
+
+
 class VmState(Enum):
     """What the platform says of a VM."""
 
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -22,6 +22,7 @@
 from hickoryplank.entry_settings import EntrySettings, load_entry_settings
 from hickoryplank.http_client import HttpClient
 from hickoryplank.jobs.engine import Timing
+from hickoryplank.platform.advice import PlatformAdvice
 from hickoryplank.platform.endpoints import PlatformEndpoints
 from hickoryplank.platform.ingress import Ingress
 from hickoryplank.platform.records import PlatformListings, PlatformOperatorRecords
@@ -76,6 +77,7 @@
             ),
             vms=PlatformVms(self._client, cfg.vms, cfg.name),
             operator=operator,
+            advice=PlatformAdvice(self._client, cfg.advice) if cfg.advice else None,
             fleet=FleetBounds(
                 cfg.move_s, cfg.maintenance_s, cfg.orders_apart_ms / 1000
             ),
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -18,6 +18,7 @@
     :param peers: address that other entries reach.
     :param store: address of the platform's store.
     :param vms: address of the platform's list of VMs.
+    :param advice: address of the service for advice; empty for none.
     :param grace_s: time from the order to stop until the process is killed.
     :param lease_max_ms: longest lease that endpoints grant.
     :param move_s: time that a VM's move takes.
@@ -38,13 +39,14 @@
     maintenance_s: float
     notice_ms: int
     orders_apart_ms: int
+    advice: str = ""
     log_level: str = "info"
 
 
 _SECTIONS = {
     "node": ("name",),
     "listen": ("callers", "readiness", "peers"),
-    "platform": ("store", "vms"),
+    "platform": ("store", "vms", "advice"),
     "bounds": (
         "grace_s",
         "lease_max_ms",
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -59,6 +59,7 @@
         "state",
         "step",
         "team",
+        "ticket",
         "until_ms",
     )
 
@@ -72,6 +73,7 @@
         self.counted = step.counted_size
         self.state = RunState.ASSIGNED
         self.saved = ""
+        self.ticket = ""
         self.percent = 0
         self.paced = 100
         self.load = 0
@@ -128,6 +130,8 @@
         self.stored_end = 0
         self.failed_jobs: set[JobId] = set()
         self.distrusted_until = 0.0
+        #: When the pace of what fills was last changed.
+        self.paced_at = 0.0
         #: Its VM is to leave; nothing new is placed here.
         self.closing = False
         #: Its VM is to be maintained later; what lasts had better not start here.
--- /dev/null
+++ b/hickoryplank/jobs/lives.py
@@ -0,0 +1,78 @@
+"""Lives of endpoints: listed, lost, and found again after a take-over."""
+
+from hickoryplank.core.ids import EndpointId
+from hickoryplank.jobs.endpoints import Endpoint, Listing, RunState
+from hickoryplank.jobs.tables import Tables
+
+__all__ = ["confirm_lives", "forget_places", "list_endpoint", "lose_endpoint"]
+
+
+def list_endpoint(tables: Tables, listing: Listing, now: float) -> Endpoint:
+    """Note what an endpoint says of itself; a new life starts empty."""
+    known = tables.endpoints.get(listing.id)
+    if known is not None and known.listing.born_ms == listing.born_ms:
+        known.listing = listing
+        known.listed = True
+        return known
+    if known is not None:
+        lose_endpoint(tables, known, now)
+    fresh = Endpoint(listing, now)
+    fresh.inherited_until = tables.born_at + tables.timing.inherit_seconds
+    tables.endpoints[listing.id] = fresh
+    _adopt_places(tables, fresh)
+    return fresh
+
+
+def _adopt_places(tables: Tables, endpoint: Endpoint) -> None:
+    """Turn stored places on this endpoint into runs of unknown state."""
+    for row, task in tables.places.pop(endpoint.id, ()):
+        place = task.place
+        task.place = None
+        if place is None or place.born_ms != endpoint.listing.born_ms:
+            tables.release(row, task)
+            continue
+        run = tables.make_run(row, task, endpoint)
+        run.state = RunState.SENT
+        run.confirmed_at = endpoint.listed_at
+        if row.state.final:
+            tables.stop(run, endpoint.listed_at, row.state.value)
+
+
+def lose_endpoint(tables: Tables, endpoint: Endpoint, now: float) -> None:
+    """Note that this life of an endpoint has ended, and all that ran there."""
+    for run in list(endpoint.runs.values()):
+        tables.lose_run(run, "the endpoint's life ended")
+    if tables.endpoints.get(endpoint.id) is endpoint:
+        del tables.endpoints[endpoint.id]
+
+
+def confirm_lives(
+    tables: Tables, alive: frozenset[EndpointId], asked_at: float, now: float
+) -> None:
+    """Give up what ran on VMs that are down, without waiting for its lease.
+
+    :param alive: endpoints of all VMs that are up, by the platform's list.
+    :param asked_at: when that list was asked for.
+    """
+    for endpoint in list(tables.endpoints.values()):
+        silent_since = endpoint.silent_since
+        if endpoint.id in alive or silent_since is None:
+            continue
+        if silent_since < asked_at:
+            lose_endpoint(tables, endpoint, now)
+    for id in [one for one in tables.places if one not in alive]:
+        _release_places(tables, id)
+
+
+def _release_places(tables: Tables, id: EndpointId) -> None:
+    for row, task in tables.places.pop(id):
+        task.place = None
+        tables.release(row, task)
+
+
+def forget_places(tables: Tables, now: float) -> None:
+    """Give up stored places on endpoints that no list names any more."""
+    if now < tables.born_at + tables.timing.inherit_seconds:
+        return
+    for id in list(tables.places):
+        _release_places(tables, id)
--- a/hickoryplank/jobs/messages.py
+++ b/hickoryplank/jobs/messages.py
@@ -10,6 +10,7 @@
 from hickoryplank.jobs.records import Record
 
 __all__ = [
+    "Advised",
     "Batch",
     "End",
     "EndKind",
@@ -18,6 +19,7 @@
     "HoldReport",
     "Note",
     "Pace",
+    "Permit",
     "RunningTask",
     "StartOutcome",
     "StoredEnd",
@@ -120,6 +122,23 @@
     number: int
 
 
+class Permit(msgspec.Struct, frozen=True):
+    """An endpoint that may run a step, and the ticket that says so."""
+
+    endpoint: EndpointId
+    ticket: str
+
+
+class Advised(msgspec.Struct, frozen=True):
+    """The policy's answer on one step.
+
+    :param valid_ms: how long the tickets are valid.
+    """
+
+    allowed: tuple[Permit, ...]
+    valid_ms: int
+
+
 class Pace(msgspec.Struct, frozen=True):
     """An order that lets a run work at a share of its speed."""
 
--- /dev/null
+++ b/hickoryplank/jobs/placing.py
@@ -0,0 +1,108 @@
+"""Gives waiting tasks endpoints, job by job in order."""
+
+from hickoryplank.core.ids import PoolId
+from hickoryplank.jobs.endpoints import Endpoint
+from hickoryplank.jobs.messages import Happening
+from hickoryplank.jobs.ordering import in_order
+from hickoryplank.jobs.placement import choose, choose_gang
+from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task
+from hickoryplank.jobs.tables import Tables, step_key
+
+__all__ = ["place"]
+
+
+def place(tables: Tables, now: float, wall_ms: int) -> None:
+    """Assign what has room, in every pool.
+
+    :param wall_ms: time of day in Unix milliseconds, by which timed jobs are due.
+    """
+    usable: dict[PoolId, list[Endpoint]] = {}
+    for endpoint in tables.endpoints.values():
+        if endpoint.usable(now):
+            usable.setdefault(endpoint.listing.pool, []).append(endpoint)
+    wanting: dict[PoolId, list[JobRow]] = {}
+    for row in tables.open.values():
+        _open_due(tables, row, wall_ms)
+        if row.job.pool in usable:
+            wanting.setdefault(row.job.pool, []).append(row)
+    for pool, rows in wanting.items():
+        for row in in_order(rows, tables.directory, now):
+            _place_job(tables, row, usable[pool], now, wall_ms)
+
+
+def _open_due(tables: Tables, row: JobRow, wall_ms: int) -> None:
+    if len(row.steps) == row.job.occurrences:
+        return
+    for occurrence in range(row.job.occurrences):
+        if row.job.due_ms(occurrence) <= wall_ms:
+            row.open_occurrence(occurrence)
+
+
+def _place_job(
+    tables: Tables, row: JobRow, endpoints: list[Endpoint], now: float, wall_ms: int
+) -> None:
+    for occurrence in list(row.steps):
+        if row.job.due_ms(occurrence) > wall_ms:
+            continue
+        for step in row.ready_steps(occurrence):
+            allowed = _permitted(tables, row, step, endpoints, now)
+            if step.step.gang:
+                _place_gang(tables, row, step, allowed)
+            else:
+                _place_step(tables, row, step, allowed, now)
+
+
+def _permitted(
+    tables: Tables, row: JobRow, step: StepRow, endpoints: list[Endpoint], now: float
+) -> list[Endpoint]:
+    queue = tables.directory.queues.get(row.job.queue)
+    if queue is None or queue.advice is None:
+        return endpoints
+    return tables.advice.permitted(step_key(step), endpoints, now)
+
+
+def _place_step(
+    tables: Tables, row: JobRow, step: StepRow, endpoints: list[Endpoint], now: float
+) -> None:
+    for task in list(step.waiting.values()):
+        if task.not_before > now or task.run is not None:
+            continue
+        if not tables.use.allows(row.job.team, step.step.size, tables.directory):
+            return
+        endpoint = choose(endpoints, step, None)
+        if endpoint is None:
+            return
+        _assign(tables, row, task, endpoint, task.attempt + 1)
+
+
+def _place_gang(
+    tables: Tables, row: JobRow, step: StepRow, endpoints: list[Endpoint]
+) -> None:
+    if len(step.waiting) < step.step.count:
+        return
+    if any(task.run is not None for task in step.tasks):
+        return
+    whole = step.step.size.times(step.step.count)
+    if not tables.use.allows(row.job.team, whole, tables.directory):
+        return
+    chosen = choose_gang(endpoints, step)
+    if chosen is None:
+        return
+    attempt = max(task.attempt for task in step.tasks) + 1
+    saved = next((task.saved for task in step.tasks if task.saved), "")
+    for task, endpoint in zip(step.tasks, chosen, strict=True):
+        task.saved = saved
+        _assign(tables, row, task, endpoint, attempt)
+
+
+def _assign(
+    tables: Tables, row: JobRow, task: Task, endpoint: Endpoint, attempt: int
+) -> None:
+    task.attempt = attempt
+    tables.starts.append(tables.make_run(row, task, endpoint))
+    row.begun = True
+    if row.state is JobState.QUEUED:
+        row.state = JobState.RUNNING
+    tables.touch(row)
+    if task.key.index == 0 or attempt > 1:
+        tables.note(Happening.ASSIGNED, task.run, row.state.value)
--- /dev/null
+++ b/hickoryplank/jobs/reports.py
@@ -0,0 +1,264 @@
+"""What endpoints report: lists of runs and ends, and answers to orders."""
+
+from hickoryplank.jobs.advice import StepKey
+from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
+from hickoryplank.jobs.lives import list_endpoint, lose_endpoint
+from hickoryplank.jobs.messages import (
+    End,
+    EndKind,
+    Happening,
+    HoldOrder,
+    HoldReport,
+    StartOutcome,
+)
+from hickoryplank.jobs.table import JobRow, JobState, Task, TaskState
+from hickoryplank.jobs.tables import Tables
+
+__all__ = [
+    "hold_answered",
+    "hold_lost",
+    "hold_order",
+    "start_answered",
+    "stop_answered",
+]
+
+#: Wait before a lasting task that failed is started again, in seconds.
+LASTING_RETRY_SECONDS = 0.2
+
+
+def hold_order(
+    tables: Tables, endpoint: Endpoint, now: float, *, renew: bool
+) -> HoldOrder:
+    """Return the next look at an endpoint.
+
+    :param renew: whether this coordinator may extend leases.
+    """
+    until = None
+    if renew and endpoint.silent_since is None and endpoint.held:
+        until = endpoint.clock(now) + tables.timing.lease_ms
+        endpoint.grant(until)
+    unstored = endpoint.last_end > endpoint.stored_end
+    wait = 0 if unstored or not endpoint.held else tables.timing.wait_ms
+    return HoldOrder(
+        endpoint.id, endpoint.listing.address, endpoint.stored_end, until, wait
+    )
+
+
+def hold_lost(tables: Tables, endpoint: Endpoint, now: float) -> None:
+    """Note that a look at an endpoint had no answer."""
+    if endpoint.silent_since is None:
+        endpoint.silent_since = now
+
+
+def hold_answered(
+    tables: Tables, endpoint: Endpoint, report: HoldReport, asked_at: float, now: float
+) -> None:
+    """Take what an endpoint says that it runs, and what has ended."""
+    if report.born_ms != endpoint.listing.born_ms:
+        _other_life(tables, endpoint, report, now)
+        return
+    endpoint.heard(report.clock_ms, now)
+    if not endpoint.held:
+        endpoint.held = True
+        endpoint.inherited_until = 0.0
+        endpoint.grant(report.clock_ms + tables.timing.lease_ms)
+    for end in report.ends:
+        if end.number > endpoint.last_end:
+            endpoint.last_end = end.number
+            _apply_end(tables, endpoint, end, now)
+    _compare(tables, endpoint, report, asked_at, now)
+
+
+def _other_life(
+    tables: Tables, endpoint: Endpoint, report: HoldReport, now: float
+) -> None:
+    if report.born_ms < endpoint.listing.born_ms:
+        return
+    fresh = Listing(
+        id=endpoint.listing.id,
+        born_ms=report.born_ms,
+        address=endpoint.listing.address,
+        pool=endpoint.listing.pool,
+        zone=endpoint.listing.zone,
+        capacity=endpoint.listing.capacity,
+        labels=endpoint.listing.labels,
+        draining=endpoint.listing.draining,
+    )
+    list_endpoint(tables, fresh, now)
+
+
+def _compare(
+    tables: Tables, endpoint: Endpoint, report: HoldReport, asked_at: float, now: float
+) -> None:
+    shown = set()
+    for one in report.running:
+        name = (one.key, one.attempt)
+        shown.add(name)
+        run = endpoint.runs.get(name)
+        if run is None:
+            _stop_stray(tables, endpoint, one.key, one.attempt, now)
+            continue
+        if run.state is RunState.SENT:
+            run.state = RunState.STARTED
+        if run.confirmed_at is None:
+            run.confirmed_at = now
+        _note_progress(tables, run, one, now)
+    for run in list(endpoint.runs.values()):
+        if run.name in shown or run.confirmed_at is None:
+            continue
+        if run.confirmed_at < asked_at:
+            tables.lose_run(run, "its endpoint lists neither it nor its end")
+
+
+def _note_progress(tables: Tables, run: Run, shown, now: float) -> None:
+    if shown.percent != run.percent:
+        run.progress_at = now
+    run.percent = shown.percent
+    run.load = shown.load
+    row = tables.jobs.get(run.key.job)
+    task = row.task(run.key) if row is not None else None
+    if task is None or task.run is not run:
+        return
+    if shown.saved:
+        task.saved = shown.saved
+    working = shown.percent >= 100 and run.state is RunState.STARTED
+    if run.step.lasting and working != task.working:
+        task.working = working
+        task.away_since = now
+
+
+def _stop_stray(
+    tables: Tables, endpoint: Endpoint, key, attempt: int, now: float
+) -> None:
+    """Stop a run that this table doesn't have."""
+    row = tables.jobs.get(key.job)
+    task = row.task(key) if row is not None else None
+    if row is None or task is None:
+        return
+    step = row.step_of(key).step
+    run = Run(key, attempt, step, row.job.team, endpoint)
+    run.state = RunState.SENT
+    run.confirmed_at = now
+    endpoint.add(run)
+    tables.use.add(run.team, run.size)
+    tables.stop(run, now, "no task is assigned to it")
+
+
+def _apply_end(tables: Tables, endpoint: Endpoint, end: End, now: float) -> None:
+    run = endpoint.runs.get((end.key, end.attempt))
+    row = tables.jobs.get(end.key.job)
+    task = row.task(end.key) if row is not None else None
+    current = task is not None and task.run is run and run is not None
+    if run is not None:
+        tables.close(run)
+    if row is None or task is None:
+        return
+    if end.saved and current:
+        task.saved = end.saved
+    if end.kind is EndKind.DONE and not _is_lasting(row, end):
+        endpoint.note_success()
+        _task_done(tables, row, task, now)
+    elif current:
+        tables.note(Happening.ENDED, run, end.kind.value)
+        if end.kind is EndKind.FAILED:
+            _task_failed(tables, endpoint, row, task, now)
+        if task.state is TaskState.ACTIVE:
+            tables.release(row, task)
+
+
+def _task_done(tables: Tables, row: JobRow, task: Task, now: float) -> None:
+    step = row.step_of(task.key)
+    members = step.tasks if step.step.gang else [task]
+    for one in members:
+        if one.state is TaskState.DONE:
+            continue
+        one.state = TaskState.DONE
+        step.left -= 1
+        step.waiting.pop(one.key.index, None)
+        if one.run is not None and not step.step.gang:
+            tables.stop(one.run, now, "another run is done")
+    tables.touch(row)
+    if not row.state.final and row.complete:
+        tables.end_job(row, JobState.COMPLETED, now)
+
+
+def _task_failed(
+    tables: Tables, endpoint: Endpoint, row: JobRow, task: Task, now: float
+) -> None:
+    step = row.step_of(task.key)
+    tables.touch(row)
+    task.failures += 1
+    endpoint.note_failure(row.job.id, now)
+    if step.step.lasting:
+        task.not_before = now + LASTING_RETRY_SECONDS
+        return
+    queue = tables.directory.queues.get(row.job.queue)
+    attempts = queue.attempts if queue is not None else 1
+    failures = task.failures
+    if step.step.gang:
+        failures = sum(one.failures for one in step.tasks)
+    if failures >= attempts and not row.state.final:
+        tables.end_job(row, JobState.FAILED, now)
+
+
+def start_answered(
+    tables: Tables,
+    run: Run,
+    outcome: StartOutcome,
+    tries: int,
+    clock_ms: int,
+    now: float,
+) -> bool:
+    """Take the answer to a start; return whether it is to be sent again.
+
+    :param tries: how often it was sent, this time included.
+    :param clock_ms: the endpoint's clock in the answer; 0 for none.
+    """
+    endpoint = run.endpoint
+    if endpoint.runs.get(run.name) is not run:
+        return False
+    if clock_ms:
+        endpoint.heard(clock_ms, now)
+    match outcome:
+        case StartOutcome.STARTED | StartOutcome.OLD:
+            if run.state is RunState.SENT:
+                run.state = RunState.STARTED
+            run.confirmed_at = now
+            run.progress_at = now
+            return False
+        case StartOutcome.OTHER_LIFE:
+            lose_endpoint(tables, endpoint, now)
+            return False
+        case StartOutcome.UNKNOWN:
+            hold_lost(tables, endpoint, now)
+            return True
+        case StartOutcome.FENCED:
+            return False
+    _start_refused(tables, run, outcome, tries, now)
+    return False
+
+
+def _start_refused(
+    tables: Tables, run: Run, outcome: StartOutcome, tries: int, now: float
+) -> None:
+    """Free what a refused start took, unless an earlier sending may be carried out."""
+    if tries > 1:
+        tables.stop(run, now, f"start {outcome.value} after another try")
+        return
+    if outcome is StartOutcome.NO_TICKET:
+        step = StepKey(run.key.job, run.key.occurrence, run.key.step)
+        tables.advice.refuse(step, run.endpoint.id)
+    if outcome is StartOutcome.UNWELL:
+        run.endpoint.note_failure(run.key.job, now)
+    tables.lose_run(run, f"start {outcome.value}")
+
+
+def stop_answered(tables: Tables, run: Run, now: float) -> None:
+    """Note that an endpoint has taken a stop; its next list settles the run."""
+    if run.confirmed_at is None:
+        run.confirmed_at = now
+
+
+def _is_lasting(row: JobRow, end: End) -> bool:
+    """Return whether the ended run was of a lasting task."""
+    return row.step_of(end.key).step.lasting
--- /dev/null
+++ b/hickoryplank/jobs/tables.py
@@ -0,0 +1,150 @@
+"""Tables of the engine, and the changes that its systems make to them."""
+
+from hickoryplank.core.ids import EndpointId, JobId, PoolId
+from hickoryplank.jobs.advice import AdviceTable, StepKey
+from hickoryplank.jobs.directory import Directory
+from hickoryplank.jobs.endpoints import Endpoint, Run, RunState
+from hickoryplank.jobs.limits import TeamRates, TeamUse
+from hickoryplank.jobs.messages import Happening, Note, Pace
+from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task, TaskState
+
+__all__ = ["Tables", "Timing", "step_key"]
+
+
+class Timing:
+    """Bounds that the engine keeps.
+
+    :param lease_ms: how long a lease is; what runs on a silent endpoint is given up
+        after it.
+    :param wait_ms: how long an endpoint waits for an end before it answers a look.
+    :param inherit_seconds: how long leases of a former coordinator may last.
+    """
+
+    def __init__(self, lease_ms: int, wait_ms: int, inherit_seconds: float):
+        self.lease_ms = lease_ms
+        self.wait_ms = wait_ms
+        self.inherit_seconds = inherit_seconds
+
+
+class Tables:
+    """All jobs, endpoints and runs.
+
+    :param now: when this coordinator's term began, by our clock, in seconds.
+    """
+
+    def __init__(self, directory: Directory, timing: Timing, now: float):
+        self.directory = directory
+        self.timing = timing
+        self.born_at = now
+        self.jobs: dict[JobId, JobRow] = {}
+        self.open: dict[JobId, JobRow] = {}
+        self.endpoints: dict[EndpointId, Endpoint] = {}
+        self.use = TeamUse()
+        self.rates = TeamRates()
+        #: Pools that have had jobs which end.
+        self.seen_pools: set[PoolId] = set()
+        self.stops: list[Run] = []
+        self.notes: list[Note] = []
+        self.paces: list[Pace] = []
+        self.advice = AdviceTable()
+        self.new_jobs: list[JobRow] = []
+        self.dirty: dict[JobId, JobRow] = {}
+        self.starts: list[Run] = []
+        self.stop_due: dict[Run, float] = {}
+        self.places: dict[EndpointId, list[tuple[JobRow, Task]]] = {}
+        self.storing: list[tuple[JobRow, JobState]] = []
+
+    def touch(self, row: JobRow) -> None:
+        """Have a job's state stored with the next batch."""
+        self.dirty[row.job.id] = row
+
+    def note(self, happening: Happening, run: Run, why: str) -> None:
+        """Leave a line for the logs."""
+        self.notes.append(
+            Note(happening, run.key.job, run.key, run.attempt, run.endpoint.id, why)
+        )
+
+    def end_job(self, row: JobRow, state: JobState, now: float) -> None:
+        """End a job, and stop its runs."""
+        row.state = state
+        row.ended_at = now
+        self.notes.append(
+            Note(Happening.JOB_ENDED, row.job.id, None, 0, None, state.value)
+        )
+        self.open.pop(row.job.id, None)
+        self.advice.forget(row.job.id)
+        self.touch(row)
+        for task in row.all_tasks():
+            if task.run is not None:
+                self.stop(task.run, now, state.value)
+
+    def make_run(self, row: JobRow, task: Task, endpoint: Endpoint) -> Run:
+        """Give a task a run, and take its room."""
+        step = row.step_of(task.key)
+        run = Run(task.key, task.attempt, step.step, row.job.team, endpoint)
+        run.saved = task.saved
+        run.ticket = self.advice.ticket(step_key(step), endpoint.id)
+        if task.state is not TaskState.DONE:
+            task.state = TaskState.ACTIVE
+            step.waiting.pop(task.key.index, None)
+        task.run = run
+        endpoint.add(run)
+        self.use.add(run.team, run.size)
+        return run
+
+    def close(self, run: Run) -> None:
+        """Free what a run takes, as it has ended for certain."""
+        if run.endpoint.runs.get(run.name) is not run:
+            return
+        run.endpoint.remove(run)
+        self.use.remove(run.team, run.size)
+        self.stop_due.pop(run, None)
+        row = self.jobs.get(run.key.job)
+        task = row.task(run.key) if row is not None else None
+        if task is not None and task.run is run:
+            task.run = None
+            task.working = False
+
+    def lose_run(self, run: Run, why: str) -> None:
+        """Close a run whose end nobody will tell; its task waits again."""
+        row = self.jobs.get(run.key.job)
+        task = row.task(run.key) if row is not None else None
+        current = task is not None and task.run is run
+        if run.endpoint.runs.get(run.name) is run:
+            self.note(Happening.LOST, run, why)
+        self.close(run)
+        if current and task.state is TaskState.ACTIVE:
+            self.release(row, task)
+
+    def release(self, row: JobRow, task: Task) -> None:
+        """Have a task wait for another run."""
+        if task.state is TaskState.DONE:
+            return
+        task.state = TaskState.WAITING
+        task.working = False
+        row.step_of(task.key).waiting[task.key.index] = task
+        self.touch(row)
+
+    def stop(self, run: Run, now: float, why: str) -> None:
+        """Stop a run; its task is started again once it has ended."""
+        if run.state is RunState.ASSIGNED:
+            self.lose_run(run, why)
+            return
+        if run in self.stop_due:
+            return
+        self.note(Happening.STOPPED, run, why)
+        run.state = RunState.STOPPING
+        self.stop_due[run] = now
+        row = self.jobs.get(run.key.job)
+        task = row.task(run.key) if row is not None else None
+        if task is not None and task.run is run:
+            task.working = False
+
+    def endpoint_of(self, id: EndpointId | None) -> Endpoint | None:
+        """Return an endpoint by its id, if there is one."""
+        return self.endpoints.get(id) if id is not None else None
+
+
+def step_key(step: StepRow) -> StepKey:
+    """Return the name of a step."""
+    return StepKey(step.tasks[0].key.job, step.occurrence, step.number)
--- /dev/null
+++ b/hickoryplank/platform/advice.py
@@ -0,0 +1,67 @@
+"""The platform's service for advice on which executors may run a step."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from hickoryplank.coordinator.ports import AdvicePort, CallFault, Fault
+from hickoryplank.core.ids import EndpointId
+from hickoryplank.http_client import HttpClient, Reply
+from hickoryplank.jobs.advice import Wanted
+from hickoryplank.jobs.messages import Advised, Permit
+
+__all__ = ["PlatformAdvice"]
+
+
+class _Ask(msgspec.Struct):
+    step: str
+    #: Ids of executors, no machines.
+    workers: list[str]
+
+
+class _Row(msgspec.Struct, array_like=True):
+    id: str
+    ticket: str
+
+
+class _Advice(msgspec.Struct):
+    allowed: list[_Row]
+    valid_ms: int = 0
+
+
+_advice = msgspec.json.Decoder(_Advice)
+
+
+class PlatformAdvice(AdvicePort):
+    """Advice at one address."""
+
+    def __init__(self, client: HttpClient, address: str):
+        self._client = client
+        self._address = address
+
+    async def ask(self, wanted: Wanted, within_s: float) -> Result[Advised, CallFault]:
+        """Ask which of the named endpoints may run a step."""
+        step = wanted.step
+        body = _Ask(f"{step.job}.{step.occurrence}.{step.step}", list(wanted.endpoints))
+        answer = await self._client.call(
+            "POST",
+            self._address,
+            "/api/advise",
+            body=msgspec.json.encode(body),
+            timeout_s=within_s,
+        )
+        match answer:
+            case Ok(Reply(200, data)):
+                return _read(data)
+            case Ok(reply):
+                return Err(CallFault(Fault.NOT_DONE, str(reply.status)))
+            case Err(fault):
+                return Err(fault)
+
+
+def _read(data: bytes) -> Result[Advised, CallFault]:
+    try:
+        advice = _advice.decode(data)
+    except msgspec.MsgspecError as exc:
+        return Err(CallFault(Fault.UNREADABLE, str(exc)))
+    rows = tuple(Permit(EndpointId(row.id), row.ticket) for row in advice.allowed)
+    return Ok(Advised(rows, advice.valid_ms))
--- a/hickoryplank/platform/endpoints.py
+++ b/hickoryplank/platform/endpoints.py
@@ -49,6 +49,7 @@
     until_ms: int
     fencing_token: int
     saved_state: str = ""
+    ticket: str = ""
 
 
 class _Stop(msgspec.Struct):
@@ -135,7 +136,13 @@
     async def start(self, run: Run, payload: str, token: int) -> StartAnswer:
         """Start a run under a lease until ``run.until_ms``."""
         order = _Start(
-            task_name(run.key), run.attempt, payload, run.until_ms, token, run.saved
+            task_name(run.key),
+            run.attempt,
+            payload,
+            run.until_ms,
+            token,
+            run.saved,
+            run.ticket,
         )
         match await self._order(run, "/api/run-start", order):
             case Ok(Reply(200, body)):
--- /dev/null
+++ b/tests/jobs/test_advice.py
@@ -0,0 +1,81 @@
+"""Steps that only some endpoints may run."""
+
+import msgspec
+
+from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.jobs.directory import Advice, Directory
+from hickoryplank.jobs.messages import Advised, Permit, StartOutcome
+from hickoryplank.jobs.model import Step
+from hickoryplank.jobs.table import JobState
+from tests.jobs.driver import TASK, Driver, directory, job
+
+E0, E1 = EndpointId("e0"), EndpointId("e1")
+
+
+def advised_directory() -> Directory:
+    cfg = directory()
+    queues = [
+        msgspec.structs.replace(queue, advice=Advice(10, 1, 3000))
+        for queue in cfg.queues.values()
+    ]
+    return Directory.build(
+        1, queues, list(cfg.pools.values()), list(cfg.teams.values())
+    )
+
+
+def test_a_step_starts_only_where_its_ticket_allows():
+    driver = Driver(cfg=advised_directory())
+    driver.engine.submit(job("a", Step(3, TASK)), driver.now)
+    for _ in range(3):
+        driver.step()
+    assert not any(one.started for one in driver.endpoints.values())
+    wanted = driver.engine.advice.next_wanted()
+    assert wanted is not None
+    assert set(wanted.endpoints) == {E0, E1}
+    answer = Advised((Permit(E1, "ticket"),), 3000)
+    driver.engine.advice.take(wanted, answer, driver.now)
+    driver.engine.tick(driver.now, 0)
+    starts = driver.engine.take_batch().starts
+    assert {run.endpoint.id for run in starts} == {E1}
+    assert {run.ticket for run in starts} == {"ticket"}
+
+
+def test_expired_tickets_are_asked_for_again_and_only_from_those_allowed():
+    driver = Driver(cfg=advised_directory())
+    row = driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.step()
+    driver.step()
+    wanted = driver.engine.advice.next_wanted()
+    answer = Advised((Permit(E1, "ticket"),), 3000)
+    driver.engine.advice.take(wanted, answer, driver.now - 10)
+    driver.step()
+    again = driver.engine.advice.next_wanted()
+    assert again is not None
+    assert again.endpoints == (E1,)
+    assert row.state is JobState.QUEUED
+
+
+def test_a_refused_ticket_is_not_used_again():
+    driver = Driver(cfg=advised_directory())
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.step()
+    driver.step()
+    wanted = driver.engine.advice.next_wanted()
+    answer = Advised((Permit(E1, "old"),), 3000)
+    driver.engine.advice.take(wanted, answer, driver.now)
+    driver.engine.tick(driver.now, 0)
+    (run,) = driver.engine.stored(driver.engine.take_batch(), driver.now)
+    driver.engine.start_answered(run, StartOutcome.NO_TICKET, 1, 0, driver.now)
+    driver.engine.tick(driver.now, 0)
+    assert driver.engine.take_batch().starts == []
+    assert driver.engine.advice.next_wanted() is not None
+
+
+def test_a_finished_job_leaves_no_advice_behind():
+    driver = Driver(cfg=advised_directory())
+    row = driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.step()
+    driver.step()
+    driver.engine.cancel(row, driver.now)
+    assert driver.engine.advice.next_wanted() is None
+    assert driver.engine.jobs[JobId("a")].state is JobState.CANCELLED
