Give a pool one VM more where one can't be emptied for want of room

Their lasting tasks run one to an endpoint, and the pool had no other endpoint, as idle ones had gone to standby.

--- a/hickoryplank/jobs/standby.py
+++ b/hickoryplank/jobs/standby.py
@@ -81,6 +81,7 @@
 ) -> list[Errand]:
     """Begin the moves that demand asks for; take back those it no longer does."""
     needs = _needs(engine, vms, demand, now, standby)
+    engine.short_pools.clear()
     _take_back(engine, vms, needs, standby)
     spares = [row for row in vms.rows.values() if _in_pool(row, standby) and _free(row)]
     begun: list[Errand] = []
@@ -138,8 +139,10 @@
             and row.errand.pool != pool
         )
         count = max(LEAST_VMS, _vms_for(wanted.get(pool, Size()), rows, vms))
-        demand.note(pool, count, now)
         have = len(rows) - leaving + coming
+        if pool in engine.short_pools and not coming:
+            count = max(count, have + 1)
+        demand.note(pool, count, now)
         recent = demand.most(pool)
         keeps = recent if pool in engine.seen_pools else have
         needs.append(_PoolNeed(pool, have, count, recent, keeps, rows))
--- a/hickoryplank/jobs/tables.py
+++ b/hickoryplank/jobs/tables.py
@@ -43,6 +43,8 @@
         self.rates = TeamRates()
         #: Pools that have had jobs which end.
         self.seen_pools: set[PoolId] = set()
+        #: Pools in which a VM can't be emptied for want of room elsewhere.
+        self.short_pools: set[PoolId] = set()
         self.stops: list[Run] = []
         self.notes: list[Note] = []
         self.paces: list[Pace] = []
--- /dev/null
+++ b/tests/jobs/test_fleet.py
@@ -0,0 +1,189 @@
+"""VMs that are emptied, maintained and moved."""
+
+import pytest
+
+from hickoryplank.core.ids import EndpointId, JobId, PoolId, VmId, WaveId
+from hickoryplank.jobs.directory import Directory, Pool
+from hickoryplank.jobs.evacuation import empty, evacuate
+from hickoryplank.jobs.maintenance import WaveRow, begin_maintenance, wave_done
+from hickoryplank.jobs.model import Step
+from hickoryplank.jobs.sizes import Size
+from hickoryplank.jobs.standby import IDLE_SECONDS, LEAST_VMS, Demand, balance
+from hickoryplank.jobs.vms import Phase, VmTable, VmView
+from tests.jobs.driver import CAPACITY, POOL, TASK, Driver, directory, job
+
+STANDBY = PoolId("standby")
+
+
+def with_standby() -> Directory:
+    cfg = directory()
+    pools = [*cfg.pools.values(), Pool(STANDBY, standby=True)]
+    return Directory.build(
+        1, list(cfg.queues.values()), pools, list(cfg.teams.values())
+    )
+
+
+def views(driver: Driver, spare: int = 4) -> tuple[VmView, ...]:
+    used = [
+        VmView(VmId(f"m-{id}"), POOL, True, id, CAPACITY) for id in driver.endpoints
+    ]
+    off = [
+        VmView(VmId(f"s-{number}"), STANDBY, True, None, CAPACITY)
+        for number in range(spare)
+    ]
+    return (*used, *off)
+
+
+def fleet(driver: Driver, spare: int = 4) -> VmTable:
+    table = VmTable()
+    table.take(views(driver, spare), driver.now)
+    return table
+
+
+@pytest.mark.parametrize("may_miss", [1, 2])
+def test_a_vm_is_emptied_of_what_lasts_within_the_budget_of_its_step(may_miss):
+    driver = Driver(count=3, work_ms=lambda key: None)
+    step = Step(4, TASK, lasting=True, may_miss=may_miss)
+    row = driver.engine.submit(job("a", step), driver.now)
+    for _ in range(5):
+        driver.step()
+    (busy,) = [one for one in driver.engine.endpoints.values() if one.runs]
+    busy.closing = True
+    most_away = 0
+    for _ in range(80):
+        evacuate(driver.engine, busy, driver.now)
+        driver.step()
+        most_away = max(most_away, row.steps[0][0].away())
+    assert empty(busy)
+    assert 0 < most_away <= may_miss
+    assert sum(len(one.running) for one in driver.endpoints.values()) == 4
+
+
+def test_without_room_elsewhere_nothing_is_stopped_and_the_pool_is_short():
+    driver = Driver(count=2, work_ms=lambda key: None)
+    step = Step(2, TASK, lasting=True, max_per_endpoint=1, may_miss=1)
+    driver.engine.submit(job("a", step), driver.now)
+    for _ in range(5):
+        driver.step()
+    busy = driver.engine.endpoints[EndpointId("e0")]
+    busy.closing = True
+    evacuate(driver.engine, busy, driver.now)
+    assert driver.engine.short_pools == {POOL}
+    assert all(len(one.running) == 1 for one in driver.endpoints.values())
+
+
+def test_a_short_pool_gets_one_vm_and_no_more_while_it_comes():
+    driver = Driver(count=LEAST_VMS, cfg=with_standby())
+    for _ in range(3):
+        driver.step()
+    table, demand = fleet(driver), Demand()
+    for _ in range(5):
+        driver.engine.short_pools.add(POOL)
+        balance(driver.engine, table, demand, driver.now, STANDBY)
+    coming = [one for one in table.errands() if one.pool == POOL]
+    assert len(coming) == 1
+
+
+def test_a_pool_that_lacks_room_gets_vms_from_standby():
+    driver = Driver(count=LEAST_VMS, work_ms=lambda key: 5000.0, cfg=with_standby())
+    driver.engine.submit(job("a", Step(20, TASK)), driver.now)
+    for _ in range(3):
+        driver.step()
+    table = fleet(driver)
+    balance(driver.engine, table, Demand(), driver.now, STANDBY)
+    coming = [one for one in table.errands() if one.pool == POOL]
+    assert len(coming) == 3
+    assert {one.vm for one in coming} <= {VmId(f"s-{number}") for number in range(4)}
+
+
+def test_an_idle_pool_gives_vms_up_after_a_while_and_keeps_some():
+    driver = Driver(count=LEAST_VMS + 2, cfg=with_standby())
+    driver.engine.submit(job("a", Step(20, TASK)), driver.now)
+    for _ in range(3):
+        driver.step()
+    table, demand = fleet(driver), Demand()
+    balance(driver.engine, table, demand, driver.now, STANDBY)
+    while any(one.runs for one in driver.engine.endpoints.values()):
+        driver.step()
+    leaving: list = []
+    waited = 0.0
+    while not leaving:
+        driver.step()
+        waited += 0.1
+        balance(driver.engine, table, demand, driver.now, STANDBY)
+        leaving = [one for one in table.errands() if one.pool == STANDBY]
+    assert waited >= IDLE_SECONDS / 2
+    assert len(leaving) == 2
+
+
+def test_a_pool_that_had_no_work_yet_keeps_its_vms():
+    driver = Driver(count=LEAST_VMS + 2, cfg=with_standby())
+    table, demand = fleet(driver), Demand()
+    for _ in range(40):
+        driver.step()
+        balance(driver.engine, table, demand, driver.now, STANDBY)
+    assert table.errands() == []
+
+
+def wave(driver: Driver, at_once: int, within_s: float = 10.0) -> WaveRow:
+    vms = tuple(VmId(f"m-{id}") for id in driver.endpoints)
+    return WaveRow(WaveId("1"), vms, driver.now + within_s, at_once, set())
+
+
+@pytest.mark.parametrize("at_once", [1, 2])
+def test_a_wave_never_has_more_under_way_than_it_may(at_once):
+    driver = Driver(count=9)
+    driver.step()
+    table, row = fleet(driver), wave(driver, at_once)
+    for _ in range(5):
+        begin_maintenance(row, table, driver.engine, driver.now, 2.0)
+        assert len(table.errands()) <= at_once
+
+
+def test_a_wave_takes_idle_vms_first():
+    driver = Driver(count=3, work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(2, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    busy = next(one.id for one in driver.engine.endpoints.values() if one.runs)
+    (first,) = begin_maintenance(
+        wave(driver, 1), fleet(driver), driver.engine, driver.now, 2.0
+    )
+    assert first.vm != f"m-{busy}"
+
+
+def test_a_wave_is_done_when_each_vm_that_stays_was_maintained():
+    driver = Driver(count=2)
+    table, row = fleet(driver), wave(driver, 2)
+    assert not wave_done(row, table)
+    row.done.add(VmId("m-e0"))
+    assert not wave_done(row, table)
+    del table.rows[VmId("m-e1")]
+    assert wave_done(row, table)
+
+
+def test_an_errand_ends_when_its_vm_is_back_and_not_by_an_older_list():
+    driver = Driver(count=1)
+    table = fleet(driver)
+    row = table.rows[VmId("m-e0")]
+    (errand,) = begin_maintenance(
+        wave(driver, 1), table, driver.engine, driver.now, 2.0
+    )
+    errand.phase = Phase.AWAY
+    errand.back_at = driver.now + 1.6
+    table.take(views(driver), driver.now + 1.0)
+    assert row.errand is errand
+    table.take(views(driver), driver.now + 2.0)
+    assert row.errand is None
+
+
+def test_limits_of_teams_hold_in_a_take_over():
+    driver = Driver(work_ms=lambda key: None, cfg=directory(limit=Size(2000, 0, 0)))
+    driver.engine.submit(job("a", Step(4, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    driver.take_over()
+    for _ in range(10):
+        driver.step()
+    assert sum(len(one.running) for one in driver.endpoints.values()) == 2
+    assert driver.engine.jobs[JobId("a")].begun
