--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -155,7 +155,7 @@
 async def _listen(address: str, handler) -> web.ServerRunner:
     host, port = address.rsplit(":", 1)
     runner = web.ServerRunner(
-        web.Server(handler), handle_signals=False, access_log=None
+        web.Server(handler, access_log=None), handle_signals=False
     )
     await runner.setup()
     await web.TCPSite(runner, host, int(port), backlog=512).start()
--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -35,7 +35,7 @@
         for one in engine.endpoints.values()
         if one.listing.pool == run.endpoint.listing.pool and one.usable(now)
     ]
-    if choose(others, step, run.endpoint) is None:
+    if choose(others, step, frozenset()) is None:
         engine.short_pools.add(run.endpoint.listing.pool)
         return
     engine.stop_run(run, now, "its VM is to leave")
--- a/hickoryplank/jobs/placement.py
+++ b/hickoryplank/jobs/placement.py
@@ -1,5 +1,6 @@
 """Choice of the endpoint that runs a task."""
 
+from hickoryplank.core.ids import EndpointId
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.table import StepRow
@@ -31,15 +32,15 @@
 
 
 def choose(
-    endpoints: list[Endpoint], row: StepRow, avoid: Endpoint | None
+    endpoints: list[Endpoint], row: StepRow, avoid: frozenset[EndpointId]
 ) -> Endpoint | None:
     """Return the endpoint for one more task of a step, if any has room.
 
     :param endpoints: those of the pool that may be given runs.
-    :param avoid: where the task last failed; taken only if nothing else is left.
+    :param avoid: where the task has failed; taken only if nothing else has room.
     """
     fit = [one for one in endpoints if _admits(one, row)]
-    others = [one for one in fit if one is not avoid]
+    others = [one for one in fit if one.id not in avoid]
     return min(others or fit, key=lambda one: _cost(one, row.step), default=None)
 
 
--- a/hickoryplank/jobs/placing.py
+++ b/hickoryplank/jobs/placing.py
@@ -69,7 +69,7 @@
             continue
         if not tables.use.allows(row.job.team, step.step.size, tables.directory):
             return
-        endpoint = choose(endpoints, step, None)
+        endpoint = choose(endpoints, step, task.failed_on)
         if endpoint is None:
             return
         _assign(tables, row, task, endpoint, task.attempt + 1)
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -188,6 +188,7 @@
     step = row.step_of(task.key)
     tables.touch(row)
     task.failures += 1
+    task.failed_on |= {endpoint.id}
     endpoint.note_failure(row.job.id, now)
     if step.step.lasting:
         task.not_before = now + LASTING_RETRY_SECONDS
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -47,6 +47,7 @@
 
     :param attempt: number of its last run, from 1; 0 before the first.
     :param failures: runs that ended ``failed``.
+    :param failed_on: where they ran, as far as this term has seen it.
     :param run: its run, while one may be there.
     :param place: where the store says that its run is, until that is settled.
     :param saved: newest checkpoint; empty for none.
@@ -56,6 +57,7 @@
     __slots__ = (
         "attempt",
         "away_since",
+        "failed_on",
         "failures",
         "key",
         "not_before",
@@ -71,6 +73,7 @@
         self.state = TaskState.WAITING
         self.attempt = 0
         self.failures = 0
+        self.failed_on: frozenset[EndpointId] = frozenset()
         self.run: Run | None = None
         self.place: Place | None = None
         self.saved = ""
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -127,6 +127,17 @@
     assert sum(len(one.started) for one in driver.endpoints.values()) == attempts
 
 
+def test_a_task_that_failed_is_tried_on_another_endpoint():
+    driver = Driver(count=2, cfg=directory(attempts=2))
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.step()
+    driver.step()
+    at = next(id for id, one in driver.endpoints.items() if one.running)
+    driver.endpoints[at].failing = True
+    run_until(driver, lambda: state(driver, "a").final)
+    assert state(driver, "a") is JobState.COMPLETED
+
+
 def test_a_lasting_task_is_started_again_however_it_ends():
     driver = Driver(count=1, work_ms=lambda key: 300.0)
     driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
