Count VMs that a former coordinator took down against a wave's bound

It now counts those that the list shows in maintenance, and those ordered of late. The test fails without either.

--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -164,8 +164,14 @@
         for order in self._watcher.waves.values():
             wave = self._wave(order)
             if not wave.told_completed:
+                ordered = frozenset(vm for vm in wave.vms if not self._apart(vm))
                 begun = begin_maintenance(
-                    wave, self._table, engine, now, self._bounds.maintenance_s
+                    wave,
+                    self._table,
+                    engine,
+                    now,
+                    self._bounds.maintenance_s,
+                    ordered,
                 )
                 for errand in begun:
                     logger.info(
--- a/hickoryplank/jobs/maintenance.py
+++ b/hickoryplank/jobs/maintenance.py
@@ -38,16 +38,31 @@
 
 
 def begin_maintenance(
-    wave: WaveRow, vms: VmTable, engine: Engine, now: float, maintenance_s: float
+    wave: WaveRow,
+    vms: VmTable,
+    engine: Engine,
+    now: float,
+    maintenance_s: float,
+    ordered: frozenset[VmId] = frozenset(),
 ) -> list[Errand]:
-    """Begin errands for the wave's next VMs: idle ones first, few in each pool."""
+    """Begin errands for the wave's next VMs: idle ones first, few in each pool.
+
+    :param ordered: VMs for which a former coordinator gave an order of late; they
+        may be down for the wave, or go down yet.
+    """
     left = [vm for vm in wave.vms if vm not in wave.done and vm in vms.rows]
     for vm in left:
         endpoint = engine.endpoint_of(vms.rows[vm].view.endpoint)
         if endpoint is not None:
             endpoint.due = True
-    free = [vm for vm in left if vms.rows[vm].errand is None and vms.rows[vm].view.up]
-    under_way = sum(1 for errand in vms.errands() if errand.wave == wave.id)
+    free = [
+        vm
+        for vm in left
+        if vms.rows[vm].errand is None and vms.rows[vm].view.up and vm not in ordered
+    ]
+    under_way = sum(
+        _under_way(wave, vms.rows[vm], ordered) for vm in wave.vms if vm in vms.rows
+    )
     wanted = _wanted(wave, len(left), now, maintenance_s) - under_way
     begun: list[Errand] = []
     for vm in sorted(free, key=lambda one: _rank(vms.rows[one], engine)):
@@ -61,6 +76,13 @@
     return begun
 
 
+def _under_way(wave: WaveRow, row: VmRow, ordered: frozenset[VmId]) -> bool:
+    """Return whether a VM is down for the wave, or may be, or will be."""
+    if row.errand is not None:
+        return row.errand.wave == wave.id
+    return row.view.maintaining or row.view.id in ordered
+
+
 def _wanted(wave: WaveRow, left: int, now: float, maintenance_s: float) -> int:
     """Return how many VMs are to be under way at once to be done in time."""
     cycle = CYCLE_SECONDS + maintenance_s
--- a/hickoryplank/jobs/vms.py
+++ b/hickoryplank/jobs/vms.py
@@ -14,6 +14,7 @@
     """What the platform's list says of a VM.
 
     :param up: it is in service, and can be moved or maintained.
+    :param maintaining: it is down for its maintenance.
     """
 
     id: VmId
@@ -21,6 +22,7 @@
     up: bool
     endpoint: EndpointId | None
     capacity: Size = Size()
+    maintaining: bool = False
 
 
 class Phase(Enum):
--- a/tests/jobs/test_fleet.py
+++ b/tests/jobs/test_fleet.py
@@ -1,5 +1,6 @@
 """VMs that are emptied, maintained and moved."""
 
+import msgspec
 import pytest
 
 from hickoryplank.core.ids import EndpointId, JobId, PoolId, VmId, WaveId
@@ -140,6 +141,23 @@
         assert len(table.errands()) <= at_once
 
 
+def test_vms_that_a_former_coordinator_took_down_count_against_the_wave():
+    driver = Driver(count=12)
+    driver.step()
+    table, row = fleet(driver), wave(driver, at_once=3)
+    down = [
+        msgspec.structs.replace(view, up=False, maintaining=view.id == "m-e0")
+        if view.id in ("m-e0", "m-e1")
+        else view
+        for view in views(driver)
+    ]
+    table.take(tuple(down), driver.now)
+    ordered = frozenset([VmId("m-e2")])
+    begun = begin_maintenance(row, table, driver.engine, driver.now, 2.0, ordered)
+    assert len(begun) == 1
+    assert begun[0].vm not in ("m-e0", "m-e1", "m-e2")
+
+
 def test_a_wave_takes_idle_vms_first():
     driver = Driver(count=3, work_ms=lambda key: None)
     driver.engine.submit(job("a", Step(2, TASK, lasting=True)), driver.now)
