--- a/tests/coordinator/memory.py
+++ b/tests/coordinator/memory.py
@@ -123,12 +123,14 @@
     def __init__(self, store: StorePort):
         self._store = store
         self.away = False
+        self.delay_s = 0.0
         self.lose: Callable[[], bool] = lambda: False
 
     async def append(self, topic, records, guard):
         """Add records, all or none."""
         if self.away:
             return Err(AWAY)
+        await anyio.sleep(self.delay_s)
         done = await self._store.append(topic, records, guard)
         return Err(LOST) if self.lose() else done
 
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -1,11 +1,13 @@
 """A coordinator's term on a platform in memory: calls, and hand-overs."""
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import anyio
 import pytest
 
+from hickoryplank.coordinator.answers import STALE_SECONDS
 from hickoryplank.coordinator.calls import (
     Accepted,
     Ask,
@@ -32,7 +34,7 @@
 from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId, Zone
 from hickoryplank.jobs.engine import Timing
 from hickoryplank.jobs.model import Step
-from hickoryplank.jobs.records import Record
+from hickoryplank.jobs.records import Record, VmOrdered, encode_order
 from hickoryplank.jobs.table import JobState
 from hickoryplank.shell.clock import MonotonicClock
 from tests.coordinator.memory import (
@@ -317,3 +319,64 @@
     maintained = [vm for kind, vm, _, _ in platform.vms.orders if kind == "maintain"]
     assert sorted(maintained) == sorted(platform.vms.vms)
     assert platform.vms.down_at_once <= 2
+
+
+async def test_with_a_stale_configuration_nothing_is_served():
+    platform = Platform()
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        node.watcher.age = lambda: STALE_SECONDS + 1
+        answer = await node.term.answer(submit("j", Step(1, TASK)))
+        assert answer == NotRun(Why.STORE_AWAY)
+
+
+async def test_an_older_version_never_replaces_a_newer_one():
+    platform = Platform()
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        cfg = directory()
+        parts = (list(cfg.queues.values()), list(cfg.pools.values()), [])
+        await platform.publish(type(cfg).build(5, *parts))
+        await platform.publish(type(cfg).build(4, *parts))
+        await until(lambda: node.watcher.version == 5)
+        await anyio.sleep(0.2)
+        assert node.watcher.version == 5
+
+
+async def test_a_vm_that_was_ordered_of_late_waits_after_a_take_over():
+    platform = Platform(count=1)
+    await platform.open()
+    vm = next(iter(platform.vms.vms))
+    ordered_at = time.time()
+    order = encode_order(VmOrdered(vm, int(ordered_at * 1000)))
+    await platform.store.append(Topic.JOBS, [order], None)
+    wave = WaveOrder(WaveId("1"), (vm,), 5.0, 1)
+    record = platform.operator.encode("wave/1", wave)
+    await platform.store.append(Topic.OPERATOR, [record], None)
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: bool(platform.vms.orders))
+        assert time.time() - ordered_at >= node.outside.fleet.orders_apart_s + 0.9
+
+
+async def test_open_calls_are_answered_before_the_lease_is_given_up():
+    platform = Platform()
+    await platform.open()
+    node = Node(platform, "a")
+    answers = []
+
+    async def ask() -> None:
+        answers.append(await node.term.answer(submit("j", Step(1, TASK))))
+
+    async with running(node):
+        await until(lambda: node.serving)
+        node.store.delay_s = 0.15
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(0.02)
+            await node.term.finish()
+            assert answers == [Accepted()]
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -3,8 +3,8 @@
 import pytest
 
 from hickoryplank.core.ids import EndpointId, JobId
-from hickoryplank.jobs.messages import StartOutcome
-from hickoryplank.jobs.model import Step, TaskKey
+from hickoryplank.jobs.messages import HoldReport, StartOutcome
+from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
 from tests.jobs.driver import TASK, Driver, directory, job, listing
@@ -405,3 +405,55 @@
     driver.engine.start_answered(run, StartOutcome.UNKNOWN, 1, 0, driver.now)
     driver.engine.start_answered(run, StartOutcome.LATE, 2, 0, driver.now)
     assert run.endpoint.runs
+
+
+def test_nothing_is_placed_on_an_endpoint_before_it_has_seen_the_token():
+    driver = Driver(count=1)
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    assert driver.engine.take_batch().starts == []
+    driver.look()
+    driver.engine.tick(driver.now, 0)
+    assert len(driver.engine.take_batch().starts) == 1
+
+
+def test_a_list_that_was_asked_for_before_a_start_says_nothing_about_it():
+    driver = Driver(count=1, work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    (endpoint,) = driver.engine.endpoints.values()
+    (run,) = endpoint.runs.values()
+    assert run.confirmed_at == driver.now
+    before = HoldReport(1, int(driver.endpoints[E0].clock_ms), (), ())
+    driver.engine.hold_answered(endpoint, before, driver.now - 0.5, driver.now)
+    assert endpoint.runs
+    driver.engine.hold_answered(endpoint, before, driver.now + 0.5, driver.now + 1)
+    assert not endpoint.runs
+
+
+def test_a_done_task_stays_done_after_a_take_over():
+    driver = Driver(work_ms=lambda key: 300.0 if key.index == 0 else 1500.0)
+    driver.engine.submit(job("a", Step(2, TASK)), driver.now)
+    key = TaskKey(JobId("a"), 0, 0, 0)
+    run_until(
+        driver,
+        lambda: any(one.acknowledged for one in driver.endpoints.values()),
+    )
+    driver.take_over()
+    run_until(driver, lambda: state(driver, "a") is JobState.COMPLETED)
+    starts = [name for one in driver.endpoints.values() for name in one.started]
+    assert sum(1 for name in starts if name[0] == key) == 1
+
+
+def test_an_occurrence_that_is_known_but_not_due_does_not_start():
+    driver = Driver()
+    plain = job("a", Step(1, TASK))
+    due = int(driver.now * 1000) + 5000
+    row = driver.engine.submit(
+        Job(plain.id, plain.queue, plain.pool, plain.team, "p", plain.steps, 0, 2, due),
+        driver.now,
+    )
+    row.open_occurrence(1)
+    for _ in range(5):
+        driver.step()
+    assert not any(one.started for one in driver.endpoints.values())
