--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -126,13 +126,16 @@
         self._log_notes(engine)
         self._orders.send_others(engine)
         if batch.records:
+            begun = self._term.outside.clock.now()
             await self._term.journal.append(batch.records)
+            self._term.outside.measures.append(self._term.outside.clock.now() - begun)
         self._orders.send_starts(engine.stored(batch, self._term.outside.clock.now()))
         stored.set()
 
     def _log_notes(self, engine: Engine) -> None:
         notes, engine.notes = engine.notes, []
         for note in notes:
+            self._term.outside.measures.note(note)
             extra = {"request": note.job, "why": note.why}
             if note.key is not None:
                 extra |= {
--- a/hickoryplank/coordinator/orders.py
+++ b/hickoryplank/coordinator/orders.py
@@ -62,6 +62,7 @@
             again = engine.start_answered(
                 run, answer.outcome, tries, answer.clock_ms, now
             )
+            self._term.outside.measures.start(answer.outcome)
             if answer.outcome is not StartOutcome.STARTED or tries > 1:
                 self._log_start(run, tries, answer.outcome, answer.detail)
             if answer.outcome is StartOutcome.FENCED:
--- a/hickoryplank/coordinator/term.py
+++ b/hickoryplank/coordinator/term.py
@@ -7,6 +7,7 @@
 from hickoryplank.coordinator.caretaker import FleetBounds
 from hickoryplank.coordinator.journal import Deposed, Journal
 from hickoryplank.coordinator.lease import LeaseKeeper
+from hickoryplank.coordinator.measures import Measures
 from hickoryplank.coordinator.ports import (
     AdvicePort,
     EndpointPort,
@@ -36,6 +37,7 @@
     vms: VmPort
     operator: OperatorRecords
     fleet: FleetBounds
+    measures: Measures
     advice: AdvicePort | None = None
 
 
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -17,11 +17,13 @@
 from hickoryplank.coordinator.coordinator import Coordinator, Outside
 from hickoryplank.coordinator.gateway import CALL_PATH, Gateway
 from hickoryplank.coordinator.lease import Holder, LeaseKeeper
+from hickoryplank.coordinator.measures import Measures
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.entry_logs import configure_entry_logs
 from hickoryplank.entry_settings import EntrySettings, load_entry_settings
 from hickoryplank.http_client import HttpClient
 from hickoryplank.jobs.engine import Timing
+from hickoryplank.meter import Metrics
 from hickoryplank.platform.advice import PlatformAdvice
 from hickoryplank.platform.endpoints import PlatformEndpoints
 from hickoryplank.platform.ingress import Ingress
@@ -66,7 +68,11 @@
         self._watcher = OperatorWatcher(store, operator, self._clock)
         self._lease = LeaseKeeper(store, Holder.fresh(cfg.name, cfg.peers), self._clock)
         self._gateway = Gateway(self._lease, self._client, self._clock)
-        self._ingress = Ingress(self._gateway.answer, lambda: self._watcher.version)
+        self._metrics = Metrics(cfg.name)
+        measures = Measures(self._metrics.meter)
+        self._ingress = Ingress(
+            self._gateway.answer, lambda: self._watcher.version, measures
+        )
         self._outside = Outside(
             store=store,
             endpoints=PlatformEndpoints(self._client),
@@ -77,6 +83,7 @@
             ),
             vms=PlatformVms(self._client, cfg.vms, cfg.name),
             operator=operator,
+            measures=measures,
             advice=PlatformAdvice(self._client, cfg.advice) if cfg.advice else None,
             fleet=FleetBounds(
                 cfg.move_s, cfg.maintenance_s, cfg.orders_apart_ms / 1000
@@ -89,6 +96,7 @@
             await _listen(self._cfg.callers, self._ingress.handle),
             await _listen(self._cfg.readiness, self._readiness),
             await _listen(self._cfg.peers, self._peer_call),
+            await _listen(self._cfg.metrics, self._metrics_page),
         ]
         logger.info("started")
         async with anyio.create_task_group() as tasks:
@@ -140,6 +148,9 @@
         ready = not self._ingress.closing and self._watcher.age() < READY_SECONDS
         return web.Response(status=200 if ready else 503)
 
+    async def _metrics_page(self, request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(body=self._metrics.text(), content_type="text/plain")
+
     async def _peer_call(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != CALL_PATH:
             return web.Response(status=404)
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -16,6 +16,7 @@
     :param callers: address that callers reach, as ``host:port``.
     :param readiness: address at which readiness is asked for.
     :param peers: address that other entries reach.
+    :param metrics: address that shows the metrics.
     :param store: address of the platform's store.
     :param vms: address of the platform's list of VMs.
     :param advice: address of the service for advice; empty for none.
@@ -31,6 +32,7 @@
     callers: str
     readiness: str
     peers: str
+    metrics: str
     store: str
     vms: str
     grace_s: float
@@ -45,7 +47,7 @@
 
 _SECTIONS = {
     "node": ("name",),
-    "listen": ("callers", "readiness", "peers"),
+    "listen": ("callers", "readiness", "peers", "metrics"),
     "platform": ("store", "vms", "advice"),
     "bounds": (
         "grace_s",
--- a/hickoryplank/platform/ingress.py
+++ b/hickoryplank/platform/ingress.py
@@ -2,6 +2,7 @@
 
 import logging
 import re
+import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -27,6 +28,7 @@
     Unsettled,
     Where,
 )
+from hickoryplank.coordinator.measures import Measures
 from hickoryplank.core.ids import JobId
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.sizes import Size
@@ -163,7 +165,9 @@
         self,
         answer: Callable[[Call, float], Awaitable[Answer]],
         version: Callable[[], int],
+        measures: Measures,
     ):
+        self._measures = measures
         self._answer = answer
         self._version = version
         self.closing = False
@@ -185,7 +189,9 @@
         return resp
 
     async def _ask(self, call: Call, within_s: float) -> Answer:
+        begun = time.monotonic()
         answer = await self._answer(call, within_s)
+        self._measures.call(call, answer, time.monotonic() - begun)
         if isinstance(answer, NotRun | Unsettled | NoKey):
             logger.info(
                 "call not served",
--- a/hickoryplank/shell/metrics.py
+++ b/hickoryplank/shell/metrics.py
@@ -3,16 +3,13 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Meter, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import CollectorRegistry, generate_latest
 
 from hickoryplank.core.escrow import Escrow
 from hickoryplank.core.ids import PoolId, TeamId
 from hickoryplank.core.objects import Kind, WorkClass
 from hickoryplank.core.records import WaveState
+from hickoryplank.meter import Metrics
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.dispatcher import Dispatcher
 from hickoryplank.shell.measures import Measures, idle_vms, wave_size
@@ -22,28 +19,6 @@
 
 __all__ = ["Metrics", "NodeState", "observe_state"]
 
-PREFIX = "hickoryplank"
-
-
-class Metrics:
-    """The meter of one node and the page that shows what it measured."""
-
-    def __init__(self, node: str):
-        self._registry = CollectorRegistry()
-        reader = PrometheusMetricReader(
-            disable_target_info=True,
-            prefix=PREFIX,
-            scope_info_enabled=False,
-            registry=self._registry,
-        )
-        resource = Resource({"service.name": PREFIX, "node": node})
-        provider = MeterProvider([reader], resource, shutdown_on_exit=False)
-        self.meter: Meter = provider.get_meter(PREFIX)
-
-    def text(self) -> bytes:
-        """Return all metrics in Prometheus's text format."""
-        return generate_latest(self._registry)
-
 
 @dataclass(frozen=True)
 class NodeState:
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -29,6 +29,7 @@
 from hickoryplank.coordinator.caretaker import FleetBounds
 from hickoryplank.coordinator.coordinator import Coordinator, Outside
 from hickoryplank.coordinator.lease import Holder, LeaseKeeper
+from hickoryplank.coordinator.measures import Measures
 from hickoryplank.coordinator.ports import ListedVm, Topic, VmState, WaveOrder
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId, Zone
@@ -36,6 +37,7 @@
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.records import Record, VmOrdered, encode_order
 from hickoryplank.jobs.table import JobState
+from hickoryplank.meter import Metrics
 from hickoryplank.shell.clock import MonotonicClock
 from tests.coordinator.memory import (
     MemoryEndpoints,
@@ -95,6 +97,7 @@
     def __init__(self, platform: Platform, name: str):
         self.store = SeenStore(platform.store)
         clock = MonotonicClock()
+        self.metrics = Metrics(name)
         self.watcher = OperatorWatcher(self.store, platform.operator, clock)
         holder = Holder.fresh(name, f"{name}:7000")
         self.lease = LeaseKeeper(self.store, holder, clock)
@@ -107,6 +110,7 @@
             vms=platform.vms,
             operator=platform.operator,
             fleet=FleetBounds(0.1, 0.1, 0.2),
+            measures=Measures(self.metrics.meter),
         )
         self.term: Coordinator | None = None
 
@@ -174,6 +178,9 @@
         await until_state(node, "j", JobState.COMPLETED)
         assert await node.term.answer(submit("j", Step(3, TASK))) == Accepted()
         assert await node.term.answer(Count(where("/p/"))) == PendingIs(0)
+    page = node.metrics.text().decode()
+    assert 'hickoryplank_starts_total{outcome="started"} 3.0' in page
+    assert 'why="completed"' in page
     assert sum(len(one.started) for one in platform.stand_ins.values()) == 3
 
 
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -21,9 +21,11 @@
     Unsettled,
     Why,
 )
+from hickoryplank.coordinator.measures import Measures
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
+from hickoryplank.meter import Metrics
 from hickoryplank.platform.ingress import Ingress
 from tests.coordinator.memory import MemoryStore
 from tests.standins.users_platform import UsersPlatform
@@ -44,6 +46,10 @@
     return "asyncio"
 
 
+def measures() -> Measures:
+    return Measures(Metrics("entry-1").meter)
+
+
 async def exchange(answer, method: str, path: str, **kwargs):
     """Send one request; return the call that it became, the wait and the response."""
     seen = []
@@ -52,7 +58,7 @@
         seen.append((call, within_s))
         return answer
 
-    ingress = Ingress(answering, lambda: 7)
+    ingress = Ingress(answering, lambda: 7, measures())
     platform = UsersPlatform(MemoryStore())
     address = await platform.serve(ingress.handle)
     async with httpx.AsyncClient() as client:
@@ -137,7 +143,7 @@
 
 
 async def test_a_closing_entry_ends_its_connections():
-    ingress = Ingress(lambda call, within_s: _answer(), lambda: 0)
+    ingress = Ingress(lambda call, within_s: _answer(), lambda: 0, measures())
     ingress.closing = True
     platform = UsersPlatform(MemoryStore())
     address = await platform.serve(ingress.handle)
