--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -134,10 +134,18 @@
                         view.endpoint for view in views if view.up and view.endpoint
                     )
                     engine.confirm_lives(alive, now, self._clock.now())
+                    self._reopen(engine)
                 case Err(fault):
                     logger.info("VMs not listed", extra={"detail": fault.detail})
         return self._table.listed_at is not None
 
+    def _reopen(self, engine: Engine) -> None:
+        """Use endpoints again whose VMs have no errand any more."""
+        for row in self._table.rows.values():
+            endpoint = engine.endpoint_of(row.view.endpoint)
+            if endpoint is not None and row.errand is None:
+                endpoint.closing = False
+
     def _log_changes(self, listed: tuple[ListedVm, ...]) -> None:
         for one in listed:
             before = self._states.get(one.id)
@@ -269,7 +277,7 @@
         )
         match outcome:
             case OrderOutcome.DONE:
-                await self._carried_out(engine, journal, errand)
+                await self._carried_out(journal, errand)
             case OrderOutcome.UNKNOWN | OrderOutcome.NOT_DONE:
                 # It stays ordered, and is sent again.
                 pass
@@ -279,9 +287,12 @@
             case _:
                 self._drop(engine, errand)
 
-    async def _carried_out(
-        self, engine: Engine, journal: Journal, errand: Errand
-    ) -> None:
+    async def _carried_out(self, journal: Journal, errand: Errand) -> None:
+        """Note that an order was carried out, now or before.
+
+        What may still run on the VM's endpoint is settled by looks at it, and by the
+        list of VMs: an order that was done before has ended nothing now.
+        """
         now = self._clock.now()
         errand.phase = Phase.AWAY
         errand.since = now
@@ -289,9 +300,6 @@
         if errand.wave is not None:
             away_s = self._bounds.maintenance_s
         errand.back_at = now + away_s * LEAST_AWAY_PART
-        endpoint = engine.endpoint_of(self._table.rows[errand.vm].view.endpoint)
-        if endpoint is not None:
-            engine.lose_endpoint(endpoint, now)
         if errand.wave is not None:
             wave = self._waves[errand.wave]
             wave.done.add(errand.vm)
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from hickoryplank.coordinator import caretaker
 from hickoryplank.coordinator.answers import STALE_SECONDS
 from hickoryplank.coordinator.calls import (
     Accepted,
@@ -387,3 +388,20 @@
             await anyio.sleep(0.02)
             await node.term.finish()
             assert answers == [Accepted()]
+
+
+async def test_an_order_that_was_done_before_ends_nothing_that_runs(monkeypatch):
+    monkeypatch.setattr(caretaker, "PATIENCE_SECONDS", 0.2)
+    platform = Platform(work_ms=lambda key: 2500.0)
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        await node.term.answer(submit("j", Step(2, TASK)))
+        await until(lambda: any(one.running for one in platform.stand_ins.values()))
+        wave = WaveOrder(WaveId("1"), tuple(platform.vms.vms), 5.0, 2)
+        record = platform.operator.encode("wave/1", wave)
+        await platform.store.append(Topic.OPERATOR, [record], None)
+        await until(lambda: len(platform.vms.orders) == 2)
+        await until_state(node, "j", JobState.COMPLETED)
+    assert sum(len(one.started) for one in platform.stand_ins.values()) == 2
