--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -29,7 +29,7 @@
 from hickoryplank.jobs.vms import Errand, Phase, VmTable, VmView
 from hickoryplank.shell.clock import Clock
 
-__all__ = ["Caretaker", "FleetBounds"]
+__all__ = ["Caretaker", "FleetBounds", "view_of"]
 
 logger = logging.getLogger(__name__)
 
@@ -128,7 +128,7 @@
             match await self._port.list():
                 case Ok(listed):
                     self._log_changes(listed)
-                    views = tuple(_view(one) for one in listed)
+                    views = tuple(view_of(one) for one in listed)
                     self._table.take(views, now)
                     alive = frozenset(
                         view.endpoint for view in views if view.up and view.endpoint
@@ -324,5 +324,13 @@
                 logger.info("wave's end not told", extra={"detail": fault.detail})
 
 
-def _view(one: ListedVm) -> VmView:
-    return VmView(one.id, one.pool, one.state is VmState.UP, one.endpoint, one.capacity)
+def view_of(one: ListedVm) -> VmView:
+    """Return what the engine needs to know of a listed VM."""
+    return VmView(
+        id=one.id,
+        pool=one.pool,
+        up=one.state is VmState.UP,
+        endpoint=one.endpoint,
+        capacity=one.capacity,
+        maintaining=one.state is VmState.MAINTENANCE,
+    )
--- /dev/null
+++ b/tests/coordinator/test_caretaker.py
@@ -0,0 +1,25 @@
+"""What the caretaker makes of the platform's list of VMs."""
+
+import pytest
+
+from hickoryplank.coordinator.caretaker import view_of
+from hickoryplank.coordinator.ports import ListedVm, VmState
+from hickoryplank.core.ids import EndpointId, PoolId, VmId, Zone
+from tests.jobs.driver import CAPACITY
+
+
+@pytest.mark.parametrize(
+    ("state", "up", "maintaining"),
+    [
+        (VmState.UP, True, False),
+        (VmState.MAINTENANCE, False, True),
+        (VmState.MOVING, False, False),
+        (VmState.DOWN, False, False),
+    ],
+)
+def test_a_listed_vm_is_seen_in_its_state(state, up, maintaining):
+    id, pool, endpoint = VmId("m-1"), PoolId("p"), EndpointId("e0")
+    view = view_of(ListedVm(id, pool, state, Zone("z"), (), CAPACITY, endpoint))
+    assert (view.id, view.pool, view.endpoint) == (id, pool, endpoint)
+    assert (view.up, view.maintaining) == (up, maintaining)
+    assert view.capacity == CAPACITY
