Remove what the engine wrote and never read, and name one look-up

Fields without a reader (times of sending, progress and ends), a setting, a port's method that did nothing, a method that only passed on, and times of missing endpoints that nothing used. The look-up of a run's task stood four times. The engine says 'acknowledged' where it used the platform's 'last_seen'. A failed read of the list of endpoints now leaves a log line.

--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -308,9 +308,7 @@
     def _drop(self, engine: Engine, errand: Errand) -> None:
         row = self._table.rows[errand.vm]
         row.errand = None
-        endpoint = (
-            engine.endpoints.get(row.view.endpoint) if row.view.endpoint else None
-        )
+        endpoint = engine.endpoint_of(row.view.endpoint)
         if endpoint is not None:
             endpoint.closing = False
 
--- a/hickoryplank/coordinator/looks.py
+++ b/hickoryplank/coordinator/looks.py
@@ -39,7 +39,7 @@
         self._term = term
         self._listings_next = 0
         self._listings_failed_at = term.outside.clock.now()
-        self._missing: dict[EndpointId, float] = {}
+        self._missing: set[EndpointId] = set()
         self._looked_at: set[Endpoint] = set()
 
     async def _look_loop(self, endpoint: Endpoint) -> None:
@@ -77,7 +77,6 @@
                     engine.hold_lost(endpoint, clock.now())
                     await anyio.sleep(SILENT_SECONDS)
         self._looked_at.discard(endpoint)
-        self._term.outside.endpoints.forget(endpoint.id)
 
     def _follow_endpoints(self, engine: Engine) -> None:
         for endpoint in engine.endpoints.values():
@@ -100,7 +99,8 @@
                         self._take_listing(engine, record)
                 case Err(CallFault(Fault.TRIMMED, _)):
                     await self.read_listings()
-                case Err(_):
+                case Err(fault):
+                    logger.info("endpoints not listed", extra={"detail": fault.detail})
                     self._listings_failed_at = clock.now()
                     continue
             self._unlist_missing(engine)
@@ -118,18 +118,18 @@
             self._take_listing(engine, record)
         for endpoint in engine.endpoints.values():
             if endpoint.id not in named:
-                self._missing.setdefault(endpoint.id, self._term.outside.clock.now())
+                self._missing.add(endpoint.id)
         self._follow_endpoints(engine)
 
     def _take_listing(self, engine: Engine, record: Record) -> None:
         id = EndpointId(record.key)
         if not record.value:
-            self._missing.setdefault(id, self._term.outside.clock.now())
+            self._missing.add(id)
             return
         listing = self._term.outside.listings.decode(record)
         if listing is None:
             return
-        self._missing.pop(id, None)
+        self._missing.discard(id)
         engine.list_endpoint(listing, self._term.outside.clock.now())
 
     def _unlist_missing(self, engine: Engine) -> None:
@@ -137,6 +137,6 @@
         now = self._term.outside.clock.now()
         if now - self._listings_failed_at < RELIST_SECONDS:
             return
-        for id in list(self._missing):
-            del self._missing[id]
+        for id in self._missing:
             engine.unlist_endpoint(id)
+        self._missing.clear()
--- a/hickoryplank/coordinator/ports.py
+++ b/hickoryplank/coordinator/ports.py
@@ -193,10 +193,6 @@
     async def hold(self, order: HoldOrder, token: int) -> Result[HoldReport, CallFault]:
         """Look at what runs and has ended, and renew the lease."""
 
-    @abstractmethod
-    def forget(self, endpoint: EndpointId) -> None:
-        """Close what is kept for an endpoint that is gone."""
-
 
 class AdvicePort(ABC):
     """The outside policy that says which endpoints may run a step."""
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -24,7 +24,6 @@
     :param lease_max_ms: longest lease that endpoints grant.
     :param move_s: time that a VM's move takes.
     :param maintenance_s: time that a VM's maintenance takes.
-    :param notice_ms: for how long a task that was away counts as missed.
     :param orders_apart_ms: least time between orders for one VM by two holders.
     """
 
@@ -39,7 +38,6 @@
     lease_max_ms: int
     move_s: float
     maintenance_s: float
-    notice_ms: int
     orders_apart_ms: int
     advice: str = ""
     log_level: str = "info"
@@ -54,7 +52,6 @@
         "lease_max_ms",
         "move_s",
         "maintenance_s",
-        "notice_ms",
         "orders_apart_ms",
     ),
     "log": ("log_level",),
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -52,9 +52,7 @@
         "load",
         "paced",
         "percent",
-        "progress_at",
         "saved",
-        "sent_at",
         "size",
         "state",
         "step",
@@ -78,9 +76,7 @@
         self.paced = 100
         self.load = 0
         self.until_ms = 0
-        self.sent_at: float | None = None
         self.confirmed_at: float | None = None
-        self.progress_at = 0.0
 
     @property
     def name(self) -> tuple[TaskKey, int]:
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -144,10 +144,6 @@
         """Note that an endpoint has taken a stop; its next list settles the run."""
         reports.stop_answered(self, run, now)
 
-    def stop_run(self, run: Run, now: float, why: str) -> None:
-        """Stop a run; its task is started again elsewhere once it has ended."""
-        self.stop(run, now, why)
-
     # Each tick
 
     def tick(self, now: float, wall_ms: int) -> None:
--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -38,7 +38,7 @@
     if choose(others, step, frozenset()) is None:
         engine.short_pools.add(run.endpoint.listing.pool)
         return
-    engine.stop_run(run, now, "its VM is to leave")
+    engine.stop(run, now, "its VM is to leave")
 
 
 def _may_miss_one(step: StepRow, run: Run) -> bool:
--- a/hickoryplank/jobs/messages.py
+++ b/hickoryplank/jobs/messages.py
@@ -76,13 +76,13 @@
 class HoldOrder(msgspec.Struct, frozen=True):
     """A look at an endpoint that renews its lease.
 
-    :param last_seen: number of the last end that is stored.
+    :param acknowledged: number of the last end that is stored.
     :param until_ms: new end of the lease by the endpoint's clock; none: as it is.
     """
 
     endpoint: EndpointId
     address: str
-    last_seen: int
+    acknowledged: int
     until_ms: int | None
     wait_ms: int
 
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -9,6 +9,7 @@
     Happening,
     HoldOrder,
     HoldReport,
+    RunningTask,
     StartOutcome,
 )
 from hickoryplank.jobs.table import JobRow, JobState, Task, TaskState
@@ -102,7 +103,7 @@
             run.state = RunState.STARTED
         if run.confirmed_at is None:
             run.confirmed_at = now
-        _note_progress(tables, run, one, now)
+        _note_progress(tables, run, one)
     for run in list(endpoint.runs.values()):
         if run.name in shown or run.confirmed_at is None:
             continue
@@ -110,21 +111,16 @@
             tables.lose_run(run, "its endpoint lists neither it nor its end")
 
 
-def _note_progress(tables: Tables, run: Run, shown, now: float) -> None:
-    if shown.percent != run.percent:
-        run.progress_at = now
+def _note_progress(tables: Tables, run: Run, shown: RunningTask) -> None:
     run.percent = shown.percent
     run.load = shown.load
-    row = tables.jobs.get(run.key.job)
-    task = row.task(run.key) if row is not None else None
-    if task is None or task.run is not run:
+    task = tables.task_of(run)
+    if task is None:
         return
     if shown.saved:
         task.saved = shown.saved
-    working = shown.percent >= 100 and run.state is RunState.STARTED
-    if run.step.lasting and working != task.working:
-        task.working = working
-        task.away_since = now
+    if run.step.lasting:
+        task.working = shown.percent >= 100 and run.state is RunState.STARTED
 
 
 def _stop_stray(
@@ -225,7 +221,6 @@
             if run.state is RunState.SENT:
                 run.state = RunState.STARTED
             run.confirmed_at = now
-            run.progress_at = now
             return False
         case StartOutcome.OTHER_LIFE:
             lose_endpoint(tables, endpoint, now)
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -51,12 +51,11 @@
     :param run: its run, while one may be there.
     :param place: where the store says that its run is, until that is settled.
     :param saved: newest checkpoint; empty for none.
-    :param away_since: for a lasting task, since when it hasn't been at work.
+    :param working: for a lasting task, whether it is at work.
     """
 
     __slots__ = (
         "attempt",
-        "away_since",
         "failed_on",
         "failures",
         "key",
@@ -78,7 +77,6 @@
         self.place: Place | None = None
         self.saved = ""
         self.not_before = 0.0
-        self.away_since = 0.0
         self.working = False
 
 
@@ -121,7 +119,6 @@
         self.stored = JobState.QUEUED
         self.steps: dict[int, list[StepRow]] = {}
         self.begun = False
-        self.ended_at: float | None = None
 
     def open_occurrence(self, occurrence: int) -> list[StepRow]:
         """Return the steps of an occurrence; make them if they aren't there."""
--- a/hickoryplank/jobs/tables.py
+++ b/hickoryplank/jobs/tables.py
@@ -69,7 +69,6 @@
     def end_job(self, row: JobRow, state: JobState, now: float) -> None:
         """End a job, and stop its runs."""
         row.state = state
-        row.ended_at = now
         self.notes.append(
             Note(Happening.JOB_ENDED, row.job.id, None, 0, None, state.value)
         )
@@ -94,6 +93,12 @@
         self.use.add(run.team, run.size)
         return run
 
+    def task_of(self, run: Run) -> Task | None:
+        """Return the task whose run this is, unless it has another or none."""
+        row = self.jobs.get(run.key.job)
+        task = row.task(run.key) if row is not None else None
+        return task if task is not None and task.run is run else None
+
     def close(self, run: Run) -> None:
         """Free what a run takes, as it has ended for certain."""
         if run.endpoint.runs.get(run.name) is not run:
@@ -101,22 +106,19 @@
         run.endpoint.remove(run)
         self.use.remove(run.team, run.size)
         self.stop_due.pop(run, None)
-        row = self.jobs.get(run.key.job)
-        task = row.task(run.key) if row is not None else None
-        if task is not None and task.run is run:
+        task = self.task_of(run)
+        if task is not None:
             task.run = None
             task.working = False
 
     def lose_run(self, run: Run, why: str) -> None:
         """Close a run whose end nobody will tell; its task waits again."""
-        row = self.jobs.get(run.key.job)
-        task = row.task(run.key) if row is not None else None
-        current = task is not None and task.run is run
+        task = self.task_of(run)
         if run.endpoint.runs.get(run.name) is run:
             self.note(Happening.LOST, run, why)
         self.close(run)
-        if current and task.state is TaskState.ACTIVE:
-            self.release(row, task)
+        if task is not None and task.state is TaskState.ACTIVE:
+            self.release(self.jobs[run.key.job], task)
 
     def release(self, row: JobRow, task: Task) -> None:
         """Have a task wait for another run."""
@@ -137,9 +139,8 @@
         self.note(Happening.STOPPED, run, why)
         run.state = RunState.STOPPING
         self.stop_due[run] = now
-        row = self.jobs.get(run.key.job)
-        task = row.task(run.key) if row is not None else None
-        if task is not None and task.run is run:
+        task = self.task_of(run)
+        if task is not None:
             task.working = False
 
     def endpoint_of(self, id: EndpointId | None) -> Endpoint | None:
--- a/hickoryplank/platform/endpoints.py
+++ b/hickoryplank/platform/endpoints.py
@@ -9,7 +9,7 @@
     Fault,
     StartAnswer,
 )
-from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.core.ids import JobId
 from hickoryplank.http_client import HttpClient, Reply
 from hickoryplank.jobs.endpoints import Run
 from hickoryplank.jobs.messages import (
@@ -183,7 +183,7 @@
 
     async def hold(self, order: HoldOrder, token: int) -> Result[HoldReport, CallFault]:
         """Look at what runs and has ended, and renew the lease."""
-        body = _Hold(token, order.last_seen, order.until_ms, order.wait_ms)
+        body = _Hold(token, order.acknowledged, order.until_ms, order.wait_ms)
         answer = await self._client.call(
             "POST",
             order.address,
@@ -200,9 +200,6 @@
             case Err(fault):
                 return Err(fault)
 
-    def forget(self, endpoint: EndpointId) -> None:
-        """Connections of an endpoint that is gone close when their time is up."""
-
 
 def _outcome(status: int) -> StartOutcome:
     if status in _UNWELL:
--- a/tests/coordinator/memory.py
+++ b/tests/coordinator/memory.py
@@ -200,12 +200,9 @@
         one = self._find(order.endpoint)
         if one is None:
             return Err(LOST)
-        report = one.hold(token, order.last_seen, order.until_ms)
+        report = one.hold(token, order.acknowledged, order.until_ms)
         return Err(CallFault(Fault.FENCED)) if report is None else Ok(report)
 
-    def forget(self, endpoint: EndpointId) -> None:
-        """Nothing is kept."""
-
 
 class MemoryListings(Listings):
     """Listings under the endpoint's id, from a table."""
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -124,7 +124,7 @@
             if endpoint.id in self.cut:
                 self.engine.hold_lost(endpoint, self.now)
                 continue
-            report = stand_in.hold(self.token, order.last_seen, order.until_ms)
+            report = stand_in.hold(self.token, order.acknowledged, order.until_ms)
             assert report is not None
             self.engine.hold_answered(endpoint, report, asked_at, self.now)
 
