--- a/hickoryplank/coordinator/measures.py
+++ b/hickoryplank/coordinator/measures.py
@@ -1,47 +1,108 @@
 """Counters and histograms of an entry and of its terms as coordinator."""
 
-from opentelemetry.metrics import Meter
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
 
 from hickoryplank.coordinator.calls import Answer, Call
 from hickoryplank.jobs.messages import Note, StartOutcome
 
+if TYPE_CHECKING:
+    from opentelemetry.metrics import Meter
+
 __all__ = ["Measures"]
 
+#: Readings that are kept until a meter is there; an entry makes a few hundred in the
+#: seconds before.
+EARLY_READINGS = 4096
+
+
+class _Figure(Enum):
+    """What is measured; the value is its name on the metrics page."""
+
+    CALLS = "calls"
+    CALL_SECONDS = "call.seconds"
+    STARTS = "starts"
+    DECISIONS = "decisions"
+    APPEND_SECONDS = "append.seconds"
+
+
+class _Reading(msgspec.Struct, frozen=True):
+    figure: _Figure
+    value: float
+    attributes: dict[str, str]
+
+
+_Instrument = Callable[[float, dict[str, str]], None]
+
 
 class Measures:
-    """What is counted, by the words that the logs use too."""
+    """What is counted, by the words that the logs use too.
 
-    def __init__(self, meter: Meter):
-        self._calls = meter.create_counter(
-            "calls", description="callers' calls, by kind and answer"
-        )
-        self._call_seconds = meter.create_histogram(
-            "call.seconds", "s", "time from a caller's call to its answer"
-        )
-        self._starts = meter.create_counter(
-            "starts", description="answers of endpoints to starts, by outcome"
-        )
-        self._notes = meter.create_counter(
-            "decisions", description="decisions on runs and jobs, by kind and reason"
-        )
-        self._append_seconds = meter.create_histogram(
-            "append.seconds", "s", "time until a batch of records was stored"
-        )
+    The meter's library takes a fifth of an entry's start, so it is loaded later;
+    readings from before are kept and handed on.
+    """
+
+    def __init__(self) -> None:
+        self._instruments: dict[_Figure, _Instrument] | None = None
+        self._early: deque[_Reading] = deque(maxlen=EARLY_READINGS)
+
+    def attach(self, meter: "Meter") -> None:
+        """Hand all readings to a meter, those from before too."""
+        self._instruments = _instruments(meter)
+        while self._early:
+            self._take(self._early.popleft())
 
     def call(self, call: Call, answer: Answer, seconds: float) -> None:
         """Count a call that was answered."""
         kind = {"call": type(call).__name__, "answer": type(answer).__name__}
-        self._calls.add(1, kind)
-        self._call_seconds.record(seconds, {"call": kind["call"]})
+        self._take(_Reading(_Figure.CALLS, 1, kind))
+        self._take(
+            _Reading(_Figure.CALL_SECONDS, seconds, {"call": type(call).__name__})
+        )
 
     def start(self, outcome: StartOutcome) -> None:
         """Count an answer to a start."""
-        self._starts.add(1, {"outcome": outcome.value})
+        self._take(_Reading(_Figure.STARTS, 1, {"outcome": outcome.value}))
 
     def note(self, note: Note) -> None:
         """Count a decision."""
-        self._notes.add(1, {"happening": note.happening.value, "why": note.why})
+        kind = {"happening": note.happening.value, "why": note.why}
+        self._take(_Reading(_Figure.DECISIONS, 1, kind))
 
     def append(self, seconds: float) -> None:
         """Count a batch that was stored."""
-        self._append_seconds.record(seconds)
+        self._take(_Reading(_Figure.APPEND_SECONDS, seconds, {}))
+
+    def _take(self, reading: _Reading) -> None:
+        if self._instruments is None:
+            self._early.append(reading)
+        else:
+            self._instruments[reading.figure](reading.value, reading.attributes)
+
+
+def _instruments(meter: "Meter") -> dict[_Figure, _Instrument]:
+    return {
+        _Figure.CALLS: meter.create_counter(
+            _Figure.CALLS.value, description="callers' calls, by kind and answer"
+        ).add,
+        _Figure.CALL_SECONDS: meter.create_histogram(
+            _Figure.CALL_SECONDS.value, "s", "time from a caller's call to its answer"
+        ).record,
+        _Figure.STARTS: meter.create_counter(
+            _Figure.STARTS.value,
+            description="answers of endpoints to starts, by outcome",
+        ).add,
+        _Figure.DECISIONS: meter.create_counter(
+            _Figure.DECISIONS.value,
+            description="decisions on runs and jobs, by kind and reason",
+        ).add,
+        _Figure.APPEND_SECONDS: meter.create_histogram(
+            _Figure.APPEND_SECONDS.value,
+            "s",
+            "time until a batch of records was stored",
+        ).record,
+    }
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -7,8 +7,10 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import anyio
+import anyio.to_thread
 from aiohttp import web
 from result import Err, Ok
 
@@ -23,7 +25,6 @@
 from hickoryplank.entry_settings import EntrySettings, load_entry_settings
 from hickoryplank.http_client import HttpClient
 from hickoryplank.jobs.engine import Timing
-from hickoryplank.meter import Metrics
 from hickoryplank.platform.advice import PlatformAdvice
 from hickoryplank.platform.endpoints import PlatformEndpoints
 from hickoryplank.platform.ingress import Ingress
@@ -32,6 +33,9 @@
 from hickoryplank.platform.vms import PlatformVms
 from hickoryplank.shell.clock import MonotonicClock
 
+if TYPE_CHECKING:
+    from hickoryplank.meter import Metrics
+
 __all__ = ["main"]
 
 logger = logging.getLogger(__name__)
@@ -52,6 +56,9 @@
 #: Time between the order to stop and the end of the process, in seconds: callers'
 #: new connections go elsewhere after two missed checks of one second each.
 STOP_SECONDS = 2.4
+#: Wait after the start before the meter's library is loaded, in seconds: a hand-over
+#: after a restart of all entries takes less.
+METRICS_AFTER_SECONDS = 4.0
 #: Part of the grace after which the process ends whatever is open.
 GRACE_PART = 0.9
 
@@ -68,10 +75,11 @@
         self._watcher = OperatorWatcher(store, operator, self._clock)
         self._lease = LeaseKeeper(store, Holder.fresh(cfg.name, cfg.peers), self._clock)
         self._gateway = Gateway(self._lease, self._client, self._clock)
-        self._metrics = Metrics(cfg.name)
-        measures = Measures(self._metrics.meter)
+        self._metrics: Metrics | None = None
+        self._metrics_loading = anyio.Lock()
+        self._measures = Measures()
         self._ingress = Ingress(
-            self._gateway.answer, lambda: self._watcher.version, measures
+            self._gateway.answer, lambda: self._watcher.version, self._measures
         )
         self._outside = Outside(
             store=store,
@@ -83,7 +91,7 @@
             ),
             vms=PlatformVms(self._client, cfg.vms, cfg.name),
             operator=operator,
-            measures=measures,
+            measures=self._measures,
             advice=PlatformAdvice(self._client, cfg.advice) if cfg.advice else None,
             fleet=FleetBounds(
                 cfg.move_s, cfg.maintenance_s, cfg.orders_apart_ms / 1000
@@ -103,6 +111,7 @@
             tasks.start_soon(self._watcher.run)
             tasks.start_soon(self._lease.run)
             tasks.start_soon(self._terms)
+            tasks.start_soon(self._load_metrics_later)
             await self._until_told()
             await self._stop()
             tasks.cancel_scope.cancel()
@@ -149,7 +158,22 @@
         return web.Response(status=200 if ready else 503)
 
     async def _metrics_page(self, request: web.BaseRequest) -> web.StreamResponse:
-        return web.Response(body=self._metrics.text(), content_type="text/plain")
+        metrics = await self._load_metrics()
+        return web.Response(body=metrics.text(), content_type="text/plain")
+
+    async def _load_metrics_later(self) -> None:
+        await anyio.sleep(METRICS_AFTER_SECONDS)
+        await self._load_metrics()
+
+    async def _load_metrics(self) -> "Metrics":
+        """Load the meter's library, in a thread so that calls go on."""
+        async with self._metrics_loading:
+            if self._metrics is None:
+                self._metrics = await anyio.to_thread.run_sync(
+                    _open_metrics, self._cfg.name
+                )
+                self._measures.attach(self._metrics.meter)
+            return self._metrics
 
     async def _peer_call(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != CALL_PATH:
@@ -163,6 +187,12 @@
         return web.Response(body=encode(answer))
 
 
+def _open_metrics(node: str) -> "Metrics":
+    from hickoryplank.meter import Metrics
+
+    return Metrics(node)
+
+
 async def _listen(address: str, handler) -> web.ServerRunner:
     host, port = address.rsplit(":", 1)
     runner = web.ServerRunner(
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -98,7 +98,7 @@
     def __init__(self, platform: Platform, name: str):
         self.store = SeenStore(platform.store)
         clock = MonotonicClock()
-        self.metrics = Metrics(name)
+        self.measures = Measures()
         self.watcher = OperatorWatcher(self.store, platform.operator, clock)
         holder = Holder.fresh(name, f"{name}:7000")
         self.lease = LeaseKeeper(self.store, holder, clock)
@@ -111,7 +111,7 @@
             vms=platform.vms,
             operator=platform.operator,
             fleet=FleetBounds(0.1, 0.1, 0.2),
-            measures=Measures(self.metrics.meter),
+            measures=self.measures,
         )
         self.term: Coordinator | None = None
 
@@ -179,7 +179,9 @@
         await until_state(node, "j", JobState.COMPLETED)
         assert await node.term.answer(submit("j", Step(3, TASK))) == Accepted()
         assert await node.term.answer(Count(where("/p/"))) == PendingIs(0)
-    page = node.metrics.text().decode()
+    metrics = Metrics("entry-1")
+    node.measures.attach(metrics.meter)
+    page = metrics.text().decode()
     assert 'hickoryplank_starts_total{outcome="started"} 3.0' in page
     assert 'why="completed"' in page
     assert sum(len(one.started) for one in platform.stand_ins.values()) == 3
--- /dev/null
+++ b/tests/coordinator/test_measures.py
@@ -0,0 +1,56 @@
+"""Tests of what is measured before and after the meter is there."""
+
+import subprocess
+import sys
+
+import pytest
+
+from hickoryplank.coordinator.measures import EARLY_READINGS, Measures
+from hickoryplank.jobs.messages import StartOutcome
+from hickoryplank.meter import Metrics
+
+STARTED = 'hickoryplank_starts_total{outcome="started"}'
+
+
+def shown(metrics: Metrics, name: str) -> float:
+    lines = metrics.text().decode().splitlines()
+    return sum(float(line.split()[-1]) for line in lines if line.startswith(name))
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "counted"),
+    [
+        (0, 2, 2),
+        (3, 0, 3),
+        (3, 2, 5),
+        (EARLY_READINGS + 1, 0, EARLY_READINGS),
+    ],
+)
+def test_readings_from_before_the_meter_are_counted(before, after, counted):
+    measures, metrics = Measures(), Metrics("entry-1")
+    for _ in range(before):
+        measures.start(StartOutcome.STARTED)
+    measures.attach(metrics.meter)
+    for _ in range(after):
+        measures.start(StartOutcome.STARTED)
+    assert shown(metrics, STARTED) == counted
+
+
+def test_early_times_are_in_the_histogram():
+    measures, metrics = Measures(), Metrics("entry-1")
+    measures.append(0.02)
+    measures.attach(metrics.meter)
+    measures.append(0.04)
+    assert shown(metrics, "hickoryplank_append_seconds_count") == 2
+    assert shown(metrics, "hickoryplank_append_seconds_sum") == pytest.approx(0.06)
+
+
+def test_an_entry_starts_without_the_library_of_its_meter():
+    code = (
+        "import sys, hickoryplank.entry;"
+        "print(any(name.startswith('opentelemetry') for name in sys.modules))"
+    )
+    ran = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert ran.stdout.strip() == "False"
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -25,7 +25,6 @@
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
-from hickoryplank.meter import Metrics
 from hickoryplank.platform.ingress import Ingress
 from tests.coordinator.memory import MemoryStore
 from tests.standins.users_platform import UsersPlatform
@@ -47,7 +46,7 @@
 
 
 def measures() -> Measures:
-    return Measures(Metrics("entry-1").meter)
+    return Measures()
 
 
 async def exchange(answer, method: str, path: str, **kwargs):
