Give the coordinator's lease to strong VMs

Done: the settings tell processor and link; an entry waits before it takes a free lease, by what its VM lacks of a coordinator's needs, and looks again. One with less than half of another's strength is asked, by a record under the lease's condition, to finish its calls and release. Renewals and the release no longer overlap, so that neither undoes nor fails the other.

--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -79,8 +79,13 @@
             term.engine = None
 
     async def _watch_lease(self) -> None:
-        while self._term.lease.held and self._term.lease.number == self._term.token:
-            await self._term.lease.changed.wait()
+        lease = self._term.lease
+        while lease.held and lease.number == self._term.token:
+            if lease.unwanted:
+                await self._answers.finish()
+                await lease.release()
+                raise Deposed("a stronger entry asked for the lease")
+            await lease.changed.wait()
         raise Deposed("the lease is another entry's")
 
     async def _restore(self) -> None:
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -37,6 +37,14 @@
 RETRY_SECONDS = 0.1
 #: Spread of the first tries of several candidates, in seconds: a few appends.
 SPREAD_SECONDS = 0.05
+#: How long the weakest VM leaves a free lease to stronger ones, in seconds: the time
+#: of a read of the lease, and of an append by a stronger one.
+WEAK_WAIT_SECONDS = 0.45
+#: A holder with less than this part of an entry's own strength is asked to step down.
+WEAK_PART = 0.5
+#: How long a weaker holder is left alone, in seconds: a restoring and the work that
+#: has piled up before it.
+WEAK_TERM_SECONDS = 2.0
 
 _KEY = "lease"
 
@@ -48,24 +56,32 @@
     :param holder: one life of one entry.
     :param address: where the holder's peers reach it.
     :param released: the holder has given it up.
+    :param strength: of the holder's VM.
+    :param wanted_by: a stronger entry that asks the holder to give it up.
     """
 
     number: int
     holder: str
     address: str
     released: bool = False
+    strength: float = 1.0
+    wanted_by: str = ""
 
 
 class Holder(msgspec.Struct, frozen=True):
-    """This life of this entry."""
+    """This life of this entry.
+
+    :param strength: what part of a coordinator's needs its VM has, from 0 to 1.
+    """
 
     name: str
     address: str
+    strength: float = 1.0
 
     @classmethod
-    def fresh(cls, node: str, address: str) -> "Holder":
+    def fresh(cls, node: str, address: str, strength: float = 1.0) -> "Holder":
         """Return a holder that no other life of the entry equals."""
-        return cls(f"{node}/{secrets.token_hex(4)}", address)
+        return cls(f"{node}/{secrets.token_hex(4)}", address, strength)
 
 
 class LeaseKeeper:
@@ -78,9 +94,13 @@
         self._end: int | None = None
         self._seen_at = clock.now()
         self._renewed_at = 0.0
-        self._spread = secrets.randbelow(1000) / 1000 * SPREAD_SECONDS
+        self._patience = secrets.randbelow(1000) / 1000 * SPREAD_SECONDS
+        self._patience += (1.0 - me.strength) * WEAK_WAIT_SECONDS
+        self._holder_since = clock.now()
         self._suspected = False
         self._lost = False
+        #: A renewal under way must not follow, or fail, the record that gives it up.
+        self._writing = anyio.Lock()
         self.known: LeaseRecord | None = None
         self.changed = anyio.Event()
         self.stopping = False
@@ -108,6 +128,11 @@
         """Return how long ago the last successful renewal was sent, in seconds."""
         return self._clock.now() - self._renewed_at
 
+    @property
+    def unwanted(self) -> bool:
+        """Whether this entry holds the lease, and a stronger one asks for it."""
+        return self.held and self.known is not None and bool(self.known.wanted_by)
+
     @property
     def coordinator(self) -> str | None:
         """Address of the holder, unless it is this entry or nobody."""
@@ -127,14 +152,20 @@
             else:
                 await self._watch()
 
+    async def stop(self) -> None:
+        """Give the lease up for good, so that another entry takes it at once."""
+        self.stopping = True
+        await self.release()
+
     async def release(self) -> None:
         """Give the lease up, so that another entry takes it at once."""
-        self.stopping = True
-        if self.held:
-            record = LeaseRecord(
-                self.number, self._me.name, self._me.address, released=True
-            )
-            await self._write(record)
+        async with self._writing:
+            if self.held:
+                await self._write(self._record(self.number, released=True))
+
+    def _record(self, number: int, *, released: bool = False) -> LeaseRecord:
+        me = self._me
+        return LeaseRecord(number, me.name, me.address, released, me.strength)
 
     def lose(self) -> None:
         """Give the lease up after a sign that another entry has taken it."""
@@ -150,9 +181,11 @@
                 await anyio.sleep(RETRY_SECONDS)
             return
         if self._free() and not self.stopping:
-            await anyio.sleep(self._spread)
-            await self._take()
+            if await self._left_to_stronger():
+                await self._take()
             return
+        if self._outranks() and not self.stopping:
+            await self._ask_for_it()
         match await self._store.read(Topic.LEASE, self._end, READ_WAIT_MS):
             case Ok(page):
                 self._end = page.next
@@ -168,6 +201,46 @@
                 logger.info("lease not read", extra={"detail": fault.detail})
                 await anyio.sleep(RETRY_SECONDS)
 
+    async def _left_to_stronger(self) -> bool:
+        """Wait, by strength, for another entry; return whether none took the lease."""
+        assert self._end is not None
+        await anyio.sleep(self._patience)
+        if self._patience <= SPREAD_SECONDS:
+            return True
+        match await self._store.read(Topic.LEASE, self._end, 0):
+            case Ok(page) if page.records:
+                self._end = page.next
+                for record in page.records:
+                    self._note(record)
+                return False
+        return True
+
+    def _outranks(self) -> bool:
+        """Return whether the holder is too weak, and has been there for a while."""
+        lease = self.known
+        if lease is None or lease.released or lease.wanted_by:
+            return False
+        if lease.strength >= self._me.strength * WEAK_PART:
+            return False
+        return self._clock.now() - self._holder_since > WEAK_TERM_SECONDS
+
+    async def _ask_for_it(self) -> None:
+        """Have the holder see that a stronger entry is there."""
+        assert self._end is not None
+        assert self.known is not None
+        asked = msgspec.structs.replace(self.known, wanted_by=self._me.name)
+        record = Record(_KEY, msgspec.msgpack.encode(asked))
+        done = await self._store.append(Topic.LEASE, [record], Condition(self._end))
+        logger.info(
+            "weaker coordinator asked to step down",
+            extra={
+                "number": asked.number,
+                "holder": asked.holder,
+                "strength": asked.strength,
+                "asked": done.is_ok(),
+            },
+        )
+
     async def _read_newest(self) -> bool:
         match await self._store.newest(Topic.LEASE):
             case Ok(newest):
@@ -195,6 +268,9 @@
         before, self.known = self.known, lease
         if before is None or lease.number > before.number:
             self._lost = False
+            self._holder_since = self._clock.now()
+        if lease.wanted_by and lease.holder == self._me.name:
+            self._notify()
         if before is not None and (before.holder, before.released) == (
             lease.holder,
             lease.released,
@@ -206,6 +282,7 @@
                 "number": lease.number,
                 "holder": lease.holder,
                 "released": lease.released,
+                "strength": lease.strength,
             },
         )
         self._notify()
@@ -228,14 +305,16 @@
 
     async def _take(self) -> None:
         number = self.number + 1
-        lease = LeaseRecord(number, self._me.name, self._me.address)
-        if await self._write(lease):
+        if await self._write(self._record(number)):
             logger.info("lease taken", extra={"number": number})
 
     async def _renew(self) -> None:
-        assert self.known is not None
         begun = self._clock.now()
-        if await self._write(self.known):
+        async with self._writing:
+            if not self.held or self.known is None:
+                return
+            renewed = await self._write(self.known)
+        if renewed:
             spent = self._clock.now() - begun
             await anyio.sleep(max(0.0, RENEW_SECONDS - spent))
         elif self.held:
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -56,6 +56,12 @@
 #: Time between the order to stop and the end of the process, in seconds: callers'
 #: new connections go elsewhere after two missed checks of one second each.
 STOP_SECONDS = 2.4
+#: Cores, of usual speed, that a coordinator needs for some 400 tasks that start and
+#: end a second.
+COORDINATOR_CORES = 1.0
+#: Link that a coordinator needs, in Mbit/s: it reads a MB of jobs in a tenth of a
+#: second when it takes over.
+COORDINATOR_LINK_MBPS = 100.0
 #: Wait after the start before the meter's library is loaded, in seconds: a hand-over
 #: after a restart of all entries takes less.
 METRICS_AFTER_SECONDS = 4.0
@@ -73,7 +79,8 @@
         store = PlatformStore(self._client, cfg.store)
         operator = PlatformOperatorRecords()
         self._watcher = OperatorWatcher(store, operator, self._clock)
-        self._lease = LeaseKeeper(store, Holder.fresh(cfg.name, cfg.peers), self._clock)
+        me = Holder.fresh(cfg.name, cfg.peers, _strength(cfg))
+        self._lease = LeaseKeeper(store, me, self._clock)
         self._gateway = Gateway(self._lease, self._client, self._clock)
         self._metrics: Metrics | None = None
         self._metrics_loading = anyio.Lock()
@@ -146,7 +153,7 @@
         self._ingress.closing = True
         if self._gateway.term is not None:
             await self._gateway.term.finish()
-        await self._lease.release()
+        await self._lease.stop()
         begun = self._clock.now()
         limit = self._cfg.grace_s * GRACE_PART
         await anyio.sleep(min(STOP_SECONDS, limit))
@@ -187,6 +194,12 @@
         return web.Response(body=encode(answer))
 
 
+def _strength(cfg: EntrySettings) -> float:
+    """Return what part of a coordinator's needs the VM has, from 0 to 1."""
+    cores = cfg.cpu_share * cfg.core_speed
+    return min(1.0, cores / COORDINATOR_CORES, cfg.link_mbps / COORDINATOR_LINK_MBPS)
+
+
 def _open_metrics(node: str) -> "Metrics":
     from hickoryplank.meter import Metrics
 
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -17,6 +17,9 @@
     :param readiness: address at which readiness is asked for.
     :param peers: address that other entries reach.
     :param metrics: address that shows the metrics.
+    :param cpu_share: part of each second for which the VM's processor works.
+    :param core_speed: speed of that processor, in times of a usual core.
+    :param link_mbps: the VM's link, in Mbit/s.
     :param store: address of the platform's store.
     :param vms: address of the platform's list of VMs.
     :param advice: address of the service for advice; empty for none.
@@ -39,6 +42,9 @@
     move_s: float
     maintenance_s: float
     orders_apart_ms: int
+    cpu_share: float = 1.0
+    core_speed: float = 1.0
+    link_mbps: float = 1000.0
     advice: str = ""
     log_level: str = "info"
 
@@ -46,6 +52,7 @@
 _SECTIONS = {
     "node": ("name",),
     "listen": ("callers", "readiness", "peers", "metrics"),
+    "vm": ("cpu_share", "core_speed", "link_mbps"),
     "platform": ("store", "vms", "advice"),
     "bounds": (
         "grace_s",
--- a/tests/coordinator/test_lease.py
+++ b/tests/coordinator/test_lease.py
@@ -4,14 +4,19 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import msgspec
 import pytest
 
 from hickoryplank.coordinator.lease import (
+    RENEW_SECONDS,
     TAKEOVER_SECONDS,
     VALID_SECONDS,
+    WEAK_TERM_SECONDS,
     Holder,
     LeaseKeeper,
+    LeaseRecord,
 )
+from hickoryplank.coordinator.ports import Topic
 from hickoryplank.shell.clock import MonotonicClock
 from tests.coordinator.memory import MemoryStore, SeenStore
 
@@ -27,9 +32,9 @@
 class Entry:
     """A lease keeper with its own view of the store."""
 
-    def __init__(self, store: MemoryStore, name: str):
+    def __init__(self, store: MemoryStore, name: str, strength: float = 1.0):
         self.store = SeenStore(store)
-        holder = Holder.fresh(name, f"{name}:7000")
+        holder = Holder.fresh(name, f"{name}:7000", strength)
         self.lease = LeaseKeeper(self.store, holder, MonotonicClock())
 
 
@@ -143,3 +148,53 @@
                 assert a.lease.valid()
                 await anyio.sleep(0.01)
             assert b.lease.number == 1
+
+
+@pytest.mark.parametrize("weak", [0.0, 0.1, 0.5])
+async def test_a_free_lease_goes_to_the_strongest_that_is_there(weak):
+    for _ in range(3):
+        store = MemoryStore()
+        a, b = Entry(store, "a", weak), Entry(store, "b", 1.0)
+        async with running(a, b):
+            await until(lambda: holders(a, b) != [])  # noqa: B023
+            assert holders(a, b) == [b]
+
+
+async def test_a_weak_entry_takes_the_lease_where_no_other_does():
+    store = MemoryStore()
+    a, b = Entry(store, "a", 0.1), Entry(store, "b", 0.1)
+    async with running(a, b):
+        await until(lambda: len(holders(a, b)) == 1)
+
+
+@pytest.mark.parametrize(
+    ("holder", "other", "asked"),
+    [(0.1, 1.0, True), (0.4, 1.0, True), (0.6, 1.0, False), (0.1, 0.15, False)],
+)
+async def test_a_much_weaker_holder_is_asked_to_step_down(holder, other, asked):
+    store = MemoryStore()
+    a, b = Entry(store, "a", holder), Entry(store, "b", other)
+    async with running(a):
+        await until(a.lease.valid)
+        async with running(b):
+            await anyio.sleep(WEAK_TERM_SECONDS + 0.8)
+            assert a.lease.unwanted == asked
+            assert a.lease.valid()
+            assert b.lease.number == 1
+            await a.lease.release()
+            await until(b.lease.valid)
+            assert b.lease.number == 2
+
+
+async def test_a_release_during_a_renewal_is_not_undone():
+    store = MemoryStore()
+    a = Entry(store, "a")
+    async with running(a):
+        for _ in range(20):
+            await until(a.lease.valid)
+            number = a.lease.number
+            await anyio.sleep(RENEW_SECONDS * 0.98)
+            await a.lease.release()
+            newest = (await store.newest(Topic.LEASE)).unwrap().records[-1]
+            record = msgspec.msgpack.decode(newest.value, type=LeaseRecord)
+            assert record.released or record.number > number
