--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -8,10 +8,11 @@
 from spec.escrow import ESCROW
 from spec.fold import FOLD
 from spec.freshness import FRESHNESS
+from spec.lease import LEASE
 
 __all__ = ["MECHANISMS", "main"]
 
-MECHANISMS = (FOLD, FRESHNESS, ESCROW, CLAIMS, COORDINATOR)
+MECHANISMS = (FOLD, FRESHNESS, ESCROW, CLAIMS, COORDINATOR, LEASE)
 
 
 def main() -> int:
