Let callers wait for a coordinator that is on its way

Done: the callers' socket listens before the libraries are loaded. A call waits up to 1.1 s while the lease changes hands and the store answers; with no such sign it is refused after 0.14 s as before.

--- a/hickoryplank/coordinator/gateway.py
+++ b/hickoryplank/coordinator/gateway.py
@@ -34,9 +34,13 @@
 PEER_SECONDS = 1.2
 #: Least time for the coordinator's answer, in seconds.
 LEAST_SECONDS = 0.1
-#: How long a call waits for a coordinator to be there, in seconds; a caller that is
-#: told to come back loses more than this, and a hand-over on a stop is shorter.
+#: How long a call waits for a coordinator of which nothing shows that it will come,
+#: in seconds: a hand-over on a stop is shorter.
 ELECTION_SECONDS = 0.14
+#: How long a call waits while the lease changes hands, in seconds: the wait until it
+#: may be taken, and a restoring. A caller that is told to come back waits a second,
+#: and has few tries.
+HANDOVER_SECONDS = 1.1
 #: Wait before a lost call is handed in again, in seconds, unless the coordinator
 #: changes earlier.
 AGAIN_SECONDS = 0.1
@@ -66,7 +70,6 @@
         """
         begun = self._clock.now()
         limit = begun + min(within_s, LONGEST_SECONDS) - ANSWER_SECONDS
-        patience = begun + ELECTION_SECONDS
         lost: Answer | None = None
         while True:
             changed = self._lease.changed
@@ -75,13 +78,16 @@
                 lost = answer
             elif not _no_coordinator(answer):
                 return answer
-            until = patience if lost is None else limit
+            until = limit if lost is not None else min(limit, begun + self._patience())
             left = until - self._clock.now()
             if left <= 0:
                 return lost or answer
             with anyio.move_on_after(min(left, AGAIN_SECONDS)):
                 await changed.wait()
 
+    def _patience(self) -> float:
+        return HANDOVER_SECONDS if self._lease.settling() else ELECTION_SECONDS
+
     async def _try(self, call: Call, left_s: float) -> Answer:
         if self.term is not None:
             return await self.term.answer(call)
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -46,6 +46,10 @@
 #: has piled up before it.
 WEAK_TERM_SECONDS = 2.0
 
+#: Time in which a new holder, or a new entry, comes to know all that it needs, in
+#: seconds: three times what a restoring takes on a calm store.
+SETTLE_SECONDS = 1.0
+
 _KEY = "lease"
 
 
@@ -99,6 +103,7 @@
         self._holder_since = clock.now()
         self._suspected = False
         self._lost = False
+        self._store_answers = True
         #: A renewal under way must not follow, or fail, the record that gives it up.
         self._writing = anyio.Lock()
         self.known: LeaseRecord | None = None
@@ -133,6 +138,20 @@
         """Whether this entry holds the lease, and a stronger one asks for it."""
         return self.held and self.known is not None and bool(self.known.wanted_by)
 
+    def settling(self) -> bool:
+        """Return whether a coordinator is to be expected within a second.
+
+        The store answers, and the lease is about to change hands, or just has.
+        """
+        now = self._clock.now()
+        if not self._store_answers:
+            return False
+        if now - self._holder_since < SETTLE_SECONDS:
+            return True
+        if self.known is None or self.known.released or self._suspected:
+            return True
+        return not self.held and now - self._seen_at > TAKEOVER_SECONDS / 2
+
     @property
     def coordinator(self) -> str | None:
         """Address of the holder, unless it is this entry or nobody."""
@@ -188,6 +207,7 @@
             await self._ask_for_it()
         match await self._store.read(Topic.LEASE, self._end, READ_WAIT_MS):
             case Ok(page):
+                self._store_answers = True
                 self._end = page.next
                 for record in page.records:
                     self._note(record)
@@ -198,6 +218,7 @@
                 self._seen_at = max(
                     self._seen_at, self._clock.now() - TAKEOVER_SECONDS / 2
                 )
+                self._store_answers = False
                 logger.info("lease not read", extra={"detail": fault.detail})
                 await anyio.sleep(RETRY_SECONDS)
 
@@ -244,11 +265,13 @@
     async def _read_newest(self) -> bool:
         match await self._store.newest(Topic.LEASE):
             case Ok(newest):
+                self._store_answers = True
                 self._end = newest.end
                 for record in newest.records:
                     self._note(record)
                 return True
             case Err(fault):
+                self._store_answers = False
                 logger.info("lease not read", extra={"detail": fault.detail})
                 return False
 
@@ -326,6 +349,7 @@
         record = Record(_KEY, msgspec.msgpack.encode(lease))
         match await self._store.append(Topic.LEASE, [record], Condition(self._end)):
             case Ok(done):
+                self._store_answers = True
                 self._end = done.end
                 self._renewed_at = sent_at
                 self._seen_at = self._clock.now()
@@ -336,6 +360,7 @@
                 await self._settle(lease, sent_at)
                 return False
             case Err(fault):
+                self._store_answers = False
                 logger.info("lease not written", extra={"detail": fault.detail})
                 return False
         return False
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -1,18 +1,13 @@
 """An entry on the users' platform: the composition root of its process."""
 
-import argparse
 import logging
-import os
 import signal
-import sys
-from collections.abc import Sequence
-from pathlib import Path
+import socket
 from typing import TYPE_CHECKING
 
 import anyio
 import anyio.to_thread
 from aiohttp import web
-from result import Err, Ok
 
 from hickoryplank.coordinator.calls import NotRun, Why, decode_call, encode
 from hickoryplank.coordinator.caretaker import FleetBounds
@@ -22,7 +17,8 @@
 from hickoryplank.coordinator.measures import Measures
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.entry_logs import configure_entry_logs
-from hickoryplank.entry_settings import EntrySettings, load_entry_settings
+from hickoryplank.entry_settings import EntrySettings
+from hickoryplank.entry_socket import BACKLOG, open_listener
 from hickoryplank.http_client import HttpClient
 from hickoryplank.jobs.engine import Timing
 from hickoryplank.platform.advice import PlatformAdvice
@@ -36,12 +32,10 @@
 if TYPE_CHECKING:
     from hickoryplank.meter import Metrics
 
-__all__ = ["main"]
+__all__ = ["run_entry"]
 
 logger = logging.getLogger(__name__)
 
-#: Variable that holds the path of the settings file.
-SETTINGS_VARIABLE = "HICKORYPLANK_CONFIG"
 #: Lease of what runs on an endpoint, in ms: what runs on a silent one is given up
 #: after it, and a hand-over between coordinators must fit into it.
 LEASE_MS = 4000
@@ -72,8 +66,9 @@
 class Entry:
     """One entry: its listeners, its view of the platform, and its terms."""
 
-    def __init__(self, cfg: EntrySettings):
+    def __init__(self, cfg: EntrySettings, callers: socket.socket):
         self._cfg = cfg
+        self._callers = callers
         self._clock = MonotonicClock()
         self._client = HttpClient()
         store = PlatformStore(self._client, cfg.store)
@@ -108,7 +103,7 @@
     async def run(self) -> None:
         """Serve until told to stop."""
         runners = [
-            await _listen(self._cfg.callers, self._ingress.handle),
+            await _serve(self._callers, self._ingress.handle),
             await _listen(self._cfg.readiness, self._readiness),
             await _listen(self._cfg.peers, self._peer_call),
             await _listen(self._cfg.metrics, self._metrics_page),
@@ -207,31 +202,22 @@
 
 
 async def _listen(address: str, handler) -> web.ServerRunner:
-    host, port = address.rsplit(":", 1)
+    return await _serve(open_listener(address), handler)
+
+
+async def _serve(sock: socket.socket, handler) -> web.ServerRunner:
     runner = web.ServerRunner(
         web.Server(handler, access_log=None), handle_signals=False
     )
     await runner.setup()
-    await web.TCPSite(runner, host, int(port), backlog=512).start()
+    await web.SockSite(runner, sock, backlog=BACKLOG).start()
     return runner
 
 
-def main(argv: Sequence[str] | None = None) -> int:
-    """Run an entry until it is told to stop; return its exit code."""
-    parser = argparse.ArgumentParser(prog="hickoryplank entry")
-    parser.add_argument(
-        "file", nargs="?", help=f"settings; by default the path in {SETTINGS_VARIABLE}"
-    )
-    args = parser.parse_args(argv)
-    path = args.file or os.environ.get(SETTINGS_VARIABLE)
-    if not path:
-        sys.stderr.write(f"no settings file, and {SETTINGS_VARIABLE} isn't set\n")
-        return 2
-    match load_entry_settings(Path(path)):
-        case Err(fault):
-            sys.stderr.write(fault + "\n")
-            return 2
-        case Ok(cfg):
-            configure_entry_logs(cfg.log_level, cfg.name)
-            anyio.run(Entry(cfg).run)
-            return 0
+def run_entry(cfg: EntrySettings, callers: socket.socket) -> None:
+    """Run an entry until it is told to stop.
+
+    :param callers: the socket that callers reach, listening.
+    """
+    configure_entry_logs(cfg.log_level, cfg.name)
+    anyio.run(Entry(cfg, callers).run)
--- /dev/null
+++ b/tests/coordinator/test_gateway.py
@@ -0,0 +1,78 @@
+"""Tests of how long a call waits for a coordinator."""
+
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+
+from hickoryplank.coordinator.calls import Answer, Ask, Call, NotRun, StateIs, Where
+from hickoryplank.coordinator.gateway import (
+    ELECTION_SECONDS,
+    HANDOVER_SECONDS,
+    Gateway,
+)
+from hickoryplank.core.ids import JobId
+from hickoryplank.http_client import HttpClient
+from hickoryplank.jobs.table import JobState
+from hickoryplank.shell.clock import MonotonicClock
+
+pytestmark = pytest.mark.anyio
+
+WHERE = Where("host", "/queue/", "", 1)
+CALL = Ask(WHERE, JobId("00000000000000aa"))
+RUNNING = StateIs(JobState.RUNNING)
+#: Between the two waits.
+LATE_SECONDS = (ELECTION_SECONDS + HANDOVER_SECONDS) / 2
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@dataclass
+class KnownLease:
+    """A lease that no entry holds yet."""
+
+    is_settling: bool
+    coordinator: str | None = None
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    def settling(self) -> bool:
+        return self.is_settling
+
+
+class OwnTerm:
+    """A term that answers every call."""
+
+    async def answer(self, call: Call) -> Answer:
+        return RUNNING
+
+
+@pytest.mark.parametrize(
+    ("settling", "within_s", "served"),
+    [
+        (True, 3.0, True),
+        (False, 3.0, False),
+        (True, 0.4, False),
+    ],
+)
+async def test_a_call_waits_for_a_coordinator_that_is_to_be_expected(
+    settling, within_s, served
+):
+    lease = KnownLease(settling)
+    gateway = Gateway(lease, HttpClient(), MonotonicClock())
+
+    async def take_later() -> None:
+        await anyio.sleep(LATE_SECONDS)
+        gateway.term = OwnTerm()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(take_later)
+        answer = await gateway.answer(CALL, within_s)
+        tasks.cancel_scope.cancel()
+    if served:
+        assert answer == RUNNING
+    else:
+        assert isinstance(answer, NotRun)
+        assert gateway.term is None
--- a/tests/coordinator/test_lease.py
+++ b/tests/coordinator/test_lease.py
@@ -181,7 +181,7 @@
             assert a.lease.unwanted == asked
             assert a.lease.valid()
             assert b.lease.number == 1
-            await a.lease.release()
+            await (a.lease.release() if asked else a.lease.stop())
             await until(b.lease.valid)
             assert b.lease.number == 2
 
@@ -198,3 +198,18 @@
             newest = (await store.newest(Topic.LEASE)).unwrap().records[-1]
             record = msgspec.msgpack.decode(newest.value, type=LeaseRecord)
             assert record.released or record.number > number
+
+
+async def test_a_change_of_holders_is_told_while_the_store_answers():
+    store = MemoryStore()
+    a, b = Entry(store, "a"), Entry(store, "b")
+    assert b.lease.settling()
+    async with running(a):
+        await until(a.lease.valid)
+        async with running(b):
+            await until(lambda: b.lease.number == 1 and not b.lease.settling())
+            assert not a.lease.settling()
+            b.lease.suspect()
+            assert b.lease.settling()
+            b.store.away = True
+            await until(lambda: not b.lease.settling())
--- /dev/null
+++ b/tests/test_entry_start.py
@@ -0,0 +1,94 @@
+"""Tests of the start of an entry."""
+
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from tests.fleet import free_port, wait_until
+
+SETTINGS = """
+[node]
+name = entry-1
+[listen]
+callers = {callers}
+readiness = 127.0.0.1:{ports[0]}
+peers = 127.0.0.1:{ports[1]}
+metrics = 127.0.0.1:{ports[2]}
+[platform]
+store = 127.0.0.1:{ports[3]}
+vms = 127.0.0.1:{ports[3]}
+[bounds]
+grace_s = 2
+lease_max_ms = 10000
+move_s = 1.5
+maintenance_s = 2
+orders_apart_ms = 3000
+"""
+#: The libraries are held up for this long, as on a slow VM, in seconds.
+SLOW_IMPORT_SECONDS = 3.0
+
+
+def settings(tmp_path, callers: str):
+    path = tmp_path / "entry.ini"
+    ports = [free_port() for _ in range(4)]
+    path.write_text(SETTINGS.format(callers=callers, ports=ports))
+    return path
+
+
+def connects(address: str) -> bool:
+    host, port = address.split(":")
+    try:
+        socket.create_connection((host, int(port)), timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+def test_callers_can_connect_before_the_libraries_are_loaded(tmp_path):
+    address = f"127.0.0.1:{free_port()}"
+    slow = tmp_path / "aiohttp.py"
+    slow.write_text(f"import time\ntime.sleep({SLOW_IMPORT_SECONDS})\nraise SystemExit")
+    command = [sys.executable, "-m", "hickoryplank", "entry"]
+    begun = time.monotonic()
+    process = subprocess.Popen(
+        [*command, str(settings(tmp_path, address))],
+        env={"PYTHONPATH": str(tmp_path)},
+    )
+    try:
+        wait_until(lambda: connects(address), SLOW_IMPORT_SECONDS)
+        assert process.poll() is None
+        assert process.wait(SLOW_IMPORT_SECONDS * 3) == 0
+        assert time.monotonic() - begun >= SLOW_IMPORT_SECONDS
+    finally:
+        process.kill()
+        process.wait()
+
+
+@pytest.mark.parametrize(
+    ("text", "code", "told"),
+    [
+        ("", 2, "required field `name`"),
+        ("[listen]\ncaller = a:1\n", 2, "unknown key caller in [listen]"),
+        ("[nodes]\nname = a\n", 2, "unknown section [nodes]"),
+    ],
+)
+def test_bad_settings_end_the_start_with_their_fault(tmp_path, text, code, told):
+    path = tmp_path / "entry.ini"
+    path.write_text(text)
+    command = [sys.executable, "-m", "hickoryplank", "entry", str(path)]
+    ended = subprocess.run(command, capture_output=True, text=True)
+    assert ended.returncode == code
+    assert told in ended.stderr
+
+
+def test_a_taken_address_is_told(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = "{}:{}".format(*taken.getsockname())
+        path = settings(tmp_path, address)
+        command = [sys.executable, "-m", "hickoryplank", "entry", str(path)]
+        ended = subprocess.run(command, capture_output=True, text=True)
+    assert ended.returncode == 1
+    assert address in ended.stderr
