Keep starts that may have reached an endpoint's next life

When its list or look showed the new life, all runs were taken for ended and started elsewhere, beside those. A take-over did the same with stored places of an older life, and an older life read late from the list ended the newer one's runs.

Ruled out: the stand-in; its executor keeps to the id, as the platform's does.

Done: runs that a list of the old life has shown end with it; those that were only sent, or only answered, are handed on to the new life, whose first lists settle them, with the longest lease on its clock. An older life changes nothing.

--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -89,7 +89,10 @@
             listings=PlatformListings(),
             clock=self._clock,
             timing=Timing(
-                min(LEASE_MS, cfg.lease_max_ms), LOOK_WAIT_MS, INHERIT_SECONDS
+                min(LEASE_MS, cfg.lease_max_ms),
+                LOOK_WAIT_MS,
+                INHERIT_SECONDS,
+                cfg.lease_max_ms,
             ),
             vms=PlatformVms(self._client, cfg.vms, cfg.name),
             operator=operator,
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -41,6 +41,7 @@
 
     :param confirmed_at: when the endpoint was first heard to have it, or to have
         had it; a list that was asked for later must show it or its end.
+    :param listed: a list of its endpoint's life has shown it.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         "counted",
         "endpoint",
         "key",
+        "listed",
         "load",
         "paced",
         "percent",
@@ -77,6 +79,12 @@
         self.load = 0
         self.until_ms = 0
         self.confirmed_at: float | None = None
+        self.listed = False
+
+    @property
+    def in_doubt(self) -> bool:
+        """Whether its start may have reached a later life of its endpoint."""
+        return self.state is not RunState.ASSIGNED and not self.listed
 
     @property
     def name(self) -> tuple[TaskKey, int]:
@@ -122,6 +130,8 @@
         self.lease_ms = 0
         #: Until when a former coordinator may have renewed, by our clock.
         self.inherited_until = 0.0
+        #: Whether starts that were meant for the life before may run here.
+        self.has_strays = False
         self.last_end = 0
         self.stored_end = 0
         self.failed_jobs: set[JobId] = set()
--- a/hickoryplank/jobs/lives.py
+++ b/hickoryplank/jobs/lives.py
@@ -1,34 +1,56 @@
 """Lives of endpoints: listed, lost, and found again after a take-over."""
 
 from hickoryplank.core.ids import EndpointId
-from hickoryplank.jobs.endpoints import Endpoint, Listing, RunState
+from hickoryplank.jobs.endpoints import SLOW_CLOCK, Endpoint, Listing, RunState
 from hickoryplank.jobs.tables import Tables
 
 __all__ = ["confirm_lives", "forget_places", "list_endpoint", "lose_endpoint"]
 
 
 def list_endpoint(tables: Tables, listing: Listing, now: float) -> Endpoint:
-    """Note what an endpoint says of itself; a new life starts empty."""
+    """Note what an endpoint says of itself.
+
+    A new life starts empty, but for starts that were sent to the life before and
+    have reached it. The list may lag behind a look: an older life changes nothing.
+    """
     known = tables.endpoints.get(listing.id)
-    if known is not None and known.listing.born_ms == listing.born_ms:
-        known.listing = listing
-        known.listed = True
+    if known is not None and listing.born_ms <= known.listing.born_ms:
+        if listing.born_ms == known.listing.born_ms:
+            known.listing = listing
+            known.listed = True
         return known
-    if known is not None:
-        lose_endpoint(tables, known, now)
     fresh = Endpoint(listing, now)
     fresh.inherited_until = tables.born_at + tables.timing.inherit_seconds
+    if known is not None:
+        _hand_on(tables, known, fresh, now)
+        lose_endpoint(tables, known, now)
     tables.endpoints[listing.id] = fresh
     _adopt_places(tables, fresh)
     return fresh
 
 
+def _hand_on(tables: Tables, before: Endpoint, fresh: Endpoint, now: float) -> None:
+    """Keep runs that the new life may have, until its lists settle them."""
+    for run in [run for run in before.runs.values() if run.in_doubt]:
+        before.remove(run)
+        run.endpoint = fresh
+        run.confirmed_at = None if run.state is RunState.SENT else now
+        fresh.add(run)
+        fresh.has_strays = True
+    if fresh.has_strays:
+        longest_s = tables.timing.longest_ms / 1000 / SLOW_CLOCK
+        fresh.inherited_until = max(fresh.inherited_until, now + longest_s)
+
+
 def _adopt_places(tables: Tables, endpoint: Endpoint) -> None:
-    """Turn stored places on this endpoint into runs of unknown state."""
+    """Turn stored places on this endpoint into runs of unknown state.
+
+    Those of an earlier life too, as their starts may have reached this one.
+    """
     for row, task in tables.places.pop(endpoint.id, ()):
         place = task.place
         task.place = None
-        if place is None or place.born_ms != endpoint.listing.born_ms:
+        if place is None:
             tables.release(row, task)
             continue
         run = tables.make_run(row, task, endpoint)
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -61,8 +61,7 @@
     endpoint.heard(report.clock_ms, now)
     if not endpoint.held:
         endpoint.held = True
-        endpoint.inherited_until = 0.0
-        endpoint.grant(report.clock_ms + tables.timing.lease_ms)
+        _begin_leases(tables, endpoint, report.clock_ms)
     for end in report.ends:
         if end.number > endpoint.last_end:
             endpoint.last_end = end.number
@@ -70,6 +69,18 @@
     _compare(tables, endpoint, report, asked_at, now)
 
 
+def _begin_leases(tables: Tables, endpoint: Endpoint, clock_ms: int) -> None:
+    """Note the longest lease that anything may have on an endpoint's new clock."""
+    endpoint.inherited_until = 0.0
+    endpoint.grant(clock_ms + tables.timing.lease_ms)
+    if not endpoint.has_strays:
+        return
+    # Their ends were reckoned by the clock of the life before.
+    endpoint.grant(clock_ms + tables.timing.longest_ms)
+    for run in endpoint.runs.values():
+        run.until_ms = clock_ms + tables.timing.lease_ms
+
+
 def _other_life(
     tables: Tables, endpoint: Endpoint, report: HoldReport, now: float
 ) -> None:
@@ -103,6 +114,7 @@
             run.state = RunState.STARTED
         if run.confirmed_at is None:
             run.confirmed_at = now
+        run.listed = True
         _note_progress(tables, run, one)
     for run in list(endpoint.runs.values()):
         if run.name in shown or run.confirmed_at is None:
@@ -135,6 +147,7 @@
     run = Run(key, attempt, step, row.job.team, endpoint)
     run.state = RunState.SENT
     run.confirmed_at = now
+    run.listed = True
     endpoint.add(run)
     tables.use.add(run.team, run.size)
     tables.stop(run, now, "no task is assigned to it")
--- a/hickoryplank/jobs/tables.py
+++ b/hickoryplank/jobs/tables.py
@@ -18,12 +18,16 @@
         after it.
     :param wait_ms: how long an endpoint waits for an end before it answers a look.
     :param inherit_seconds: how long leases of a former coordinator may last.
+    :param longest_ms: longest lease that an endpoint grants, whatever it is told.
     """
 
-    def __init__(self, lease_ms: int, wait_ms: int, inherit_seconds: float):
+    def __init__(
+        self, lease_ms: int, wait_ms: int, inherit_seconds: float, longest_ms: int
+    ):
         self.lease_ms = lease_ms
         self.wait_ms = wait_ms
         self.inherit_seconds = inherit_seconds
+        self.longest_ms = longest_ms
 
 
 class Tables:
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -23,6 +23,7 @@
 CAPACITY = Size(4000, 8000, 0)
 TASK = Size(1000, 1000, 0)
 LEASE_MS = 4000
+LONGEST_MS = 10_000
 INHERIT_SECONDS = 9.0
 
 
@@ -74,7 +75,7 @@
         self.engine = self._fresh_engine()
 
     def _fresh_engine(self) -> Engine:
-        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS)
+        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS, LONGEST_MS)
         engine = Engine(self.cfg, timing, self.now)
         for id, one in self.endpoints.items():
             engine.list_endpoint(listing(id, one.born_ms), self.now)
@@ -84,7 +85,7 @@
         """Begin another coordinator's term, from what is stored."""
         self.token += 1
         self.tries.clear()
-        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS)
+        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS, LONGEST_MS)
         self.engine = Engine(self.cfg, timing, self.now)
         rows: dict[str, JobRow] = {}
         for record in self.records():
--- /dev/null
+++ b/tests/jobs/test_lives.py
@@ -0,0 +1,118 @@
+"""Endpoints that start anew under the id that they had."""
+
+import pytest
+
+from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.jobs.messages import EndKind
+from hickoryplank.jobs.model import Step, TaskKey
+from tests.jobs.driver import TASK, Driver, job, listing
+from tests.jobs.endpoint import StandInEndpoint
+
+E0 = EndpointId("e0")
+KEY = TaskKey(JobId("a"), 0, 0, 0)
+
+
+def begin_unseen(driver: Driver, at: EndpointId) -> None:
+    """Let an endpoint start anew, and nobody notice yet."""
+    before = driver.endpoints[at]
+    driver.endpoints[at] = StandInEndpoint(before.born_ms + 1, driver.work_ms)
+
+
+def tell_list(driver: Driver, at: EndpointId) -> None:
+    born_ms = driver.endpoints[at].born_ms
+    driver.engine.list_endpoint(listing(at, born_ms), driver.now)
+
+
+def most_at_once(driver: Driver, steps: int) -> int:
+    most = driver.run_count(KEY)
+    for _ in range(steps):
+        driver.step()
+        most = max(most, driver.run_count(KEY))
+    return most
+
+
+@pytest.mark.parametrize("told_by_list", [False, True])
+@pytest.mark.parametrize("answer_lost", [False, True])
+def test_a_start_that_reached_the_next_life_goes_on_there(told_by_list, answer_lost):
+    driver = Driver(work_ms=lambda key: None)
+    driver.step()
+    for at in driver.endpoints:
+        begin_unseen(driver, at)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    if answer_lost:
+        driver.lose_answers |= set(driver.endpoints)
+    driver.commit()
+    assert driver.run_count(KEY) == 1
+    driver.lose_answers.clear()
+    if told_by_list:
+        for at in driver.endpoints:
+            tell_list(driver, at)
+        driver.engine.tick(driver.now, 0)
+        driver.commit()
+        assert driver.run_count(KEY) == 1
+    assert most_at_once(driver, 20) == 1
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+    (run,) = [r for one in driver.engine.endpoints.values() for r in one.runs.values()]
+    assert run.endpoint.listing.born_ms == driver.endpoints[run.endpoint.id].born_ms
+
+
+def test_a_start_that_is_carried_out_late_in_the_next_life_is_the_only_run():
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    at = next(id for id, one in driver.endpoints.items() if one.running)
+    (run,) = driver.engine.endpoints[at].runs.values()
+    driver.endpoints[at].running.clear()
+    driver.cut.add(at)
+    begin_unseen(driver, at)
+    driver.start_late(run, 1.0)
+    tell_list(driver, at)
+    assert most_at_once(driver, 15) == 1
+    driver.cut.clear()
+    assert most_at_once(driver, 60) == 1
+
+
+def test_what_the_last_life_listed_is_started_again_at_once():
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    at = next(id for id, one in driver.endpoints.items() if one.running)
+    begin_unseen(driver, at)
+    tell_list(driver, at)
+    driver.step()
+    assert driver.run_count(KEY) == 1
+
+
+@pytest.mark.parametrize("after", [1, 5])
+def test_an_older_life_in_the_list_changes_nothing(after):
+    """The store may tell of a life after a look has shown the next one."""
+    driver = Driver(work_ms=lambda key: None)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    for at in driver.endpoints:
+        begin_unseen(driver, at)
+    for _ in range(after):
+        driver.step()
+    for at, one in driver.endpoints.items():
+        driver.engine.list_endpoint(listing(at, one.born_ms - 1), driver.now)
+    assert most_at_once(driver, 20) == 1
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_take_over_finds_what_reached_the_next_life(ended):
+    driver = Driver(work_ms=lambda key: None)
+    driver.step()
+    for at in driver.endpoints:
+        begin_unseen(driver, at)
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.commit()
+    at = next(id for id, one in driver.endpoints.items() if one.running)
+    if ended:
+        for going in list(driver.endpoints[at].running.values()):
+            driver.endpoints[at]._end(going, EndKind.DONE)
+    driver.take_over()
+    assert most_at_once(driver, 20) == (0 if ended else 1)
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 1
