--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -59,6 +59,17 @@
         return set().union(*(self.tasks(n) for n in range(len(self.steps))))
 
 
+@dataclass
+class OpenEnd:
+    """A run that ended ``done``, of which the system hasn't taken note yet.
+
+    :param starts: endpoints on which the task was started since.
+    """
+
+    key: TaskKey
+    starts: list[EndpointId] = field(default_factory=list)
+
+
 class Ledger:
     """Everything that was seen, and the promises that it breaks."""
 
@@ -68,7 +79,7 @@
         self.withdrawn_at: dict[str, float] = {}
         self.running: dict[TaskKey, set[WatchedEndpoint]] = {}
         self.noted: set[TaskKey] = set()
-        self.started_after: dict[TaskKey, list[str]] = {}
+        self.open_ends: dict[tuple[WatchedEndpoint, int], OpenEnd] = {}
         self.broken: list[str] = []
         self.starts = 0
 
@@ -90,8 +101,9 @@
             self.breaks("twice", f"{key} on {endpoint.id} beside {names}")
         if key in self.noted:
             self.breaks("twice", f"{key} on {endpoint.id} after its end was noted")
-        elif key in job.done:
-            self.started_after.setdefault(key, []).append(endpoint.id)
+        for end in self.open_ends.values():
+            if end.key == key:
+                end.starts.append(endpoint.id)
         others.add(endpoint)
         self._check_job(job, key, endpoint)
         self._check_room(job, key, endpoint)
@@ -129,23 +141,36 @@
         if team_used.cpu > most:
             self.breaks("limit", f"{team_used.cpu} of {job.team}, {most} allowed")
 
-    def note_end(self, endpoint: "WatchedEndpoint", key: TaskKey, kind: EndKind):
+    def note_end(
+        self, endpoint: "WatchedEndpoint", key: TaskKey, kind: EndKind, number: int
+    ) -> None:
         """Note that a run has ended."""
         self.running.get(key, set()).discard(endpoint)
         job = self.jobs.get(key.job)
         if job is not None and kind is EndKind.DONE:
             job.done.add(key)
+            self.open_ends[(endpoint, number)] = OpenEnd(key)
+
+    def note_acknowledged(self, endpoint: "WatchedEndpoint", number: int) -> None:
+        """Note that the system has taken note of an end."""
+        end = self.open_ends.pop((endpoint, number), None)
+        if end is None:
+            return
+        self.noted.add(end.key)
+        for where in end.starts:
+            detail = f"{end.key} on {where}, and its end on {endpoint.id} was noted"
+            self.breaks("twice", detail)
 
-    def note_acknowledged(self, key: TaskKey) -> None:
-        """Note that the system has taken note of an end ``done``."""
-        self.noted.add(key)
-        for where in self.started_after.pop(key, ()):
-            self.breaks("twice", f"{key} on {where}, and its end before was noted")
+    def note_lapsed(self, endpoint: "WatchedEndpoint") -> None:
+        """Note that a lease has lapsed: ends from before bind nobody any more."""
+        for place in [place for place in self.open_ends if place[0] is endpoint]:
+            del self.open_ends[place]
 
     def note_gone(self, endpoint: "WatchedEndpoint") -> None:
         """Note that a life of an endpoint has ended, with all that ran there."""
         for places in self.running.values():
             places.discard(endpoint)
+        self.note_lapsed(endpoint)
 
     def note_state(self, job: JobSeen, state: str) -> None:
         """Hold a state that a caller was told against what endpoints saw."""
@@ -185,7 +210,6 @@
         self.capacity = capacity
         self._rate = rate
         self._ledger = ledger
-        self._void: set[int] = set()
 
     def start(self, key, attempt, payload, until_ms, token):
         before = len(self.started)
@@ -197,16 +221,15 @@
     def hold(self, token, last_seen, until_ms):
         if token >= self.token:
             for end in self.ends:
-                binding = end.number <= last_seen and end.number not in self._void
-                if binding and end.kind is EndKind.DONE:
-                    self._ledger.note_acknowledged(end.key)
+                if end.number <= last_seen:
+                    self._ledger.note_acknowledged(self, end.number)
         return super().hold(token, last_seen, until_ms)
 
     def advance(self, ms):
         super().advance(ms * self._rate)
         if self.clock_ms > self.until_ms:
-            self._void |= {end.number for end in self.ends}
+            self._ledger.note_lapsed(self)
 
     def _end(self, going, kind):
         super()._end(going, kind)
-        self._ledger.note_end(self, going.key, kind)
+        self._ledger.note_end(self, going.key, kind, self.number)
