One line for each dependency that is lost or regained

An outage of the store left ten lines a second and entry for each of three readers, beside which other lines were dropped. The first failure of a row and its end leave a line now, with the number of failures and the time.

--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok
 
+from hickoryplank.coordinator.dependency import Dependency
 from hickoryplank.coordinator.journal import Journal
 from hickoryplank.coordinator.lease import LeaseKeeper
 from hickoryplank.coordinator.ports import (
@@ -87,6 +88,7 @@
         self._states: dict[VmId, VmState] = {}
         self._former_orders: dict[VmId, int] = {}
         self._asked_at = 0.0
+        self._vm_list = Dependency("VM list", clock)
 
     def restore_wave(self, wave: WaveId, done: set[VmId]) -> None:
         """Take over which VMs of a wave were maintained."""
@@ -127,6 +129,7 @@
             self._asked_at = now
             match await self._port.list():
                 case Ok(listed):
+                    self._vm_list.answered()
                     self._log_changes(listed)
                     views = tuple(view_of(one) for one in listed)
                     self._table.take(views, now)
@@ -136,7 +139,7 @@
                     engine.confirm_lives(alive, now, self._clock.now())
                     self._reopen(engine)
                 case Err(fault):
-                    logger.info("VMs not listed", extra={"detail": fault.detail})
+                    self._vm_list.failed(fault.detail)
         return self._table.listed_at is not None
 
     def _reopen(self, engine: Engine) -> None:
--- /dev/null
+++ b/hickoryplank/coordinator/dependency.py
@@ -0,0 +1,52 @@
+"""Whether what an entry depends on answers, told in logs when it changes."""
+
+import logging
+
+from hickoryplank.shell.clock import Clock
+
+__all__ = ["Dependency"]
+
+logger = logging.getLogger(__name__)
+
+
+class Dependency:
+    """One thing that an entry depends on.
+
+    :param name: its name in the logs.
+    """
+
+    def __init__(self, name: str, clock: Clock):
+        self._name = name
+        self._clock = clock
+        self._lost_at: float | None = None
+        self._failures = 0
+
+    @property
+    def answers(self) -> bool:
+        """Whether the last call was answered."""
+        return self._lost_at is None
+
+    def failed(self, detail: str) -> None:
+        """Note a call without result; the first of a row leaves a line."""
+        self._failures += 1
+        if self._lost_at is not None:
+            return
+        self._lost_at = self._clock.now()
+        logger.warning(
+            "dependency lost", extra={"dependency": self._name, "detail": detail}
+        )
+
+    def answered(self) -> None:
+        """Note a call with a result; the first after failures leaves a line."""
+        if self._lost_at is None:
+            return
+        logger.info(
+            "dependency regained",
+            extra={
+                "dependency": self._name,
+                "failures": self._failures,
+                "seconds": round(self._clock.now() - self._lost_at, 3),
+            },
+        )
+        self._lost_at = None
+        self._failures = 0
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok
 
+from hickoryplank.coordinator.dependency import Dependency
 from hickoryplank.coordinator.ports import (
     CallFault,
     Condition,
@@ -103,7 +104,7 @@
         self._holder_since = clock.now()
         self._suspected = False
         self._lost = False
-        self._store_answers = True
+        self._source = Dependency("lease", clock)
         #: A renewal under way must not follow, or fail, the record that gives it up.
         self._writing = anyio.Lock()
         self.known: LeaseRecord | None = None
@@ -144,7 +145,7 @@
         The store answers, and the lease is about to change hands, or just has.
         """
         now = self._clock.now()
-        if not self._store_answers:
+        if not self._source.answers:
             return False
         if now - self._holder_since < SETTLE_SECONDS:
             return True
@@ -207,7 +208,7 @@
             await self._ask_for_it()
         match await self._store.read(Topic.LEASE, self._end, READ_WAIT_MS):
             case Ok(page):
-                self._store_answers = True
+                self._source.answered()
                 self._end = page.next
                 for record in page.records:
                     self._note(record)
@@ -218,8 +219,7 @@
                 self._seen_at = max(
                     self._seen_at, self._clock.now() - TAKEOVER_SECONDS / 2
                 )
-                self._store_answers = False
-                logger.info("lease not read", extra={"detail": fault.detail})
+                self._source.failed(fault.detail)
                 await anyio.sleep(RETRY_SECONDS)
 
     async def _left_to_stronger(self) -> bool:
@@ -265,14 +265,13 @@
     async def _read_newest(self) -> bool:
         match await self._store.newest(Topic.LEASE):
             case Ok(newest):
-                self._store_answers = True
+                self._source.answered()
                 self._end = newest.end
                 for record in newest.records:
                     self._note(record)
                 return True
             case Err(fault):
-                self._store_answers = False
-                logger.info("lease not read", extra={"detail": fault.detail})
+                self._source.failed(fault.detail)
                 return False
 
     def _note(self, record: Record) -> None:
@@ -349,7 +348,7 @@
         record = Record(_KEY, msgspec.msgpack.encode(lease))
         match await self._store.append(Topic.LEASE, [record], Condition(self._end)):
             case Ok(done):
-                self._store_answers = True
+                self._source.answered()
                 self._end = done.end
                 self._renewed_at = sent_at
                 self._seen_at = self._clock.now()
@@ -360,8 +359,7 @@
                 await self._settle(lease, sent_at)
                 return False
             case Err(fault):
-                self._store_answers = False
-                logger.info("lease not written", extra={"detail": fault.detail})
+                self._source.failed(fault.detail)
                 return False
         return False
 
--- a/hickoryplank/coordinator/looks.py
+++ b/hickoryplank/coordinator/looks.py
@@ -5,6 +5,7 @@
 import anyio
 from result import Err, Ok
 
+from hickoryplank.coordinator.dependency import Dependency
 from hickoryplank.coordinator.ports import CallFault, Fault, Topic
 from hickoryplank.coordinator.restoring import read_newest
 from hickoryplank.coordinator.term import Term
@@ -38,6 +39,7 @@
     def __init__(self, term: Term):
         self._term = term
         self._listings_next = 0
+        self._listings = Dependency("endpoint list", term.outside.clock)
         self._listings_failed_at = term.outside.clock.now()
         self._missing: set[EndpointId] = set()
         self._looked_at: set[Endpoint] = set()
@@ -94,13 +96,14 @@
                 Topic.LISTINGS, self._listings_next, 0
             ):
                 case Ok(page):
+                    self._listings.answered()
                     self._listings_next = page.next
                     for record in page.records:
                         self._take_listing(engine, record)
                 case Err(CallFault(Fault.TRIMMED, _)):
                     await self.read_listings()
                 case Err(fault):
-                    logger.info("endpoints not listed", extra={"detail": fault.detail})
+                    self._listings.failed(fault.detail)
                     self._listings_failed_at = clock.now()
                     continue
             self._unlist_missing(engine)
--- a/hickoryplank/coordinator/watcher.py
+++ b/hickoryplank/coordinator/watcher.py
@@ -5,6 +5,7 @@
 import anyio
 from result import Err, Ok
 
+from hickoryplank.coordinator.dependency import Dependency
 from hickoryplank.coordinator.ports import (
     CallFault,
     Fault,
@@ -37,6 +38,7 @@
         self._clock = clock
         self._next: int | None = None
         self._fresh_at: float | None = None
+        self._source = Dependency("configuration", clock)
         self.directory: Directory | None = None
         self.waves: dict[WaveId, WaveOrder] = {}
         self.wave_seen_at: dict[WaveId, float] = {}
@@ -80,7 +82,7 @@
             case Err(CallFault(Fault.TRIMMED, _)):
                 return await self._read_newest()
             case Err(fault):
-                logger.info("configuration not read", extra={"detail": fault.detail})
+                self._source.failed(fault.detail)
                 return False
         return False
 
@@ -93,11 +95,12 @@
                 self._renew(sent_at)
                 return True
             case Err(fault):
-                logger.info("configuration not read", extra={"detail": fault.detail})
+                self._source.failed(fault.detail)
                 return False
         return False
 
     def _renew(self, sent_at: float) -> None:
+        self._source.answered()
         self._fresh_at = max(self._fresh_at or 0.0, sent_at)
 
     def _take(self, records: tuple[Record, ...]) -> None:
