Drop jobs that ended long ago from memory and store

Cause: ended jobs stayed for ever, so memory and the time of a take-over grew with the length of a deployment's life.

Done: 1.5 times the users' bound on questions for a state after its end (180 s) a job goes from memory, and its two records get tombstones; not while its end isn't stored, or a run of it may be there. Tests: before and after that time, over a take-over, and with the store away.

--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -44,6 +44,8 @@
 #: How long leases that a former coordinator granted may last, in seconds: it may
 #: renew without proof for five, and the clocks may be slow.
 INHERIT_SECONDS = 5.0 + LEASE_MS / 1000 * 1.05
+#: Times that the state of an ended job is known for as long as callers may ask.
+KEEP_TIMES = 1.5
 #: Age of the configuration from which an entry reports that it isn't ready, in
 #: seconds: two answers of its longest reads.
 READY_SECONDS = 2.5
@@ -93,6 +95,7 @@
                 LOOK_WAIT_MS,
                 INHERIT_SECONDS,
                 cfg.lease_max_ms,
+                cfg.status_s * KEEP_TIMES,
             ),
             vms=PlatformVms(self._client, cfg.vms, cfg.name),
             operator=operator,
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -27,6 +27,7 @@
     :param lease_max_ms: longest lease that endpoints grant.
     :param move_s: time that a VM's move takes.
     :param maintenance_s: time that a VM's maintenance takes.
+    :param status_s: how long callers may ask for the state of a job that has ended.
     :param orders_apart_ms: least time between orders for one VM by two holders.
     """
 
@@ -42,6 +43,7 @@
     move_s: float
     maintenance_s: float
     orders_apart_ms: int
+    status_s: float = 120.0
     cpu_share: float = 1.0
     core_speed: float = 1.0
     link_mbps: float = 1000.0
@@ -60,6 +62,7 @@
         "move_s",
         "maintenance_s",
         "orders_apart_ms",
+        "status_s",
     ),
     "log": ("log_level",),
 }
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -20,9 +20,14 @@
 from hickoryplank.jobs.model import Job
 from hickoryplank.jobs.pacing import pace
 from hickoryplank.jobs.placing import place
-from hickoryplank.jobs.records import Record, encode_job, encode_state
+from hickoryplank.jobs.records import (
+    Record,
+    encode_forgotten,
+    encode_job,
+    encode_state,
+)
 from hickoryplank.jobs.table import JobRow, JobState
-from hickoryplank.jobs.tables import Tables, Timing
+from hickoryplank.jobs.tables import Ended, Tables, Timing
 
 __all__ = ["Engine", "Timing"]
 
@@ -40,7 +45,9 @@
         for row in rows:
             self._see_pool(row.job)
             self.jobs[row.job.id] = row
-            if not row.state.final:
+            if row.state.final:
+                self.ended.append(Ended(row.job.id, self.born_at))
+            else:
                 self.open[row.job.id] = row
             for task in row.all_tasks():
                 if task.place is not None:
@@ -153,6 +160,7 @@
         """
         self._expire(now)
         self._drain(now)
+        self._forget(now)
         place(self, now, wall_ms)
         for endpoint in self.endpoints.values():
             if endpoint.held and endpoint.silent_since is None:
@@ -172,6 +180,17 @@
             if not endpoint.listed and not endpoint.runs:
                 del self.endpoints[endpoint.id]
 
+    def _forget(self, now: float) -> None:
+        """Drop jobs that ended long ago, from memory and from the store."""
+        while self.ended and now - self.ended[0].at > self.timing.keep_seconds:
+            row = self.jobs[self.ended.popleft().job]
+            settled = row.stored is row.state
+            if not settled or any(task.run for task in row.all_tasks()):
+                self.ended.append(Ended(row.job.id, now))
+                continue
+            del self.jobs[row.job.id]
+            self.forgotten.append(row.job.id)
+
     def _drain(self, now: float) -> None:
         """Move lasting tasks off endpoints that leave by themselves."""
         for endpoint in self.endpoints.values():
@@ -188,8 +207,11 @@
         new, self.new_jobs = self.new_jobs, []
         dirty, self.dirty = self.dirty, {}
         starts, self.starts = self.starts, []
+        forgotten, self.forgotten = self.forgotten, []
         records: list[Record] = [encode_job(row.job) for row in new]
         records += [encode_state(row) for row in dirty.values()]
+        for job in forgotten:
+            records += encode_forgotten(job)
         self.storing = [(row, row.state) for row in dirty.values()]
         ends = [
             StoredEnd(one.id, one.listing.born_ms, one.last_end)
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -15,6 +15,7 @@
     "decode_job",
     "decode_order",
     "decode_wave",
+    "encode_forgotten",
     "encode_job",
     "encode_order",
     "encode_state",
@@ -103,6 +104,11 @@
     return Record(_JOB_PREFIX + job.id, _encoder.encode(job))
 
 
+def encode_forgotten(job: JobId) -> list[Record]:
+    """Return the records that drop a job and its state from the store."""
+    return [Record(_JOB_PREFIX + job, b""), Record(_STATE_PREFIX + job, b"")]
+
+
 def decode_job(record: Record) -> Job | RecordFault:
     """Read a job as accepted."""
     try:
--- a/hickoryplank/jobs/tables.py
+++ b/hickoryplank/jobs/tables.py
@@ -1,5 +1,9 @@
 """Tables of the engine, and the changes that its systems make to them."""
 
+from collections import deque
+
+import msgspec
+
 from hickoryplank.core.ids import EndpointId, JobId, PoolId
 from hickoryplank.jobs.advice import AdviceTable, StepKey
 from hickoryplank.jobs.directory import Directory
@@ -8,7 +12,7 @@
 from hickoryplank.jobs.messages import Happening, Note, Pace
 from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task, TaskState
 
-__all__ = ["Tables", "Timing", "step_key"]
+__all__ = ["Ended", "Tables", "Timing", "step_key"]
 
 
 class Timing:
@@ -19,15 +23,29 @@
     :param wait_ms: how long an endpoint waits for an end before it answers a look.
     :param inherit_seconds: how long leases of a former coordinator may last.
     :param longest_ms: longest lease that an endpoint grants, whatever it is told.
+    :param keep_seconds: how long a job that has ended is known.
     """
 
     def __init__(
-        self, lease_ms: int, wait_ms: int, inherit_seconds: float, longest_ms: int
+        self,
+        lease_ms: int,
+        wait_ms: int,
+        inherit_seconds: float,
+        longest_ms: int,
+        keep_seconds: float,
     ):
         self.lease_ms = lease_ms
         self.wait_ms = wait_ms
         self.inherit_seconds = inherit_seconds
         self.longest_ms = longest_ms
+        self.keep_seconds = keep_seconds
+
+
+class Ended(msgspec.Struct, frozen=True):
+    """A job that has ended, and when."""
+
+    job: JobId
+    at: float
 
 
 class Tables:
@@ -54,6 +72,9 @@
         self.paces: list[Pace] = []
         self.advice = AdviceTable()
         self.new_jobs: list[JobRow] = []
+        #: Jobs that have ended, oldest first, and when they did.
+        self.ended: deque[Ended] = deque()
+        self.forgotten: list[JobId] = []
         self.dirty: dict[JobId, JobRow] = {}
         self.starts: list[Run] = []
         self.stop_due: dict[Run, float] = {}
@@ -77,6 +98,7 @@
             Note(Happening.JOB_ENDED, row.job.id, None, 0, None, state.value)
         )
         self.open.pop(row.job.id, None)
+        self.ended.append(Ended(row.job.id, now))
         self.advice.forget(row.job.id)
         self.touch(row)
         for task in row.all_tasks():
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -107,7 +107,7 @@
             endpoints=platform.endpoints,
             listings=platform.listings,
             clock=clock,
-            timing=Timing(4000, 100, 9.2, 10_000),
+            timing=Timing(4000, 100, 9.2, 10_000, 180.0),
             vms=platform.vms,
             operator=platform.operator,
             fleet=FleetBounds(0.1, 0.1, 0.2),
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -24,6 +24,7 @@
 TASK = Size(1000, 1000, 0)
 LEASE_MS = 4000
 LONGEST_MS = 10_000
+KEEP_SECONDS = 180.0
 INHERIT_SECONDS = 9.0
 
 
@@ -75,7 +76,7 @@
         self.engine = self._fresh_engine()
 
     def _fresh_engine(self) -> Engine:
-        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS, LONGEST_MS)
+        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS, LONGEST_MS, KEEP_SECONDS)
         engine = Engine(self.cfg, timing, self.now)
         for id, one in self.endpoints.items():
             engine.list_endpoint(listing(id, one.born_ms), self.now)
@@ -85,7 +86,7 @@
         """Begin another coordinator's term, from what is stored."""
         self.token += 1
         self.tries.clear()
-        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS, LONGEST_MS)
+        timing = Timing(LEASE_MS, 600, INHERIT_SECONDS, LONGEST_MS, KEEP_SECONDS)
         self.engine = Engine(self.cfg, timing, self.now)
         rows: dict[str, JobRow] = {}
         for record in self.records():
@@ -133,7 +134,10 @@
         """Store a batch, and send its starts."""
         batch = self.engine.take_batch()
         for record in batch.records:
-            self.store[record.key] = record.value
+            if record.value:
+                self.store[record.key] = record.value
+            else:
+                del self.store[record.key]
         for run in self.engine.stored(batch, self.now):
             self._send(run)
 
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -7,7 +7,7 @@
 from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
-from tests.jobs.driver import TASK, Driver, directory, job, listing
+from tests.jobs.driver import KEEP_SECONDS, TASK, Driver, directory, job, listing
 
 E0 = EndpointId("e0")
 E1 = EndpointId("e1")
@@ -457,3 +457,36 @@
     for _ in range(5):
         driver.step()
     assert not any(one.started for one in driver.endpoints.values())
+
+
+@pytest.mark.parametrize("take_over", [False, True])
+def test_a_job_that_ended_long_ago_is_dropped_from_memory_and_store(take_over):
+    driver = Driver()
+    driver.engine.submit(job("a", Step(2, TASK)), driver.now)
+    driver.engine.submit(job("b", Step(1, TASK, lasting=True)), driver.now)
+    driver.work_ms = lambda key: None
+    run_until(driver, lambda: state(driver, "a") is JobState.COMPLETED)
+    driver.step()
+    if take_over:
+        driver.take_over()
+    driver.step(int(KEEP_SECONDS * 1000) - 500)
+    assert state(driver, "a") is JobState.COMPLETED
+    driver.step(1000)
+    driver.step()
+    assert JobId("a") not in driver.engine.jobs
+    assert {key.partition(":")[2] for key in driver.store} == {"b"}
+
+
+def test_an_ended_job_is_kept_while_its_end_is_not_stored():
+    driver = Driver(work_ms=lambda key: None)
+    row = driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.step()
+    driver.step()
+    driver.engine.cancel(row, driver.now)
+    for _ in range(5):
+        driver.step(int(KEEP_SECONDS * 1000), store_up=False)
+    assert JobId("a") in driver.engine.jobs
+    for _ in range(5):
+        driver.step(int(KEEP_SECONDS * 1000))
+    assert JobId("a") not in driver.engine.jobs
+    assert driver.store == {}
