Hand the lease over once in a rolling restart, and faster on a slow store

Done, one after the other: a release is repeated for 1.2 s; configuration and list of endpoints are read beside the jobs; an entry learns from reads that found nothing how slow the store is; of several entries the youngest takes a free lease, as it has had its turn in a rolling restart. 'term ended' names its cause.

--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -73,8 +73,9 @@
                     self._caretaker.run, term.running(), term.journal, term.token
                 )
         except* Deposed as group:
-            detail = str(group.exceptions[0])
-            logger.warning("term ended", extra={"number": term.token, "detail": detail})
+            logger.warning(
+                "term ended", extra={"number": term.token, "detail": _reason(group)}
+            )
         finally:
             term.engine = None
 
@@ -90,11 +91,15 @@
 
     async def _restore(self) -> None:
         begun = self._term.outside.clock.now()
-        await self._term.journal.open()
-        rows = await read_jobs(
-            self._term.outside.store, self._caretaker, self._term.outside.clock
-        )
-        await self._term.watcher.refresh()
+        # Only the jobs must be read after the epoch was raised; on a slow store each
+        # call takes a third of a second.
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._term.watcher.refresh)
+            tasks.start_soon(self._looks.read_ahead)
+            await self._term.journal.open()
+            rows = await read_jobs(
+                self._term.outside.store, self._caretaker, self._term.outside.clock
+            )
         directory = self._term.watcher.directory
         while directory is None:
             await self._term.watcher.changed.wait()
@@ -160,3 +165,10 @@
                 engine.directory = directory
                 self._term.wake()
             await changed.wait()
+
+
+def _reason(exc: BaseException) -> str:
+    """Return what the first of a group of errors says."""
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return str(exc)
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -36,8 +36,14 @@
 READ_WAIT_MS = 300
 #: Wait after a failed call, in seconds.
 RETRY_SECONDS = 0.1
-#: Spread of the first tries of several candidates, in seconds: a few appends.
-SPREAD_SECONDS = 0.05
+#: Spread of the first tries of several candidates, in seconds: two appends.
+SPREAD_SECONDS = 0.02
+#: How much longer old entries leave a free lease to young ones, in seconds: some
+#: appends. In a rolling restart the young ones have had their turn.
+OLD_WAIT_SECONDS = 0.08
+#: Age at which an entry waits for half of that, in seconds: a few turns of a rolling
+#: restart.
+HALF_OLD_SECONDS = 10.0
 #: How long the weakest VM leaves a free lease to stronger ones, in seconds: the time
 #: of a read of the lease, and of an append by a stronger one.
 WEAK_WAIT_SECONDS = 0.45
@@ -47,6 +53,9 @@
 #: has piled up before it.
 WEAK_TERM_SECONDS = 2.0
 
+#: How long a release is tried, in seconds: others take the lease by themselves not
+#: much later.
+RELEASE_SECONDS = 1.2
 #: Time in which a new holder, or a new entry, comes to know all that it needs, in
 #: seconds: three times what a restoring takes on a calm store.
 SETTLE_SECONDS = 1.0
@@ -92,15 +101,22 @@
 class LeaseKeeper:
     """Follows the lease, takes it when its holder is gone, and renews it."""
 
-    def __init__(self, store: StorePort, me: Holder, clock: Clock):
+    def __init__(
+        self,
+        store: StorePort,
+        me: Holder,
+        clock: Clock,
+        started_at: float | None = None,
+    ):
         self._store = store
+        self._started_at = clock.now() if started_at is None else started_at
         self._me = me
         self._clock = clock
         self._end: int | None = None
         self._seen_at = clock.now()
         self._renewed_at = 0.0
-        self._patience = secrets.randbelow(1000) / 1000 * SPREAD_SECONDS
-        self._patience += (1.0 - me.strength) * WEAK_WAIT_SECONDS
+        self._spread = secrets.randbelow(1000) / 1000 * SPREAD_SECONDS
+        self._weak_wait = (1.0 - me.strength) * WEAK_WAIT_SECONDS
         self._holder_since = clock.now()
         self._suspected = False
         self._lost = False
@@ -179,9 +195,11 @@
 
     async def release(self) -> None:
         """Give the lease up, so that another entry takes it at once."""
+        limit = self._clock.now() + RELEASE_SECONDS
         async with self._writing:
-            if self.held:
-                await self._write(self._record(self.number, released=True))
+            while self.held and self._clock.now() < limit:
+                if not await self._write(self._record(self.number, released=True)):
+                    await anyio.sleep(RETRY_SECONDS)
 
     def _record(self, number: int, *, released: bool = False) -> LeaseRecord:
         me = self._me
@@ -223,10 +241,12 @@
                 await anyio.sleep(RETRY_SECONDS)
 
     async def _left_to_stronger(self) -> bool:
-        """Wait, by strength, for another entry; return whether none took the lease."""
+        """Wait, by strength and age; return whether no other has taken the lease."""
         assert self._end is not None
-        await anyio.sleep(self._patience)
-        if self._patience <= SPREAD_SECONDS:
+        age = self._clock.now() - self._started_at
+        old_wait = OLD_WAIT_SECONDS * age / (age + HALF_OLD_SECONDS)
+        await anyio.sleep(self._spread + old_wait + self._weak_wait)
+        if not self._weak_wait:
             return True
         match await self._store.read(Topic.LEASE, self._end, 0):
             case Ok(page) if page.records:
--- a/hickoryplank/coordinator/looks.py
+++ b/hickoryplank/coordinator/looks.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from hickoryplank.coordinator.dependency import Dependency
-from hickoryplank.coordinator.ports import CallFault, Fault, Topic
+from hickoryplank.coordinator.ports import CallFault, Fault, Newest, Topic
 from hickoryplank.coordinator.restoring import read_newest
 from hickoryplank.coordinator.term import Term
 from hickoryplank.core.ids import EndpointId
@@ -39,6 +39,7 @@
     def __init__(self, term: Term):
         self._term = term
         self._listings_next = 0
+        self._ahead: Newest | None = None
         self._listings = Dependency("endpoint list", term.outside.clock)
         self._listings_failed_at = term.outside.clock.now()
         self._missing: set[EndpointId] = set()
@@ -110,10 +111,16 @@
             engine.forget_places(clock.now())
             self._follow_endpoints(engine)
 
+    async def read_ahead(self) -> None:
+        """Read the list before the engine is there that takes it."""
+        self._ahead = await read_newest(self._term.outside.store, Topic.LISTINGS)
+
     async def read_listings(self) -> None:
         """Read the whole list anew."""
         engine = self._term.running()
-        newest = await read_newest(self._term.outside.store, Topic.LISTINGS)
+        newest, self._ahead = self._ahead, None
+        if newest is None:
+            newest = await read_newest(self._term.outside.store, Topic.LISTINGS)
         self._listings_next = newest.end
         records = newest.records
         named = {EndpointId(record.key) for record in records if record.value}
--- a/hickoryplank/platform/store.py
+++ b/hickoryplank/platform/store.py
@@ -38,7 +38,8 @@
 WRITE_SECONDS = 0.75
 #: Shortest time after which a write counts as lost, in seconds.
 LEAST_WRITE_SECONDS = 0.2
-#: A write counts as lost after this many times the usual time of late.
+#: A write counts as lost after this many times the usual time of late, of writes and
+#: of reads that found nothing.
 USUAL_TIMES = 4.0
 #: Weight of the newest answer in the usual time.
 USUAL_GAIN = 0.2
@@ -117,8 +118,8 @@
         wanted = USUAL_TIMES * self._usual_s
         return min(WRITE_SECONDS, max(LEAST_WRITE_SECONDS, wanted))
 
-    def _note_write(self, spent_s: float) -> None:
-        self._usual_s += USUAL_GAIN * (spent_s - self._usual_s)
+    def _note_time(self, spent_s: float) -> None:
+        self._usual_s += USUAL_GAIN * (max(0.0, spent_s) - self._usual_s)
 
     async def append(
         self, topic: Topic, records: list[Record], guard: Condition | Fence | None
@@ -139,7 +140,7 @@
             headers={"Content-Type": "application/octet-stream"},
             timeout_s=self._write_timeout(),
         )
-        self._note_write(time.monotonic() - begun)
+        self._note_time(time.monotonic() - begun)
         match answer:
             case Ok(Reply(200, body)):
                 found = _offsets.decode(body)
@@ -156,6 +157,7 @@
         query = {"topic": _TOPICS[topic], "part": 0, "from": offset}
         if wait_ms:
             query["wait_ms"] = wait_ms
+        begun = time.monotonic()
         answer = await self._client.call(
             "GET",
             self._address,
@@ -169,6 +171,9 @@
                     records = tuple(_unframe(body, _HEAD.size))
                 except (struct.error, IndexError) as exc:
                     return Err(CallFault(Fault.UNREADABLE, str(exc)))
+                if not records:
+                    # It waited for the whole time; the rest is the store's own.
+                    self._note_time(time.monotonic() - begun - wait_ms / 1000)
                 return Ok(Page(records, offset + len(records), end))
             case Ok(reply):
                 return Err(_fault(reply))
--- a/tests/coordinator/test_lease.py
+++ b/tests/coordinator/test_lease.py
@@ -9,6 +9,7 @@
 
 from hickoryplank.coordinator.lease import (
     RENEW_SECONDS,
+    RETRY_SECONDS,
     TAKEOVER_SECONDS,
     VALID_SECONDS,
     WEAK_TERM_SECONDS,
@@ -32,10 +33,13 @@
 class Entry:
     """A lease keeper with its own view of the store."""
 
-    def __init__(self, store: MemoryStore, name: str, strength: float = 1.0):
+    def __init__(
+        self, store: MemoryStore, name: str, strength: float = 1.0, age_s: float = 0.0
+    ):
         self.store = SeenStore(store)
         holder = Holder.fresh(name, f"{name}:7000", strength)
-        self.lease = LeaseKeeper(self.store, holder, MonotonicClock())
+        clock = MonotonicClock()
+        self.lease = LeaseKeeper(self.store, holder, clock, clock.now() - age_s)
 
 
 @asynccontextmanager
@@ -213,3 +217,43 @@
             assert b.lease.settling()
             b.store.away = True
             await until(lambda: not b.lease.settling())
+
+
+@pytest.mark.parametrize("fault", ["away", "lost"])
+async def test_a_release_is_repeated_until_it_is_stored(fault):
+    store = MemoryStore()
+    a = Entry(store, "a")
+    async with running(a):
+        await until(a.lease.valid)
+        tries = 0
+
+        def lose() -> bool:
+            nonlocal tries
+            tries += 1
+            return tries <= 2
+
+        if fault == "lost":
+            a.store.lose = lose
+        else:
+            a.store.away = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(a.lease.stop)
+            await anyio.sleep(RETRY_SECONDS * 2.5)
+            a.store.away = False
+        newest = (await store.newest(Topic.LEASE)).unwrap().records[-1]
+        assert msgspec.msgpack.decode(newest.value, type=LeaseRecord).released
+        assert not a.lease.held
+
+
+@pytest.mark.parametrize("ages_s", [(30.0, 0.0), (300.0, 10.0)])
+async def test_a_released_lease_goes_to_the_youngest(ages_s):
+    store = MemoryStore()
+    holder = Entry(store, "holder")
+    old, young = (Entry(store, f"{age}", age_s=age) for age in ages_s)
+    async with running(holder):
+        await until(holder.lease.valid)
+        async with running(old, young):
+            await until(lambda: old.lease.number == young.lease.number == 1)
+            await holder.lease.stop()
+            await until(lambda: holders(old, young) != [])
+            assert holders(old, young) == [young]
