End within the grace, also with an open call and a silent store

Found while reading the change: the time that a stopping entry waits for open calls was counted from the end of its release, which is repeated now. The test showed more: on closing, the HTTP library waits a minute for what is open, so an entry with a call whose body never comes stayed until it was killed.

After: it ends in time.

--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -219,7 +219,7 @@
                 await anyio.sleep(RETRY_SECONDS)
             return
         if self._free() and not self.stopping:
-            if await self._left_to_stronger():
+            if await self._wait_for_its_turn():
                 await self._take()
             return
         if self._outranks() and not self.stopping:
@@ -240,7 +240,7 @@
                 self._source.failed(fault.detail)
                 await anyio.sleep(RETRY_SECONDS)
 
-    async def _left_to_stronger(self) -> bool:
+    async def _wait_for_its_turn(self) -> bool:
         """Wait, by strength and age; return whether no other has taken the lease."""
         assert self._end is not None
         age = self._clock.now() - self._started_at
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -61,8 +61,12 @@
 #: Wait after the start before the meter's library is loaded, in seconds: a hand-over
 #: after a restart of all entries takes less.
 METRICS_AFTER_SECONDS = 4.0
-#: Part of the grace after which the process ends whatever is open.
-GRACE_PART = 0.9
+#: Part of the grace after which the process ends whatever is open; the rest is for
+#: closing its listeners, and for a processor that others use.
+GRACE_PART = 0.8
+#: Wait for what is open on a listener when it closes, in seconds; those of callers
+#: were waited for before.
+CLOSE_SECONDS = 0.1
 
 
 class Entry:
@@ -151,12 +155,12 @@
 
     async def _stop(self) -> None:
         logger.info("stopping")
+        begun = self._clock.now()
+        limit = self._cfg.grace_s * GRACE_PART
         self._ingress.closing = True
         if self._gateway.term is not None:
             await self._gateway.term.finish()
         await self._lease.stop()
-        begun = self._clock.now()
-        limit = self._cfg.grace_s * GRACE_PART
         await anyio.sleep(min(STOP_SECONDS, limit))
         while self._ingress.open_requests and self._clock.now() - begun < limit:
             await anyio.sleep(0.05)
@@ -213,7 +217,9 @@
 
 async def _serve(sock: socket.socket, handler) -> web.ServerRunner:
     runner = web.ServerRunner(
-        web.Server(handler, access_log=None), handle_signals=False
+        web.Server(handler, access_log=None),
+        handle_signals=False,
+        shutdown_timeout=CLOSE_SECONDS,
     )
     await runner.setup()
     await web.SockSite(runner, sock, backlog=BACKLOG).start()
--- /dev/null
+++ b/tests/test_entry_stop.py
@@ -0,0 +1,44 @@
+"""An entry that is told to stop ends by itself within its grace."""
+
+import asyncio
+import signal
+import socket
+import time
+
+from hickoryplank.coordinator.ports import Topic
+from tests.soak.deployment import GRACE_SECONDS, Deployment
+
+READY_SECONDS = 15.0
+#: A call whose body never comes.
+UNFINISHED = (
+    b"POST /norte/00000000000000aa HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+)
+
+
+async def _stop_with_a_silent_store(root) -> float:
+    deployment = Deployment(root, seed=1, code=".")
+    try:
+        await deployment.start()
+        until = time.monotonic() + READY_SECONDS
+        while deployment.store.partition(Topic.JOBS).epoch <= 0:
+            assert time.monotonic() < until
+            await asyncio.sleep(0.05)
+        entry = deployment.holder()
+        host, port = entry.callers.split(":")
+        with socket.create_connection((host, int(port))) as conn:
+            conn.sendall(UNFINISHED)
+            await asyncio.sleep(0.3)
+            entry.store.freeze()
+            begun = time.monotonic()
+            entry.signal(signal.SIGTERM)
+            while entry.process.poll() is None:
+                assert time.monotonic() - begun < 2 * GRACE_SECONDS
+                await asyncio.sleep(0.02)
+            assert entry.process.returncode == 0
+            return time.monotonic() - begun
+    finally:
+        await deployment.close()
+
+
+def test_open_calls_and_a_silent_store_do_not_outlast_the_grace(tmp_path):
+    assert asyncio.run(_stop_with_a_silent_store(tmp_path)) < GRACE_SECONDS
