Acknowledge an end once

An endpoint that had started anew under its id forgot its own ends up to that number, which nobody had seen, and the task was run again.

Done: once a look that acknowledges ends was answered, later ones acknowledge nothing until more ends are stored. The stand-in drops a look that was waiting when its endpoint's process ended, as a process does.

Before: the new case without processes failed.

--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -134,6 +134,9 @@
         self.has_strays = False
         self.last_end = 0
         self.stored_end = 0
+        #: The last end that a look has acknowledged, and one that was answered has.
+        self.sent_end = 0
+        self.acknowledged_end = 0
         self.failed_jobs: set[JobId] = set()
         self.distrusted_until = 0.0
         #: When the pace of what fills was last changed.
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -38,10 +38,14 @@
     if renew and endpoint.silent_since is None and endpoint.held:
         until = endpoint.clock(now) + tables.timing.lease_ms
         endpoint.grant(until)
+    # What was acknowledged once isn't again: an endpoint's next life numbers its ends
+    # anew, and would forget some that nobody has seen.
+    new_ends = endpoint.stored_end > endpoint.acknowledged_end
+    endpoint.sent_end = endpoint.stored_end if new_ends else 0
     unstored = endpoint.last_end > endpoint.stored_end
     wait = 0 if unstored or not endpoint.held else tables.timing.wait_ms
     return HoldOrder(
-        endpoint.id, endpoint.listing.address, endpoint.stored_end, until, wait
+        endpoint.id, endpoint.listing.address, endpoint.sent_end, until, wait
     )
 
 
@@ -59,6 +63,7 @@
         _other_life(tables, endpoint, report, now)
         return
     endpoint.heard(report.clock_ms, now)
+    endpoint.acknowledged_end = max(endpoint.acknowledged_end, endpoint.sent_end)
     if not endpoint.held:
         endpoint.held = True
         _begin_leases(tables, endpoint, report.clock_ms)
--- a/tests/jobs/test_lives.py
+++ b/tests/jobs/test_lives.py
@@ -116,3 +116,21 @@
     driver.take_over()
     assert most_at_once(driver, 20) == (0 if ended else 1)
     assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+
+
+def test_a_look_does_not_make_the_next_life_forget_an_end_that_nobody_has_seen():
+    driver = Driver(count=1)
+    driver.engine.submit(job("b", Step(2, TASK)), driver.now)
+    for _ in range(10):
+        driver.step()
+    assert driver.endpoints[E0].acknowledged == 2
+    begin_unseen(driver, E0)
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.commit()
+    (going,) = driver.endpoints[E0].running.values()
+    driver.endpoints[E0]._end(going, EndKind.DONE)
+    for _ in range(10):
+        driver.step()
+    assert [key for key, _ in driver.endpoints[E0].started] == [KEY]
+    assert driver.engine.jobs[JobId("a")].state.value == "completed"
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -177,12 +177,17 @@
     async def _handle_endpoint(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/api/hold":
             order = json.loads(await request.read())
-            await self._until_end(request, order.get("wait_ms", 0) / 1000)
+            id = EndpointId(request.headers["Hickoryplank-Expect-Instance"])
+            life = self.endpoints.endpoints.get(id)
+            await self._until_end(id, order.get("wait_ms", 0) / 1000)
+            if self.endpoints.endpoints.get(id) is not life and request.transport:
+                # The process that the call had reached has ended.
+                request.transport.abort()
+                return web.Response(status=503)
         return await self.platform.handle_endpoint(request)
 
-    async def _until_end(self, request: web.BaseRequest, wait_s: float) -> None:
+    async def _until_end(self, id: EndpointId, wait_s: float) -> None:
         """Wait for an end, as a look may."""
-        id = EndpointId(request.headers["Hickoryplank-Expect-Instance"])
         until = time.monotonic() + wait_s
         while time.monotonic() < until:
             one = self.endpoints.endpoints.get(id)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,7 +21,8 @@
         (20, SHORT_SECONDS),
         (21, SHORT_SECONDS),
         # An endpoint's next life had taken a start that was meant for the last one,
-        # and the task was started elsewhere too.
+        # and the task was started elsewhere too. Later a look's acknowledgement for
+        # the last life made the next one forget an end.
         (1007, 10.0),
     ],
 )
