Stop what lasts only where an endpoint says that it leaves

Ruled out: waves and moves; their stops go by may_miss.

Done: an endpoint that is missing from the list gets nothing new, but what lasts there goes on while it answers. The new case failed before, for an endpoint that is missing; for one that says that it leaves it passed and passes.

--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -192,9 +192,13 @@
             self.forgotten.append(row.job.id)
 
     def _drain(self, now: float) -> None:
-        """Move lasting tasks off endpoints that leave by themselves."""
+        """Move lasting tasks off endpoints that say that they leave.
+
+        One that is only missing from the list may be back soon; it gets nothing new,
+        and what runs there goes on as long as it answers.
+        """
         for endpoint in self.endpoints.values():
-            if not endpoint.draining or endpoint.silent_since is not None:
+            if not endpoint.listing.draining or endpoint.silent_since is not None:
                 continue
             for run in list(endpoint.runs.values()):
                 if run.step.lasting and run.state is RunState.STARTED:
--- a/tests/jobs/test_lives.py
+++ b/tests/jobs/test_lives.py
@@ -134,3 +134,23 @@
         driver.step()
     assert [key for key, _ in driver.endpoints[E0].started] == [KEY]
     assert driver.engine.jobs[JobId("a")].state.value == "completed"
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_what_lasts_is_stopped_only_where_an_endpoint_says_that_it_leaves(draining):
+    driver = Driver(work_ms=lambda key: None)
+    step = Step(2, TASK, lasting=True, may_miss=1)
+    driver.engine.submit(job("a", step), driver.now)
+    driver.step()
+    driver.step()
+    (at,) = [id for id, one in driver.endpoints.items() if one.running]
+    if draining:
+        driver.engine.list_endpoint(listing(at, 1, draining=True), driver.now)
+    else:
+        driver.engine.unlist_endpoint(at)
+    for _ in range(10):
+        driver.step()
+    assert len(driver.endpoints[at].running) == (0 if draining else 2)
+    driver.engine.submit(job("b", Step(1, TASK)), driver.now)
+    driver.step()
+    assert all(key.job == "a" for key, _ in driver.endpoints[at].started)
