Draw VMs for the work that arrives, before it waits

Cause: a turn of a queue begins within a moment, and a VM takes 1.5 s to come.

Now a pool wants at least what the jobs of the last 0.8 s take at a time if as many keep coming; the largest of them is left out, as a single job tells no rate. A pool keeps what it has until it has had work for 1.6 s.

The rest of a turn's first two seconds is the time that a VM takes to come.

--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -43,7 +43,7 @@
     def restore(self, rows: Iterable[JobRow]) -> None:
         """Take over the jobs that the store has, before any endpoint is known."""
         for row in rows:
-            self._see_pool(row.job)
+            self._see_pool(row.job, self.born_at)
             self.jobs[row.job.id] = row
             if row.state.final:
                 self.ended.append(Ended(row.job.id, self.born_at))
@@ -59,16 +59,18 @@
         known = self.jobs.get(job.id)
         if known is not None:
             return known
-        self._see_pool(job)
+        self._see_pool(job, now)
         within = self.rates.take(job.team, self.directory, now)
         row = JobRow(job, now, excess=not within)
+        if within and not job.lasting and not job.repeats:
+            self.arrivals.note(job, now)
         self.jobs[job.id] = self.open[job.id] = row
         self.new_jobs.append(row)
         return row
 
-    def _see_pool(self, job: Job) -> None:
+    def _see_pool(self, job: Job, now: float) -> None:
         if not job.lasting:
-            self.seen_pools.add(job.pool)
+            self.seen_pools.setdefault(job.pool, now)
 
     def cancel(self, row: JobRow, now: float) -> None:
         """End a job; its runs are stopped."""
--- a/hickoryplank/jobs/ordering.py
+++ b/hickoryplank/jobs/ordering.py
@@ -11,7 +11,7 @@
 from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.table import JobRow
 
-__all__ = ["chain_ms", "in_order", "objective_s", "worth_serving"]
+__all__ = ["chain_ms", "in_order", "objective_s", "task_ms", "worth_serving"]
 
 #: Run time that is assumed of a task without an estimate, in milliseconds; about
 #: the mean of the users' kinds of request.
@@ -23,7 +23,8 @@
 LEAST_LATE_SECONDS = 10.0
 
 
-def _step_ms(step: Step) -> int:
+def task_ms(step: Step) -> int:
+    """Return the estimated run time of one of a step's tasks."""
     return step.estimate_ms or DEFAULT_TASK_MS
 
 
@@ -32,7 +33,7 @@
     ends: list[int] = []
     for number, step in enumerate(job.steps):
         begin = max((ends[one] for one in step.after), default=0)
-        ends.append(begin + (0 if number in done else _step_ms(step)))
+        ends.append(begin + (0 if number in done else task_ms(step)))
     return max(ends, default=0)
 
 
--- a/hickoryplank/jobs/sizes.py
+++ b/hickoryplank/jobs/sizes.py
@@ -33,6 +33,14 @@
         """Return ``count`` times the amount."""
         return Size(self.cpu * count, self.mem_mb * count, self.gpu * count)
 
+    def most(self, other: "Size") -> "Size":
+        """Return the larger amount of each resource."""
+        return Size(
+            max(self.cpu, other.cpu),
+            max(self.mem_mb, other.mem_mb),
+            max(self.gpu, other.gpu),
+        )
+
     def fits(self, room: "Size") -> bool:
         """Return whether ``room`` holds this much of each resource."""
         return (
--- a/hickoryplank/jobs/standby.py
+++ b/hickoryplank/jobs/standby.py
@@ -3,7 +3,8 @@
 Load that this answers: queues ask several times their mean by turns, more than
 their pools hold, and nearly nothing in between. A pool that lacks room gets VMs
 from the standby pool, and from pools that have had room to spare for a while;
-what nobody needs goes to standby, where it costs nothing.
+what nobody needs goes to standby, where it costs nothing. A VM takes some seconds
+to come, so a pool wants VMs for the work that arrives a second, before it waits.
 """
 
 from collections import deque
@@ -13,7 +14,7 @@
 from hickoryplank.core.ids import PoolId
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.ordering import worth_serving
-from hickoryplank.jobs.sizes import Size
+from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.vms import Errand, Phase, VmRow, VmTable
 
 __all__ = ["Demand", "balance"]
@@ -65,7 +66,8 @@
     :param recent: what it has wanted at most of late; beyond that it gives VMs to
         pools that want them.
     :param keeps: beyond that it sends VMs to standby. A pool that has had no work
-        yet, other than what lasts, keeps all: nothing tells what it will want.
+        for long enough yet, other than what lasts, keeps all: nothing tells what it
+        will want.
     """
 
     pool: PoolId
@@ -77,7 +79,11 @@
 
 
 def balance(
-    engine: Engine, vms: VmTable, demand: Demand, now: float, standby: PoolId
+    engine: Engine,
+    vms: VmTable,
+    demand: Demand,
+    now: float,
+    standby: PoolId,
 ) -> list[Errand]:
     """Begin the moves that demand asks for; take back those it no longer does."""
     needs = _needs(engine, vms, demand, now, standby)
@@ -119,6 +125,7 @@
     engine: Engine, vms: VmTable, demand: Demand, now: float, standby: PoolId
 ) -> list[_PoolNeed]:
     wanted = _wanted_sizes(engine, now)
+    lasting = _lasting_sizes(engine)
     needs = []
     for pool in engine.directory.pools:
         rows = [row for row in vms.rows.values() if _in_pool(row, pool)]
@@ -138,13 +145,18 @@
             and row.errand.pool is not None
             and row.errand.pool != pool
         )
-        count = max(LEAST_VMS, _vms_for(wanted.get(pool, Size()), rows, vms))
+        offered = engine.arrivals.offered(pool, now)
+        offered = offered.plus(lasting.get(pool, ZERO))
+        size = wanted.get(pool, ZERO).most(offered)
+        count = max(LEAST_VMS, _vms_for(size, rows, vms))
         have = len(rows) - leaving + coming
         if pool in engine.short_pools and not coming:
             count = max(count, have + 1)
         demand.note(pool, count, now)
         recent = demand.most(pool)
-        keeps = recent if pool in engine.seen_pools else have
+        seen_at = engine.seen_pools.get(pool)
+        known = seen_at is not None and now - seen_at > IDLE_SECONDS
+        keeps = recent if known else have
         needs.append(_PoolNeed(pool, have, count, recent, keeps, rows))
     return needs
 
@@ -170,6 +182,17 @@
     return wanted
 
 
+def _lasting_sizes(engine: Engine) -> dict[PoolId, Size]:
+    """Return what runs until it is cancelled, by pool."""
+    sizes: dict[PoolId, Size] = {}
+    for endpoint in engine.endpoints.values():
+        pool = endpoint.listing.pool
+        for run in endpoint.runs.values():
+            if run.step.lasting:
+                sizes[pool] = sizes.get(pool, ZERO).plus(run.counted)
+    return sizes
+
+
 def _vms_for(size: Size, rows: list[VmRow], vms: VmTable) -> int:
     """Return how many VMs of the pool's usual capacity hold ``size``."""
     some = rows or list(vms.rows.values())
--- a/hickoryplank/jobs/tables.py
+++ b/hickoryplank/jobs/tables.py
@@ -6,6 +6,7 @@
 
 from hickoryplank.core.ids import EndpointId, JobId, PoolId
 from hickoryplank.jobs.advice import AdviceTable, StepKey
+from hickoryplank.jobs.arrivals import Arrivals
 from hickoryplank.jobs.directory import Directory
 from hickoryplank.jobs.endpoints import Endpoint, Run, RunState
 from hickoryplank.jobs.limits import TeamRates, TeamUse
@@ -63,8 +64,9 @@
         self.endpoints: dict[EndpointId, Endpoint] = {}
         self.use = TeamUse()
         self.rates = TeamRates()
-        #: Pools that have had jobs which end.
-        self.seen_pools: set[PoolId] = set()
+        #: Pools that have had jobs which end, and since when.
+        self.seen_pools: dict[PoolId, float] = {}
+        self.arrivals = Arrivals()
         #: Pools in which a VM can't be emptied for want of room elsewhere.
         self.short_pools: set[PoolId] = set()
         self.stops: list[Run] = []
--- /dev/null
+++ b/tests/jobs/test_arrivals.py
@@ -0,0 +1,48 @@
+"""Work that callers hand in, a second."""
+
+import msgspec
+import pytest
+
+from hickoryplank.core.ids import PoolId
+from hickoryplank.jobs.arrivals import WINDOW_SECONDS, Arrivals
+from hickoryplank.jobs.model import Step
+from hickoryplank.jobs.sizes import ZERO, Size
+from tests.jobs.driver import POOL, TASK, job
+
+CASES = [
+    # (tasks, their run time, times of arrival, time asked, cores that are taken)
+    (1, 800, [0.0], 0.0, 0.0),
+    (1, 800, [0.0, 0.1], 0.1, 1.0),
+    (4, 800, [0.0, 0.1], 0.1, 4.0),
+    (1, 1600, [0.0, 0.4, 0.5], 0.5, 4.0),
+    (1, 800, [0.0, 0.4, 0.5], WINDOW_SECONDS + 0.1, 1.0),
+    (1, 800, [0.0, 0.4, 0.5], 3 * WINDOW_SECONDS, 0.0),
+]
+
+
+@pytest.mark.parametrize("count, run_ms, arrivals, asked_at, cores", CASES)
+def test_what_arrives_is_reckoned_as_what_runs_at_a_time(
+    count, run_ms, arrivals, asked_at, cores
+):
+    table = Arrivals()
+    for number, at in enumerate(arrivals):
+        step = Step(count, TASK, estimate_ms=run_ms)
+        table.note(job(str(number), step), at)
+    whole = Size(int(1000 * cores), int(1000 * cores))
+    assert table.offered(POOL, asked_at) == whole
+
+
+def test_each_pool_has_its_own():
+    table = Arrivals()
+    other = msgspec.structs.replace(job("a", Step(1, TASK)), pool=PoolId("b"))
+    for _ in range(3):
+        table.note(other, 0.0)
+    assert table.offered(POOL, 0.0) == ZERO
+    assert table.offered(other.pool, 0.0) != ZERO
+
+
+def test_a_large_job_among_small_ones_tells_nothing_of_the_rate():
+    table = Arrivals()
+    table.note(job("a", Step(50, TASK, estimate_ms=4000)), 0.0)
+    table.note(job("b", Step(1, TASK, estimate_ms=800)), 0.0)
+    assert table.offered(POOL, 0.0) == Size(1000, 1000)
--- a/tests/jobs/test_fleet.py
+++ b/tests/jobs/test_fleet.py
@@ -16,12 +16,13 @@
 STANDBY = PoolId("standby")
 
 
-def with_standby() -> Directory:
+def with_standby(weight: float = 1.0) -> Directory:
     cfg = directory()
     pools = [*cfg.pools.values(), Pool(STANDBY, standby=True)]
-    return Directory.build(
-        1, list(cfg.queues.values()), pools, list(cfg.teams.values())
-    )
+    teams = [
+        msgspec.structs.replace(team, weight=weight) for team in cfg.teams.values()
+    ]
+    return Directory.build(1, list(cfg.queues.values()), pools, teams)
 
 
 def views(driver: Driver, spare: int = 4) -> tuple[VmView, ...]:
@@ -126,6 +127,30 @@
     assert table.errands() == []
 
 
+def test_a_pool_keeps_its_vms_as_its_first_work_comes():
+    driver = Driver(count=LEAST_VMS + 4, cfg=with_standby())
+    table, demand = fleet(driver, spare=0), Demand()
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    begun = driver.now
+    while driver.now - begun < IDLE_SECONDS - 0.2:
+        driver.step()
+        balance(driver.engine, table, demand, driver.now, STANDBY)
+        assert table.errands() == []
+
+
+def test_work_that_arrives_draws_vms_before_it_waits():
+    driver = Driver(count=LEAST_VMS, work_ms=lambda key: 2000.0, cfg=with_standby(100))
+    table, demand = fleet(driver, spare=8), Demand()
+    for number in range(6):
+        step = Step(2, TASK, estimate_ms=2000)
+        driver.engine.submit(job(f"a{number}", step), driver.now)
+        driver.step()
+    assert not any(row.ready_steps(0) for row in driver.engine.open.values())
+    balance(driver.engine, table, demand, driver.now, STANDBY)
+    # Some 15 jobs a second, each with 4 core-seconds, on VMs of 4 cores.
+    assert len([one for one in table.errands() if one.pool == POOL]) >= 4
+
+
 def wave(driver: Driver, at_once: int, within_s: float = 10.0) -> WaveRow:
     vms = tuple(VmId(f"m-{id}") for id in driver.endpoints)
     return WaveRow(WaveId("1"), vms, driver.now + within_s, at_once, set())
