Let a wave go first near its deadline

Now moves take VMs that are due last, and none in the last 1.5 cycles before the deadline; then a pool may have twice as many VMs away.

--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -27,7 +27,7 @@
 from hickoryplank.jobs.maintenance import WaveRow, begin_maintenance, wave_done
 from hickoryplank.jobs.records import VmOrdered, encode_order, encode_wave
 from hickoryplank.jobs.standby import Demand, balance
-from hickoryplank.jobs.vms import Errand, Phase, VmTable, VmView
+from hickoryplank.jobs.vms import Due, Errand, Phase, VmTable, VmView
 from hickoryplank.shell.clock import Clock
 
 __all__ = ["Caretaker", "FleetBounds", "view_of"]
@@ -285,7 +285,7 @@
                 # It stays ordered, and is sent again.
                 pass
             case OrderOutcome.NOT_IN_WAVE if errand.wave is not None:
-                self._waves[errand.wave].done.add(errand.vm)
+                self._maintained(errand.wave, errand.vm)
                 self._drop(engine, errand)
             case _:
                 self._drop(engine, errand)
@@ -304,9 +304,15 @@
             away_s = self._bounds.maintenance_s
         errand.back_at = now + away_s * LEAST_AWAY_PART
         if errand.wave is not None:
-            wave = self._waves[errand.wave]
-            wave.done.add(errand.vm)
-            await journal.append([encode_wave(wave.id, wave.done)])
+            self._maintained(errand.wave, errand.vm)
+            done = self._waves[errand.wave].done
+            await journal.append([encode_wave(errand.wave, done)])
+
+    def _maintained(self, wave: WaveId, vm: VmId) -> None:
+        self._waves[wave].done.add(vm)
+        row = self._table.rows.get(vm)
+        if row is not None:
+            row.due = Due.NOT
 
     def _drop(self, engine: Engine, errand: Errand) -> None:
         row = self._table.rows[errand.vm]
--- a/hickoryplank/jobs/maintenance.py
+++ b/hickoryplank/jobs/maintenance.py
@@ -4,7 +4,7 @@
 
 from hickoryplank.core.ids import PoolId, VmId, WaveId
 from hickoryplank.jobs.engine import Engine
-from hickoryplank.jobs.vms import Errand, Phase, VmRow, VmTable
+from hickoryplank.jobs.vms import Due, Errand, Phase, VmRow, VmTable
 
 __all__ = ["WaveRow", "begin_maintenance", "wave_done"]
 
@@ -13,8 +13,13 @@
 CYCLE_SECONDS = 3.0
 #: Part of the time until a wave's deadline in which it is to be done.
 DEADLINE_PART = 0.7
+#: Cycles before the deadline from which on a wave goes before all else: one to empty
+#: and maintain a VM, and half of one for tasks that run long.
+LAST_CYCLES = 1.5
 #: VMs of one pool that may be away at once, as a part of those that are up.
 POOL_PART = 0.34
+#: The same in the last cycles before a wave's deadline.
+LAST_POOL_PART = 0.68
 
 
 class WaveRow(msgspec.Struct):
@@ -51,7 +56,9 @@
         may be down for the wave, or go down yet.
     """
     left = [vm for vm in wave.vms if vm not in wave.done and vm in vms.rows]
+    soon = wave.until - now < LAST_CYCLES * (CYCLE_SECONDS + maintenance_s)
     for vm in left:
+        vms.rows[vm].due = Due.SOON if soon else Due.LATER
         endpoint = engine.endpoint_of(vms.rows[vm].view.endpoint)
         if endpoint is not None:
             endpoint.due = True
@@ -69,7 +76,8 @@
         if len(begun) >= wanted:
             break
         row = vms.rows[vm]
-        if not _pool_allows(row.view.pool, vms, engine):
+        part = LAST_POOL_PART if soon else POOL_PART
+        if not _pool_allows(row.view.pool, vms, engine, part):
             continue
         row.errand = Errand(vm, None, wave.id, Phase.EMPTYING, now)
         begun.append(row.errand)
@@ -98,10 +106,10 @@
     return (not standby, len(endpoint.runs) if endpoint is not None else 0)
 
 
-def _pool_allows(pool: PoolId, vms: VmTable, engine: Engine) -> bool:
+def _pool_allows(pool: PoolId, vms: VmTable, engine: Engine, part: float) -> bool:
     known = engine.directory.pools.get(pool)
     if known is not None and known.standby:
         return True
     rows = [row for row in vms.rows.values() if row.view.pool == pool]
     away = sum(1 for row in rows if row.errand is not None or not row.view.up)
-    return away < max(1, int(len(rows) * POOL_PART))
+    return away < max(1, int(len(rows) * part))
--- a/hickoryplank/jobs/standby.py
+++ b/hickoryplank/jobs/standby.py
@@ -15,7 +15,7 @@
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.ordering import worth_serving
 from hickoryplank.jobs.sizes import ZERO, Size
-from hickoryplank.jobs.vms import Errand, Phase, VmRow, VmTable
+from hickoryplank.jobs.vms import Due, Errand, Phase, VmRow, VmTable
 
 __all__ = ["Demand", "balance"]
 
@@ -90,6 +90,7 @@
     engine.short_pools.clear()
     _take_back(engine, vms, needs, standby)
     spares = [row for row in vms.rows.values() if _in_pool(row, standby) and _free(row)]
+    spares.sort(key=lambda row: row.due is Due.NOT)
     begun: list[Errand] = []
     for need in sorted(needs, key=lambda one: one.have - one.wanted):
         while need.have < need.wanted and len(begun) < MOST_BEGUN:
@@ -113,7 +114,7 @@
 
 
 def _free(row: VmRow) -> bool:
-    return row.view.up and row.errand is None
+    return row.view.up and row.errand is None and row.due is not Due.SOON
 
 
 def _begin(row: VmRow, pool: PoolId, now: float) -> Errand:
@@ -253,9 +254,12 @@
 
 
 def _idlest(engine: Engine, need: _PoolNeed) -> VmRow | None:
-    """Return the VM with the least on it, and nothing that lasts."""
+    """Return the VM with the least on it, and nothing that lasts.
+
+    One that is to be maintained goes last: a VM that moves isn't maintained.
+    """
     best: VmRow | None = None
-    least = 0
+    least = (True, 0)
     for row in need.rows:
         if not _free(row):
             continue
@@ -264,7 +268,7 @@
             continue
         if any(run.step.lasting for run in endpoint.runs.values()):
             continue
-        load = endpoint.used.cpu
+        load = (row.due is not Due.NOT, endpoint.used.cpu)
         if best is None or load < least:
             best, least = row, load
     return best
--- a/hickoryplank/jobs/vms.py
+++ b/hickoryplank/jobs/vms.py
@@ -7,7 +7,7 @@
 from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId
 from hickoryplank.jobs.sizes import Size
 
-__all__ = ["Errand", "Phase", "VmRow", "VmTable", "VmView"]
+__all__ = ["Due", "Errand", "Phase", "VmRow", "VmTable", "VmView"]
 
 
 class VmView(msgspec.Struct, frozen=True):
@@ -25,6 +25,15 @@
     maintaining: bool = False
 
 
+class Due(Enum):
+    """Whether a VM is to be maintained for a wave, and how soon."""
+
+    NOT = "not"
+    LATER = "later"
+    #: The wave's deadline is so near that nothing else may come first.
+    SOON = "soon"
+
+
 class Phase(Enum):
     """How far an errand has come."""
 
@@ -57,6 +66,7 @@
 
     view: VmView
     errand: Errand | None = None
+    due: Due = Due.NOT
 
 
 class VmTable:
--- a/tests/jobs/test_fleet.py
+++ b/tests/jobs/test_fleet.py
@@ -10,7 +10,7 @@
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.standby import IDLE_SECONDS, LEAST_VMS, Demand, balance
-from hickoryplank.jobs.vms import Phase, VmTable, VmView
+from hickoryplank.jobs.vms import Due, Phase, VmTable, VmView
 from tests.jobs.driver import CAPACITY, POOL, TASK, Driver, directory, job
 
 STANDBY = PoolId("standby")
@@ -230,3 +230,43 @@
         driver.step()
     assert sum(len(one.running) for one in driver.endpoints.values()) == 2
     assert driver.engine.jobs[JobId("a")].begun
+
+
+def test_moves_take_vms_that_are_not_due_for_maintenance_first():
+    driver = Driver(count=LEAST_VMS, work_ms=lambda key: 5000.0, cfg=with_standby())
+    driver.engine.submit(job("a", Step(14, TASK)), driver.now)
+    for _ in range(3):
+        driver.step()
+    table = fleet(driver)
+    for number in (1, 2, 3):
+        table.rows[VmId(f"s-{number}")].due = Due.LATER
+    balance(driver.engine, table, Demand(), driver.now, STANDBY)
+    coming = [one.vm for one in table.errands() if one.pool == POOL]
+    assert coming[0] == "s-0"
+    assert len(coming) == 2
+
+
+@pytest.mark.parametrize("left_s, moved", [(60.0, 4), (6.0, 0)])
+def test_shortly_before_a_wave_ends_its_vms_do_not_move(left_s, moved):
+    driver = Driver(count=LEAST_VMS, work_ms=lambda key: 5000.0, cfg=with_standby())
+    driver.engine.submit(job("a", Step(40, TASK)), driver.now)
+    for _ in range(3):
+        driver.step()
+    table = fleet(driver)
+    spare = tuple(VmId(f"s-{number}") for number in range(4))
+    row = WaveRow(WaveId("1"), spare, driver.now + left_s, 0, set())
+    begin_maintenance(row, table, driver.engine, driver.now, 2.0)
+    balance(driver.engine, table, Demand(), driver.now, STANDBY)
+    assert len([one for one in table.errands() if one.pool == POOL]) == moved
+
+
+@pytest.mark.parametrize("left_s, most", [(60.0, 3), (6.0, 6)])
+def test_shortly_before_a_wave_ends_a_pool_may_have_more_vms_away(left_s, most):
+    driver = Driver(count=9)
+    driver.step()
+    table, row = fleet(driver, spare=0), wave(driver, 9, left_s)
+    for _ in range(9):
+        begin_maintenance(row, table, driver.engine, driver.now, 2.0)
+    assert len(table.errands()) <= most
+    if left_s < 10:
+        assert len(table.errands()) == most
