Record assignments ahead of their turn

Now the first record of a job names an endpoint for each of its tasks: one that the job has, or any other of the pool. When a task's turn comes, that plan is stored and the endpoint has room, it starts at once, also while an append is under way, and for five seconds after the last proof of being coordinator, as leases are renewed. A successor treats a plan as any other assignment that may have been sent.

Model first: spec/coordinator.py lets a term replace an assignment that it hasn't sent. Tests: no use before the record is stored (fails without that check), the plan is recorded once (fails if planned anew), 40 seeds of outages, take-overs, new lives and cuts.

--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -13,9 +13,10 @@
 from hickoryplank.coordinator.looks import Looks
 from hickoryplank.coordinator.orders import Orders
 from hickoryplank.coordinator.restoring import read_jobs
-from hickoryplank.coordinator.term import Outside, Term
+from hickoryplank.coordinator.term import BLIND_SECONDS, Outside, Term
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.placing import Starts
 
 __all__ = ["Coordinator", "Outside"]
 
@@ -23,6 +24,9 @@
 
 #: Longest time between two ticks, in seconds; timers of the engine are that exact.
 TICK_SECONDS = 0.1
+#: Time between two looks for starts that are recorded ahead, while an append is under
+#: way, in seconds: a few times what an append takes on a calm store.
+PLANNED_SECONDS = 0.05
 
 
 class Coordinator:
@@ -65,6 +69,7 @@
                 tasks.start_soon(self._watch_lease)
                 await self._restore()
                 tasks.start_soon(self._commit_loop)
+                tasks.start_soon(self._planned_loop)
                 tasks.start_soon(self._looks.run_listings)
                 tasks.start_soon(self._directory_loop)
                 if term.outside.advice is not None:
@@ -130,7 +135,10 @@
     async def _commit(self) -> None:
         engine = self._term.running()
         now = self._term.outside.clock.now()
-        engine.tick(now, time.time_ns() // 1_000_000)
+        proven = self._term.lease.proof_age() < BLIND_SECONDS
+        starts = Starts.ANY if proven else Starts.RECORDED_FIRST
+        engine.tick(now, _wall_ms(), starts)
+        self._orders.send_starts(engine.take_planned(now))
         batch = engine.take_batch()
         stored, self._term.stored = self._term.stored, anyio.Event()
         self._log_notes(engine)
@@ -142,6 +150,18 @@
         self._orders.send_starts(engine.stored(batch, self._term.outside.clock.now()))
         stored.set()
 
+    async def _planned_loop(self) -> None:
+        """Start what is recorded ahead while an append takes its time."""
+        while True:
+            await anyio.sleep(PLANNED_SECONDS)
+            proven = self._term.lease.proof_age() < BLIND_SECONDS
+            if not self._term.journal.busy or not proven:
+                continue
+            engine = self._term.running()
+            now = self._term.outside.clock.now()
+            engine.tick_planned(now, _wall_ms())
+            self._orders.send_starts(engine.take_planned(now))
+
     def _log_notes(self, engine: Engine) -> None:
         notes, engine.notes = engine.notes, []
         for note in notes:
@@ -167,6 +187,10 @@
             await changed.wait()
 
 
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 def _reason(exc: BaseException) -> str:
     """Return what the first of a group of errors says."""
     while isinstance(exc, BaseExceptionGroup):
--- a/hickoryplank/coordinator/journal.py
+++ b/hickoryplank/coordinator/journal.py
@@ -34,6 +34,8 @@
         self._turn = anyio.Lock()
         #: Whether the last try of an append failed.
         self.failing = False
+        #: Whether an append is under way.
+        self.busy = False
 
     async def open(self) -> None:
         """Raise the epoch; older ones can append nothing from then on.
@@ -48,7 +50,11 @@
         :raises Deposed: a higher epoch rules.
         """
         async with self._turn:
-            await self._append_chunks(records)
+            self.busy = True
+            try:
+                await self._append_chunks(records)
+            finally:
+                self.busy = False
 
     async def _append_chunks(self, records: list[Record]) -> None:
         chunk: list[Record] = []
--- a/hickoryplank/coordinator/looks.py
+++ b/hickoryplank/coordinator/looks.py
@@ -8,7 +8,7 @@
 from hickoryplank.coordinator.dependency import Dependency
 from hickoryplank.coordinator.ports import CallFault, Fault, Newest, Topic
 from hickoryplank.coordinator.restoring import read_newest
-from hickoryplank.coordinator.term import Term
+from hickoryplank.coordinator.term import BLIND_SECONDS, Term
 from hickoryplank.core.ids import EndpointId
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.engine import Engine
@@ -23,9 +23,6 @@
 LISTINGS_SECONDS = 0.2
 #: Wait between two looks at an endpoint that doesn't answer, in seconds.
 SILENT_SECONDS = 0.25
-#: How long leases are renewed without proof that this entry is the coordinator, in
-#: seconds: the store's usual outages.
-BLIND_RENEWAL_SECONDS = 5.0
 #: Longest wait for stored ends before an endpoint is looked at again, in seconds.
 ENDS_SECONDS = 0.3
 #: How long after the store was away a missing endpoint may still come back, in
@@ -49,7 +46,7 @@
         engine = self._term.running()
         clock = self._term.outside.clock
         while engine.endpoints.get(endpoint.id) is endpoint:
-            renew = self._term.lease.proof_age() < BLIND_RENEWAL_SECONDS
+            renew = self._term.lease.proof_age() < BLIND_SECONDS
             order = engine.hold_order(endpoint, clock.now(), renew=renew)
             asked_at = clock.now()
             match await self._term.outside.endpoints.hold(order, self._term.token):
--- a/hickoryplank/coordinator/term.py
+++ b/hickoryplank/coordinator/term.py
@@ -20,8 +20,11 @@
 from hickoryplank.jobs.engine import Engine, Timing
 from hickoryplank.shell.clock import Clock
 
-__all__ = ["Outside", "Term"]
+__all__ = ["BLIND_SECONDS", "Outside", "Term"]
 
+#: How long leases are renewed, and what is recorded ahead is started, without proof
+#: that this entry is the coordinator, in seconds: the store's usual outages.
+BLIND_SECONDS = 5.0
 #: Longest wait until an answer is stored, in seconds; a caller waits three.
 STORE_SECONDS = 1.5
 
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -15,6 +15,7 @@
 from hickoryplank.coordinator.gateway import CALL_PATH, Gateway
 from hickoryplank.coordinator.lease import Holder, LeaseKeeper
 from hickoryplank.coordinator.measures import Measures
+from hickoryplank.coordinator.term import BLIND_SECONDS
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.entry_logs import configure_entry_logs
 from hickoryplank.entry_settings import EntrySettings
@@ -42,8 +43,8 @@
 #: How long an endpoint waits for an end before it answers a look, in ms.
 LOOK_WAIT_MS = 600
 #: How long leases that a former coordinator granted may last, in seconds: it may
-#: renew without proof for five, and the clocks may be slow.
-INHERIT_SECONDS = 5.0 + LEASE_MS / 1000 * 1.05
+#: renew without proof for a while, and the clocks may be slow.
+INHERIT_SECONDS = BLIND_SECONDS + LEASE_MS / 1000 * 1.05
 #: Times that the state of an ended job is known for as long as callers may ask.
 KEEP_TIMES = 1.5
 #: Age of the configuration from which an entry reports that it isn't ready, in
--- /dev/null
+++ b/hickoryplank/jobs/ahead.py
@@ -0,0 +1,102 @@
+"""Assignments that are recorded ahead of their turn.
+
+Load that this answers: the store is slow, or away for some seconds, while jobs of
+several steps run and others wait for room. A start must follow the record of its
+assignment, so each task is given an endpoint with the first record of its job; when
+its turn comes and that endpoint has room, it starts without another record.
+
+A plan is kept until it is used, or its endpoint's life has ended: a record under way
+never names another endpoint than the one that the task may be started on.
+"""
+
+from itertools import cycle
+
+from hickoryplank.jobs.endpoints import Endpoint
+from hickoryplank.jobs.messages import Happening
+from hickoryplank.jobs.placement import admits, suits
+from hickoryplank.jobs.table import JobRow, JobState, Plan, StepRow, Task
+from hickoryplank.jobs.tables import Tables
+
+__all__ = ["plan_ahead", "start_planned"]
+
+
+def plan_ahead(
+    tables: Tables,
+    row: JobRow,
+    occurrence: int,
+    endpoints: list[Endpoint],
+    now: float,
+) -> None:
+    """Plan an endpoint for each waiting task: one that the job has, or any other.
+
+    :param endpoints: those of the pool that may be given runs.
+    """
+    if not _plannable(tables, row):
+        return
+    steps = row.steps[occurrence]
+    homes = [
+        task.run.endpoint
+        for step in steps
+        for task in step.tasks
+        if task.run is not None and task.run.endpoint.usable(now)
+    ]
+    for step in steps:
+        if not step.step.gang:
+            _plan_step(tables, row, step, homes or endpoints)
+
+
+def _plannable(tables: Tables, row: JobRow) -> bool:
+    queue = tables.directory.queues.get(row.job.queue)
+    if row.job.lasting or row.job.repeats or row.state.final:
+        return False
+    return queue is not None and queue.advice is None
+
+
+def _plan_step(
+    tables: Tables, row: JobRow, step: StepRow, endpoints: list[Endpoint]
+) -> None:
+    unplanned = [
+        task
+        for task in step.waiting.values()
+        if task.run is None and task.place is None and not _alive(tables, task.plan)
+    ]
+    fit = [one for one in endpoints if suits(one, step.step)]
+    if not unplanned or not fit:
+        return
+    first = tables.next_plan % len(fit)
+    tables.next_plan += 1
+    for task, endpoint in zip(unplanned, cycle(fit[first:] + fit[:first])):
+        task.plan = Plan(endpoint, task.attempt + 1)
+        tables.plans.append(task.plan)
+    tables.touch(row)
+
+
+def _alive(tables: Tables, plan: Plan | None) -> bool:
+    if plan is None:
+        return False
+    return tables.endpoints.get(plan.endpoint.id) is plan.endpoint
+
+
+def start_planned(
+    tables: Tables, row: JobRow, step: StepRow, task: Task, now: float
+) -> bool:
+    """Start a task where its stored plan says, if there is room now."""
+    plan = task.plan
+    if plan is None or not plan.stored or not _alive(tables, plan):
+        return False
+    endpoint = plan.endpoint
+    if plan.attempt != task.attempt + 1 or endpoint.id in task.failed_on:
+        return False
+    if not endpoint.usable(now) or not admits(endpoint, step):
+        return False
+    task.attempt = plan.attempt
+    task.plan = None
+    run = tables.make_run(row, task, endpoint)
+    tables.planned_starts.append(run)
+    row.begun = True
+    if row.state is JobState.QUEUED:
+        row.state = JobState.RUNNING
+        tables.touch(row)
+    if task.key.index == 0 or plan.attempt > 1:
+        tables.note(Happening.ASSIGNED, run, "recorded ahead")
+    return True
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -42,6 +42,7 @@
     :param confirmed_at: when the endpoint was first heard to have it, or to have
         had it; a list that was asked for later must show it or its end.
     :param listed: a list of its endpoint's life has shown it.
+    :param planned: a former coordinator recorded it ahead; it may never have been sent.
     """
 
     __slots__ = (
@@ -54,6 +55,7 @@
         "load",
         "paced",
         "percent",
+        "planned",
         "saved",
         "size",
         "state",
@@ -80,6 +82,7 @@
         self.until_ms = 0
         self.confirmed_at: float | None = None
         self.listed = False
+        self.planned = False
 
     @property
     def in_doubt(self) -> bool:
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -19,7 +19,7 @@
 )
 from hickoryplank.jobs.model import Job
 from hickoryplank.jobs.pacing import pace
-from hickoryplank.jobs.placing import place
+from hickoryplank.jobs.placing import Starts, place
 from hickoryplank.jobs.records import (
     Record,
     encode_forgotten,
@@ -155,15 +155,16 @@
 
     # Each tick
 
-    def tick(self, now: float, wall_ms: int) -> None:
+    def tick(self, now: float, wall_ms: int, starts: Starts = Starts.ANY) -> None:
         """Run the systems once.
 
         :param wall_ms: time of day in Unix milliseconds.
+        :param starts: which starts may be decided.
         """
         self._expire(now)
         self._drain(now)
         self._forget(now)
-        place(self, now, wall_ms)
+        place(self, now, wall_ms, starts)
         for endpoint in self.endpoints.values():
             if endpoint.held and endpoint.silent_since is None:
                 self.paces += pace(endpoint, now)
@@ -172,6 +173,15 @@
                 self.stop_due[run] = now + STOP_REPEAT_SECONDS
                 self.stops.append(run)
 
+    def tick_planned(self, now: float, wall_ms: int) -> None:
+        """Start what is recorded ahead, while a batch is being stored."""
+        place(self, now, wall_ms, Starts.PLANNED)
+
+    def take_planned(self, now: float) -> list[Run]:
+        """Return the runs that are to be started without another record."""
+        starts, self.planned_starts = self.planned_starts, []
+        return [run for run in starts if self._send(run, now)]
+
     def _expire(self, now: float) -> None:
         for endpoint in list(self.endpoints.values()):
             if endpoint.silent_since is None and endpoint.held:
@@ -219,6 +229,7 @@
         for job in forgotten:
             records += encode_forgotten(job)
         self.storing = [(row, row.state) for row in dirty.values()]
+        self.storing_plans, self.plans = self.plans, []
         ends = [
             StoredEnd(one.id, one.listing.born_ms, one.last_end)
             for one in self.endpoints.values()
@@ -231,6 +242,9 @@
         for row, state in self.storing:
             row.stored = state
         self.storing = []
+        for plan in self.storing_plans:
+            plan.stored = True
+        self.storing_plans = []
         for end in batch.ends:
             endpoint = self.endpoints.get(end.endpoint)
             if endpoint is not None and endpoint.listing.born_ms == end.born_ms:
--- a/hickoryplank/jobs/lives.py
+++ b/hickoryplank/jobs/lives.py
@@ -55,6 +55,7 @@
             continue
         run = tables.make_run(row, task, endpoint)
         run.state = RunState.SENT
+        run.planned = place.planned
         run.confirmed_at = endpoint.listed_at
         if row.state.final:
             tables.stop(run, endpoint.listed_at, row.state.value)
--- a/hickoryplank/jobs/placement.py
+++ b/hickoryplank/jobs/placement.py
@@ -5,7 +5,7 @@
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.table import StepRow
 
-__all__ = ["choose", "choose_gang", "runs_of_step"]
+__all__ = ["admits", "choose", "choose_gang", "runs_of_step", "suits"]
 
 
 def runs_of_step(endpoint: Endpoint, row: StepRow) -> int:
@@ -20,7 +20,17 @@
     )
 
 
-def _admits(endpoint: Endpoint, row: StepRow, taken: int = 0) -> bool:
+def suits(endpoint: Endpoint, step: Step) -> bool:
+    """Return whether a step's tasks may run on an endpoint, near their data."""
+    labels = endpoint.listing.labels
+    return all(not one or one in labels for one in (step.required_label, step.affinity))
+
+
+def admits(endpoint: Endpoint, row: StepRow, taken: int = 0) -> bool:
+    """Return whether an endpoint has room for one more task of a step.
+
+    :param taken: tasks of the step that are about to go there.
+    """
     step = row.step
     if step.required_label and step.required_label not in endpoint.listing.labels:
         return False
@@ -39,7 +49,7 @@
     :param endpoints: those of the pool that may be given runs.
     :param avoid: where the task has failed; taken only if nothing else has room.
     """
-    fit = [one for one in endpoints if _admits(one, row)]
+    fit = [one for one in endpoints if admits(one, row)]
     others = [one for one in fit if one.id not in avoid]
     return min(others or fit, key=lambda one: _cost(one, row.step), default=None)
 
@@ -81,7 +91,7 @@
     chosen: list[Endpoint] = []
     for endpoint in sorted(endpoints, key=lambda one: _cost(one, row.step)):
         taken = 0
-        while len(chosen) < row.step.count and _admits(endpoint, row, taken):
+        while len(chosen) < row.step.count and admits(endpoint, row, taken):
             chosen.append(endpoint)
             taken += 1
     return chosen if len(chosen) == row.step.count else None
--- a/hickoryplank/jobs/placing.py
+++ b/hickoryplank/jobs/placing.py
@@ -1,6 +1,9 @@
 """Gives waiting tasks endpoints, job by job in order."""
 
+from enum import Enum
+
 from hickoryplank.core.ids import PoolId
+from hickoryplank.jobs.ahead import plan_ahead, start_planned
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.messages import Happening
 from hickoryplank.jobs.ordering import in_order
@@ -8,10 +11,21 @@
 from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task
 from hickoryplank.jobs.tables import Tables, step_key
 
-__all__ = ["place"]
+__all__ = ["Starts", "place"]
+
+
+class Starts(Enum):
+    """Which starts may be decided now."""
 
+    #: Those that are recorded with the next batch.
+    RECORDED_FIRST = "recorded first"
+    #: Those, and what was recorded ahead.
+    ANY = "any"
+    #: Only what was recorded ahead, as a batch is still under way.
+    PLANNED = "planned"
 
-def place(tables: Tables, now: float, wall_ms: int) -> None:
+
+def place(tables: Tables, now: float, wall_ms: int, starts: Starts) -> None:
     """Assign what has room, in every pool.
 
     :param wall_ms: time of day in Unix milliseconds, by which timed jobs are due.
@@ -27,7 +41,7 @@
             wanting.setdefault(row.job.pool, []).append(row)
     for pool, rows in wanting.items():
         for row in in_order(rows, tables.directory, now):
-            _place_job(tables, row, usable[pool], now, wall_ms)
+            _place_job(tables, row, usable[pool], now, wall_ms, starts)
 
 
 def _open_due(tables: Tables, row: JobRow, wall_ms: int) -> None:
@@ -39,17 +53,36 @@
 
 
 def _place_job(
-    tables: Tables, row: JobRow, endpoints: list[Endpoint], now: float, wall_ms: int
+    tables: Tables,
+    row: JobRow,
+    endpoints: list[Endpoint],
+    now: float,
+    wall_ms: int,
+    starts: Starts,
 ) -> None:
     for occurrence in list(row.steps):
         if row.job.due_ms(occurrence) > wall_ms:
             continue
         for step in row.ready_steps(occurrence):
+            if starts is not Starts.RECORDED_FIRST:
+                _place_planned(tables, row, step, now)
+            if starts is Starts.PLANNED:
+                continue
             allowed = _permitted(tables, row, step, endpoints, now)
             if step.step.gang:
                 _place_gang(tables, row, step, allowed)
             else:
                 _place_step(tables, row, step, allowed, now)
+        if starts is not Starts.PLANNED:
+            plan_ahead(tables, row, occurrence, endpoints, now)
+
+
+def _place_planned(tables: Tables, row: JobRow, step: StepRow, now: float) -> None:
+    for task in list(step.waiting.values()):
+        if not tables.use.allows(row.job.team, step.step.size, tables.directory):
+            return
+        if task.not_before <= now and task.run is None:
+            start_planned(tables, row, step, task, now)
 
 
 def _permitted(
@@ -99,6 +132,7 @@
     tables: Tables, row: JobRow, task: Task, endpoint: Endpoint, attempt: int
 ) -> None:
     task.attempt = attempt
+    task.plan = None
     tables.starts.append(tables.make_run(row, task, endpoint))
     row.begun = True
     if row.state is JobState.QUEUED:
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -75,6 +75,7 @@
     endpoint: str = ""
     born_ms: int = 0
     saved: str = ""
+    planned: bool = False
 
 
 class _StateRecord(msgspec.Struct, array_like=True):
@@ -119,12 +120,17 @@
 
 def encode_state(row: JobRow) -> Record:
     """Return the record of a job's state."""
-    tasks = [_task_record(task) for task in row.all_tasks() if task.attempt]
+    planned = not row.state.final
+    tasks = [
+        _task_record(task, planned)
+        for task in row.all_tasks()
+        if task.attempt or (planned and task.plan is not None)
+    ]
     record = _StateRecord(row.state, tasks)
     return Record(_STATE_PREFIX + row.job.id, _encoder.encode(record))
 
 
-def _task_record(task: Task) -> _TaskRecord:
+def _task_record(task: Task, planned: bool) -> _TaskRecord:
     key = task.key
     record = _TaskRecord(
         key.occurrence,
@@ -141,6 +147,14 @@
     elif task.place is not None:
         record.endpoint = task.place.endpoint
         record.born_ms = task.place.born_ms
+        record.planned = task.place.planned
+    elif planned and task.plan is not None:
+        # A successor has to look for it there, as for any other assignment.
+        record.state = TaskState.ACTIVE.value
+        record.attempt = task.plan.attempt
+        record.endpoint = task.plan.endpoint.id
+        record.born_ms = task.plan.endpoint.listing.born_ms
+        record.planned = True
     return record
 
 
@@ -159,7 +173,7 @@
         task = row.task(key)
         if task is None:
             return RecordFault(record.key, f"no task {key}")
-        row.begun = True
+        row.begun = row.begun or not one.planned
         task.attempt = one.attempt
         task.failures = one.failures
         task.saved = one.saved
@@ -170,7 +184,8 @@
         if task.state is TaskState.DONE:
             step.left -= 1
         if one.endpoint:
-            task.place = Place(EndpointId(one.endpoint), one.born_ms)
+            endpoint = EndpointId(one.endpoint)
+            task.place = Place(endpoint, one.born_ms, one.planned)
     return None
 
 
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -3,10 +3,10 @@
 from enum import Enum
 
 from hickoryplank.core.ids import EndpointId, JobId
-from hickoryplank.jobs.endpoints import Run
+from hickoryplank.jobs.endpoints import Endpoint, Run
 from hickoryplank.jobs.model import Job, Step, TaskKey
 
-__all__ = ["JobRow", "JobState", "Place", "StepRow", "Task", "TaskState"]
+__all__ = ["JobRow", "JobState", "Place", "Plan", "StepRow", "Task", "TaskState"]
 
 
 class JobState(Enum):
@@ -33,13 +33,32 @@
 
 
 class Place:
-    """Where a run was assigned, as the store has it."""
+    """Where a run was assigned, as the store has it.
 
-    __slots__ = ("born_ms", "endpoint")
+    :param planned: it was recorded ahead of its turn, and may not have been started.
+    """
+
+    __slots__ = ("born_ms", "endpoint", "planned")
 
-    def __init__(self, endpoint: EndpointId, born_ms: int):
+    def __init__(self, endpoint: EndpointId, born_ms: int, planned: bool = False):
         self.endpoint = endpoint
         self.born_ms = born_ms
+        self.planned = planned
+
+
+class Plan:
+    """Where a task is to run once its turn has come.
+
+    :param attempt: the number that its run will have.
+    :param stored: a record that names it is stored, so that it may be used.
+    """
+
+    __slots__ = ("attempt", "endpoint", "stored")
+
+    def __init__(self, endpoint: Endpoint, attempt: int):
+        self.endpoint = endpoint
+        self.attempt = attempt
+        self.stored = False
 
 
 class Task:
@@ -50,6 +69,7 @@
     :param failed_on: where they ran, as far as this term has seen it.
     :param run: its run, while one may be there.
     :param place: where the store says that its run is, until that is settled.
+    :param plan: where it will run, recorded ahead of its turn.
     :param saved: newest checkpoint; empty for none.
     :param working: for a lasting task, whether it is at work.
     """
@@ -61,6 +81,7 @@
         "key",
         "not_before",
         "place",
+        "plan",
         "run",
         "saved",
         "state",
@@ -75,6 +96,7 @@
         self.failed_on: frozenset[EndpointId] = frozenset()
         self.run: Run | None = None
         self.place: Place | None = None
+        self.plan: Plan | None = None
         self.saved = ""
         self.not_before = 0.0
         self.working = False
--- a/hickoryplank/jobs/tables.py
+++ b/hickoryplank/jobs/tables.py
@@ -11,7 +11,7 @@
 from hickoryplank.jobs.endpoints import Endpoint, Run, RunState
 from hickoryplank.jobs.limits import TeamRates, TeamUse
 from hickoryplank.jobs.messages import Happening, Note, Pace
-from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task, TaskState
+from hickoryplank.jobs.table import JobRow, JobState, Plan, StepRow, Task, TaskState
 
 __all__ = ["Ended", "Tables", "Timing", "step_key"]
 
@@ -79,6 +79,13 @@
         self.forgotten: list[JobId] = []
         self.dirty: dict[JobId, JobRow] = {}
         self.starts: list[Run] = []
+        #: Starts that are recorded already.
+        self.planned_starts: list[Run] = []
+        #: Plans that the next batch stores, and those that one under way does.
+        self.plans: list[Plan] = []
+        self.storing_plans: list[Plan] = []
+        #: Count of plans, by which they are spread over endpoints.
+        self.next_plan = 0
         self.stop_due: dict[Run, float] = {}
         self.places: dict[EndpointId, list[tuple[JobRow, Task]]] = {}
         self.storing: list[tuple[JobRow, JobState]] = []
@@ -142,7 +149,7 @@
     def lose_run(self, run: Run, why: str) -> None:
         """Close a run whose end nobody will tell; its task waits again."""
         task = self.task_of(run)
-        if run.endpoint.runs.get(run.name) is run:
+        if run.endpoint.runs.get(run.name) is run and not run.planned:
             self.note(Happening.LOST, run, why)
         self.close(run)
         if task is not None and task.state is TaskState.ACTIVE:
--- a/spec/coordinator.py
+++ b/spec/coordinator.py
@@ -5,10 +5,12 @@
 coordinator may be cut from either endpoint. An assignment is recorded under the
 term's epoch before its start is sent. The second term raises the epoch, reads the
 record, and asks each endpoint under its fencing token before it starts anything
-there. An endpoint that it can't reach counts as running the task until the first
-coordinator must have stopped renewing and the longest lease has lapsed. Time is a
-count of steps; leases last ``LEASE``, and the first coordinator renews for
-``BLIND`` after its last proof of being one.
+there. A recorded assignment may be sent much later, while the store is away, or be
+replaced by another one before it is sent; the record of the new one comes first. An
+endpoint that it can't reach counts as running the task until the first coordinator
+must have stopped renewing and the longest lease has lapsed. Time is a count of steps;
+leases last ``LEASE``, and the first coordinator renews for ``BLIND`` after its last
+proof of being one.
 """
 
 from enum import Enum
@@ -38,6 +40,9 @@
     NO_RECORD = "a start is sent before its assignment is stored"
     RENEW_ALWAYS = "a coordinator without proof renews leases for ever"
     SILENT_RENEWAL = "starts carry no end of their lease"
+    REPLACE_SENT = "an assignment is replaced though its start was sent"
+    REPLACE_FOUND = "a term replaces an assignment that it found in the record"
+    REPLACE_UNSTORED = "a replaced assignment is sent before it is stored"
 
 
 class Record(NamedTuple):
@@ -73,6 +78,7 @@
     :param begun: when it raised the epoch; none before.
     :param attempt: the attempt that it takes as going on, or 0.
     :param where: the endpoint of that attempt.
+    :param sent: its start was sent, or may have been by the term before.
     :param held: endpoints that have confirmed its token.
     :param done: it knows that the task is done.
     :param pending: it has decided an assignment that isn't stored yet.
@@ -81,6 +87,7 @@
     begun: int | None = None
     attempt: int = 0
     where: int | None = None
+    sent: bool = False
     last: int = 0
     held: frozenset = frozenset()
     done: bool = False
@@ -169,6 +176,8 @@
                 begun=s.time,
                 attempt=record.attempt if record.endpoint is not None else 0,
                 where=record.endpoint,
+                # The term before may have sent it.
+                sent=self.broken is not Broken.REPLACE_FOUND,
                 last=record.attempt,
                 done=record.done,
             )
@@ -182,7 +191,9 @@
             if at not in mine.held and self.broken is not Broken.NO_HOLD:
                 continue
             attempt = mine.last + 1
-            known = self.with_term(s, term, attempt=attempt, where=at, last=attempt)
+            known = self.with_term(
+                s, term, attempt=attempt, where=at, last=attempt, sent=False
+            )
             stored = known._replace(
                 record=s.record._replace(attempt=attempt, endpoint=at)
             )
@@ -192,6 +203,24 @@
             if self.broken is Broken.NO_RECORD:
                 yield f"{term} assigns {attempt} to {at} unstored", known
 
+    def replaces(self, s: State, term: int):
+        """Choose another endpoint for an attempt whose start wasn't sent."""
+        mine = s.terms[term - 1]
+        if not mine.attempt or mine.where is None:
+            return
+        if mine.sent and self.broken is not Broken.REPLACE_SENT:
+            return
+        for at in ENDPOINTS:
+            if at == mine.where or at not in mine.held:
+                continue
+            known = self.with_term(s, term, where=at, sent=False)
+            fenced = s.record.epoch > term and self.broken is not Broken.NO_EPOCH
+            if not fenced:
+                record = s.record._replace(attempt=mine.attempt, endpoint=at)
+                yield f"{term} replaces by {at}", known._replace(record=record)
+            if self.broken is Broken.REPLACE_UNSTORED:
+                yield f"{term} replaces by {at} unstored", known
+
     def sends(self, s: State, term: int):
         mine = s.terms[term - 1]
         if not mine.attempt or mine.where is None:
@@ -202,7 +231,11 @@
             return
         start = Start(mine.where, mine.attempt, term, s.time + LEASE)
         if start not in s.starts and len(s.starts) < 1:
-            yield f"{term} sends {mine.attempt}", s._replace(starts=s.starts | {start})
+            sent = self.with_term(s, term, sent=True)
+            yield (
+                f"{term} sends {mine.attempt}",
+                sent._replace(starts=s.starts | {start}),
+            )
 
     def arrives(self, s: State):
         for start in s.starts:
@@ -308,6 +341,7 @@
         for term in TERMS:
             if self.active(s, term):
                 yield from self.assigns(s, term)
+                yield from self.replaces(s, term)
                 yield from self.sends(s, term)
                 yield from self.looks(s, term)
 
@@ -346,5 +380,8 @@
         Broken.NO_RECORD: "one_run",
         Broken.RENEW_ALWAYS: "one_run",
         Broken.SILENT_RENEWAL: "one_run",
+        Broken.REPLACE_SENT: "one_run",
+        Broken.REPLACE_FOUND: "one_run",
+        Broken.REPLACE_UNSTORED: "one_run",
     },
 )
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -4,7 +4,7 @@
 from hickoryplank.jobs.directory import Directory, Pool, Queue, Team
 from hickoryplank.jobs.endpoints import Listing, Run
 from hickoryplank.jobs.engine import Engine, Timing
-from hickoryplank.jobs.messages import StartOutcome
+from hickoryplank.jobs.messages import Batch, StartOutcome
 from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.records import (
     Record,
@@ -65,6 +65,8 @@
         self.work_ms = work_ms
         self.token = 1
         self.store: dict[str, bytes] = {}
+        #: What an append holds that the store hasn't answered.
+        self.under_way: Batch | None = None
         self.endpoints = {
             EndpointId(f"e{number}"): StandInEndpoint(1, work_ms)
             for number in range(count)
@@ -82,10 +84,16 @@
             engine.list_endpoint(listing(id, one.born_ms), self.now)
         return engine
 
-    def take_over(self) -> None:
-        """Begin another coordinator's term, from what is stored."""
+    def take_over(self, applied: bool = False) -> None:
+        """Begin another coordinator's term, from what is stored.
+
+        :param applied: the append under way is carried out, though not answered.
+        """
+        if applied and self.under_way is not None:
+            self._write(self.under_way)
         self.token += 1
         self.tries.clear()
+        self.under_way = None
         timing = Timing(LEASE_MS, 600, INHERIT_SECONDS, LONGEST_MS, KEEP_SECONDS)
         self.engine = Engine(self.cfg, timing, self.now)
         rows: dict[str, JobRow] = {}
@@ -111,9 +119,16 @@
             one.advance(ms)
         self._carry_out_late()
         self.look()
-        self.engine.tick(self.now, int(self.now * 1000))
+        if self.under_way is None:
+            self.engine.tick(self.now, int(self.now * 1000))
+        else:
+            self.engine.tick_planned(self.now, int(self.now * 1000))
+        for run in self.engine.take_planned(self.now):
+            self._send(run)
         self._stop()
-        if store_up:
+        if self.under_way is None:
+            self.under_way = self.engine.take_batch()
+        if store_up or not self.under_way.records:
             self.commit()
         self._resend()
 
@@ -132,14 +147,18 @@
 
     def commit(self) -> None:
         """Store a batch, and send its starts."""
-        batch = self.engine.take_batch()
+        batch = self.under_way or self.engine.take_batch()
+        self.under_way = None
+        self._write(batch)
+        for run in self.engine.stored(batch, self.now):
+            self._send(run)
+
+    def _write(self, batch: Batch) -> None:
         for record in batch.records:
             if record.value:
                 self.store[record.key] = record.value
             else:
                 del self.store[record.key]
-        for run in self.engine.stored(batch, self.now):
-            self._send(run)
 
     def _send(self, run: Run) -> None:
         self.tries[run] = self.tries.get(run, 0) + 1
--- /dev/null
+++ b/tests/jobs/test_ahead.py
@@ -0,0 +1,213 @@
+"""Assignments that are recorded ahead of their turn."""
+
+import random
+
+import pytest
+
+from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.jobs.model import Step, TaskKey
+from hickoryplank.jobs.placing import Starts
+from hickoryplank.jobs.sizes import Size
+from hickoryplank.jobs.table import JobState
+from tests.jobs.driver import TASK, Driver, job
+
+CHAIN = (Step(2, TASK), Step(2, TASK, after=(0,)), Step(1, TASK, after=(1,)))
+
+
+def started(driver: Driver, step: int) -> int:
+    """Return how many tasks of a step any endpoint was given."""
+    return sum(
+        1
+        for one in driver.endpoints.values()
+        for key, _ in one.started
+        if key.step == step
+    )
+
+
+def begin(driver: Driver, *steps: Step) -> None:
+    driver.engine.submit(job("a", *steps), driver.now)
+    driver.step()
+    driver.step()
+
+
+def test_steps_follow_each_other_while_the_store_is_away():
+    driver = Driver()
+    begin(driver, *CHAIN)
+    for _ in range(30):
+        driver.step(store_up=False)
+    assert started(driver, 2) == 1
+    row = driver.engine.jobs[JobId("a")]
+    assert row.complete
+    assert not row.stored.final
+    for _ in range(3):
+        driver.step()
+    assert row.stored is JobState.COMPLETED
+
+
+def test_a_job_that_waits_for_room_starts_while_the_store_is_away():
+    driver = Driver(count=1, work_ms=lambda key: 600.0)
+    for id in "ab":
+        driver.engine.submit(job(id, Step(4, TASK)), driver.now)
+    driver.step()
+    driver.step()
+    assert started(driver, 0) == 4
+    for _ in range(10):
+        driver.step(store_up=False)
+    assert started(driver, 0) == 8
+
+
+def test_no_plan_is_used_before_its_record_is_stored():
+    driver = Driver(count=1)
+    begin(driver, Step(4, TASK))
+    driver.engine.submit(job("b", Step(4, TASK)), driver.now)
+    for _ in range(20):
+        driver.step(store_up=False)
+    assert all(
+        run.plan is not None for run in driver.engine.jobs[JobId("b")].all_tasks()
+    )
+    assert started(driver, 0) == 4
+    driver.step()
+    driver.step()
+    assert started(driver, 0) == 8
+
+
+def test_a_plan_is_recorded_once():
+    driver = Driver(count=1, work_ms=lambda key: 60_000.0)
+    begin(driver, Step(4, TASK))
+    driver.engine.submit(job("b", Step(4, TASK)), driver.now)
+    driver.step()
+    for _ in range(5):
+        driver.engine.tick(driver.now, 0)
+        assert driver.engine.take_batch().records == []
+
+
+def test_without_proof_of_being_coordinator_nothing_starts_unrecorded():
+    driver = Driver()
+    begin(driver, *CHAIN)
+    while not driver.engine.jobs[JobId("a")].ready_steps(0):
+        driver.now += 0.1
+        for one in driver.endpoints.values():
+            one.advance(100)
+        driver.look()
+    driver.engine.tick(driver.now, 0, Starts.RECORDED_FIRST)
+    assert driver.engine.take_planned(driver.now) == []
+    assert driver.engine.take_batch().starts
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        (Step(1, TASK), Step(2, TASK, after=(0,), gang=True)),
+        (Step(1, TASK), Step(1, TASK, after=(0,), required_label="none")),
+        (Step(1, TASK), Step(1, Size(1, 9000, 0), after=(0,))),
+        (Step(1, TASK), Step(1, TASK, lasting=True)),
+    ],
+    ids=["gang", "label", "too large", "lasting"],
+)
+def test_what_needs_more_than_room_is_not_started_ahead(steps):
+    driver = Driver()
+    begin(driver, *steps)
+    before = started(driver, 1)
+    for _ in range(20):
+        driver.step(store_up=False)
+    assert started(driver, 1) == before
+
+
+@pytest.mark.parametrize("change", ["closing", "cut", "new life", "gone"])
+def test_a_plan_on_an_endpoint_that_is_unusable_is_not_used(change):
+    driver = Driver(count=1)
+    begin(driver, *CHAIN[:2])
+    (id,) = driver.endpoints
+    endpoint = driver.engine.endpoints[id]
+    while not driver.engine.jobs[JobId("a")].ready_steps(0):
+        driver.now += 0.1
+        driver.endpoints[id].advance(100)
+        driver.look()
+    match change:
+        case "closing":
+            endpoint.closing = True
+        case "cut":
+            driver.engine.hold_lost(endpoint, driver.now)
+        case "new life":
+            driver.restart_endpoint(id)
+        case "gone":
+            driver.engine.unlist_endpoint(id)
+    driver.engine.tick_planned(driver.now, 0)
+    assert driver.engine.take_planned(driver.now) == []
+
+
+@pytest.mark.parametrize("sent", [False, True])
+def test_a_take_over_finds_what_was_started_ahead_and_starts_the_rest(sent):
+    driver = Driver(work_ms=lambda key: 300.0 if key.step == 0 else 900.0)
+    begin(driver, *CHAIN[:2])
+    if sent:
+        while started(driver, 1) < 2:
+            driver.step(store_up=False)
+    driver.take_over()
+    for _ in range(30):
+        driver.step()
+        for index in range(2):
+            assert driver.run_count(TaskKey(JobId("a"), 0, 1, index)) <= 1
+    assert started(driver, 1) == 2
+    assert driver.engine.jobs[JobId("a")].stored is JobState.COMPLETED
+
+
+def test_a_plan_does_not_count_as_begun_after_a_take_over():
+    driver = Driver(count=1, work_ms=lambda key: 5000.0)
+    for id in "ab":
+        driver.engine.submit(job(id, Step(4, TASK)), driver.now)
+    driver.step()
+    driver.step()
+    driver.take_over()
+    assert driver.engine.jobs[JobId("a")].begun
+    assert not driver.engine.jobs[JobId("b")].begun
+    driver.step()
+    driver.step()
+    assert driver.engine.pending(driver.engine.jobs[JobId("b")].job.queue) == 1
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_task_runs_twice_whatever_happens_to_store_and_coordinators(seed):
+    rng = random.Random(seed)
+    driver = Driver(count=3, work_ms=lambda key: 200.0 + 150.0 * key.index)
+    ids = [f"j{number}" for number in range(4)]
+    for id in ids:
+        driver.engine.submit(job(id, *CHAIN), driver.now)
+    driver.step()
+    up = True
+    for _ in range(150):
+        up = rng.random() < (0.9 if up else 0.2)
+        _disturb(driver, rng)
+        driver.step(store_up=up)
+        for id in ids:
+            for key in _keys(id):
+                assert driver.run_count(key) <= 1, (seed, key)
+    driver.cut = set()
+    driver.lose_answers = set()
+    for _ in range(250):
+        driver.step()
+    for id in ids:
+        # A take-over may come before the first record of a job.
+        row = driver.engine.jobs.get(JobId(id))
+        assert row is None or row.stored is JobState.COMPLETED
+
+
+def _disturb(driver: Driver, rng: random.Random) -> None:
+    """End terms and lives, and cut or reconnect endpoints, at random."""
+    if rng.random() < 0.04:
+        driver.take_over(applied=rng.random() < 0.5)
+    if rng.random() < 0.03:
+        driver.restart_endpoint(EndpointId(f"e{rng.randrange(3)}"))
+    if rng.random() < 0.05:
+        driver.cut = {EndpointId(f"e{rng.randrange(3)}")}
+    if rng.random() < 0.1:
+        driver.cut = set()
+    driver.lose_answers = set(driver.cut)
+
+
+def _keys(id: str) -> list[TaskKey]:
+    return [
+        TaskKey(JobId(id), 0, step, index)
+        for step, one in enumerate(CHAIN)
+        for index in range(one.count)
+    ]
