Count a wave's deadline from when any coordinator first saw it

Now the record of a wave's progress, written as it is first seen, says when that was. Ruled out: the pool's bound, and the time that emptying takes (0 to 3 s).

--- a/hickoryplank/coordinator/answers.py
+++ b/hickoryplank/coordinator/answers.py
@@ -1,7 +1,6 @@
 """Answers to callers' calls during a term."""
 
 import logging
-import time
 
 import anyio
 import msgspec
@@ -31,6 +30,7 @@
 from hickoryplank.jobs.directory import Queue
 from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.table import JobState
+from hickoryplank.shell.clock import wall_ms
 
 __all__ = ["Answers"]
 
@@ -123,7 +123,7 @@
             team=found.team,
             payload=told.payload,
             steps=told.steps,
-            accepted_ms=time.time_ns() // 1_000_000,
+            accepted_ms=wall_ms(),
             repeats=told.repeats,
             first_ms=told.first_ms,
             period_ms=told.period_ms,
--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -1,7 +1,6 @@
 """Runs moves and waves of maintenance during a term."""
 
 import logging
-import time
 
 import anyio
 import msgspec
@@ -25,12 +24,12 @@
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.evacuation import empty, evacuate
 from hickoryplank.jobs.maintenance import WaveRow, begin_maintenance, wave_done
-from hickoryplank.jobs.records import VmOrdered, encode_order, encode_wave
+from hickoryplank.jobs.records import VmOrdered, WaveProgress, encode_order, encode_wave
 from hickoryplank.jobs.standby import Demand, balance
 from hickoryplank.jobs.vms import Due, Errand, Phase, VmTable, VmView
-from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.clock import Clock, wall_ms
 
-__all__ = ["Caretaker", "FleetBounds", "view_of"]
+__all__ = ["Caretaker", "FleetBounds", "view_of", "wave_row"]
 
 logger = logging.getLogger(__name__)
 
@@ -83,16 +82,16 @@
         self._bounds = bounds
         self._table = VmTable()
         self._waves: dict[WaveId, WaveRow] = {}
-        self._done: dict[WaveId, set[VmId]] = {}
+        self._former_waves: dict[WaveId, WaveProgress] = {}
         self._demand = Demand()
         self._states: dict[VmId, VmState] = {}
         self._former_orders: dict[VmId, int] = {}
         self._asked_at = 0.0
         self._vm_list = Dependency("VM list", clock)
 
-    def restore_wave(self, wave: WaveId, done: set[VmId]) -> None:
-        """Take over which VMs of a wave were maintained."""
-        self._done[wave] = done
+    def restore_wave(self, progress: WaveProgress) -> None:
+        """Take over how far a former coordinator has come with a wave."""
+        self._former_waves[progress.wave] = progress
 
     def restore_order(self, order: VmOrdered) -> None:
         """Take over when a former coordinator last gave an order for a VM."""
@@ -114,7 +113,7 @@
         if at_ms is None:
             return True
         least_s = self._bounds.orders_apart_s + APART_MARGIN_SECONDS
-        if time.time_ns() // 1_000_000 - at_ms < least_s * 1000:
+        if wall_ms() - at_ms < least_s * 1000:
             return False
         del self._former_orders[vm]
         return True
@@ -214,16 +213,22 @@
     def _wave(self, order: WaveOrder) -> WaveRow:
         wave = self._waves.get(order.id)
         if wave is None:
-            seen_at = self._watcher.wave_seen_at[order.id]
-            wave = self._waves[order.id] = WaveRow(
-                order.id,
-                order.vms,
-                seen_at + order.within_s,
-                order.at_once,
-                self._done.get(order.id, set()),
+            wave = self._waves[order.id] = wave_row(
+                order,
+                self._clock.now() - self._watcher.wave_seen_at[order.id],
+                self._clock.now(),
+                wall_ms(),
+                self._former_waves.get(order.id),
             )
         return wave
 
+    async def _record_waves(self, journal: Journal) -> None:
+        fresh = [wave for wave in self._waves.values() if not wave.recorded]
+        if fresh:
+            await journal.append([encode_wave(wave.progress()) for wave in fresh])
+        for wave in fresh:
+            wave.recorded = True
+
     async def _round(self, engine: Engine, journal: Journal, token: int) -> None:
         due = [
             errand
@@ -232,9 +237,10 @@
             or (errand.phase is Phase.EMPTYING and self._emptied(engine, errand))
         ]
         due = [errand for errand in due if self._apart(errand.vm)]
+        await self._record_waves(journal)
         if due:
             # A successor has to know which VMs it must not give orders for yet.
-            at_ms = time.time_ns() // 1_000_000
+            at_ms = wall_ms()
             await journal.append(
                 [encode_order(VmOrdered(errand.vm, at_ms)) for errand in due]
             )
@@ -305,8 +311,8 @@
         errand.back_at = now + away_s * LEAST_AWAY_PART
         if errand.wave is not None:
             self._maintained(errand.wave, errand.vm)
-            done = self._waves[errand.wave].done
-            await journal.append([encode_wave(errand.wave, done)])
+            progress = self._waves[errand.wave].progress()
+            await journal.append([encode_wave(progress)])
 
     def _maintained(self, wave: WaveId, vm: VmId) -> None:
         self._waves[wave].done.add(vm)
@@ -331,6 +337,36 @@
                 logger.info("wave's end not told", extra={"detail": fault.detail})
 
 
+def wave_row(
+    order: WaveOrder,
+    seen_for_s: float,
+    now: float,
+    now_ms: int,
+    former: WaveProgress | None,
+) -> WaveRow:
+    """Return a wave whose deadline counts from when any coordinator first saw it.
+
+    :param seen_for_s: how long this entry has known it, in seconds.
+    :param now_ms: time of day in Unix milliseconds.
+    :param former: what a former coordinator has recorded of it.
+    """
+    seen_ms = now_ms - int(seen_for_s * 1000)
+    done: set[VmId] = set()
+    if former is not None:
+        seen_ms = min(seen_ms, former.seen_ms)
+        done.update(former.done)
+    until = now + order.within_s - (now_ms - seen_ms) / 1000
+    return WaveRow(
+        order.id,
+        order.vms,
+        until,
+        order.at_once,
+        done,
+        seen_ms,
+        recorded=former is not None,
+    )
+
+
 def view_of(one: ListedVm) -> VmView:
     """Return what the engine needs to know of a listed VM."""
     return VmView(
--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -1,7 +1,6 @@
 """One term of the coordinator: restores the engine, and drives it."""
 
 import logging
-import time
 
 import anyio
 
@@ -17,6 +16,7 @@
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.placing import Starts
+from hickoryplank.shell.clock import wall_ms
 
 __all__ = ["Coordinator", "Outside"]
 
@@ -137,7 +137,7 @@
         now = self._term.outside.clock.now()
         proven = self._term.lease.proof_age() < BLIND_SECONDS
         starts = Starts.ANY if proven else Starts.RECORDED_FIRST
-        engine.tick(now, _wall_ms(), starts)
+        engine.tick(now, wall_ms(), starts)
         self._orders.send_starts(engine.take_planned(now))
         batch = engine.take_batch()
         stored, self._term.stored = self._term.stored, anyio.Event()
@@ -159,7 +159,7 @@
                 continue
             engine = self._term.running()
             now = self._term.outside.clock.now()
-            engine.tick_planned(now, _wall_ms())
+            engine.tick_planned(now, wall_ms())
             self._orders.send_starts(engine.take_planned(now))
 
     def _log_notes(self, engine: Engine) -> None:
@@ -187,10 +187,6 @@
             await changed.wait()
 
 
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 def _reason(exc: BaseException) -> str:
     """Return what the first of a group of errors says."""
     while isinstance(exc, BaseExceptionGroup):
--- a/hickoryplank/coordinator/restoring.py
+++ b/hickoryplank/coordinator/restoring.py
@@ -1,7 +1,6 @@
 """Reads what a new term takes over from the store."""
 
 import logging
-import time
 
 import anyio
 from result import Err, Ok
@@ -24,7 +23,7 @@
     job_of_key,
 )
 from hickoryplank.jobs.table import JobRow
-from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.clock import Clock, wall_ms
 
 __all__ = ["read_jobs", "read_newest"]
 
@@ -54,7 +53,7 @@
     """Read all jobs and their states, and hand the caretaker what is its."""
     rows: dict[str, JobRow] = {}
     states: list[Record] = []
-    wall_ms = time.time_ns() // 1_000_000
+    now_ms = wall_ms()
     for record in (await read_newest(store, Topic.JOBS)).records:
         if is_wave_key(record.key) or is_order_key(record.key):
             _restore_vms(caretaker, record)
@@ -64,7 +63,7 @@
             continue
         match decode_job(record):
             case Job() as job:
-                age = max(0, wall_ms - job.accepted_ms) / 1000
+                age = max(0, now_ms - job.accepted_ms) / 1000
                 rows[job.id] = JobRow(job, clock.now() - age)
             case RecordFault(key, detail):
                 logger.error("job can't be read", extra={"key": key, "detail": detail})
@@ -79,8 +78,8 @@
 def _restore_vms(caretaker: Caretaker, record: Record) -> None:
     decode = decode_wave if is_wave_key(record.key) else decode_order
     match decode(record):
-        case WaveProgress(wave, done):
-            caretaker.restore_wave(wave, set(done))
+        case WaveProgress() as progress:
+            caretaker.restore_wave(progress)
         case VmOrdered() as order:
             caretaker.restore_order(order)
         case RecordFault(key, detail):
--- a/hickoryplank/jobs/maintenance.py
+++ b/hickoryplank/jobs/maintenance.py
@@ -4,6 +4,7 @@
 
 from hickoryplank.core.ids import PoolId, VmId, WaveId
 from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.records import WaveProgress
 from hickoryplank.jobs.vms import Due, Errand, Phase, VmRow, VmTable
 
 __all__ = ["WaveRow", "begin_maintenance", "wave_done"]
@@ -25,8 +26,10 @@
 class WaveRow(msgspec.Struct):
     """A wave under way.
 
+    :param seen_ms: when it was first seen, in Unix milliseconds.
     :param until: its deadline, by our clock.
     :param at_once: most VMs that may be down for it at the same time.
+    :param recorded: the store has when it was first seen.
     """
 
     id: WaveId
@@ -34,8 +37,14 @@
     until: float
     at_once: int
     done: set[VmId]
+    seen_ms: int = 0
+    recorded: bool = False
     told_completed: bool = False
 
+    def progress(self) -> WaveProgress:
+        """Return what a successor has to know of it."""
+        return WaveProgress(self.id, self.seen_ms, tuple(sorted(self.done)))
+
 
 def wave_done(wave: WaveRow, vms: VmTable) -> bool:
     """Return whether every VM of a wave that still exists was maintained."""
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -47,9 +47,13 @@
 
 
 class WaveProgress(msgspec.Struct, frozen=True):
-    """Which VMs of a wave were maintained."""
+    """When a wave was first seen, and which of its VMs were maintained.
+
+    :param seen_ms: time of day, in Unix milliseconds; its deadline counts from there.
+    """
 
     wave: WaveId
+    seen_ms: int
     done: tuple[VmId, ...]
 
 
@@ -194,19 +198,22 @@
     return key.startswith(_WAVE_PREFIX)
 
 
-def encode_wave(wave: WaveId, done: set[VmId]) -> Record:
+def encode_wave(progress: WaveProgress) -> Record:
     """Return the record of a wave's progress."""
-    return Record(_WAVE_PREFIX + wave, _encoder.encode(sorted(done)))
+    value = _encoder.encode((progress.seen_ms, progress.done))
+    return Record(_WAVE_PREFIX + progress.wave, value)
 
 
 def decode_wave(record: Record) -> WaveProgress | RecordFault:
     """Read the progress of a wave."""
     try:
-        done = msgspec.msgpack.decode(record.value, type=tuple[str, ...])
+        seen_ms, done = msgspec.msgpack.decode(
+            record.value, type=tuple[int, tuple[str, ...]]
+        )
     except msgspec.MsgspecError as exc:
         return RecordFault(record.key, str(exc))
     wave = WaveId(record.key[len(_WAVE_PREFIX) :])
-    return WaveProgress(wave, tuple(VmId(vm) for vm in done))
+    return WaveProgress(wave, seen_ms, tuple(VmId(vm) for vm in done))
 
 
 def is_order_key(key: str) -> bool:
--- a/hickoryplank/shell/clock.py
+++ b/hickoryplank/shell/clock.py
@@ -3,7 +3,12 @@
 import time
 from abc import ABC, abstractmethod
 
-__all__ = ["Clock", "MonotonicClock"]
+__all__ = ["Clock", "MonotonicClock", "wall_ms"]
+
+
+def wall_ms() -> int:
+    """Return the time of day in Unix milliseconds; it may jump."""
+    return time.time_ns() // 1_000_000
 
 
 class Clock(ABC):
--- a/tests/coordinator/memory.py
+++ b/tests/coordinator/memory.py
@@ -270,6 +270,19 @@
             vm.id, vm.pool, VmState.MAINTENANCE, vm.zone, vm.labels, vm.capacity, None
         )
 
+    def set_state(self, vm: VmId, state: VmState) -> None:
+        """Have the list show a VM in a state."""
+        known = self.vms[vm]
+        self.vms[vm] = ListedVm(
+            vm,
+            known.pool,
+            state,
+            known.zone,
+            known.labels,
+            known.capacity,
+            known.endpoint,
+        )
+
     async def move(self, vm: VmId, pool: PoolId, token: int) -> OrderOutcome:
         """Move a VM to another pool."""
         await anyio.lowlevel.checkpoint()
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -36,7 +36,14 @@
 from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId, Zone
 from hickoryplank.jobs.engine import Timing
 from hickoryplank.jobs.model import Step
-from hickoryplank.jobs.records import Record, VmOrdered, encode_order
+from hickoryplank.jobs.records import (
+    Record,
+    VmOrdered,
+    WaveProgress,
+    decode_wave,
+    encode_order,
+    is_wave_key,
+)
 from hickoryplank.jobs.table import JobState
 from hickoryplank.meter import Metrics
 from hickoryplank.shell.clock import MonotonicClock
@@ -331,6 +338,49 @@
     assert platform.vms.down_at_once <= 2
 
 
+async def test_a_successor_knows_when_a_wave_was_first_seen():
+    platform = Platform(count=2)
+    await platform.open()
+    for vm in list(platform.vms.vms):
+        platform.vms.set_state(vm, VmState.DOWN)
+    wave = WaveOrder(WaveId("1"), tuple(platform.vms.vms), 60.0, 2)
+    record = platform.operator.encode("wave/1", wave)
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        await platform.store.append(Topic.OPERATOR, [record], None)
+        await until(lambda: _wave_progress(platform) is not None)
+    first = _wave_progress(platform)
+    await anyio.sleep(0.3)
+    for vm in list(platform.vms.vms):
+        platform.vms.set_state(vm, VmState.UP)
+    node = Node(platform, "b")
+    async with running(node):
+        await until(lambda: len(_wave_progress(platform).done) == 2)
+    assert _wave_progress(platform).seen_ms == first.seen_ms
+
+
+def _wave_progress(platform: Platform) -> WaveProgress | None:
+    records = platform.store.partition(Topic.JOBS).records
+    waves = [one for one in records if is_wave_key(one.key)]
+    return decode_wave(waves[-1]) if waves else None
+
+
+@pytest.mark.parametrize(
+    "former_age_s, left_s", [(None, 18.0), (12.0, 8.0), (1.0, 18.0), (30.0, -10.0)]
+)
+def test_a_wave_ends_when_the_first_coordinator_that_saw_it_says(former_age_s, left_s):
+    order = WaveOrder(WaveId("1"), (VmId("m"),), 20.0, 2)
+    now_ms = 1_700_000_000_000
+    former = None
+    if former_age_s is not None:
+        seen_ms = now_ms - int(former_age_s * 1000)
+        former = WaveProgress(order.id, seen_ms, (VmId("m"),))
+    row = caretaker.wave_row(order, 2.0, 100.0, now_ms, former)
+    assert row.until == pytest.approx(100.0 + left_s)
+    assert row.done == (set() if former is None else {"m"})
+
+
 async def test_with_a_stale_configuration_nothing_is_served():
     platform = Platform()
     await platform.open()
