Begin a wave with the pools that need most of the time left

Its pool held four VMs, all due, of which one may be away at a time; the wave took idle VMs of other pools first, and came to the last of the four at 30.8 s, deadline 31.2 s (logs).

Now pools whose due VMs, few at a time, need most of the time left go first, and don't wait for the wave's pace.

--- a/hickoryplank/jobs/maintenance.py
+++ b/hickoryplank/jobs/maintenance.py
@@ -1,5 +1,7 @@
 """Waves of maintenance: which VM is taken next, within the wave's bounds."""
 
+from collections import Counter
+
 import msgspec
 
 from hickoryplank.core.ids import PoolId, VmId, WaveId
@@ -61,6 +63,9 @@
 ) -> list[Errand]:
     """Begin errands for the wave's next VMs: idle ones first, few in each pool.
 
+    Pools that need most of the time left, as few of their VMs may be away at once,
+    go before all others.
+
     :param ordered: VMs for which a former coordinator gave an order of late; they
         may be down for the wave, or go down yet.
     """
@@ -80,11 +85,14 @@
         _under_way(wave, vms.rows[vm], ordered) for vm in wave.vms if vm in vms.rows
     )
     wanted = _wanted(wave, len(left), now, maintenance_s) - under_way
+    pressing = _pressing_pools(wave, left, vms, engine, now, maintenance_s)
     begun: list[Errand] = []
-    for vm in sorted(free, key=lambda one: _rank(vms.rows[one], engine)):
-        if len(begun) >= wanted:
-            break
+    for vm in sorted(free, key=lambda one: _rank(vms.rows[one], engine, pressing)):
         row = vms.rows[vm]
+        if len(begun) >= wave.at_once - under_way:
+            break
+        if len(begun) >= wanted and row.view.pool not in pressing:
+            continue
         part = LAST_POOL_PART if soon else POOL_PART
         if not _pool_allows(row.view.pool, vms, engine, part):
             continue
@@ -108,17 +116,49 @@
     return min(wave.at_once, -(-left // rounds))
 
 
-def _rank(row: VmRow, engine: Engine) -> tuple[int, int]:
-    pool = engine.directory.pools.get(row.view.pool)
-    standby = pool is not None and pool.standby
+def _pressing_pools(
+    wave: WaveRow,
+    left: list[VmId],
+    vms: VmTable,
+    engine: Engine,
+    now: float,
+    maintenance_s: float,
+) -> set[PoolId]:
+    """Return the pools whose VMs, few at a time, take most of the time left."""
+    due: Counter[PoolId] = Counter(vms.rows[vm].view.pool for vm in left)
+    cycle = CYCLE_SECONDS + maintenance_s
+    time_left = (wave.until - now) * DEADLINE_PART
+    pressing = set()
+    for pool, count in due.items():
+        if _is_standby(pool, engine):
+            continue
+        rounds = -(-count // _most_away(pool, vms, POOL_PART))
+        if rounds * cycle > time_left:
+            pressing.add(pool)
+    return pressing
+
+
+def _rank(row: VmRow, engine: Engine, pressing: set[PoolId]) -> tuple[int, int, int]:
+    pool = row.view.pool
     endpoint = engine.endpoint_of(row.view.endpoint)
-    return (not standby, len(endpoint.runs) if endpoint is not None else 0)
+    runs = len(endpoint.runs) if endpoint is not None else 0
+    return (pool not in pressing, not _is_standby(pool, engine), runs)
 
 
-def _pool_allows(pool: PoolId, vms: VmTable, engine: Engine, part: float) -> bool:
+def _is_standby(pool: PoolId, engine: Engine) -> bool:
     known = engine.directory.pools.get(pool)
-    if known is not None and known.standby:
+    return known is not None and known.standby
+
+
+def _most_away(pool: PoolId, vms: VmTable, part: float) -> int:
+    """Return how many VMs of a pool may be away at once."""
+    count = sum(1 for row in vms.rows.values() if row.view.pool == pool)
+    return max(1, int(count * part))
+
+
+def _pool_allows(pool: PoolId, vms: VmTable, engine: Engine, part: float) -> bool:
+    if _is_standby(pool, engine):
         return True
     rows = [row for row in vms.rows.values() if row.view.pool == pool]
     away = sum(1 for row in rows if row.errand is not None or not row.view.up)
-    return away < max(1, int(len(rows) * part))
+    return away < _most_away(pool, vms, part)
--- a/tests/jobs/test_fleet.py
+++ b/tests/jobs/test_fleet.py
@@ -270,3 +270,15 @@
     assert len(table.errands()) <= most
     if left_s < 10:
         assert len(table.errands()) == most
+
+
+@pytest.mark.parametrize("within_s, first", [(60.0, "s-"), (20.0, "m-")])
+def test_a_pool_whose_vms_go_one_by_one_begins_before_idle_vms(within_s, first):
+    driver = Driver(count=4, work_ms=lambda key: None, cfg=with_standby())
+    driver.engine.submit(job("a", Step(4, TASK, lasting=True)), driver.now)
+    for _ in range(3):
+        driver.step()
+    table = fleet(driver, spare=4)
+    row = WaveRow(WaveId("1"), tuple(table.rows), driver.now + within_s, 1, set())
+    (errand,) = begin_maintenance(row, table, driver.engine, driver.now, 2.0)
+    assert errand.vm.startswith(first)
