--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from hickoryplank.coordinator import caretaker
+from hickoryplank.coordinator import caretaker, coordinator
 from hickoryplank.coordinator.answers import STALE_SECONDS
 from hickoryplank.coordinator.calls import (
     Accepted,
@@ -442,6 +442,31 @@
             assert answers == [Accepted()]
 
 
+@pytest.mark.parametrize("blind_s, started", [(5.0, 2), (0.0, 1)])
+async def test_steps_follow_each_other_in_an_outage_with_recent_proof(
+    blind_s, started, monkeypatch
+):
+    monkeypatch.setattr(coordinator, "BLIND_SECONDS", blind_s)
+    platform = Platform(work_ms=lambda key: 400.0)
+    await platform.open()
+    node = Node(platform, "a")
+    async with running(node):
+        await until(lambda: node.serving)
+        await node.term.answer(submit("j", Step(1, TASK), Step(1, TASK, after=(0,))))
+        await until(lambda: _started(platform) == 1)
+        node.store.away = True
+        await anyio.sleep(1.5)
+        assert _started(platform) == started
+        assert node.term.engine.jobs[JobId("j")].stored is not JobState.COMPLETED
+        node.store.away = False
+        await until_state(node, "j", JobState.COMPLETED)
+    assert _started(platform) == 2
+
+
+def _started(platform: Platform) -> int:
+    return sum(len(one.started) for one in platform.stand_ins.values())
+
+
 async def test_an_order_that_was_done_before_ends_nothing_that_runs(monkeypatch):
     monkeypatch.setattr(caretaker, "PATIENCE_SECONDS", 0.2)
     platform = Platform(work_ms=lambda key: 2500.0)
