Plan once, and look for room once, in each tick

A tick without news took 3.3 to 4.1 ms of processor time with 120 open jobs on 100 endpoints, 1.2 ms before plans were made: each tick looked at all tasks for want of a plan, and at all waiting tasks for room at their plans.

Now a job is looked at for plans only after tasks came to wait, and a step is left as soon as no endpoint has room; what lasts is summed only for pools that get work.

--- a/hickoryplank/jobs/ahead.py
+++ b/hickoryplank/jobs/ahead.py
@@ -31,6 +31,9 @@
 
     :param endpoints: those of the pool that may be given runs.
     """
+    if not row.unplanned:
+        return
+    row.unplanned = False
     if not _plannable(tables, row):
         return
     steps = row.steps[occurrence]
--- a/hickoryplank/jobs/placing.py
+++ b/hickoryplank/jobs/placing.py
@@ -64,15 +64,14 @@
         if row.job.due_ms(occurrence) > wall_ms:
             continue
         for step in row.ready_steps(occurrence):
-            if starts is not Starts.RECORDED_FIRST:
-                _place_planned(tables, row, step, now)
             if starts is Starts.PLANNED:
+                _place_planned(tables, row, step, now)
                 continue
             allowed = _permitted(tables, row, step, endpoints, now)
             if step.step.gang:
                 _place_gang(tables, row, step, allowed)
             else:
-                _place_step(tables, row, step, allowed, now)
+                _place_step(tables, row, step, allowed, now, starts)
         if starts is not Starts.PLANNED:
             plan_ahead(tables, row, occurrence, endpoints, now)
 
@@ -95,13 +94,20 @@
 
 
 def _place_step(
-    tables: Tables, row: JobRow, step: StepRow, endpoints: list[Endpoint], now: float
+    tables: Tables,
+    row: JobRow,
+    step: StepRow,
+    endpoints: list[Endpoint],
+    now: float,
+    starts: Starts,
 ) -> None:
     for task in list(step.waiting.values()):
         if task.not_before > now or task.run is not None:
             continue
         if not tables.use.allows(row.job.team, step.step.size, tables.directory):
             return
+        if starts is Starts.ANY and start_planned(tables, row, step, task, now):
+            continue
         endpoint = choose(endpoints, step, task.failed_on)
         if endpoint is None:
             return
--- a/hickoryplank/jobs/standby.py
+++ b/hickoryplank/jobs/standby.py
@@ -126,7 +126,6 @@
     engine: Engine, vms: VmTable, demand: Demand, now: float, standby: PoolId
 ) -> list[_PoolNeed]:
     wanted = _wanted_sizes(engine, now)
-    lasting = _lasting_sizes(engine)
     needs = []
     for pool in engine.directory.pools:
         rows = [row for row in vms.rows.values() if _in_pool(row, pool)]
@@ -147,7 +146,8 @@
             and row.errand.pool != pool
         )
         offered = engine.arrivals.offered(pool, now)
-        offered = offered.plus(lasting.get(pool, ZERO))
+        if offered != ZERO:
+            offered = offered.plus(_lasting_size(engine, pool))
         size = wanted.get(pool, ZERO).most(offered)
         count = max(LEAST_VMS, _vms_for(size, rows, vms))
         have = len(rows) - leaving + coming
@@ -183,15 +183,16 @@
     return wanted
 
 
-def _lasting_sizes(engine: Engine) -> dict[PoolId, Size]:
-    """Return what runs until it is cancelled, by pool."""
-    sizes: dict[PoolId, Size] = {}
+def _lasting_size(engine: Engine, pool: PoolId) -> Size:
+    """Return what runs in a pool until it is cancelled."""
+    size = ZERO
     for endpoint in engine.endpoints.values():
-        pool = endpoint.listing.pool
+        if endpoint.listing.pool != pool:
+            continue
         for run in endpoint.runs.values():
             if run.step.lasting:
-                sizes[pool] = sizes.get(pool, ZERO).plus(run.counted)
-    return sizes
+                size = size.plus(run.counted)
+    return size
 
 
 def _vms_for(size: Size, rows: list[VmRow], vms: VmTable) -> int:
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -130,6 +130,7 @@
     """A job and all that is known of its tasks.
 
     :param excess: its team had handed in more than its share when it came.
+    :param unplanned: tasks may have come to wait since plans were made.
     :param stored: state as the store has it; callers are told no other end.
     """
 
@@ -141,6 +142,7 @@
         self.stored = JobState.QUEUED
         self.steps: dict[int, list[StepRow]] = {}
         self.begun = False
+        self.unplanned = True
 
     def open_occurrence(self, occurrence: int) -> list[StepRow]:
         """Return the steps of an occurrence; make them if they aren't there."""
--- a/hickoryplank/jobs/tables.py
+++ b/hickoryplank/jobs/tables.py
@@ -162,6 +162,7 @@
         task.state = TaskState.WAITING
         task.working = False
         row.step_of(task.key).waiting[task.key.index] = task
+        row.unplanned = True
         self.touch(row)
 
     def stop(self, run: Run, now: float, why: str) -> None:
