Have one copy of what begins runs, follows the lease and reopens endpoints

* A run began in two places, recorded first or planned: Tables.begin_run.
The loop over planned tasks was the loop of _place_step again.
A plan's attempt is always the task's next one, as the plan is dropped when a run begins, so it isn't kept.
* Proof of being coordinator was reckoned in three places: Term.proven.
The length of a maintenance cycle was computed three times, the VMs of a pool filtered in four: VmTable.pool_rows.
* The lease took records in three places and wrote them in two; an endpoint was used again in three: evacuation.reopen.
* Tests: one way to order a wave, to change a stand-in VM, and to wait for a turn.
All assertions stay.

--- a/hickoryplank/coordinator/caretaker.py
+++ b/hickoryplank/coordinator/caretaker.py
@@ -22,7 +22,7 @@
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.core.ids import VmId, WaveId
 from hickoryplank.jobs.engine import Engine
-from hickoryplank.jobs.evacuation import empty, evacuate
+from hickoryplank.jobs.evacuation import empty, evacuate, reopen
 from hickoryplank.jobs.maintenance import WaveRow, begin_maintenance, wave_done
 from hickoryplank.jobs.records import VmOrdered, WaveProgress, encode_order, encode_wave
 from hickoryplank.jobs.standby import Demand, balance
@@ -144,9 +144,8 @@
     def _reopen(self, engine: Engine) -> None:
         """Use endpoints again whose VMs have no errand any more."""
         for row in self._table.rows.values():
-            endpoint = engine.endpoint_of(row.view.endpoint)
-            if endpoint is not None and row.errand is None:
-                endpoint.closing = False
+            if row.errand is None:
+                reopen(engine, row)
 
     def _log_changes(self, listed: tuple[ListedVm, ...]) -> None:
         for one in listed:
@@ -323,9 +322,7 @@
     def _drop(self, engine: Engine, errand: Errand) -> None:
         row = self._table.rows[errand.vm]
         row.errand = None
-        endpoint = engine.endpoint_of(row.view.endpoint)
-        if endpoint is not None:
-            endpoint.closing = False
+        reopen(engine, row)
 
     async def _tell_completed(self, wave: WaveRow) -> None:
         record = self._codec.encode_wave_status(wave.id, completed=True)
--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -12,7 +12,7 @@
 from hickoryplank.coordinator.looks import Looks
 from hickoryplank.coordinator.orders import Orders
 from hickoryplank.coordinator.restoring import read_jobs
-from hickoryplank.coordinator.term import BLIND_SECONDS, Outside, Term
+from hickoryplank.coordinator.term import Outside, Term
 from hickoryplank.coordinator.watcher import OperatorWatcher
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.placing import Starts
@@ -135,8 +135,7 @@
     async def _commit(self) -> None:
         engine = self._term.running()
         now = self._term.outside.clock.now()
-        proven = self._term.lease.proof_age() < BLIND_SECONDS
-        starts = Starts.ANY if proven else Starts.RECORDED_FIRST
+        starts = Starts.ANY if self._term.proven() else Starts.RECORDED_FIRST
         engine.tick(now, wall_ms(), starts)
         self._orders.send_starts(engine.take_planned(now))
         batch = engine.take_batch()
@@ -154,8 +153,7 @@
         """Start what is recorded ahead while an append takes its time."""
         while True:
             await anyio.sleep(PLANNED_SECONDS)
-            proven = self._term.lease.proof_age() < BLIND_SECONDS
-            if not self._term.journal.busy or not proven:
+            if not self._term.journal.busy or not self._term.proven():
                 continue
             engine = self._term.running()
             now = self._term.outside.clock.now()
--- a/hickoryplank/coordinator/journal.py
+++ b/hickoryplank/coordinator/journal.py
@@ -34,8 +34,11 @@
         self._turn = anyio.Lock()
         #: Whether the last try of an append failed.
         self.failing = False
-        #: Whether an append is under way.
-        self.busy = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether an append is under way."""
+        return self._turn.locked()
 
     async def open(self) -> None:
         """Raise the epoch; older ones can append nothing from then on.
@@ -50,11 +53,7 @@
         :raises Deposed: a higher epoch rules.
         """
         async with self._turn:
-            self.busy = True
-            try:
-                await self._append_chunks(records)
-            finally:
-                self.busy = False
+            await self._append_chunks(records)
 
     async def _append_chunks(self, records: list[Record]) -> None:
         chunk: list[Record] = []
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -5,10 +5,11 @@
 
 import anyio
 import msgspec
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from hickoryplank.coordinator.dependency import Dependency
 from hickoryplank.coordinator.ports import (
+    Appended,
     CallFault,
     Condition,
     Fault,
@@ -227,9 +228,7 @@
         match await self._store.read(Topic.LEASE, self._end, READ_WAIT_MS):
             case Ok(page):
                 self._source.answered()
-                self._end = page.next
-                for record in page.records:
-                    self._note(record)
+                self._follow(page.next, page.records)
             case Err(CallFault(Fault.TRIMMED, _)):
                 self._end = None
             case Err(fault):
@@ -250,9 +249,7 @@
             return True
         match await self._store.read(Topic.LEASE, self._end, 0):
             case Ok(page) if page.records:
-                self._end = page.next
-                for record in page.records:
-                    self._note(record)
+                self._follow(page.next, page.records)
                 return False
         return True
 
@@ -270,8 +267,7 @@
         assert self._end is not None
         assert self.known is not None
         asked = msgspec.structs.replace(self.known, wanted_by=self._me.name)
-        record = Record(_KEY, msgspec.msgpack.encode(asked))
-        done = await self._store.append(Topic.LEASE, [record], Condition(self._end))
+        done = await self._append(asked, self._end)
         logger.info(
             "weaker coordinator asked to step down",
             extra={
@@ -286,14 +282,17 @@
         match await self._store.newest(Topic.LEASE):
             case Ok(newest):
                 self._source.answered()
-                self._end = newest.end
-                for record in newest.records:
-                    self._note(record)
+                self._follow(newest.end, newest.records)
                 return True
             case Err(fault):
                 self._source.failed(fault.detail)
                 return False
 
+    def _follow(self, end: int, records: tuple[Record, ...]) -> None:
+        self._end = end
+        for record in records:
+            self._note(record)
+
     def _note(self, record: Record) -> None:
         if record.key != _KEY:
             return
@@ -365,8 +364,7 @@
     async def _write(self, lease: LeaseRecord) -> bool:
         assert self._end is not None
         sent_at = self._clock.now()
-        record = Record(_KEY, msgspec.msgpack.encode(lease))
-        match await self._store.append(Topic.LEASE, [record], Condition(self._end)):
+        match await self._append(lease, self._end):
             case Ok(done):
                 self._source.answered()
                 self._end = done.end
@@ -383,6 +381,12 @@
                 return False
         return False
 
+    async def _append(
+        self, lease: LeaseRecord, end: int
+    ) -> Result[Appended, CallFault]:
+        record = Record(_KEY, msgspec.msgpack.encode(lease))
+        return await self._store.append(Topic.LEASE, [record], Condition(end))
+
     async def _settle(self, wanted: LeaseRecord, sent_at: float) -> None:
         """Find out what a write without a clear answer has done."""
         if await self._read_newest() and self.known == wanted:
--- a/hickoryplank/coordinator/looks.py
+++ b/hickoryplank/coordinator/looks.py
@@ -8,7 +8,7 @@
 from hickoryplank.coordinator.dependency import Dependency
 from hickoryplank.coordinator.ports import CallFault, Fault, Newest, Topic
 from hickoryplank.coordinator.restoring import read_newest
-from hickoryplank.coordinator.term import BLIND_SECONDS, Term
+from hickoryplank.coordinator.term import Term
 from hickoryplank.core.ids import EndpointId
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.engine import Engine
@@ -46,7 +46,7 @@
         engine = self._term.running()
         clock = self._term.outside.clock
         while engine.endpoints.get(endpoint.id) is endpoint:
-            renew = self._term.lease.proof_age() < BLIND_SECONDS
+            renew = self._term.proven()
             order = engine.hold_order(endpoint, clock.now(), renew=renew)
             asked_at = clock.now()
             match await self._term.outside.endpoints.hold(order, self._term.token):
--- a/hickoryplank/coordinator/term.py
+++ b/hickoryplank/coordinator/term.py
@@ -66,6 +66,10 @@
         """Have the engine run its systems soon."""
         self.woken.set()
 
+    def proven(self) -> bool:
+        """Return whether proof of being coordinator is recent enough for orders."""
+        return self.lease.proof_age() < BLIND_SECONDS
+
     def running(self) -> Engine:
         """Return the engine.
 
--- a/hickoryplank/jobs/ahead.py
+++ b/hickoryplank/jobs/ahead.py
@@ -12,9 +12,8 @@
 from itertools import cycle
 
 from hickoryplank.jobs.endpoints import Endpoint
-from hickoryplank.jobs.messages import Happening
 from hickoryplank.jobs.placement import admits, suits
-from hickoryplank.jobs.table import JobRow, JobState, Plan, StepRow, Task
+from hickoryplank.jobs.table import JobRow, Plan, StepRow, Task
 from hickoryplank.jobs.tables import Tables
 
 __all__ = ["plan_ahead", "start_planned"]
@@ -69,7 +68,7 @@
     first = tables.next_plan % len(fit)
     tables.next_plan += 1
     for task, endpoint in zip(unplanned, cycle(fit[first:] + fit[:first])):
-        task.plan = Plan(endpoint, task.attempt + 1)
+        task.plan = Plan(endpoint)
         tables.plans.append(task.plan)
     tables.touch(row)
 
@@ -88,18 +87,10 @@
     if plan is None or not plan.stored or not _alive(tables, plan):
         return False
     endpoint = plan.endpoint
-    if plan.attempt != task.attempt + 1 or endpoint.id in task.failed_on:
+    if endpoint.id in task.failed_on or not endpoint.usable(now):
         return False
-    if not endpoint.usable(now) or not admits(endpoint, step):
+    if not admits(endpoint, step):
         return False
-    task.attempt = plan.attempt
-    task.plan = None
-    run = tables.make_run(row, task, endpoint)
+    run = tables.begin_run(row, task, endpoint, task.attempt + 1, "recorded ahead")
     tables.planned_starts.append(run)
-    row.begun = True
-    if row.state is JobState.QUEUED:
-        row.state = JobState.RUNNING
-        tables.touch(row)
-    if task.key.index == 0 or plan.attempt > 1:
-        tables.note(Happening.ASSIGNED, run, "recorded ahead")
     return True
--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -4,8 +4,9 @@
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.placement import choose
 from hickoryplank.jobs.table import StepRow
+from hickoryplank.jobs.vms import VmRow
 
-__all__ = ["empty", "evacuate"]
+__all__ = ["empty", "evacuate", "reopen"]
 
 
 def empty(endpoint: Endpoint) -> bool:
@@ -13,6 +14,13 @@
     return not endpoint.runs
 
 
+def reopen(engine: Engine, row: VmRow) -> None:
+    """Use a VM's endpoint again, as the VM stays."""
+    endpoint = engine.endpoint_of(row.view.endpoint)
+    if endpoint is not None:
+        endpoint.closing = False
+
+
 def evacuate(engine: Engine, endpoint: Endpoint, now: float) -> None:
     """Move lasting tasks off an endpoint, as many as their steps can miss.
 
--- a/hickoryplank/jobs/maintenance.py
+++ b/hickoryplank/jobs/maintenance.py
@@ -70,7 +70,8 @@
         may be down for the wave, or go down yet.
     """
     left = [vm for vm in wave.vms if vm not in wave.done and vm in vms.rows]
-    soon = wave.until - now < LAST_CYCLES * (CYCLE_SECONDS + maintenance_s)
+    cycle = CYCLE_SECONDS + maintenance_s
+    soon = wave.until - now < LAST_CYCLES * cycle
     for vm in left:
         vms.rows[vm].due = Due.SOON if soon else Due.LATER
         endpoint = engine.endpoint_of(vms.rows[vm].view.endpoint)
@@ -84,8 +85,8 @@
     under_way = sum(
         _under_way(wave, vms.rows[vm], ordered) for vm in wave.vms if vm in vms.rows
     )
-    wanted = _wanted(wave, len(left), now, maintenance_s) - under_way
-    pressing = _pressing_pools(wave, left, vms, engine, now, maintenance_s)
+    wanted = _wanted(wave, len(left), now, cycle) - under_way
+    pressing = _pressing_pools(wave, left, vms, engine, now, cycle)
     begun: list[Errand] = []
     for vm in sorted(free, key=lambda one: _rank(vms.rows[one], engine, pressing)):
         row = vms.rows[vm]
@@ -108,9 +109,8 @@
     return row.view.maintaining or row.view.id in ordered
 
 
-def _wanted(wave: WaveRow, left: int, now: float, maintenance_s: float) -> int:
+def _wanted(wave: WaveRow, left: int, now: float, cycle: float) -> int:
     """Return how many VMs are to be under way at once to be done in time."""
-    cycle = CYCLE_SECONDS + maintenance_s
     time_left = max(cycle, (wave.until - now) * DEADLINE_PART)
     rounds = max(1, int(time_left / cycle))
     return min(wave.at_once, -(-left // rounds))
@@ -122,17 +122,16 @@
     vms: VmTable,
     engine: Engine,
     now: float,
-    maintenance_s: float,
+    cycle: float,
 ) -> set[PoolId]:
     """Return the pools whose VMs, few at a time, take most of the time left."""
     due: Counter[PoolId] = Counter(vms.rows[vm].view.pool for vm in left)
-    cycle = CYCLE_SECONDS + maintenance_s
     time_left = (wave.until - now) * DEADLINE_PART
     pressing = set()
     for pool, count in due.items():
         if _is_standby(pool, engine):
             continue
-        rounds = -(-count // _most_away(pool, vms, POOL_PART))
+        rounds = -(-count // _most_away(vms.pool_rows(pool), POOL_PART))
         if rounds * cycle > time_left:
             pressing.add(pool)
     return pressing
@@ -150,15 +149,14 @@
     return known is not None and known.standby
 
 
-def _most_away(pool: PoolId, vms: VmTable, part: float) -> int:
+def _most_away(rows: list[VmRow], part: float) -> int:
     """Return how many VMs of a pool may be away at once."""
-    count = sum(1 for row in vms.rows.values() if row.view.pool == pool)
-    return max(1, int(count * part))
+    return max(1, int(len(rows) * part))
 
 
 def _pool_allows(pool: PoolId, vms: VmTable, engine: Engine, part: float) -> bool:
     if _is_standby(pool, engine):
         return True
-    rows = [row for row in vms.rows.values() if row.view.pool == pool]
+    rows = vms.pool_rows(pool)
     away = sum(1 for row in rows if row.errand is not None or not row.view.up)
-    return away < _most_away(pool, vms, part)
+    return away < _most_away(rows, part)
--- a/hickoryplank/jobs/placing.py
+++ b/hickoryplank/jobs/placing.py
@@ -5,7 +5,6 @@
 from hickoryplank.core.ids import PoolId
 from hickoryplank.jobs.ahead import plan_ahead, start_planned
 from hickoryplank.jobs.endpoints import Endpoint
-from hickoryplank.jobs.messages import Happening
 from hickoryplank.jobs.ordering import in_order
 from hickoryplank.jobs.placement import choose, choose_gang
 from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task
@@ -65,7 +64,7 @@
             continue
         for step in row.ready_steps(occurrence):
             if starts is Starts.PLANNED:
-                _place_planned(tables, row, step, now)
+                _place_step(tables, row, step, [], now, starts)
                 continue
             allowed = _permitted(tables, row, step, endpoints, now)
             if step.step.gang:
@@ -76,14 +75,6 @@
             plan_ahead(tables, row, occurrence, endpoints, now)
 
 
-def _place_planned(tables: Tables, row: JobRow, step: StepRow, now: float) -> None:
-    for task in list(step.waiting.values()):
-        if not tables.use.allows(row.job.team, step.step.size, tables.directory):
-            return
-        if task.not_before <= now and task.run is None:
-            start_planned(tables, row, step, task, now)
-
-
 def _permitted(
     tables: Tables, row: JobRow, step: StepRow, endpoints: list[Endpoint], now: float
 ) -> list[Endpoint]:
@@ -106,7 +97,10 @@
             continue
         if not tables.use.allows(row.job.team, step.step.size, tables.directory):
             return
-        if starts is Starts.ANY and start_planned(tables, row, step, task, now):
+        planned = starts is not Starts.RECORDED_FIRST
+        if planned and start_planned(tables, row, step, task, now):
+            continue
+        if starts is Starts.PLANNED:
             continue
         endpoint = choose(endpoints, step, task.failed_on)
         if endpoint is None:
@@ -137,12 +131,6 @@
 def _assign(
     tables: Tables, row: JobRow, task: Task, endpoint: Endpoint, attempt: int
 ) -> None:
-    task.attempt = attempt
-    task.plan = None
-    tables.starts.append(tables.make_run(row, task, endpoint))
-    row.begun = True
-    if row.state is JobState.QUEUED:
-        row.state = JobState.RUNNING
+    why = JobState.RUNNING.value
+    tables.starts.append(tables.begin_run(row, task, endpoint, attempt, why))
     tables.touch(row)
-    if task.key.index == 0 or attempt > 1:
-        tables.note(Happening.ASSIGNED, task.run, row.state.value)
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -155,7 +155,7 @@
     elif planned and task.plan is not None:
         # A successor has to look for it there, as for any other assignment.
         record.state = TaskState.ACTIVE.value
-        record.attempt = task.plan.attempt
+        record.attempt = task.attempt + 1
         record.endpoint = task.plan.endpoint.id
         record.born_ms = task.plan.endpoint.listing.born_ms
         record.planned = True
--- a/hickoryplank/jobs/standby.py
+++ b/hickoryplank/jobs/standby.py
@@ -13,6 +13,7 @@
 
 from hickoryplank.core.ids import PoolId
 from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.evacuation import reopen
 from hickoryplank.jobs.ordering import worth_serving
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.vms import Due, Errand, Phase, VmRow, VmTable
@@ -79,17 +80,13 @@
 
 
 def balance(
-    engine: Engine,
-    vms: VmTable,
-    demand: Demand,
-    now: float,
-    standby: PoolId,
+    engine: Engine, vms: VmTable, demand: Demand, now: float, standby: PoolId
 ) -> list[Errand]:
     """Begin the moves that demand asks for; take back those it no longer does."""
     needs = _needs(engine, vms, demand, now, standby)
     engine.short_pools.clear()
     _take_back(engine, vms, needs, standby)
-    spares = [row for row in vms.rows.values() if _in_pool(row, standby) and _free(row)]
+    spares = [row for row in vms.pool_rows(standby) if _free(row)]
     spares.sort(key=lambda row: row.due is Due.NOT)
     begun: list[Errand] = []
     for need in sorted(needs, key=lambda one: one.have - one.wanted):
@@ -109,10 +106,6 @@
     return begun
 
 
-def _in_pool(row: VmRow, pool: PoolId) -> bool:
-    return row.view.pool == pool
-
-
 def _free(row: VmRow) -> bool:
     return row.view.up and row.errand is None and row.due is not Due.SOON
 
@@ -128,7 +121,7 @@
     wanted = _wanted_sizes(engine, now)
     needs = []
     for pool in engine.directory.pools:
-        rows = [row for row in vms.rows.values() if _in_pool(row, pool)]
+        rows = vms.pool_rows(pool)
         if pool == standby:
             continue
         coming = sum(
@@ -136,7 +129,7 @@
             for row in vms.rows.values()
             if row.errand is not None
             and row.errand.pool == pool
-            and not _in_pool(row, pool)
+            and row.view.pool != pool
         )
         leaving = sum(
             1
@@ -225,9 +218,7 @@
             if errand.phase is not Phase.EMPTYING:
                 continue
             row.errand = None
-            endpoint = engine.endpoint_of(row.view.endpoint)
-            if endpoint is not None:
-                endpoint.closing = False
+            reopen(engine, row)
             need.have += 1
 
 
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -47,17 +47,15 @@
 
 
 class Plan:
-    """Where a task is to run once its turn has come.
+    """Where a task's next run is to be once its turn has come.
 
-    :param attempt: the number that its run will have.
     :param stored: a record that names it is stored, so that it may be used.
     """
 
-    __slots__ = ("attempt", "endpoint", "stored")
+    __slots__ = ("endpoint", "stored")
 
-    def __init__(self, endpoint: Endpoint, attempt: int):
+    def __init__(self, endpoint: Endpoint):
         self.endpoint = endpoint
-        self.attempt = attempt
         self.stored = False
 
 
--- a/hickoryplank/jobs/tables.py
+++ b/hickoryplank/jobs/tables.py
@@ -128,6 +128,24 @@
         self.use.add(run.team, run.size)
         return run
 
+    def begin_run(
+        self, row: JobRow, task: Task, endpoint: Endpoint, attempt: int, why: str
+    ) -> Run:
+        """Give a waiting task its next run, whether it is recorded yet or not.
+
+        :param attempt: the run's number.
+        """
+        task.attempt = attempt
+        task.plan = None
+        run = self.make_run(row, task, endpoint)
+        row.begun = True
+        if row.state is JobState.QUEUED:
+            row.state = JobState.RUNNING
+            self.touch(row)
+        if task.key.index == 0 or attempt > 1:
+            self.note(Happening.ASSIGNED, run, why)
+        return run
+
     def task_of(self, run: Run) -> Task | None:
         """Return the task whose run this is, unless it has another or none."""
         row = self.jobs.get(run.key.job)
--- a/hickoryplank/jobs/vms.py
+++ b/hickoryplank/jobs/vms.py
@@ -98,6 +98,10 @@
             if view.up and asked_at > errand.back_at:
                 row.errand = None
 
+    def pool_rows(self, pool: PoolId) -> list[VmRow]:
+        """Return the VMs that the list shows in a pool."""
+        return [row for row in self.rows.values() if row.view.pool == pool]
+
     def errands(self) -> list[Errand]:
         """Return all errands under way."""
         return [row.errand for row in self.rows.values() if row.errand is not None]
--- a/tests/coordinator/memory.py
+++ b/tests/coordinator/memory.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import anyio
+import msgspec
 from result import Err, Ok, Result
 
 from hickoryplank.coordinator.ports import (
@@ -266,22 +267,11 @@
     def _shown(self, vm: ListedVm) -> ListedVm:
         if vm.id not in self.away:
             return vm
-        return ListedVm(
-            vm.id, vm.pool, VmState.MAINTENANCE, vm.zone, vm.labels, vm.capacity, None
-        )
+        return msgspec.structs.replace(vm, state=VmState.MAINTENANCE, endpoint=None)
 
     def set_state(self, vm: VmId, state: VmState) -> None:
         """Have the list show a VM in a state."""
-        known = self.vms[vm]
-        self.vms[vm] = ListedVm(
-            vm,
-            known.pool,
-            state,
-            known.zone,
-            known.labels,
-            known.capacity,
-            known.endpoint,
-        )
+        self.vms[vm] = msgspec.structs.replace(self.vms[vm], state=state)
 
     async def move(self, vm: VmId, pool: PoolId, token: int) -> OrderOutcome:
         """Move a VM to another pool."""
@@ -290,15 +280,7 @@
         if known.pool == pool:
             return OrderOutcome.DONE
         self.orders.append(("move", vm, pool, token))
-        self.vms[vm] = ListedVm(
-            vm,
-            pool,
-            known.state,
-            known.zone,
-            known.labels,
-            known.capacity,
-            known.endpoint,
-        )
+        self.vms[vm] = msgspec.structs.replace(known, pool=pool)
         self._take_down(vm)
         return OrderOutcome.DONE
 
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from hickoryplank.coordinator import caretaker, coordinator
+from hickoryplank.coordinator import caretaker, term
 from hickoryplank.coordinator.answers import STALE_SECONDS
 from hickoryplank.coordinator.calls import (
     Accepted,
@@ -98,6 +98,12 @@
         record = self.operator.encode("config", cfg)
         await self.store.append(Topic.OPERATOR, [record], None)
 
+    async def order_wave(self, within_s: float = 5.0, at_once: int = 2) -> None:
+        """Have operators order a wave of all VMs."""
+        wave = WaveOrder(WaveId("1"), tuple(self.vms.vms), within_s, at_once)
+        record = self.operator.encode("wave/1", wave)
+        await self.store.append(Topic.OPERATOR, [record], None)
+
 
 class Node:
     """One entry without its listeners."""
@@ -328,9 +334,7 @@
     node = Node(platform, "a")
     async with running(node):
         await until(lambda: node.serving)
-        wave = WaveOrder(WaveId("1"), tuple(platform.vms.vms), 5.0, 2)
-        record = platform.operator.encode("wave/1", wave)
-        await platform.store.append(Topic.OPERATOR, [record], None)
+        await platform.order_wave()
         status = platform.store.partition(Topic.STATUS)
         await until(lambda: [one.value for one in status.records] == [b"completed"])
     maintained = [vm for kind, vm, _, _ in platform.vms.orders if kind == "maintain"]
@@ -343,12 +347,10 @@
     await platform.open()
     for vm in list(platform.vms.vms):
         platform.vms.set_state(vm, VmState.DOWN)
-    wave = WaveOrder(WaveId("1"), tuple(platform.vms.vms), 60.0, 2)
-    record = platform.operator.encode("wave/1", wave)
     node = Node(platform, "a")
     async with running(node):
         await until(lambda: node.serving)
-        await platform.store.append(Topic.OPERATOR, [record], None)
+        await platform.order_wave(within_s=60.0)
         await until(lambda: _wave_progress(platform) is not None)
     first = _wave_progress(platform)
     await anyio.sleep(0.3)
@@ -414,9 +416,7 @@
     ordered_at = time.time()
     order = encode_order(VmOrdered(vm, int(ordered_at * 1000)))
     await platform.store.append(Topic.JOBS, [order], None)
-    wave = WaveOrder(WaveId("1"), (vm,), 5.0, 1)
-    record = platform.operator.encode("wave/1", wave)
-    await platform.store.append(Topic.OPERATOR, [record], None)
+    await platform.order_wave(at_once=1)
     node = Node(platform, "a")
     async with running(node):
         await until(lambda: bool(platform.vms.orders))
@@ -446,7 +446,7 @@
 async def test_steps_follow_each_other_in_an_outage_with_recent_proof(
     blind_s, started, monkeypatch
 ):
-    monkeypatch.setattr(coordinator, "BLIND_SECONDS", blind_s)
+    monkeypatch.setattr(term, "BLIND_SECONDS", blind_s)
     platform = Platform(work_ms=lambda key: 400.0)
     await platform.open()
     node = Node(platform, "a")
@@ -476,9 +476,7 @@
         await until(lambda: node.serving)
         await node.term.answer(submit("j", Step(2, TASK)))
         await until(lambda: any(one.running for one in platform.stand_ins.values()))
-        wave = WaveOrder(WaveId("1"), tuple(platform.vms.vms), 5.0, 2)
-        record = platform.operator.encode("wave/1", wave)
-        await platform.store.append(Topic.OPERATOR, [record], None)
+        await platform.order_wave()
         await until(lambda: len(platform.vms.orders) == 2)
         await until_state(node, "j", JobState.COMPLETED)
-    assert sum(len(one.started) for one in platform.stand_ins.values()) == 2
+    assert _started(platform) == 2
--- a/tests/jobs/test_ahead.py
+++ b/tests/jobs/test_ahead.py
@@ -30,6 +30,15 @@
     driver.step()
 
 
+def wait_for_turn(driver: Driver) -> None:
+    """Let the first step end and be heard of, without a tick."""
+    while not driver.engine.jobs[JobId("a")].ready_steps(0):
+        driver.now += 0.1
+        for one in driver.endpoints.values():
+            one.advance(100)
+        driver.look()
+
+
 def test_steps_follow_each_other_while_the_store_is_away():
     driver = Driver()
     begin(driver, *CHAIN)
@@ -84,11 +93,7 @@
 def test_without_proof_of_being_coordinator_nothing_starts_unrecorded():
     driver = Driver()
     begin(driver, *CHAIN)
-    while not driver.engine.jobs[JobId("a")].ready_steps(0):
-        driver.now += 0.1
-        for one in driver.endpoints.values():
-            one.advance(100)
-        driver.look()
+    wait_for_turn(driver)
     driver.engine.tick(driver.now, 0, Starts.RECORDED_FIRST)
     assert driver.engine.take_planned(driver.now) == []
     assert driver.engine.take_batch().starts
@@ -119,10 +124,7 @@
     begin(driver, *CHAIN[:2])
     (id,) = driver.endpoints
     endpoint = driver.engine.endpoints[id]
-    while not driver.engine.jobs[JobId("a")].ready_steps(0):
-        driver.now += 0.1
-        driver.endpoints[id].advance(100)
-        driver.look()
+    wait_for_turn(driver)
     match change:
         case "closing":
             endpoint.closing = True
