Refuse a submission only where no earlier call of its id can take effect

Cause: a submission waits while the store carries its append out late; its key is withdrawn; the entry's repetition of the call is answered 401; the append arrives and the job runs. The same with 404, with 503 of an entry that reaches no coordinator, and with a coordinator that is drained or replaced.

Who does not serve knows nothing of what others have accepted: an entry without coordinator answers a submission 504 with Retry-After, no longer 503.

Ruled out by the model: remembering submissions by id in each entry, and across terms (built first, then dropped): the design holds without it, and did not hold with it alone. What is left: a call whose connection was cut silently may be read before the end of the connection.

--- a/hickoryplank/coordinator/calls.py
+++ b/hickoryplank/coordinator/calls.py
@@ -31,6 +31,7 @@
     "decode_answer",
     "decode_call",
     "encode",
+    "is_refusal",
 ]
 
 
@@ -161,12 +162,14 @@
 
 
 class Unsettled(msgspec.Struct, frozen=True, tag=True):
-    """It is unknown whether the call has taken effect.
+    """It is unknown whether the call, or an earlier one with its id, has taken effect.
 
     :param detail: why no result is known.
+    :param again_s: after how long the caller should retry, in seconds; 0 for at once.
     """
 
     detail: str = ""
+    again_s: int = 0
 
 
 Answer = (
@@ -182,6 +185,12 @@
     | Unsettled
 )
 
+
+def is_refusal(answer: Answer) -> bool:
+    """Return whether an answer says that the call had no effect and will have none."""
+    return isinstance(answer, NotRun | NoKey | NoSuchQueue)
+
+
 _encoder = msgspec.msgpack.Encoder()
 _call_decoder = msgspec.msgpack.Decoder(Call)
 _answer_decoder = msgspec.msgpack.Decoder(Answer)
--- a/hickoryplank/coordinator/forwarder.py
+++ b/hickoryplank/coordinator/forwarder.py
@@ -16,6 +16,7 @@
     Unsettled,
     decode_answer,
     encode,
+    is_refusal,
 )
 from hickoryplank.coordinator.coordinator import Coordinator
 from hickoryplank.coordinator.lease import LeaseManager
@@ -45,6 +46,9 @@
 #: Wait before a call is forwarded again, in seconds. A change of the coordinator ends
 #: it early.
 RETRY_SECONDS = 0.1
+#: Retry-After of a call for which no coordinator was reached, in seconds. A takeover
+#: takes about as long.
+RETRY_AFTER_SECONDS = 1
 #: Longest time for which a call is retried, in seconds.
 MAX_CALL_SECONDS = 10.0
 #: Part of the caller's timeout that is reserved for returning the answer, in seconds.
@@ -69,7 +73,9 @@
         """Forward a call and return its answer.
 
         A submission or cancellation that may have reached a coordinator is retried
-        until the timeout of the caller; both are idempotent.
+        until the timeout of the caller; both are idempotent. Such a call is not refused
+        any more, as its first attempt may still take effect. Neither is one that has
+        reached no coordinator: an earlier call with its id may have.
 
         :param within_s: timeout of the caller, in seconds.
         """
@@ -82,7 +88,7 @@
             if isinstance(answer, Unsettled):
                 unsettled = answer
             elif not _is_no_coordinator(answer):
-                return answer
+                return unsettled if unsettled and is_refusal(answer) else answer
             until = (
                 deadline
                 if unsettled is not None
@@ -90,7 +96,9 @@
             )
             wait_s = until - self._clock.now()
             if wait_s <= 0:
-                return unsettled or answer
+                return unsettled or _without_answer(
+                    call, "no coordinator was reached", RETRY_AFTER_SECONDS
+                )
             with anyio.move_on_after(min(wait_s, RETRY_SECONDS)):
                 await changed.wait()
 
@@ -102,13 +110,22 @@
         )
 
     async def _attempt(self, call: Call, remaining_s: float) -> Answer:
+        if remaining_s <= 0:
+            # The caller may have been answered through another entry meanwhile.
+            return NotRun(NotRunReason.NO_COORDINATOR)
         if self.local_coordinator is not None:
-            return await self.local_coordinator.answer(call)
+            return await self.answer_locally(call)
         address = self._lease.coordinator_address
         if address is None:
             return NotRun(NotRunReason.NO_COORDINATOR)
         return await self._forward(call, address, remaining_s)
 
+    async def answer_locally(self, call: Call) -> Answer:
+        """Return the answer of the coordinator in this process, if there is one."""
+        if self.local_coordinator is None:
+            return NotRun(NotRunReason.NO_COORDINATOR)
+        return await self.local_coordinator.answer(call)
+
     async def _forward(self, call: Call, address: str, remaining_s: float) -> Answer:
         answer = await self._client.call(
             "POST",
@@ -136,13 +153,15 @@
                 return _without_answer(call, fault.detail)
 
 
-def _without_answer(call: Call, detail: str) -> Answer:
-    """Return the answer to a call that the coordinator has left unanswered.
+def _without_answer(call: Call, detail: str, again_s: int = 0) -> Answer:
+    """Return the answer to a call that no coordinator has answered.
 
     Only submissions and cancellations have an effect that may be unknown.
+
+    :param again_s: after how long the caller should retry, in seconds.
     """
     if isinstance(call, Submit | Cancel):
-        return Unsettled(detail)
+        return Unsettled(detail, again_s)
     return NotRun(NotRunReason.NO_COORDINATOR)
 
 
--- a/hickoryplank/platform/ingress.py
+++ b/hickoryplank/platform/ingress.py
@@ -41,6 +41,7 @@
 #: requests of the users have this timeout.
 DEFAULT_TIMEOUT_SECONDS = 3.0
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
+_DEADLINE_MS = re.compile(r"[0-9]{1,9}\Z")
 _BEARER = "Bearer "
 _STATE_PREFIX = '{"state":"'
 
@@ -145,14 +146,16 @@
             return _response(400, msgspec.json.encode({"error": detail}).decode())
         case NotRun(_, retry_after_s):
             return _response(503, retry_after_s=retry_after_s)
-        case Unsettled():
-            return _response(504)
+        case Unsettled(_, retry_after_s):
+            return _response(504, retry_after_s=retry_after_s)
 
 
 def _timeout_s(request: web.BaseRequest) -> float:
     """Return the timeout of the caller, in seconds."""
     header = request.headers.get("Hickoryplank-Deadline-Ms", "")
-    return int(header) / 1000 if header.isdigit() else DEFAULT_TIMEOUT_SECONDS
+    if not _DEADLINE_MS.match(header):
+        return DEFAULT_TIMEOUT_SECONDS
+    return int(header) / 1000
 
 
 class Ingress:
--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -9,10 +9,11 @@
 from spec.fold import FOLD
 from spec.freshness import FRESHNESS
 from spec.lease import LEASE
+from spec.submissions import SUBMISSIONS
 
 __all__ = ["MECHANISMS", "main"]
 
-MECHANISMS = (FOLD, FRESHNESS, ESCROW, CLAIMS, COORDINATOR, LEASE)
+MECHANISMS = (FOLD, FRESHNESS, ESCROW, CLAIMS, COORDINATOR, LEASE, SUBMISSIONS)
 
 
 def main() -> int:
