--- a/hickoryplank/coordinator/recovery.py
+++ b/hickoryplank/coordinator/recovery.py
@@ -3,10 +3,12 @@
 import logging
 
 import anyio
+import msgspec
 from result import Err, Ok
 
 from hickoryplank.coordinator.ports import Newest, StorePort, Topic
 from hickoryplank.coordinator.vm_controller import VmController
+from hickoryplank.core.ids import JobId
 from hickoryplank.jobs.model import Job
 from hickoryplank.jobs.records import (
     Record,
@@ -25,7 +27,7 @@
 from hickoryplank.jobs.table import JobRow
 from hickoryplank.shell.clock import Clock, wall_ms
 
-__all__ = ["read_jobs", "read_newest"]
+__all__ = ["StoredJobs", "read_jobs", "read_newest"]
 
 logger = logging.getLogger(__name__)
 
@@ -47,15 +49,28 @@
                 await anyio.sleep(RETRY_SECONDS)
 
 
+class StoredJobs(msgspec.Struct, frozen=True):
+    """The jobs that a new term finds in the store.
+
+    :param rows: jobs with their states.
+    :param malformed: ids of jobs with a malformed record. They are neither run nor
+        accepted again, as their tasks may be running or done.
+    """
+
+    rows: list[JobRow]
+    malformed: frozenset[JobId]
+
+
 async def read_jobs(
     store: StorePort, vm_controller: VmController, clock: Clock
-) -> list[JobRow]:
+) -> StoredJobs:
     """Return all stored jobs with their states.
 
     :param vm_controller: is given the progress of waves and the orders for VMs, which
         are stored in the same topic.
     """
-    rows: dict[str, JobRow] = {}
+    rows: dict[JobId, JobRow] = {}
+    malformed: set[JobId] = set()
     states: list[Record] = []
     now_ms = wall_ms()
     for record in (await read_newest(store, Topic.JOBS)).records:
@@ -70,18 +85,22 @@
                 age_s = max(0, now_ms - job.accepted_ms) / 1000
                 rows[job.id] = JobRow(job, clock.now() - age_s)
             case RecordFault(key, detail):
+                malformed.add(job_of_key(key))
                 logger.error(
-                    "malformed job record ignored", extra={"key": key, "detail": detail}
+                    "malformed job record; the job is left as it is",
+                    extra={"request": job_of_key(key), "detail": detail},
                 )
     for record in states:
         row = rows.get(job_of_key(record.key))
         fault = apply_state(row, record) if row is not None else None
         if fault is not None:
+            malformed.add(job_of_key(record.key))
             logger.error(
-                "malformed job state record; the rest of it is ignored",
-                extra={"detail": fault.detail},
+                "malformed job state record; the job is left as it is",
+                extra={"request": job_of_key(record.key), "detail": fault.detail},
             )
-    return list(rows.values())
+    kept = [row for id, row in rows.items() if id not in malformed]
+    return StoredJobs(kept, frozenset(malformed))
 
 
 def _restore_vms(vm_controller: VmController, record: Record) -> None:
--- a/hickoryplank/platform/endpoints.py
+++ b/hickoryplank/platform/endpoints.py
@@ -1,5 +1,7 @@
 """Adapter to the executors of the platform, which hickoryplank calls endpoints."""
 
+import logging
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -24,11 +26,14 @@
 
 __all__ = ["PlatformEndpoints"]
 
+logger = logging.getLogger(__name__)
+
 #: Timeout of a start, stop or pace change, in seconds: a hundred times its usual
 #: duration.
 REQUEST_TIMEOUT_SECONDS = 0.4
 #: Timeout of a poll, in seconds, added to the time for which it may wait for an end.
 POLL_TIMEOUT_SECONDS = 0.5
+_BAD_REQUEST = 400
 _CONFLICT = 409
 _MISDIRECTED = 421
 _UNHEALTHY = (429, 503)
@@ -206,22 +211,24 @@
 
 
 def _start_outcome(status: int) -> StartOutcome:
+    """Return the outcome of a start that was answered by neither 200 nor 409."""
     if status in _UNHEALTHY:
         return StartOutcome.UNHEALTHY
-    return (
-        StartOutcome.OTHER_INCARNATION
-        if status == _MISDIRECTED
-        else StartOutcome.REFUSED
-    )
+    if status == _MISDIRECTED:
+        return StartOutcome.OTHER_INCARNATION
+    if status == _BAD_REQUEST:
+        return StartOutcome.REFUSED
+    return StartOutcome.UNKNOWN
 
 
 def _call_fault(response: HttpResponse) -> CallFault:
     detail = f"{response.status} {response.body[:200]!r}"
-    if response.status == _CONFLICT:
-        return CallFault(CallFaultKind.FENCED, detail)
-    if response.status == _MISDIRECTED:
-        return CallFault(CallFaultKind.OTHER_INCARNATION, detail)
-    return CallFault(CallFaultKind.NOT_DONE, detail)
+    kinds = {
+        _CONFLICT: CallFaultKind.FENCED,
+        _MISDIRECTED: CallFaultKind.OTHER_INCARNATION,
+        _BAD_REQUEST: CallFaultKind.NOT_DONE,
+    } | dict.fromkeys(_UNHEALTHY, CallFaultKind.NOT_DONE)
+    return CallFault(kinds.get(response.status, CallFaultKind.UNKNOWN), detail)
 
 
 def _clock_result(answer: Result[HttpResponse, CallFault]) -> Result[int, CallFault]:
@@ -234,23 +241,28 @@
             return Err(fault)
 
 
+def _own_task_key(name: str) -> TaskKey | None:
+    """Return the key of a task; none, with a log line, if it isn't one of ours."""
+    try:
+        return task_key(name)
+    except ValueError:
+        logger.warning("unknown task in a report ignored", extra={"task": name[:100]})
+        return None
+
+
 def _decode_report(data: bytes) -> Result[PollReport, CallFault]:
     try:
         lists = _lists_decoder.decode(data)
         running = tuple(
-            RunningTask(
-                task_key(row.task),
-                row.attempt,
-                row.checkpoint,
-                row.percent,
-                int(row.load),
-            )
+            RunningTask(key, row.attempt, row.checkpoint, row.percent, int(row.load))
             for row in lists.running
+            if (key := _own_task_key(row.task)) is not None
         )
         ends = tuple(
-            End(row.number, task_key(row.task), row.attempt, row.how, row.checkpoint)
+            End(row.number, key, row.attempt, row.how, row.checkpoint)
             for row in lists.ended
+            if (key := _own_task_key(row.task)) is not None
         )
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except (msgspec.MsgspecError, ValueError, OverflowError) as exc:
         return Err(CallFault(CallFaultKind.INVALID_ANSWER, str(exc)))
     return Ok(PollReport(lists.born, lists.clock_ms, running, ends))
--- a/hickoryplank/platform/store.py
+++ b/hickoryplank/platform/store.py
@@ -89,7 +89,11 @@
         position += _LENGTH.size
         body = data[position : position + length]
         position += length
+        if len(body) < length:
+            raise ValueError(f"record of {length} bytes ends after {len(body)}")
         key_end = 1 + body[0]
+        if len(body) < key_end:
+            raise ValueError(f"key of {body[0]} bytes in a record of {length}")
         key = body[1:key_end].decode(errors="replace")
         records.append(Record(key, body[key_end:]))
     return records
@@ -109,6 +113,11 @@
     return CallFault(faults.get(response.status, CallFaultKind.INVALID_ANSWER), detail)
 
 
+def _newest_record(item: _Item) -> Record:
+    """Return the record of an item; ``ValueError`` if its value is not base64."""
+    return Record(item.key, base64.b64decode(item.value, validate=True))
+
+
 class PlatformStore(StorePort):
     """Store over HTTP.
 
@@ -154,7 +163,11 @@
         self._note_answer_time(time.monotonic() - started_at)
         match answer:
             case Ok(HttpResponse(200, body)):
-                offsets = _offsets_decoder.decode(body)
+                try:
+                    offsets = _offsets_decoder.decode(body)
+                except msgspec.MsgspecError as exc:
+                    # The status says that the records were appended.
+                    return Err(CallFault(CallFaultKind.UNKNOWN, str(exc)))
                 return Ok(Appended(offsets.offset, offsets.end_offset))
             case Ok(response):
                 return Err(_call_fault(response))
@@ -180,7 +193,7 @@
                 try:
                     end, _first = _PAGE_HEADER.unpack_from(body)
                     records = tuple(_unframe(body, _PAGE_HEADER.size))
-                except (struct.error, IndexError) as exc:
+                except (struct.error, IndexError, ValueError) as exc:
                     return Err(CallFault(CallFaultKind.INVALID_ANSWER, str(exc)))
                 if not records:
                     # The read waited for all of ``wait_ms``; the rest is answer time.
@@ -214,15 +227,19 @@
             )
             match answer:
                 case Ok(HttpResponse(200, body)):
-                    page = _items_decoder.decode(body)
+                    try:
+                        page = _items_decoder.decode(body)
+                        records += [_newest_record(item) for item in page.items]
+                    except (msgspec.MsgspecError, ValueError) as exc:
+                        return Err(CallFault(CallFaultKind.INVALID_ANSWER, str(exc)))
                 case Ok(response):
                     return Err(_call_fault(response))
                 case Err(fault):
                     return Err(fault)
-            records += [
-                Record(item.key, base64.b64decode(item.value)) for item in page.items
-            ]
             end = page.end_offset if end is None else end
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return Ok(Newest(tuple(records), end))
+            if not page.items or page.items[-1].key == after:
+                detail = f"more records are said to follow {after!r}, none is given"
+                return Err(CallFault(CallFaultKind.INVALID_ANSWER, detail))
             after = page.items[-1].key
--- a/hickoryplank/platform/vms.py
+++ b/hickoryplank/platform/vms.py
@@ -69,6 +69,7 @@
     wave: int
 
 
+_reason_decoder = msgspec.json.Decoder(_Reason)
 _page_decoder = msgspec.json.Decoder(_Machines)
 
 
@@ -138,16 +139,26 @@
             case Ok(HttpResponse(200, _)):
                 return OrderOutcome.DONE
             case Ok(HttpResponse(409, body)):
-                reason = msgspec.json.decode(body, type=_Reason).reason
-                return _REASONS.get(reason, OrderOutcome.IMPOSSIBLE)
+                return _conflict_outcome(body)
             case Ok(HttpResponse(400, _)):
                 return OrderOutcome.IMPOSSIBLE
-            case Ok(_) | Err(CallFault(CallFaultKind.NOT_DONE, _)):
+            case Ok(HttpResponse(429 | 503, _)) | Err(
+                CallFault(CallFaultKind.NOT_DONE, _)
+            ):
                 return OrderOutcome.NOT_DONE
-            case Err(_):
+            case _:
                 return OrderOutcome.UNKNOWN
 
 
+def _conflict_outcome(body: bytes) -> OrderOutcome:
+    try:
+        reason = _reason_decoder.decode(body).reason
+    except msgspec.MsgspecError:
+        # Not carried out, but without a reason to give the order up.
+        return OrderOutcome.NOT_DONE
+    return _REASONS.get(reason, OrderOutcome.IMPOSSIBLE)
+
+
 def _to_listed_vm(machine: _Machine) -> ListedVm:
     size = Size(machine.capacity.cpu, machine.capacity.mem_mb, machine.capacity.gpu)
     return ListedVm(
