Hand over from a coordinator whose VM turns slow, and outlive unexpected errors

The lease notices a holder that is dead or cut off, not a slow one.

An entry measures how long fixed work takes, relative to its fastest time, and the holder's renewals carry its strength as measured. The request of a stronger entry for a weak holder's lease does the rest. Load doesn't change the measure (ruled out: the delay of the event loop, which it does), and where all VMs turn slow nobody asks. A holder that is asked releases at once; open calls are repeated at the next coordinator.

Tasks of an entry go on after an unexpected error, and a term that fails by one gives up the lease.

--- a/hickoryplank/coordinator/call_handler.py
+++ b/hickoryplank/coordinator/call_handler.py
@@ -24,6 +24,7 @@
     StateIs,
     Submit,
     Unsettled,
+    is_refusal,
 )
 from hickoryplank.coordinator.term_state import Term
 from hickoryplank.core.ids import TeamId
@@ -59,29 +60,54 @@
 
         :param call: the call, with the context in which it was received.
         """
-        if self._term.engine is None or self._draining or not self._term.lease.valid():
+        if not self._serving():
             return NotRun(NotRunReason.NO_COORDINATOR)
         self._open_calls += 1
         try:
-            return await self._answer(call)
+            answer = await self._answer(call)
         finally:
             self._open_calls -= 1
+        if is_refusal(answer) and self._is_known(call):
+            return Unsettled("an earlier call with this id may have taken effect")
+        return answer
+
+    def _serving(self) -> bool:
+        return (
+            self._term.engine is not None
+            and not self._draining
+            and self._term.lease.valid()
+        )
+
+    def _is_known(self, call: Call) -> bool:
+        """Return whether a submission names a job whose record may have been sent."""
+        engine = self._term.engine
+        if engine is None or not isinstance(call, Submit):
+            return False
+        return call.id in engine.jobs or call.id in self._term.malformed_jobs
+
+    def reject_calls(self) -> None:
+        """Reject new calls from now on."""
+        self._draining = True
 
     async def drain_calls(self) -> None:
         """Reject new calls and wait until the open ones have been answered.
 
         The wait is bounded by ``DRAIN_TIMEOUT_SECONDS``.
         """
-        self._draining = True
+        self.reject_calls()
         with anyio.move_on_after(DRAIN_TIMEOUT_SECONDS):
             while self._open_calls:
                 await anyio.sleep(0.01)
 
     async def _answer(self, call: Call) -> Answer:
         await self._await_version(call.where.version)
+        if not self._serving():
+            return NotRun(NotRunReason.NO_COORDINATOR)
         admitted = self._admit(call.where)
         if not isinstance(admitted, _Admitted):
             return admitted
+        if not isinstance(call, Count) and call.id in self._term.malformed_jobs:
+            return Unsettled("the stored state of the job is malformed")
         match call:
             case Submit():
                 return await self._submit(call, admitted)
--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -96,13 +96,15 @@
                 extra={"number": term.fencing_token, "detail": _first_message(group)},
             )
         finally:
-            term.engine = None
+            term.end()
 
     async def _watch_lease(self) -> None:
         lease = self._term.lease
         while lease.held and lease.epoch == self._term.fencing_token:
             if lease.step_down_requested:
-                await self._call_handler.drain_calls()
+                # Open calls are repeated at the next coordinator, which is sooner than
+                # this one would answer them.
+                self._call_handler.reject_calls()
                 await lease.release()
                 raise TermEnded("lease released at the request of a stronger entry")
             await lease.changed.wait()
@@ -116,7 +118,7 @@
             tasks.start_soon(self._term.watcher.refresh)
             tasks.start_soon(self._endpoint_poller.prefetch_listings)
             await self._term.journal.open()
-            rows = await read_jobs(
+            stored = await read_jobs(
                 self._term.context.store, self._vm_controller, self._term.context.clock
             )
         configuration = self._term.watcher.configuration
@@ -125,14 +127,15 @@
             configuration = self._term.watcher.configuration
         now = self._term.context.clock.now()
         engine = Engine(configuration, self._term.context.timing, now)
-        engine.restore(rows)
+        engine.restore(stored.rows)
+        self._term.malformed_jobs = stored.malformed
         self._term.engine = engine
         await self._endpoint_poller.read_listings()
         logger.info(
             "term begun",
             extra={
                 "number": self._term.fencing_token,
-                "jobs": len(rows),
+                "jobs": len(stored.rows),
                 "open": len(engine.open_jobs),
                 "endpoints": len(engine.endpoints),
                 "ms": int((self._term.context.clock.now() - started_at) * 1000),
@@ -157,7 +160,7 @@
         engine.tick(now, wall_ms(), starts)
         self._request_sender.send_starts(engine.take_preassigned_starts(now))
         batch = engine.take_batch()
-        stored, self._term.stored = self._term.stored, anyio.Event()
+        stored = self._term.begin_storing()
         self._record_events(engine)
         self._request_sender.send_stops_and_pace_changes(engine)
         if batch.records:
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -2,6 +2,7 @@
 
 import logging
 import secrets
+from collections.abc import Callable
 
 import anyio
 import msgspec
@@ -76,8 +77,8 @@
     :param holder: name of the incarnation of an entry that holds the lease.
     :param address: address at which peers reach the holder.
     :param released: whether the holder has released the lease.
-    :param strength: fraction of a coordinator's needs that the VM of the holder meets,
-        from 0 to 1.
+    :param strength: fraction of a coordinator's needs that the VM of the holder met
+        at the last renewal, from 0 to 1.
     :param step_down_requested_by: name of a stronger entry that asks the holder to
         step down; empty for none.
     """
@@ -115,6 +116,8 @@
     """Follows the lease, takes it over when it is free, and renews it.
 
     :param candidate: this incarnation of this entry.
+    :param relative_speed: returns the present speed of this VM, as a fraction of its
+        full speed.
     :param started_at: when the entry started, by ``clock``; now by default.
     :ivar newest_record: the newest lease that has been read or written.
     :ivar changed: set when the holder changes, releases or loses the lease, or is asked
@@ -128,6 +131,7 @@
         candidate: Holder,
         clock: Clock,
         started_at: float | None = None,
+        relative_speed: Callable[[], float] = lambda: 1.0,
     ):
         self._store = store
         self._started_at = clock.now() if started_at is None else started_at
@@ -137,7 +141,7 @@
         self._last_record_at = clock.now()
         self._renewed_at = 0.0
         self._jitter_s = secrets.randbelow(1000) / 1000 * MAX_JITTER_SECONDS
-        self._weakness_delay_s = (1.0 - candidate.strength) * MAX_WEAKNESS_DELAY_SECONDS
+        self._relative_speed = relative_speed
         self._holder_since = clock.now()
         self._holder_unreachable = False
         self._marked_lost = False
@@ -149,6 +153,10 @@
         self.changed = anyio.Event()
         self.stopping = False
 
+    @property
+    def _strength(self) -> float:
+        return self._candidate.strength * self._relative_speed()
+
     @property
     def epoch(self) -> int:
         """Epoch of the newest lease that has been read; 0 for none."""
@@ -235,7 +243,7 @@
     def _lease_record(self, epoch: int, *, released: bool = False) -> LeaseRecord:
         candidate = self._candidate
         return LeaseRecord(
-            epoch, candidate.name, candidate.address, released, candidate.strength
+            epoch, candidate.name, candidate.address, released, self._strength
         )
 
     def mark_lost(self) -> None:
@@ -276,26 +284,29 @@
 
         :return: whether no other entry has taken over the lease meanwhile.
         """
-        assert self._end_offset is not None
         age_s = self._clock.now() - self._started_at
         age_delay_s = (
             MAX_AGE_DELAY_SECONDS * age_s / (age_s + HALF_AGE_DELAY_AT_SECONDS)
         )
-        await anyio.sleep(self._jitter_s + age_delay_s + self._weakness_delay_s)
-        if not self._weakness_delay_s:
+        weakness_delay_s = (1.0 - self._strength) * MAX_WEAKNESS_DELAY_SECONDS
+        await anyio.sleep(self._jitter_s + age_delay_s + weakness_delay_s)
+        if self._end_offset is None:
+            # A former term of this entry has ended meanwhile.
+            return False
+        if not weakness_delay_s:
             return True
         match await self._store.read(Topic.LEASE, self._end_offset, 0):
             case Ok(page) if page.records:
                 self._follow(page.next, page.records)
                 return False
-        return True
+        return self._end_offset is not None
 
     def _should_request_step_down(self) -> bool:
         """Return whether this entry should ask a weaker holder to step down."""
         lease = self.newest_record
         if lease is None or lease.released or lease.step_down_requested_by:
             return False
-        if lease.strength >= self._candidate.strength * WEAK_HOLDER_FRACTION:
+        if lease.strength >= self._strength * WEAK_HOLDER_FRACTION:
             return False
         return self._clock.now() - self._holder_since > MIN_WEAK_TERM_SECONDS
 
@@ -398,7 +409,10 @@
         async with self._write_lock:
             if not self.held or self.newest_record is None:
                 return
-            renewed = await self._write(self.newest_record)
+            renewal = msgspec.structs.replace(
+                self.newest_record, strength=self._strength
+            )
+            renewed = await self._write(renewal)
         if renewed:
             elapsed_s = self._clock.now() - started_at
             await anyio.sleep(max(0.0, RENEW_INTERVAL_SECONDS - elapsed_s))
@@ -418,7 +432,10 @@
                 return True
             case Err(
                 CallFault(
-                    CallFaultKind.CONDITION_FAILED | CallFaultKind.UNKNOWN, detail
+                    CallFaultKind.CONDITION_FAILED
+                    | CallFaultKind.UNKNOWN
+                    | CallFaultKind.INVALID_ANSWER,
+                    detail,
                 )
             ):
                 logger.info(
--- a/hickoryplank/coordinator/term_state.py
+++ b/hickoryplank/coordinator/term_state.py
@@ -17,6 +17,7 @@
     VmPort,
 )
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
+from hickoryplank.core.ids import JobId
 from hickoryplank.jobs.engine import Engine, EngineTiming
 from hickoryplank.shell.clock import Clock
 
@@ -56,6 +57,7 @@
 
     :ivar fencing_token: fencing token and epoch of the term.
     :ivar engine: none until it has been restored, and after the term.
+    :ivar malformed_jobs: stored jobs whose state is not known.
     :ivar tasks: task group of the term.
     :ivar stored: set once the present state of the engine has been stored.
     :ivar tick_requested: set to run a tick of the engine early.
@@ -70,8 +72,11 @@
         self.fencing_token = lease.epoch
         self.journal = Journal(context.store, self.fencing_token)
         self.engine: Engine | None = None
+        self.malformed_jobs: frozenset[JobId] = frozenset()
         self.tasks: TaskGroup | None = None
         self.stored = anyio.Event()
+        self._storing = anyio.Event()
+        self._ended = False
         self.tick_requested = anyio.Event()
 
     def request_tick(self) -> None:
@@ -106,15 +111,28 @@
     async def wait_until_stored(self) -> bool:
         """Wait until the present state of the engine has been stored.
 
-        :return: whether it was stored within ``STORE_TIMEOUT_SECONDS``.
+        :return: whether it was stored within ``STORE_TIMEOUT_SECONDS``, and before the
+            end of the term.
         """
         stored = self.stored
         self.request_tick()
         with anyio.move_on_after(STORE_TIMEOUT_SECONDS):
             await stored.wait()
-            return True
+            return not self._ended
         return False
 
+    def begin_storing(self) -> anyio.Event:
+        """Return the event to be set once the present state has been stored."""
+        self._storing, self.stored = self.stored, anyio.Event()
+        return self._storing
+
+    def end(self) -> None:
+        """End the term; calls that wait for the store don't wait any longer."""
+        self._ended = True
+        self.engine = None
+        self._storing.set()
+        self.stored.set()
+
     def end_fenced_term(self) -> None:
         """End the term after an endpoint has reported a higher fencing token.
 
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -3,23 +3,27 @@
 import logging
 import signal
 import socket
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
 import anyio.to_thread
 from aiohttp import web
 
-from hickoryplank.coordinator.calls import NotRun, NotRunReason, decode_call, encode
 from hickoryplank.coordinator.coordinator import Coordinator, CoordinatorContext
-from hickoryplank.coordinator.forwarder import CALL_PATH, CallForwarder
+from hickoryplank.coordinator.forwarder import CallForwarder
 from hickoryplank.coordinator.lease import Holder, LeaseManager
 from hickoryplank.coordinator.metrics import EntryMetrics
 from hickoryplank.coordinator.operator_watcher import OperatorWatcher
+from hickoryplank.coordinator.speed import SpeedMonitor
 from hickoryplank.coordinator.term_state import MAX_RENEWAL_AGE_SECONDS
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
 from hickoryplank.entry_logs import configure_entry_logs
+from hickoryplank.entry_peers import PeerCallHandler
 from hickoryplank.entry_settings import EntrySettings
 from hickoryplank.entry_socket import LISTEN_BACKLOG, open_listener
+from hickoryplank.entry_tasks import keep_running
 from hickoryplank.http_client import HttpClient
 from hickoryplank.jobs.engine import EngineTiming
 from hickoryplank.platform.advice import PlatformAdvice
@@ -93,7 +97,10 @@
         operator = PlatformOperatorRecordCodec()
         self._watcher = OperatorWatcher(store, operator, self._clock)
         holder = Holder.fresh(cfg.name, cfg.peers, _coordinator_strength(cfg))
-        self._lease = LeaseManager(store, holder, self._clock)
+        self._speed = SpeedMonitor(self._clock)
+        self._lease = LeaseManager(
+            store, holder, self._clock, relative_speed=self._speed.relative_speed
+        )
         self._forwarder = CallForwarder(self._lease, self._client, self._clock)
         self._metrics_exporter: Metrics | None = None
         self._metrics_loading = anyio.Lock()
@@ -124,18 +131,17 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down within the grace period."""
+        peer_calls = PeerCallHandler(self._forwarder.answer_locally)
         runners = [
-            await _serve(self._callers, self._ingress.handle),
+            await _serve(self._callers, self._ingress.handle, ends_with_caller=True),
             await _listen(self._cfg.readiness, self._handle_readiness),
-            await _listen(self._cfg.peers, self._handle_peer_call),
+            await _listen(self._cfg.peers, peer_calls.handle),
             await _listen(self._cfg.metrics, self._handle_metrics),
         ]
         logger.info("started")
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watcher.run)
-            tasks.start_soon(self._lease.run)
-            tasks.start_soon(self._run_terms)
-            tasks.start_soon(self._load_metrics_later)
+            for name, run in self._tasks().items():
+                tasks.start_soon(keep_running, name, run)
             await self._wait_for_sigterm()
             await self._shut_down()
             tasks.cancel_scope.cancel()
@@ -144,6 +150,16 @@
         await self._client.close()
         logger.info("stopped")
 
+    def _tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks that run until the entry stops, by name."""
+        return {
+            "configuration": self._watcher.run,
+            "lease": self._lease.run,
+            "speed": partial(self._speed.run, lambda: self._lease.held),
+            "terms": self._run_terms,
+            "metrics": self._load_metrics_later,
+        }
+
     async def _run_terms(self) -> None:
         while True:
             changed = self._lease.changed
@@ -152,9 +168,13 @@
                 self._forwarder.local_coordinator = coordinator
                 try:
                     await coordinator.run()
+                except Exception:
+                    # Another entry may do better; this one must not keep the lease.
+                    await self._lease.release()
+                    raise
                 finally:
                     self._forwarder.local_coordinator = None
-                self._lease.mark_lost()
+                    self._lease.mark_lost()
             else:
                 await changed.wait()
 
@@ -204,17 +224,6 @@
                 self._entry_metrics.attach(self._metrics_exporter.meter)
             return self._metrics_exporter
 
-    async def _handle_peer_call(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.path != CALL_PATH:
-            return web.Response(status=404)
-        call = decode_call(await request.read())
-        coordinator = self._forwarder.local_coordinator
-        if coordinator is None:
-            answer = NotRun(NotRunReason.NO_COORDINATOR)
-        else:
-            answer = await coordinator.answer(call)
-        return web.Response(body=encode(answer))
-
 
 def _coordinator_strength(cfg: EntrySettings) -> float:
     """Return the capacity of the VM relative to a coordinator's needs, from 0 to 1."""
@@ -232,9 +241,15 @@
     return await _serve(open_listener(address), handler)
 
 
-async def _serve(sock: socket.socket, handler) -> web.ServerRunner:
+async def _serve(
+    sock: socket.socket, handler, *, ends_with_caller: bool = False
+) -> web.ServerRunner:
+    """Serve HTTP on a socket.
+
+    :param ends_with_caller: whether a handler is cancelled when its connection closes.
+    """
     runner = web.ServerRunner(
-        web.Server(handler, access_log=None),
+        web.Server(handler, access_log=None, handler_cancellation=ends_with_caller),
         handle_signals=False,
         shutdown_timeout=LISTENER_CLOSE_SECONDS,
     )
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import msgspec
 import pytest
 
 from hickoryplank.coordinator import term_state, vm_controller
@@ -26,6 +27,7 @@
     StateIs,
     Submission,
     Submit,
+    Unsettled,
 )
 from hickoryplank.coordinator.coordinator import Coordinator, CoordinatorContext
 from hickoryplank.coordinator.lease import Holder, LeaseManager
@@ -268,6 +270,44 @@
         assert await entry.local_coordinator.answer(call) == NoKey()
 
 
+@pytest.mark.parametrize(
+    "refuse",
+    ["withdraw key", "remove queue", "stale configuration"],
+)
+async def test_submission_is_not_refused_while_its_record_may_arrive(refuse):
+    platform = Platform()
+    await platform.open()
+    entry = Entry(platform, "a")
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        coordinator = entry.local_coordinator
+        entry.store.delay_s = 0.4
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(coordinator.answer, submit("j", Step(1, TASK)))
+            await anyio.sleep(0.1)
+            await _make_coordinator_refuse(refuse, platform, entry)
+            known = await coordinator.answer(submit("j", Step(1, TASK)))
+            other = await coordinator.answer(submit("k", Step(1, TASK)))
+        assert isinstance(known, Unsettled)
+        assert isinstance(other, NoKey | NoSuchQueue | NotRun)
+        assert "j" in coordinator.engine.jobs
+
+
+async def _make_coordinator_refuse(how: str, platform: Platform, entry: Entry) -> None:
+    cfg = configuration()
+    queues, pools = list(cfg.queues.values()), list(cfg.pools.values())
+    match how:
+        case "withdraw key":
+            await platform.publish(type(cfg).build(5, queues, pools, []))
+            await wait_until(lambda: entry.watcher.version == 5)
+        case "remove queue":
+            teams = list(cfg.teams.values())
+            await platform.publish(type(cfg).build(5, [], pools, teams))
+            await wait_until(lambda: entry.watcher.version == 5)
+        case "stale configuration":
+            entry.watcher.staleness = lambda: MAX_STALENESS_SECONDS + 1
+
+
 async def test_a_cancelled_job_ends_and_stays_cancelled():
     platform = Platform(work_ms=lambda key: None)
     await platform.open()
@@ -307,6 +347,28 @@
     assert sum(len(one.started) for one in platform.fake_endpoints.values()) == 3
 
 
+@pytest.mark.parametrize("prefix", ["j:", "s:"], ids=["job", "state"])
+async def test_job_with_a_malformed_record_is_not_run_again(prefix):
+    platform = Platform(work_ms=lambda key: 400.0)
+    await platform.open()
+    first, second = Entry(platform, "a"), Entry(platform, "b")
+    async with running(first):
+        await wait_until(lambda: first.serving)
+        for id in ("j", "k"):
+            await first.local_coordinator.answer(submit(id, Step(2, TASK)))
+        await wait_until(lambda: _started(platform) == 4)
+    broken = Record(f"{prefix}j", b"\xc1")
+    await platform.store.append(Topic.JOBS, [broken], None)
+    async with running(second):
+        await wait_until(lambda: second.serving)
+        await wait_for_state(second, "k", JobState.COMPLETED)
+        assert isinstance(await state(second, "j"), Unsettled)
+        repeated = await second.local_coordinator.answer(submit("j", Step(2, TASK)))
+        assert isinstance(repeated, Unsettled)
+        await anyio.sleep(0.5)
+    assert _started(platform) == 4
+
+
 async def test_store_outage_rejects_jobs_and_keeps_leases():
     platform = Platform(work_ms=lambda key: None)
     await platform.open()
@@ -473,6 +535,33 @@
             assert answers == [Accepted()]
 
 
+async def test_open_calls_end_with_a_term_that_another_entry_asked_for():
+    platform = Platform()
+    await platform.open()
+    entry = Entry(platform, "a")
+    answers = []
+
+    async def ask() -> None:
+        answers.append(await entry.local_coordinator.answer(submit("j", Step(1, TASK))))
+
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        entry.store.delay_s = 0.9
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(0.05)
+            entry.store.delay_s = 0.0
+            request = msgspec.structs.replace(
+                entry.lease.newest_record, step_down_requested_by="b"
+            )
+            record = Record("lease", msgspec.msgpack.encode(request))
+            await platform.store.append(Topic.LEASE, [record], None)
+            with anyio.fail_after(0.8):
+                while not answers:
+                    await anyio.sleep(0.01)
+        assert isinstance(answers[0], Unsettled)
+
+
 @pytest.mark.parametrize("max_renewal_age_s, started", [(5.0, 2), (0.0, 1)])
 async def test_preassigned_steps_start_in_an_outage_after_a_recent_renewal(
     max_renewal_age_s, started, monkeypatch
--- a/tests/coordinator/test_lease.py
+++ b/tests/coordinator/test_lease.py
@@ -36,10 +36,13 @@
     def __init__(
         self, store: MemoryStore, name: str, strength: float = 1.0, age_s: float = 0.0
     ):
+        self.relative_speed = 1.0
         self.store = FaultyStore(store)
         holder = Holder.fresh(name, f"{name}:7000", strength)
         clock = MonotonicClock()
-        self.lease = LeaseManager(self.store, holder, clock, clock.now() - age_s)
+        self.lease = LeaseManager(
+            self.store, holder, clock, clock.now() - age_s, lambda: self.relative_speed
+        )
 
 
 @asynccontextmanager
@@ -192,6 +195,41 @@
             assert b.lease.epoch == 2
 
 
+@pytest.mark.parametrize(
+    ("holder_speed", "other_speed", "asked"),
+    [(0.13, 1.0, True), (0.13, 0.13, False), (1.0, 1.0, False)],
+    ids=["slow holder", "all slow", "none slow"],
+)
+async def test_a_holder_whose_vm_turns_slow_is_asked_to_step_down(
+    holder_speed, other_speed, asked
+):
+    store = MemoryStore()
+    a, b = Entry(store, "a"), Entry(store, "b")
+    async with running(a):
+        await wait_until(a.lease.valid)
+        async with running(b):
+            await anyio.sleep(MIN_WEAK_TERM_SECONDS + 0.1)
+            a.relative_speed, b.relative_speed = holder_speed, other_speed
+            await anyio.sleep(0.8)
+            assert a.lease.step_down_requested == asked
+            await a.lease.release()
+            await wait_until(lambda: holders(a, b) != [])
+            if asked:
+                assert holders(a, b) == [b]
+
+
+async def test_a_lease_marked_lost_while_it_is_taken_over_ends_nothing():
+    a = Entry(MemoryStore(), "a", strength=0.2)
+    async with running(a):
+        await wait_until(a.lease.valid)
+        await a.lease.release()
+        # The delay of a weak entry begins within RENEW_INTERVAL_SECONDS.
+        await anyio.sleep(RENEW_INTERVAL_SECONDS + 0.08)
+        a.lease.mark_lost()
+        await wait_until(a.lease.valid)
+        assert a.lease.epoch == 2
+
+
 async def test_a_release_during_a_renewal_is_not_undone():
     store = MemoryStore()
     a = Entry(store, "a")
