--- a/hickoryplank/coordinator/calls.py
+++ b/hickoryplank/coordinator/calls.py
@@ -161,7 +161,7 @@
     again_s: int = 1
 
 
-class Unsettled(msgspec.Struct, frozen=True, tag=True):
+class Unsettled(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """It is unknown whether the call, or an earlier one with its id, has taken effect.
 
     :param detail: why no result is known.
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -2,7 +2,6 @@
 
 import logging
 import secrets
-from collections.abc import Callable
 
 import anyio
 import msgspec
@@ -17,6 +16,7 @@
     StorePort,
     Topic,
 )
+from hickoryplank.coordinator.speed import SpeedMonitor
 from hickoryplank.jobs.records import Record
 from hickoryplank.shell.clock import Clock
 
@@ -116,8 +116,7 @@
     """Follows the lease, takes it over when it is free, and renews it.
 
     :param candidate: this incarnation of this entry.
-    :param relative_speed: returns the present speed of this VM, as a fraction of its
-        full speed.
+    :param speed: measures the speed of this VM.
     :param started_at: when the entry started, by ``clock``; now by default.
     :ivar newest_record: the newest lease that has been read or written.
     :ivar changed: set when the holder changes, releases or loses the lease, or is asked
@@ -131,7 +130,7 @@
         candidate: Holder,
         clock: Clock,
         started_at: float | None = None,
-        relative_speed: Callable[[], float] = lambda: 1.0,
+        speed: SpeedMonitor | None = None,
     ):
         self._store = store
         self._started_at = clock.now() if started_at is None else started_at
@@ -141,7 +140,7 @@
         self._last_record_at = clock.now()
         self._renewed_at = 0.0
         self._jitter_s = secrets.randbelow(1000) / 1000 * MAX_JITTER_SECONDS
-        self._relative_speed = relative_speed
+        self._speed = speed or SpeedMonitor(clock)
         self._holder_since = clock.now()
         self._holder_unreachable = False
         self._marked_lost = False
@@ -155,7 +154,7 @@
 
     @property
     def _strength(self) -> float:
-        return self._candidate.strength * self._relative_speed()
+        return self._candidate.strength * self._speed.relative_speed()
 
     @property
     def epoch(self) -> int:
@@ -306,9 +305,13 @@
         lease = self.newest_record
         if lease is None or lease.released or lease.step_down_requested_by:
             return False
-        if lease.strength >= self._strength * WEAK_HOLDER_FRACTION:
+        if self._clock.now() - self._holder_since <= MIN_WEAK_TERM_SECONDS:
             return False
-        return self._clock.now() - self._holder_since > MIN_WEAK_TERM_SECONDS
+        if lease.strength >= self._candidate.strength * WEAK_HOLDER_FRACTION:
+            return False
+        # The holder may have noticed first that all VMs have turned slow.
+        self._speed.measure_anew()
+        return lease.strength < self._strength * WEAK_HOLDER_FRACTION
 
     async def _request_step_down(self) -> None:
         """Ask the holder, in the record of the lease, to step down."""
--- a/hickoryplank/coordinator/speed.py
+++ b/hickoryplank/coordinator/speed.py
@@ -58,11 +58,17 @@
         relative = self._shortest_s / median_s if median_s else 1.0
         return 1.0 if relative >= FULL_SPEED_FRACTION else relative
 
+    def measure_anew(self) -> float:
+        """Return the relative speed by new measurements alone."""
+        for _ in range(WINDOW):
+            self.measure()
+        return self.relative_speed()
+
     def _median_s(self) -> float:
         return statistics.median(self._durations)
 
     async def run(self, is_holder: Callable[[], bool]) -> None:
-        """Measure until cancelled.
+        """Measure until cancelled; rarely while the speed matters to nobody else.
 
         :param is_holder: returns whether this entry is coordinator.
         """
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -98,9 +98,7 @@
         self._watcher = OperatorWatcher(store, operator, self._clock)
         holder = Holder.fresh(cfg.name, cfg.peers, _coordinator_strength(cfg))
         self._speed = SpeedMonitor(self._clock)
-        self._lease = LeaseManager(
-            store, holder, self._clock, relative_speed=self._speed.relative_speed
-        )
+        self._lease = LeaseManager(store, holder, self._clock, speed=self._speed)
         self._forwarder = CallForwarder(self._lease, self._client, self._clock)
         self._metrics_exporter: Metrics | None = None
         self._metrics_loading = anyio.Lock()
--- a/tests/coordinator/test_lease.py
+++ b/tests/coordinator/test_lease.py
@@ -30,18 +30,36 @@
     return "asyncio"
 
 
+class FakeSpeed:
+    """Speed of a VM that a test sets.
+
+    :ivar present: what a new measurement gives.
+    :ivar known: what earlier measurements have given.
+    """
+
+    def __init__(self):
+        self.present = self.known = 1.0
+
+    def relative_speed(self) -> float:
+        return self.known
+
+    def measure_anew(self) -> float:
+        self.known = self.present
+        return self.known
+
+
 class Entry:
     """A lease manager with a store connection of its own."""
 
     def __init__(
         self, store: MemoryStore, name: str, strength: float = 1.0, age_s: float = 0.0
     ):
-        self.relative_speed = 1.0
+        self.speed = FakeSpeed()
         self.store = FaultyStore(store)
         holder = Holder.fresh(name, f"{name}:7000", strength)
         clock = MonotonicClock()
         self.lease = LeaseManager(
-            self.store, holder, clock, clock.now() - age_s, lambda: self.relative_speed
+            self.store, holder, clock, clock.now() - age_s, self.speed
         )
 
 
@@ -196,12 +214,17 @@
 
 
 @pytest.mark.parametrize(
-    ("holder_speed", "other_speed", "asked"),
-    [(0.13, 1.0, True), (0.13, 0.13, False), (1.0, 1.0, False)],
-    ids=["slow holder", "all slow", "none slow"],
+    ("holder_speed", "other_speed", "other_known", "asked"),
+    [
+        (0.13, 1.0, 1.0, True),
+        (0.13, 0.13, 0.13, False),
+        (0.13, 0.13, 1.0, False),
+        (1.0, 1.0, 1.0, False),
+    ],
+    ids=["slow holder", "all slow", "all slow, holder noticed first", "none slow"],
 )
 async def test_a_holder_whose_vm_turns_slow_is_asked_to_step_down(
-    holder_speed, other_speed, asked
+    holder_speed, other_speed, other_known, asked
 ):
     store = MemoryStore()
     a, b = Entry(store, "a"), Entry(store, "b")
@@ -209,7 +232,8 @@
         await wait_until(a.lease.valid)
         async with running(b):
             await anyio.sleep(MIN_WEAK_TERM_SECONDS + 0.1)
-            a.relative_speed, b.relative_speed = holder_speed, other_speed
+            a.speed.present = a.speed.known = holder_speed
+            b.speed.present, b.speed.known = other_speed, other_known
             await anyio.sleep(0.8)
             assert a.lease.step_down_requested == asked
             await a.lease.release()
