Let an edit wait until the other nodes know its author

A set now waits for that, at most 1.5 s, which is three heartbeats. Not done: not being ready until then, for an entry that serves callers would wait for peers that are down.

The new test fails without the change (refused at once); a peer that stays unaware is still a refusal.

--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -32,6 +32,10 @@
 MAX_BATCH_RECORDS = 256
 BATCH_DELAY_SECONDS = 0.002
 MAX_RECENT_ENTRIES = 2000
+#: How long an edit waits until all other nodes know this one, in seconds: several
+#: exchanges of views, which a node that has just joined needs.
+AWARENESS_TIMEOUT_SECONDS = 1.5
+AWARENESS_CHECK_SECONDS = 0.02
 _ID_BYTES = 8
 
 Listener = Callable[[Record, FoldResult], None]
@@ -205,9 +209,7 @@
         After cancellation, a record that was sent may still take effect. An edit
         set that was sent remains pending until its result is known.
         """
-        if isinstance(record, EditSet) and self.freshness.members_unaware(
-            self.other_incarnations()
-        ):
+        if isinstance(record, EditSet) and not await self._wait_until_known():
             detail = (
                 "some nodes do not know this node yet; publish through another node"
             )
@@ -226,6 +228,17 @@
             return Err(pending.error or LogFailure(LogError.UNKNOWN))
         return pending.fold_result
 
+    async def _wait_until_known(self) -> bool:
+        """Wait until all other nodes know this one; return whether they do.
+
+        A node reports itself ready before its peers have told it that they know it.
+        """
+        with anyio.move_on_after(AWARENESS_TIMEOUT_SECONDS):
+            while self.freshness.members_unaware(self.other_incarnations()):
+                await anyio.sleep(AWARENESS_CHECK_SECONDS)
+            return True
+        return False
+
     def _with_origin(self, record: Record) -> Record:
         """Return the record with the author and the sequence number it is based on."""
         if isinstance(record, EditSet):
--- a/tests/shell/test_replica.py
+++ b/tests/shell/test_replica.py
@@ -83,6 +83,37 @@
         assert (await replica.submit(pool_edit(replica, "spare"))).is_ok()
 
 
+async def test_edit_waits_until_the_other_nodes_know_the_author():
+    log = MemoryLog()
+    async with (
+        joined_replica(log, "entry-1") as (first, _),
+        joined_replica(log, "entry-2") as (second, _),
+    ):
+        outcomes = []
+
+        async def publish():
+            outcomes.append(await second.submit(pool_edit(second, "spare")))
+
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as group:
+                group.start_soon(publish)
+                await anyio.sleep(0.1)
+                assert not outcomes
+                second.freshness.note_confirmed(first.incarnation, second.offset)
+        assert outcomes[0].is_ok()
+
+
+async def test_edit_is_refused_while_another_node_stays_unaware_of_the_author():
+    log = MemoryLog()
+    async with (
+        joined_replica(log, "entry-1"),
+        joined_replica(log, "entry-2") as (second, _),
+    ):
+        refused = await second.submit(pool_edit(second, "spare"))
+        assert refused.unwrap_err().error is LogError.UNAVAILABLE
+        assert not second.tables.objects[Kind.POOL]
+
+
 async def test_many_records_share_few_appends():
     log = MemoryLog()
     async with joined_replica(log, "entry-1") as (replica, _):
