Send no order for a VM after the lease has ended while it waited

Cause: an order for a VM waits for one of 16 connections, or for a new one, after the lease was checked. A process that is suspended meanwhile sends it when it resumes, with a fencing token that this platform doesn't check, and a successor may have given orders in between. The lease is now checked once there is a connection, right before the request is written.

Starts need no such check: endpoints refuse lower tokens, and starts whose lease has ended.

--- a/hickoryplank/coordinator/ports.py
+++ b/hickoryplank/coordinator/ports.py
@@ -1,6 +1,7 @@
 """Interfaces to the platform, which ``hickoryplank.platform`` implements."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -33,6 +34,7 @@
     "OperatorRecordCodec",
     "OrderOutcome",
     "Page",
+    "Permission",
     "StartAnswer",
     "StorePort",
     "Topic",
@@ -42,6 +44,10 @@
 ]
 
 
+#: Returns whether an action is permitted at the time of the call.
+Permission = Callable[[], bool]
+
+
 class CallFaultKind(Enum):
     """Why a call to the platform failed."""
 
@@ -284,16 +290,25 @@
 
 
 class VmPort(ABC):
-    """The VMs of the platform. Each order carries the fencing token ``token``."""
+    """The VMs of the platform.
+
+    Each order carries the fencing token ``token``. It is sent only if ``permitted``,
+    called right before, returns true: an order may wait for a connection, and the
+    platform may not check tokens.
+    """
 
     @abstractmethod
     async def list(self) -> Result[tuple[ListedVm, ...], CallFault]:
         """Return all VMs."""
 
     @abstractmethod
-    async def move(self, vm: VmId, pool: PoolId, token: int) -> OrderOutcome:
+    async def move(
+        self, vm: VmId, pool: PoolId, token: int, permitted: Permission
+    ) -> OrderOutcome:
         """Order the move of a VM to another pool."""
 
     @abstractmethod
-    async def maintain(self, vm: VmId, wave: WaveId, token: int) -> OrderOutcome:
+    async def maintain(
+        self, vm: VmId, wave: WaveId, token: int, permitted: Permission
+    ) -> OrderOutcome:
         """Order the maintenance of a VM for a wave."""
--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -306,10 +306,14 @@
         operation.phase = OperationPhase.ORDERED
         operation.phase_since = self._clock.now()
         if operation.wave is not None:
-            outcome = await self._vms.maintain(operation.vm, operation.wave, token)
+            outcome = await self._vms.maintain(
+                operation.vm, operation.wave, token, self._lease.valid
+            )
         else:
             assert operation.pool is not None
-            outcome = await self._vms.move(operation.vm, operation.pool, token)
+            outcome = await self._vms.move(
+                operation.vm, operation.pool, token, self._lease.valid
+            )
         logger.info(
             "VM ordered",
             extra={
--- a/hickoryplank/platform/vms.py
+++ b/hickoryplank/platform/vms.py
@@ -8,6 +8,7 @@
     CallFaultKind,
     ListedVm,
     OrderOutcome,
+    Permission,
     VmPort,
     VmState,
 )
@@ -113,17 +114,25 @@
                 return Ok(tuple(vms))
             token = page.next_token
 
-    async def move(self, vm: VmId, pool: PoolId, token: int) -> OrderOutcome:
+    async def move(
+        self, vm: VmId, pool: PoolId, token: int, permitted: Permission
+    ) -> OrderOutcome:
         """Order the move of a VM to another pool."""
-        return await self._send_order("/api/machine-move", _Move(vm, pool), token)
+        return await self._send_order(
+            "/api/machine-move", _Move(vm, pool), token, permitted
+        )
 
-    async def maintain(self, vm: VmId, wave: WaveId, token: int) -> OrderOutcome:
+    async def maintain(
+        self, vm: VmId, wave: WaveId, token: int, permitted: Permission
+    ) -> OrderOutcome:
         """Order the maintenance of a VM for a wave."""
         return await self._send_order(
-            "/api/machine-upkeep", _Upkeep(vm, int(wave)), token
+            "/api/machine-upkeep", _Upkeep(vm, int(wave)), token, permitted
         )
 
-    async def _send_order(self, path: str, order, token: int) -> OrderOutcome:
+    async def _send_order(
+        self, path: str, order, token: int, permitted: Permission
+    ) -> OrderOutcome:
         answer = await self._client.call(
             "POST",
             self._address,
@@ -134,6 +143,7 @@
                 "Hickoryplank-Fencing-Token": str(token),
             },
             timeout_s=CALL_TIMEOUT_SECONDS,
+            permitted=permitted,
         )
         match answer:
             case Ok(HttpResponse(200, _)):
--- a/tests/coordinator/memory_platform.py
+++ b/tests/coordinator/memory_platform.py
@@ -20,6 +20,7 @@
     OperatorRecordCodec,
     OrderOutcome,
     Page,
+    Permission,
     StartAnswer,
     StorePort,
     Topic,
@@ -287,9 +288,13 @@
         """Set the state in which the list shows a VM."""
         self.vms[vm] = msgspec.structs.replace(self.vms[vm], state=state)
 
-    async def move(self, vm: VmId, pool: PoolId, token: int) -> OrderOutcome:
+    async def move(
+        self, vm: VmId, pool: PoolId, token: int, permitted: Permission
+    ) -> OrderOutcome:
         """Order the move of a VM to another pool."""
         await anyio.lowlevel.checkpoint()
+        if not permitted():
+            return OrderOutcome.NOT_DONE
         before = self.vms[vm]
         if before.pool == pool:
             return OrderOutcome.DONE
@@ -298,9 +303,13 @@
         self._take_down(vm)
         return OrderOutcome.DONE
 
-    async def maintain(self, vm: VmId, wave: WaveId, token: int) -> OrderOutcome:
+    async def maintain(
+        self, vm: VmId, wave: WaveId, token: int, permitted: Permission
+    ) -> OrderOutcome:
         """Order the maintenance of a VM for a wave."""
         await anyio.lowlevel.checkpoint()
+        if not permitted():
+            return OrderOutcome.NOT_DONE
         self.orders.append(("maintain", vm, wave, token))
         self._take_down(vm)
         return OrderOutcome.DONE
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -85,7 +85,9 @@
 
 
 def _order(client):
-    return PlatformVms(client, "a:1", "entry").move(VmId("m"), PoolId("p"), 1)
+    return PlatformVms(client, "a:1", "entry").move(
+        VmId("m"), PoolId("p"), 1, lambda: True
+    )
 
 
 CALLS = {
--- a/tests/standins/fake_platform.py
+++ b/tests/standins/fake_platform.py
@@ -246,9 +246,10 @@
         if vm not in self.vms.vms:
             return _json_response(400, {})
         if request.path == "/api/machine-move":
-            await self.vms.move(vm, PoolId(order["pool"]), token)
+            await self.vms.move(vm, PoolId(order["pool"]), token, lambda: True)
         else:
-            await self.vms.maintain(vm, WaveId(str(order["wave"])), token)
+            wave = WaveId(str(order["wave"]))
+            await self.vms.maintain(vm, wave, token, lambda: True)
         return _json_response(200, {})
 
 
