Acknowledge ends only right after a report of the endpoint

With a slow store, or after a silence, an acknowledgement was sent as long after the last report as that lasted. It is now sent within 0.25 s of a report, and after a poll without it otherwise. A new incarnation would have to begin, take a start and finish it within that time.

The test fails without the rule (the task was started twice). What is left: a poll that the platform itself carries out late.

--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -56,8 +56,9 @@
                 request, self._term.fencing_token
             ):
                 case Ok(report):
-                    needs_commit = bool(report.ends) or not endpoint.token_confirmed
+                    is_first = not endpoint.token_confirmed
                     engine.poll_answered(endpoint, report, sent_at, clock.now())
+                    needs_commit = is_first or endpoint.has_unstored_ends
                     self._poll_new_endpoints(engine)
                     if needs_commit:
                         stored = self._term.stored
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -150,6 +150,8 @@
         self.has_carried_over_runs = False
         self.last_end_number = 0
         self.stored_end_number = 0
+        #: Time of the last report of this incarnation, by the local clock.
+        self.reported_at = float("-inf")
         #: Last end acknowledged in a poll that was sent, and in one that was answered.
         self.sent_ack_number = 0
         self.confirmed_ack_number = 0
@@ -198,6 +200,11 @@
         if self.runs.pop(run.run_key, None) is not None:
             self.used = self.used.minus(run.counted_size)
 
+    @property
+    def has_unstored_ends(self) -> bool:
+        """Whether it has reported ends that are not stored yet."""
+        return self.last_end_number > self.stored_end_number
+
     def estimated_clock_ms(self, now: float) -> int:
         """Return an estimate of the endpoint's clock, in milliseconds."""
         return self.clock_ms + int((now - self.clock_read_at) * 1000)
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -255,7 +255,7 @@
         ends = [
             StoredEnd(one.id, one.listing.born_ms, one.last_end_number)
             for one in self.endpoints.values()
-            if one.last_end_number > one.stored_end_number
+            if one.has_unstored_ends
         ]
         return Batch(records, starts, ends)
 
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -23,6 +23,10 @@
     "stop_answered",
 ]
 
+#: Longest time since the last report of an endpoint for its ends to be acknowledged, in
+#: seconds. It is less than a new incarnation needs to start, run a task to its end and
+#: thus have an end that the acknowledgement would drop.
+MAX_ACKNOWLEDGED_AGE_SECONDS = 0.25
 #: Delay before a failed lasting task is started again.
 LASTING_RESTART_DELAY_SECONDS = 0.2
 
@@ -38,13 +42,20 @@
     if renew and endpoint.silent_since is None and endpoint.token_confirmed:
         until = endpoint.estimated_clock_ms(now) + tables.timing.lease_ms
         endpoint.record_lease(until)
-    # An end is acknowledged only until a poll with the acknowledgement is answered. The
-    # next incarnation of the endpoint numbers its ends anew; a repeated number would
-    # make it drop ends that have not been read yet.
+    # The next incarnation of the endpoint numbers its ends anew, so that a late
+    # acknowledgement would make it drop ends that have not been read. An end is
+    # therefore acknowledged only right after a report, and until a poll with the
+    # acknowledgement is answered.
     new_ends = endpoint.stored_end_number > endpoint.confirmed_ack_number
-    endpoint.sent_ack_number = endpoint.stored_end_number if new_ends else 0
-    unstored = endpoint.last_end_number > endpoint.stored_end_number
-    wait = 0 if unstored or not endpoint.token_confirmed else tables.timing.poll_wait_ms
+    report_is_recent = now - endpoint.reported_at <= MAX_ACKNOWLEDGED_AGE_SECONDS
+    acknowledge = new_ends and report_is_recent
+    endpoint.sent_ack_number = endpoint.stored_end_number if acknowledge else 0
+    at_once = (
+        endpoint.has_unstored_ends
+        or not endpoint.token_confirmed
+        or (new_ends and not acknowledge)
+    )
+    wait = 0 if at_once else tables.timing.poll_wait_ms
     return PollRequest(
         endpoint.id, endpoint.listing.address, endpoint.sent_ack_number, until, wait
     )
@@ -71,6 +82,7 @@
         _begin_incarnation(tables, endpoint, report, now)
         return
     endpoint.note_answer(report.clock_ms, now)
+    endpoint.reported_at = now
     endpoint.confirmed_ack_number = max(
         endpoint.confirmed_ack_number, endpoint.sent_ack_number
     )
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -120,6 +120,30 @@
     assert sum(len(one.started) for one in driver.endpoints.values()) == 1
 
 
+def test_an_acknowledgement_after_a_silence_waits_for_an_answer_of_this_incarnation():
+    driver = Driver(count=1)
+    driver.engine.submit(job("b", Step(2, TASK)), driver.now)
+    for _ in range(2):
+        driver.step()
+    for _ in range(10):
+        driver.step(store_up=False)
+    restart_unnoticed(driver, E0)
+    driver.lost_answers.add(E0)
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.commit()
+    driver.engine.tick(driver.now, 0)
+    driver.commit()
+    (run,) = driver.endpoints[E0].running.values()
+    driver.endpoints[E0]._end(run, EndKind.DONE)
+    driver.lost_answers.clear()
+    driver.now += 1.0
+    for _ in range(60):
+        driver.step()
+    assert len(driver.endpoints[E0].started) == 1
+    assert driver.endpoints[E0].acknowledged == 1
+    assert driver.engine.jobs[JobId("a")].stored_state.value == "completed"
+
+
 def test_a_poll_does_not_make_the_next_incarnation_drop_an_unread_end():
     driver = Driver(count=1)
     driver.engine.submit(job("b", Step(2, TASK)), driver.now)
