Let a wave wait for a VM that failed its reboots in another wave

Cause: a wave did not wait for a VM that had failed three reboots, also if another wave had rebooted it. Now only the wave that rebooted the VM goes on without it.

--- a/hickoryplank/core/waves.py
+++ b/hickoryplank/core/waves.py
@@ -23,11 +23,13 @@
     A pool is examined again only if one of its VMs or its budget has changed, or
     if a proposal for it was not folded in time.
 
-    :param has_given_up: returns whether a VM has failed too many reboots, so that the
-        wave no longer waits for it.
+    :param has_given_up: returns whether a VM has failed too many reboots. The wave
+        that has rebooted it then no longer waits for it; other waves do, as they have
+        not begun with it.
     """
 
     def __init__(self, wave: WaveRow, has_given_up: Callable[[VmRow], bool]) -> None:
+        self._wave = wave.wave
         self._pools = frozenset(wave.pools)
         self._has_given_up = has_given_up
         self._done: set[VmId] = set()
@@ -89,7 +91,9 @@
         return not_serving + serving[: max(0, headroom)]
 
     def _waits_for(self, row: VmRow) -> bool:
-        if row.vm in self._done or self._has_given_up(row):
+        if row.vm in self._done:
+            return False
+        if row.wave == self._wave and self._has_given_up(row):
             return False
         held_by_operator = (
             row.state in (VmState.LEAVING, VmState.DRAINED)
--- a/tests/core/test_maintenance.py
+++ b/tests/core/test_maintenance.py
@@ -3,7 +3,7 @@
 from random import Random
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from hickoryplank.core.maintenance import (
@@ -79,6 +79,21 @@
     raise AssertionError("a wave was not done in time")
 
 
+def run_until_recovered(fake: FakeVms) -> None:
+    for _ in range(LONG_ENOUGH_SECONDS):
+        if all(row.in_service for row in fake.tables.vms.values()):
+            return
+        fake.step()
+    raise AssertionError("a failed VM did not return in time")
+
+
+def missing(fake: FakeVms, wave_id: str, pools) -> list[VmRow]:
+    """Return the VMs of a wave's pools that it has not completed."""
+    done = fake.tables.waves[wave_id].done
+    rows = [row for pool in pools for row in fake.tables.members(pool)]
+    return [row for row in rows if row.vm not in done]
+
+
 def check_safe(fake: FakeVms) -> None:
     assert fake.cut_off == 0
     assert fake.over_budget == 0
@@ -90,6 +105,8 @@
     failures=st.lists(st.tuples(st.integers(0, 300), st.integers(0, 11)), max_size=3),
 )
 @settings(max_examples=40)
+@example(seed=210, lags=[0.0], failures=[])
+@example(seed=3445174, lags=[0.5], failures=[(89, 6)])
 def test_waves_end_within_budgets_whatever_fails_and_whoever_proposes(
     seed, lags, failures
 ):
@@ -105,6 +122,11 @@
                 fake.append(VmReport(id=new_id(), vm=f"vm-{i}", healthy=healthy))
         fake.step()
     run_until_done(fake, "w1", "w2")
+    for wave_id, pools in (("w1", POOLS), ("w2", POOLS[:2])):
+        for row in missing(fake, wave_id, pools):
+            assert (row.wave, row.healthy) == (wave_id, False)
+            assert row.reboots >= POLICY.max_reboots
+    run_until_recovered(fake)
     check_safe(fake)
     assert sorted(fake.tables.waves["w1"].done) == sorted(fake.tables.vms)
     assert len(fake.tables.waves["w2"].done) == 8
