Hang up on a claim only when its append waits at the log

Ruled out by a run: another append under way at the same time. The stand-in tells which appends wait, and the test hangs up once the claim is among them.

--- a/hickoryplank/external/log_memory.py
+++ b/hickoryplank/external/log_memory.py
@@ -70,6 +70,7 @@
 
     :param timeout_seconds: injected delay at which a call times out.
     :param clock: clock for the retention of records, in seconds.
+    :ivar appending: data of the appends that have arrived and not taken effect yet.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.faults = LogFaults()
+        self.appending: list[bytes] = []
         self._timeout_seconds = timeout_seconds
         self._clock = clock
         self._streams: defaultdict[str, _Stream] = defaultdict(_Stream)
@@ -90,7 +92,11 @@
 
     async def append(self, stream: str, data: bytes) -> Result[int, LogFailure]:
         """Append one record and return its offset."""
-        in_time = await self._inject_delay()
+        self.appending.append(data)
+        try:
+            in_time = await self._inject_delay()
+        finally:
+            self.appending.remove(data)
         if self.faults.outage:
             return Err(_OUTAGE)
         offset = self._streams[stream].append(data, self._clock())
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,6 +1,7 @@
 """A small deployment of entries and stand-ins as processes on loopback."""
 
 import hashlib
+import http.client
 import json
 import os
 import signal
@@ -280,6 +281,24 @@
             url, content=body, headers=request_headers, timeout=timeout
         )
 
+    def submit_and_hang_up(
+        self, entry: int, queue: str, body: bytes, name: str, until
+    ) -> None:
+        """Submit one request through ``entry``, and hang up once ``until`` is true.
+
+        :param name: idempotency key.
+        """
+        conn = http.client.HTTPConnection(self.entries[entry].address)
+        headers = {"Authorization": f"Bearer {KEY}", "Idempotency-Key": name}
+        conn.request("POST", f"/v1/queues/{queue}/work", body, headers)
+        wait_until(until, what=f"moment to hang up on {name}")
+        conn.close()
+
+    def is_appending(self, text: str) -> bool:
+        """Return whether an append that contains ``text`` is waiting at the log."""
+        url = f"http://{self.log.address}/appending"
+        return int(self.client.get(url, params={"text": text}).text) > 0
+
     def effects(self) -> Counter[str]:
         """Return how often each named effect took place on all workers."""
         total: Counter[str] = Counter()
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -36,7 +36,17 @@
                 return service.msgpack_reply(trimmed, 410)
         return service.reply(status=503)
 
-    return service.App(log, {"POST /records": append, "GET /records": read})
+    async def appending(request: Request):
+        text = request.query_params["text"].encode()
+        count = sum(text in data for data in log.appending)
+        return service.reply(str(count).encode())
+
+    handlers = {
+        "POST /records": append,
+        "GET /records": read,
+        "GET /appending": appending,
+    }
+    return service.App(log, handlers)
 
 
 if __name__ == "__main__":
--- a/tests/test_fault_answers.py
+++ b/tests/test_fault_answers.py
@@ -59,15 +59,15 @@
 
 def test_batch_of_a_caller_that_hung_up_while_it_was_claimed_is_finished(fleet):
     caller = Caller(fleet, "cierre", "hung-up-claim")
+    owner = fleet.owner()
     fleet.log.inject(slow_seconds=1.0)
-    with pytest.raises(httpx.TimeoutException):
-        fleet.submit(
-            fleet.owner(),
-            "cierre",
-            caller.body,
-            timeout=0.5,
-            Idempotency_Key=caller.name,
-        )
+    fleet.submit_and_hang_up(
+        owner,
+        "cierre",
+        caller.body,
+        caller.name,
+        until=lambda: fleet.is_appending(caller.claim),
+    )
     fleet.log.inject(slow_seconds=0.0)
     wait_until(lambda: caller.state(0), what="the claim")
     assert caller.submit_until_final(1) == "done"
