Outlive unexpected errors in the tasks of a node of our own interface

An exception in a periodic task, in a task started for one record or request, or in the handling of one message of a peer ended the node's task group, and with it the process. Following the log and appending to it still end the process, as skipping there would lose records.

--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -23,7 +23,6 @@
 from hickoryplank.entry_peers import PeerCallHandler
 from hickoryplank.entry_settings import EntrySettings
 from hickoryplank.entry_socket import LISTEN_BACKLOG, open_listener
-from hickoryplank.entry_tasks import keep_running
 from hickoryplank.http_client import HttpClient
 from hickoryplank.jobs.engine import EngineTiming
 from hickoryplank.platform.advice import PlatformAdvice
@@ -36,6 +35,7 @@
 from hickoryplank.platform.store import PlatformStore
 from hickoryplank.platform.vms import PlatformVms
 from hickoryplank.shell.clock import MonotonicClock
+from hickoryplank.shell.tasks import keep_running
 
 if TYPE_CHECKING:
     from hickoryplank.meter import Metrics
--- a/hickoryplank/shell/claim_manager.py
+++ b/hickoryplank/shell/claim_manager.py
@@ -5,7 +5,6 @@
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
 from hickoryplank.core.errors import FaultCode, Refusal
@@ -33,6 +32,7 @@
 from hickoryplank.shell.claim_ids import answer_from_outcome, request_digest
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.tasks import TaskSpawner
 
 __all__ = ["CLAIM_LIFETIME_SECONDS", "ClaimManager"]
 
@@ -45,9 +45,9 @@
 class ClaimManager:
     """Manages the claims of this node and awaits the outcomes of other claims."""
 
-    def __init__(self, replica: Replica, group: TaskGroup, clock: Clock):
+    def __init__(self, replica: Replica, spawner: TaskSpawner, clock: Clock):
         self._replica = replica
-        self._group = group
+        self._spawner = spawner
         self._clock = clock
         self._open: set[ClaimId] = set()
         self._active: set[ClaimId] = set()
@@ -229,7 +229,7 @@
             detail=detail,
         )
         self._pending_outcomes += 1
-        self._group.start_soon(self._submit_until_accepted, record)
+        self._spawner.start_soon(self._submit_until_accepted, record)
 
     async def _submit_until_accepted(self, record: Outcome) -> None:
         try:
--- a/hickoryplank/shell/maintenance_controller.py
+++ b/hickoryplank/shell/maintenance_controller.py
@@ -4,7 +4,6 @@
 import time
 
 import anyio
-from anyio.abc import TaskGroup
 from result import Err, Ok
 
 from hickoryplank.core.freshness import MAX_STALENESS_SECONDS
@@ -33,6 +32,7 @@
 from hickoryplank.shell.dispatcher import Dispatcher
 from hickoryplank.shell.membership import Membership
 from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.tasks import TaskSpawner
 from hickoryplank.shell.worker_clients import TASK_LEASE_SECONDS, WorkerClients
 
 __all__ = ["MaintenanceController"]
@@ -65,7 +65,7 @@
         workers: WorkerClients,
         vms: VmList,
         policy: MaintenancePolicy,
-        group: TaskGroup,
+        spawner: TaskSpawner,
         clock: Clock,
     ):
         self._replica = replica
@@ -74,7 +74,7 @@
         self._workers = workers
         self._vms = vms
         self._policy = policy
-        self._group = group
+        self._spawner = spawner
         self._clock = clock
         self._planner = MaintenancePlanner(policy, new_record_id)
         self._last_steps: dict[VmId, tuple[Revision, float]] = {}
@@ -177,7 +177,7 @@
         due.sort(key=lambda vm: self._requested_at.get(vm, 0.0))
         for vm in due[:MAX_STATUS_REQUESTS_PER_TICK]:
             self._requested_at[vm] = now
-            self._group.start_soon(self._request_status, inactive[vm])
+            self._spawner.start_soon(self._request_status, inactive[vm])
 
     async def _request_status(self, row: VmRow) -> None:
         worker = self._workers.client(self._replica.tables, row.vm)
@@ -198,9 +198,9 @@
         for action in self._planner.tick(self._replica.tables, observations, now):
             match action:
                 case RebootVm(vm=vm):
-                    self._group.start_soon(self._reboot, vm)
+                    self._spawner.start_soon(self._reboot, vm)
                 case record:
-                    self._group.start_soon(self._submit, record)
+                    self._spawner.start_soon(self._submit, record)
 
     async def _reboot(self, vm: VmId) -> None:
         listed = self._vm_list.get(vm)
@@ -222,7 +222,7 @@
         now = self._clock.now()
         if now - self._submitted_at.get(key, -RESUBMIT_SECONDS) >= RESUBMIT_SECONDS:
             self._submitted_at[key] = now
-            self._group.start_soon(self._submit, record)
+            self._spawner.start_soon(self._submit, record)
 
     def _apply_vm_list(self, rows: tuple[ListedVm, ...]) -> None:
         self._vm_list = {row.vm: row for row in rows}
--- a/hickoryplank/shell/move_controller.py
+++ b/hickoryplank/shell/move_controller.py
@@ -3,7 +3,6 @@
 import logging
 
 import anyio
-from anyio.abc import TaskGroup
 
 from hickoryplank.core.demand import DemandTracker, PoolDemand
 from hickoryplank.core.ids import Incarnation, PoolId
@@ -17,6 +16,7 @@
 from hickoryplank.shell.membership import Membership
 from hickoryplank.shell.peer_transport import PeerTransport
 from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.tasks import TaskSpawner
 
 __all__ = ["MoveController"]
 
@@ -37,7 +37,7 @@
         transport: PeerTransport,
         dispatcher: Dispatcher,
         policy: MovePolicy,
-        group: TaskGroup,
+        spawner: TaskSpawner,
         clock: Clock,
     ):
         self._replica = replica
@@ -45,7 +45,7 @@
         self._transport = transport
         self._dispatcher = dispatcher
         self._policy = policy
-        self._group = group
+        self._spawner = spawner
         self._clock = clock
         self._planner = MovePlanner(policy, new_record_id)
         self._trackers: dict[PoolId, DemandTracker] = {}
@@ -123,7 +123,7 @@
             if now - at <= MAX_REPORT_AGE_SECONDS
         }
         for record in self._planner.tick(self._replica.tables, demand, now):
-            self._group.start_soon(self._submit, record)
+            self._spawner.start_soon(self._submit, record)
 
     async def _submit(self, record: VmStep | VmMoved) -> None:
         submitted = await self._replica.submit(record)
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -54,6 +54,7 @@
 from hickoryplank.shell.replica import Replica, new_record_id
 from hickoryplank.shell.request_executor import RequestExecutor
 from hickoryplank.shell.request_router import RequestRouter
+from hickoryplank.shell.tasks import TaskSpawner
 from hickoryplank.shell.telemetry import Telemetry
 from hickoryplank.shell.units_manager import UnitsManager
 from hickoryplank.shell.worker_clients import WorkerClients
@@ -80,7 +81,7 @@
         cfg: Settings,
         platform: PlatformClients,
         replica: Replica,
-        group: TaskGroup,
+        spawner: TaskSpawner,
         clock: Clock,
         metrics: Metrics,
         telemetry: Telemetry,
@@ -88,14 +89,14 @@
         self._metrics = metrics
         self.name: NodeId = cfg.node.name
         self._replica = replica
-        self._group = group
+        self._spawner = spawner
         self._clock = clock
         secret = cfg.security.cluster_secret.reveal()
         self._transport = PeerTransport(cfg.node.peer_bind, secret, replica.incarnation)
         self._membership = Membership(replica, self._transport, clock)
         self._freshness_exchange = FreshnessExchange(replica, self._transport, clock)
         self._workers = WorkerClients(platform.workers, clock)
-        self._claims = ClaimManager(replica, group, clock)
+        self._claims = ClaimManager(replica, spawner, clock)
         claimed_runner = ClaimedAttemptRunner(
             self._claims, replica, self._workers, clock
         )
@@ -112,7 +113,7 @@
             replica,
             self._transport,
             self._dispatcher.waiting_counts,
-            group,
+            spawner,
             clock,
         )
         self._executor = RequestExecutor(
@@ -122,7 +123,7 @@
             self._claims,
             claimed_runner,
             self._workers,
-            group,
+            spawner,
             clock,
         )
         policy = MaintenancePolicy(
@@ -138,7 +139,7 @@
             self._workers,
             platform.vms,
             policy,
-            group,
+            spawner,
             clock,
         )
         self._move_controller = MoveController(
@@ -151,7 +152,7 @@
                 hysteresis=cfg.moves.hysteresis_seconds,
                 fill=cfg.moves.fill,
             ),
-            group,
+            spawner,
             clock,
         )
         self._router = RequestRouter(
@@ -199,9 +200,12 @@
             ]
         )
 
-    async def start(self) -> None:
-        """Start the node's tasks."""
-        await self._group.start(self._transport.serve, self._receive)
+    async def start(self, group: TaskGroup) -> None:
+        """Start the node's tasks.
+
+        :param group: the task group of the process.
+        """
+        await group.start(self._transport.serve, self._receive)
         for task in (
             self._send_heartbeats,
             self._freshness_exchange.serve,
@@ -213,9 +217,9 @@
             self._maintenance.poll_vm_list,
             self._maintenance.delete_expired_claims,
         ):
-            self._group.start_soon(task)
+            self._spawner.start_service(task)
         if self._moves_enabled:
-            self._group.start_soon(self._move_controller.serve)
+            self._spawner.start_service(self._move_controller.serve)
 
     def begin_leaving(self) -> None:
         """Give up ownership of pools, and tell the load balancer and peers."""
@@ -269,7 +273,7 @@
             case Heartbeat() as heartbeat:
                 self._membership.note_heartbeat(sender, heartbeat)
             case Forward(request):
-                self._group.start_soon(self._router.handle_forwarded, sender, request)
+                self._spawner.start_soon(self._router.handle_forwarded, sender, request)
             case Accepted() as accepted:
                 self._router.note_accepted(sender, accepted)
             case Answered() as answered:
--- a/hickoryplank/shell/peer_transport.py
+++ b/hickoryplank/shell/peer_transport.py
@@ -104,7 +104,17 @@
                 verified.unwrap_err().detail,
             )
             return
-        await handler(verified.unwrap())
+        envelope = verified.unwrap()
+        try:
+            await handler(envelope)
+        except Exception as exc:
+            # One message must not end the transport, and with it the process.
+            logger.error(
+                "peer message %s failed unexpectedly and is dropped: %r",
+                type(envelope.message).__name__,
+                exc,
+                exc_info=True,
+            )
 
     def close(self) -> None:
         """Close all connections."""
--- a/hickoryplank/shell/request_executor.py
+++ b/hickoryplank/shell/request_executor.py
@@ -5,7 +5,6 @@
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 from result import Err
 
 from hickoryplank.core.ids import RequestId
@@ -28,6 +27,7 @@
 from hickoryplank.shell.dispatcher import Dispatcher
 from hickoryplank.shell.membership import Membership
 from hickoryplank.shell.replica import Replica
+from hickoryplank.shell.tasks import TaskSpawner
 from hickoryplank.shell.work_execution import FinalAnswer, RetryAfter, WorkExecution
 from hickoryplank.shell.worker_clients import WorkerClients
 
@@ -56,7 +56,7 @@
         claims: ClaimManager,
         claimed: ClaimedAttemptRunner,
         workers: WorkerClients,
-        group: TaskGroup,
+        spawner: TaskSpawner,
         clock: Clock,
     ):
         self._replica = replica
@@ -65,7 +65,7 @@
         self._claims = claims
         self._claimed_runner = claimed
         self._workers = workers
-        self._group = group
+        self._spawner = spawner
         self._clock = clock
 
     async def handle(self, request: WorkRequest) -> WorkAnswer:
@@ -111,7 +111,7 @@
         if isinstance(claimed, Err):
             return claimed.unwrap_err()
         execution = self._new_execution(request, queue, deadline)
-        self._group.start_soon(self._finish_claimed, execution)
+        self._spawner.start_soon(self._finish_claimed, execution)
         with anyio.move_on_after(self._remaining_wait(execution)):
             await execution.done.wait()
         return execution.answer or Unknown(detail="the endpoint has not answered yet")
@@ -141,7 +141,7 @@
             durable_request, queue, self._clock.now() + CLAIM_LIFETIME_SECONDS
         )
         execution.durable = True
-        self._group.start_soon(self._finish_claimed, execution)
+        self._spawner.start_soon(self._finish_claimed, execution)
 
     def cancel(self, request: RequestId) -> None:
         """Cancel a request that nobody waits for any more."""
@@ -155,7 +155,7 @@
                 queue = find_queue(self._replica.tables, row.queue)
                 if queue is not None and self._is_responsible(queue, row):
                     self._claims.mark_active(row.claim)
-                    self._group.start_soon(self._adopt_orphan, row, queue)
+                    self._spawner.start_soon(self._adopt_orphan, row, queue)
 
     def _is_responsible(self, queue: Queue, row: ClaimRow) -> bool:
         me = self._membership.own_incarnation
@@ -187,7 +187,7 @@
         if execution.answer is not None:
             self._claims.mark_idle(row.claim)
         elif row.durable or execution.proof is Proof.CHECKPOINTED:
-            self._group.start_soon(self._finish_claimed, execution)
+            self._spawner.start_soon(self._finish_claimed, execution)
         else:
             self._claims.submit_not_run_outcome(
                 row.claim, "the node that held the claim is gone"
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -24,6 +24,7 @@
 from hickoryplank.shell.node import Node, PlatformClients
 from hickoryplank.shell.replica import Replica, new_record_id
 from hickoryplank.shell.snapshot_manager import SnapshotManager
+from hickoryplank.shell.tasks import TaskSpawner
 from hickoryplank.shell.telemetry import LogSpanExporter, Telemetry, make_tracer
 
 __all__ = ["run"]
@@ -62,8 +63,10 @@
         group.start_soon(replica.append)
         group.start_soon(snapshots.recover)
         await _join(replica, cfg)
-        node = Node(cfg, platform, replica, group, clock, metrics, telemetry)
-        await node.start()
+        node = Node(
+            cfg, platform, replica, TaskSpawner(group), clock, metrics, telemetry
+        )
+        await node.start(group)
         group.start_soon(snapshots.serve)
         stop = anyio.Event()
         stopped = anyio.Event()
--- a/hickoryplank/shell/units_manager.py
+++ b/hickoryplank/shell/units_manager.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Mapping
 
 import anyio
-from anyio.abc import TaskGroup
 from result import Err
 
 from hickoryplank.core.escrow import Escrow, PeerUnitsRequest, UnitsRecord
@@ -16,6 +15,7 @@
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.peer_transport import PeerTransport
 from hickoryplank.shell.replica import Replica
+from hickoryplank.shell.tasks import TaskSpawner
 
 __all__ = ["UnitsManager"]
 
@@ -41,14 +41,14 @@
         replica: Replica,
         transport: PeerTransport,
         queued_counts: QueuedCounts,
-        group: TaskGroup,
+        spawner: TaskSpawner,
         clock: Clock,
     ):
         self._escrow = escrow
         self._replica = replica
         self._transport = transport
         self._queued_counts = queued_counts
-        self._group = group
+        self._spawner = spawner
         self._clock = clock
         replica.subscribe(self._note_record)
 
@@ -93,7 +93,7 @@
             *records,
         ):
             if record is not None:
-                self._group.start_soon(self._submit, record)
+                self._spawner.start_soon(self._submit, record)
         peer_request = self._escrow.request_units(tables, team, queued, now)
         if peer_request is not None:
             self._send_to_holders(
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -270,6 +270,41 @@
         assert await entry.local_coordinator.answer(call) == NoKey()
 
 
+async def test_restarted_entry_uses_no_withdrawn_key_and_no_departed_endpoint():
+    platform = Platform()
+    await platform.open()
+    before = Entry(platform, "a")
+    async with running(before):
+        await wait_until(lambda: before.serving)
+        await before.local_coordinator.answer(submit("j", Step(2, TASK)))
+        await wait_for_state(before, "j", JobState.COMPLETED)
+    gone, stays = platform.fake_endpoints
+    cfg = configuration()
+    teams = [
+        msgspec.structs.replace(team, keys=frozenset(["other"]))
+        for team in cfg.teams.values()
+    ]
+    await platform.publish(
+        type(cfg).build(2, list(cfg.queues.values()), list(cfg.pools.values()), teams)
+    )
+    await platform.store.append(Topic.LISTINGS, [Record(gone, b"")], None)
+    started_before = len(platform.fake_endpoints[gone].started)
+    after = Entry(platform, "a")
+    async with running(after):
+        await wait_until(lambda: after.serving)
+        coordinator = after.local_coordinator
+        assert await coordinator.answer(submit("k", Step(1, TASK))) == NoKey()
+        await coordinator.answer(submit("l", Step(3, TASK), key="other"))
+        context = where("/p/l", key="other")
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            while await coordinator.answer(Ask(context, JobId("l"))) != StateIs(
+                JobState.COMPLETED
+            ):
+                await anyio.sleep(0.02)
+    assert len(platform.fake_endpoints[gone].started) == started_before
+    assert len(platform.fake_endpoints[stays].started) >= 3
+
+
 @pytest.mark.parametrize(
     "refuse",
     ["withdraw key", "remove queue", "stale configuration"],
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -169,6 +169,26 @@
     assert any(run_key[0] == key for run_key in driver.endpoints[other].run_keys())
 
 
+@pytest.mark.parametrize("silent_ms", [300, 2000, 3500])
+@pytest.mark.parametrize("lasting", [False, True])
+def test_a_run_on_an_endpoint_that_is_silent_within_its_lease_goes_on(
+    silent_ms, lasting
+):
+    driver = Driver(work_ms=lambda key: None if lasting else 6000.0)
+    driver.engine.submit(job("a", Step(3, TASK, lasting=lasting)), driver.now)
+    for _ in range(5):
+        driver.step()
+    driver.unreachable = {E0, E1}
+    for _ in range(silent_ms // 100):
+        driver.step()
+    driver.unreachable = set()
+    for _ in range(60):
+        driver.step()
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 3
+    if not lasting:
+        assert stored_state(driver, "a") is JobState.COMPLETED
+
+
 def test_a_start_without_answer_is_repeated_to_the_same_endpoint():
     driver = Driver(count=2, work_ms=lambda key: None)
     driver.lost_answers = {E0, E1}
--- a/tests/shell/test_units_manager.py
+++ b/tests/shell/test_units_manager.py
@@ -15,6 +15,7 @@
 from hickoryplank.external.log_memory import MemoryLog
 from hickoryplank.shell.clock import MonotonicClock
 from hickoryplank.shell.replica import Replica, new_record_id
+from hickoryplank.shell.tasks import TaskSpawner
 from hickoryplank.shell.units_manager import UnitsManager
 from tests.shell.test_replica import joined_replica, wait_until_caught_up
 
@@ -77,7 +78,12 @@
             for replica in replicas:
                 escrow = Escrow(replica.incarnation, new_record_id)
                 manager = UnitsManager(
-                    escrow, replica, DroppingTransport(), dict, group, clock
+                    escrow,
+                    replica,
+                    DroppingTransport(),
+                    dict,
+                    TaskSpawner(group),
+                    clock,
                 )
                 group.start_soon(manager.serve)
                 escrows.append(escrow)
