Log when a node of our own interface loses its log, and when it has it again

It can't have: a read of the log that fails was not logged, so that a node cut off from its log is silent. The monitor of dependencies moves to shell/, where both interfaces use it. The test fails without the change.

--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -5,7 +5,6 @@
 import anyio
 from result import Err, Ok
 
-from hickoryplank.coordinator.dependency_monitor import DependencyMonitor
 from hickoryplank.coordinator.ports import CallFault, CallFaultKind, Newest, Topic
 from hickoryplank.coordinator.recovery import read_newest
 from hickoryplank.coordinator.term_state import Term
@@ -13,6 +12,7 @@
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.records import Record
+from hickoryplank.shell.dependency_monitor import DependencyMonitor
 
 __all__ = ["EndpointPoller"]
 
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -7,7 +7,6 @@
 import msgspec
 from result import Err, Ok, Result
 
-from hickoryplank.coordinator.dependency_monitor import DependencyMonitor
 from hickoryplank.coordinator.ports import (
     Appended,
     CallFault,
@@ -19,6 +18,7 @@
 from hickoryplank.coordinator.speed import SpeedMonitor
 from hickoryplank.jobs.records import Record
 from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.dependency_monitor import DependencyMonitor
 
 __all__ = ["Holder", "LeaseManager", "LeaseRecord"]
 
--- a/hickoryplank/coordinator/operator_watcher.py
+++ b/hickoryplank/coordinator/operator_watcher.py
@@ -5,7 +5,6 @@
 import anyio
 from result import Err, Ok
 
-from hickoryplank.coordinator.dependency_monitor import DependencyMonitor
 from hickoryplank.coordinator.ports import (
     CallFault,
     CallFaultKind,
@@ -18,6 +17,7 @@
 from hickoryplank.jobs.configuration import Configuration
 from hickoryplank.jobs.records import Record
 from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.dependency_monitor import DependencyMonitor
 
 __all__ = ["OperatorWatcher"]
 
--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -6,7 +6,6 @@
 import msgspec
 from result import Err, Ok
 
-from hickoryplank.coordinator.dependency_monitor import DependencyMonitor
 from hickoryplank.coordinator.journal import Journal
 from hickoryplank.coordinator.lease import LeaseManager
 from hickoryplank.coordinator.operator_watcher import OperatorWatcher
@@ -34,6 +33,7 @@
     VmTable,
 )
 from hickoryplank.shell.clock import Clock, wall_ms
+from hickoryplank.shell.dependency_monitor import DependencyMonitor
 
 __all__ = ["VmController", "VmOperationBounds", "activate_wave", "to_vm_listing"]
 
--- a/hickoryplank/shell/replica.py
+++ b/hickoryplank/shell/replica.py
@@ -18,6 +18,7 @@
 from hickoryplank.external.errors import LogError, LogFailure, Trimmed
 from hickoryplank.external.log import Log, Page, StreamRecord
 from hickoryplank.shell.clock import Clock
+from hickoryplank.shell.dependency_monitor import DependencyMonitor
 from hickoryplank.shell.replicated_state import ReplicatedState
 from hickoryplank.shell.telemetry import Telemetry
 
@@ -95,6 +96,7 @@
         self._listeners: list[Listener] = []
         self._appended = 0
         self._loaded_at = clock.now()
+        self._log_availability = DependencyMonitor("log", clock)
         self._fold_times: deque[tuple[int, float]] = deque(maxlen=MAX_RECENT_ENTRIES)
         self._recent_entries: deque[StreamRecord] = deque(maxlen=MAX_RECENT_ENTRIES)
         self.freshness = Freshness()
@@ -140,6 +142,7 @@
             )
             match read:
                 case Ok(page):
+                    self._log_availability.note_answer()
                     self._fold_page(page, sent_at)
                 case Err(failure):
                     if isinstance(failure, Trimmed):
@@ -148,6 +151,10 @@
                             failure.first,
                         )
                         self._trimmed.set()
+                    else:
+                        self._log_availability.note_failure(
+                            failure.detail or failure.error.value
+                        )
                     await anyio.sleep(ERROR_RETRY_DELAY_SECONDS)
 
     def _fold_page(self, page: Page, sent_at: float) -> None:
--- a/tests/coordinator/test_dependency_monitor.py
+++ b/tests/shell/test_dependency_monitor.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hickoryplank.coordinator.dependency_monitor import DependencyMonitor
+from hickoryplank.shell.dependency_monitor import DependencyMonitor
 
 
 class Clock:
--- a/tests/shell/test_replica.py
+++ b/tests/shell/test_replica.py
@@ -181,3 +181,18 @@
             fold_result = await replica.submit(pool_edit(replica, "spare"))
         assert fold_result.is_err()
         assert replica.has_pending_edit()
+
+
+async def test_the_loss_and_the_return_of_the_log_are_logged_once(caplog):
+    caplog.set_level("INFO")
+    log = MemoryLog()
+    async with joined_replica(log, "a"):
+        log.faults.outage = True
+        await anyio.sleep(0.5)
+        log.faults.outage = False
+        with anyio.fail_after(5):
+            while "dependency regained" not in caplog.messages:
+                await anyio.sleep(0.01)
+    seen = [one for one in caplog.records if "dependency" in one.message]
+    assert [one.message for one in seen] == ["dependency lost", "dependency regained"]
+    assert {one.dependency for one in seen} == {"log"}
