Decide a tick without a look at each endpoint for each task

A profile of the engine alone (276 endpoints, 60 jobs a second, ticks each 20 ms) shows choose_endpoint trying each endpoint of the pool for each task, and the critical path computed anew for each job in each tick.

Endpoints keep their free resources and counts of runs; a pool keeps an upper bound of the room on its endpoints, so that tasks of a full pool are passed over at once; jobs keep the lengths of their critical paths; jobs without waiting tasks are not ranked.

--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -6,7 +6,7 @@
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.engine_tables import EngineTables, step_key
 from hickoryplank.jobs.ordering import sort_jobs
-from hickoryplank.jobs.placement import choose_endpoint, choose_gang
+from hickoryplank.jobs.placement import PoolRoom, choose_endpoint, choose_gang
 from hickoryplank.jobs.preassignment import preassign_tasks, start_preassigned
 from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task
 
@@ -39,10 +39,13 @@
     for row in tables.open_jobs.values():
         _open_due_occurrences(tables, row, wall_ms)
         if row.job.pool in usable:
-            rows_by_pool.setdefault(row.job.pool, []).append(row)
+            rows = rows_by_pool.setdefault(row.job.pool, [])
+            if row.needs_preassignment or row.has_waiting:
+                rows.append(row)
     for pool, rows in rows_by_pool.items():
+        room = PoolRoom(usable[pool])
         for row in sort_jobs(rows, tables.configuration, now):
-            _assign_job(tables, row, usable[pool], now, wall_ms, starts)
+            _assign_job(tables, row, room, now, wall_ms, starts)
 
 
 def _open_due_occurrences(tables: EngineTables, row: JobRow, wall_ms: int) -> None:
@@ -56,7 +59,7 @@
 def _assign_job(
     tables: EngineTables,
     row: JobRow,
-    endpoints: list[Endpoint],
+    room: PoolRoom,
     now: float,
     wall_ms: int,
     starts: AllowedStarts,
@@ -65,16 +68,18 @@
         if row.job.due_ms(occurrence) > wall_ms:
             continue
         for step in row.ready_steps(occurrence):
-            if starts is AllowedStarts.PREASSIGNED:
-                _assign_step(tables, row, step, [], now, starts)
+            allowed: list[Endpoint] = []
+            if starts is not AllowedStarts.PREASSIGNED:
+                allowed = _permitted(tables, row, step, room.endpoints, now)
+            if not room.may_hold(step.step):
                 continue
-            allowed = _permitted(tables, row, step, endpoints, now)
-            if step.step.gang:
+            if not step.step.gang:
+                if not _assign_step(tables, row, step, allowed, now, starts):
+                    room.refresh()
+            elif allowed:
                 _assign_gang(tables, row, step, allowed)
-            else:
-                _assign_step(tables, row, step, allowed, now, starts)
         if starts is not AllowedStarts.PREASSIGNED:
-            preassign_tasks(tables, row, occurrence, endpoints, now)
+            preassign_tasks(tables, row, occurrence, room.endpoints, now)
 
 
 def _permitted(
@@ -97,14 +102,15 @@
     endpoints: list[Endpoint],
     now: float,
     starts: AllowedStarts,
-) -> None:
+) -> bool:
+    """Assign the waiting tasks of a step; return whether none lacked room."""
     for task in list(step.waiting.values()):
         if task.not_before > now or task.run is not None:
             continue
         if not tables.team_usage.allows(
             row.job.team, step.step.size, tables.configuration
         ):
-            return
+            return True
         may_use_preassignment = starts is not AllowedStarts.AFTER_RECORD
         if may_use_preassignment and start_preassigned(tables, row, step, task, now):
             continue
@@ -112,8 +118,9 @@
             continue
         endpoint = choose_endpoint(endpoints, step, task.failed_on)
         if endpoint is None:
-            return
+            return False
         _assign_task(tables, row, task, endpoint, task.attempt + 1)
+    return True
 
 
 def _assign_gang(
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -132,6 +132,14 @@
         self.listed_at = now
         self.runs: dict[tuple[TaskKey, int], Run] = {}
         self.used = ZERO
+        #: Free resources, by the coordinator's own accounting.
+        self.free = listing.capacity
+        #: Number of runs of filling tasks, of tasks with a target response time, and of
+        #: lasting tasks, and the resources that the latter use.
+        self.filling_count = 0
+        self.serving_count = 0
+        self.lasting_count = 0
+        self.lasting_used = ZERO
         #: Time of the first unanswered call since the last answer; none if there is no
         #: such call. While it is set, no run is assigned here and no lease extended.
         self.silent_since: float | None = None
@@ -175,10 +183,11 @@
         """The rack, which is the last label."""
         return self.listing.labels[-1] if self.listing.labels else ""
 
-    @property
-    def free(self) -> Size:
-        """Free resources, by the coordinator's own accounting."""
-        return self.listing.capacity.minus(self.used)
+    def relist(self, listing: Listing) -> None:
+        """Apply a newer listing of the same incarnation."""
+        self.listing = listing
+        self.listed = True
+        self.free = listing.capacity.minus(self.used)
 
     def usable(self, now: float) -> bool:
         """Return whether new runs may be assigned here."""
@@ -194,11 +203,24 @@
         """Add a run and reserve its resources."""
         self.runs[run.run_key] = run
         self.used = self.used.plus(run.counted_size)
+        if run.step.lasting:
+            self.lasting_used = self.lasting_used.plus(run.counted_size)
+        self._count(run, 1)
 
     def remove(self, run: Run) -> None:
         """Remove a run that is known to have ended, and free its resources."""
         if self.runs.pop(run.run_key, None) is not None:
             self.used = self.used.minus(run.counted_size)
+            if run.step.lasting:
+                self.lasting_used = self.lasting_used.minus(run.counted_size)
+            self._count(run, -1)
+
+    def _count(self, run: Run, change: int) -> None:
+        step = run.step
+        self.free = self.listing.capacity.minus(self.used)
+        self.filling_count += change if step.fills else 0
+        self.serving_count += change if step.target_ms else 0
+        self.lasting_count += change if step.lasting else 0
 
     @property
     def has_unstored_ends(self) -> bool:
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -22,8 +22,7 @@
     known = tables.endpoints.get(listing.id)
     if known is not None and listing.born_ms <= known.listing.born_ms:
         if listing.born_ms == known.listing.born_ms:
-            known.listing = listing
-            known.listed = True
+            known.relist(listing)
         return known
     fresh = Endpoint(listing, now)
     fresh.former_leases_until = (
--- a/hickoryplank/jobs/ordering.py
+++ b/hickoryplank/jobs/ordering.py
@@ -40,9 +40,17 @@
     return max(ends, default=0)
 
 
-def objective_s(job: Job, queue: Queue) -> float:
+def _remaining_path_ms(row: JobRow, done: frozenset[int] = frozenset()) -> int:
+    """Return the length of the critical path of a job, which is computed only once."""
+    length_ms = row.path_ms.get(done)
+    if length_ms is None:
+        length_ms = row.path_ms[done] = critical_path_ms(row.job, done)
+    return length_ms
+
+
+def objective_s(row: JobRow, queue: Queue) -> float:
     """Return the latency objective of a job, in seconds."""
-    return (queue.stretch * critical_path_ms(job) + queue.slack_ms) / 1000
+    return (queue.stretch * _remaining_path_ms(row) + queue.slack_ms) / 1000
 
 
 def worth_serving(row: JobRow, queue: Queue | None, now: float) -> bool:
@@ -51,9 +59,9 @@
     Estimates may be far too low. A job is therefore served for some time beyond the
     time that its estimate suggests.
     """
-    if row.job.lasting or row.job.repeats or queue is None:
+    if row.lasting or row.job.repeats or queue is None:
         return True
-    abandonment_s = ABANDONMENT_FACTOR * objective_s(row.job, queue)
+    abandonment_s = ABANDONMENT_FACTOR * objective_s(row, queue)
     return now < row.accepted_at + max(abandonment_s, MIN_ABANDONMENT_SECONDS)
 
 
@@ -73,10 +81,10 @@
     queue = configuration.queues.get(row.job.queue)
     if queue is None:
         return (1, 0, 0, row.accepted_at)
-    if row.job.lasting:
+    if row.lasting:
         return (0, queue.priority, 0, row.accepted_at)
-    objective_at = row.accepted_at + objective_s(row.job, queue)
-    remaining_s = critical_path_ms(row.job, _done_steps(row)) / 1000
+    objective_at = row.accepted_at + objective_s(row, queue)
+    remaining_s = _remaining_path_ms(row, _done_steps(row)) / 1000
     if row.over_share:
         return (2, queue.priority, 0, row.accepted_at)
     if not worth_serving(row, queue, now):
--- a/hickoryplank/jobs/pacing.py
+++ b/hickoryplank/jobs/pacing.py
@@ -28,6 +28,8 @@
 
 def adjust_pace(endpoint: Endpoint, now: float) -> list[PaceChange]:
     """Return the changes of pace to be made on an endpoint now."""
+    if not endpoint.filling_count:
+        return []
     filling = [
         run
         for run in endpoint.runs.values()
--- a/hickoryplank/jobs/rebalancing.py
+++ b/hickoryplank/jobs/rebalancing.py
@@ -202,11 +202,8 @@
     """Return the resources of the lasting tasks that run in a pool."""
     size = ZERO
     for endpoint in engine.endpoints.values():
-        if endpoint.listing.pool != pool:
-            continue
-        for run in endpoint.runs.values():
-            if run.step.lasting:
-                size = size.plus(run.counted_size)
+        if endpoint.lasting_count and endpoint.listing.pool == pool:
+            size = size.plus(endpoint.lasting_used)
     return size
 
 
@@ -289,7 +286,7 @@
         endpoint = engine.endpoint_of(row.listing.endpoint)
         if endpoint is None or not endpoint.token_confirmed:
             continue
-        if any(run.step.lasting for run in endpoint.runs.values()):
+        if endpoint.lasting_count:
             continue
         load = (row.maintenance_due is not MaintenanceDue.NONE, endpoint.used.cpu)
         if best is None or load < least:
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -146,6 +146,7 @@
         callers only once it is stored.
     :param steps: steps of each opened occurrence.
     :param begun: some task was assigned to an endpoint.
+    :param lasting: any task runs until the job is cancelled.
     :param needs_preassignment: tasks may have started to wait since the last
         pre-assignment.
     """
@@ -159,6 +160,9 @@
         self.steps: dict[int, list[StepRow]] = {}
         self.begun = False
         self.needs_preassignment = True
+        self.lasting = job.lasting
+        #: Lengths of the critical path in milliseconds, by the steps that are done.
+        self.path_ms: dict[frozenset[int], int] = {}
 
     def open_occurrence(self, occurrence: int) -> list[StepRow]:
         """Return the steps of an occurrence, creating them if necessary."""
@@ -193,6 +197,11 @@
             if row.waiting and all(not rows[one].remaining for one in row.step.after)
         ]
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any task of an opened occurrence waits for a run."""
+        return any(row.waiting for rows in self.steps.values() for row in rows)
+
     def all_tasks(self) -> list[Task]:
         """Return the tasks of all opened occurrences."""
         return [
