Move VMs ahead of a turn of demand, and straight from the pool that gives them up

Rate and trend of the last eight arrivals now tell the load at the time when a VM that is ordered now has joined; idle VMs that a pool is about to release go straight to the pool that lacks them; a round begins as many moves as the platform takes orders (setting orders_per_s), 8 before.

--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -1,6 +1,7 @@
 """Control loop that moves VMs between pools and runs maintenance waves."""
 
 import logging
+import math
 
 import anyio
 import msgspec
@@ -66,11 +67,18 @@
         seconds.
     :param orders_apart_s: minimum time between orders for one VM by two
         coordinators, in seconds.
+    :param orders_per_s: orders that the platform accepts per second.
     """
 
     move_s: float
     maintenance_s: float
     orders_apart_s: float
+    orders_per_s: float
+
+    @property
+    def orders_per_round(self) -> int:
+        """Orders that the platform accepts in one run of the control loop."""
+        return math.ceil(self.orders_per_s * LOOP_INTERVAL_SECONDS)
 
 
 class VmController:
@@ -227,7 +235,12 @@
         if standby is None:
             return
         for operation in rebalance_pools(
-            engine, self._table, self._demand, now, standby
+            engine,
+            self._table,
+            self._demand,
+            now,
+            standby,
+            self._bounds.orders_per_round,
         ):
             logger.info(
                 "VM is to move",
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -123,7 +123,10 @@
             metrics=self._entry_metrics,
             advice=PlatformAdvice(self._client, cfg.advice) if cfg.advice else None,
             vm_bounds=VmOperationBounds(
-                cfg.move_s, cfg.maintenance_s, cfg.orders_apart_ms / 1000
+                cfg.move_s,
+                cfg.maintenance_s,
+                cfg.orders_apart_ms / 1000,
+                cfg.orders_per_s,
             ),
         )
 
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -26,6 +26,7 @@
     :param maintenance_s: duration of the maintenance of a VM, in seconds.
     :param orders_apart_ms: minimum time between orders for one VM by two
         successive coordinators, in ms.
+    :param orders_per_s: orders for VMs that the platform accepts per second.
     :param status_s: how long callers may query the state of an ended job, in
         seconds.
     :param cpu_share: fraction of CPU time available to the VM, from 0 to 1.
@@ -47,6 +48,7 @@
     move_s: float
     maintenance_s: float
     orders_apart_ms: int
+    orders_per_s: float = 64.0
     status_s: float = 120.0
     cpu_share: float = 1.0
     core_speed: float = 1.0
@@ -66,6 +68,7 @@
         "move_s",
         "maintenance_s",
         "orders_apart_ms",
+        "orders_per_s",
         "status_s",
     ),
     "log": ("log_level",),
--- a/hickoryplank/jobs/maintenance.py
+++ b/hickoryplank/jobs/maintenance.py
@@ -157,7 +157,7 @@
         if _is_standby(pool, engine):
             continue
         rounds = -(
-            -count // _max_unavailable(vms.pool_rows(pool), MAX_UNAVAILABLE_FRACTION)
+            -count // _max_unavailable(_settled(pool, vms), MAX_UNAVAILABLE_FRACTION)
         )
         if rounds * cycle_seconds > time_left:
             urgent.add(pool)
@@ -176,6 +176,18 @@
     return known is not None and known.standby
 
 
+def _settled(pool: PoolId, vms: VmTable) -> list[VmRow]:
+    """Return the VMs of a pool that are not moving into it or out of it.
+
+    A pool whose demand changes has many moving ones. Its waves would else stand still.
+    """
+    return [
+        row
+        for row in vms.pool_rows(pool)
+        if row.operation is None or row.operation.pool is None
+    ]
+
+
 def _max_unavailable(rows: list[VmRow], fraction: float) -> int:
     """Return how many VMs of a pool may be unavailable at the same time."""
     return max(1, int(len(rows) * fraction))
@@ -184,7 +196,7 @@
 def _pool_allows(pool: PoolId, vms: VmTable, engine: Engine, fraction: float) -> bool:
     if _is_standby(pool, engine):
         return True
-    rows = vms.pool_rows(pool)
+    rows = _settled(pool, vms)
     unavailable = sum(
         1 for row in rows if row.operation is not None or not row.listing.up
     )
--- a/hickoryplank/jobs/rebalancing.py
+++ b/hickoryplank/jobs/rebalancing.py
@@ -31,6 +31,8 @@
 #: a VM away and back costs as much as about 2.3 s in a pool, so that releasing it for
 #: a shorter idle time does not pay.
 IDLE_SECONDS = 1.6
+#: Time until a VM that is ordered now takes work in its new pool, in seconds.
+JOIN_SECONDS = 1.7
 #: Fraction of the capacity of a pool that is planned to be used, as tasks do not fill
 #: VMs evenly.
 TARGET_UTILIZATION = 0.85
@@ -40,8 +42,6 @@
 #: A pool that lacks VMs itself gives one to a pool whose coverage of its demand is
 #: lower by at least this factor; a move costs both pools some seconds.
 DONOR_COVERAGE_FACTOR = 2.0
-#: Moves begun in one round, as the platform limits the rate of orders.
-MAX_MOVES_PER_ROUND = 8
 
 
 class _Sample(msgspec.Struct, frozen=True):
@@ -77,6 +77,7 @@
     :param retained: VMs beyond this number go to standby. A pool keeps all its VMs
         until it has had work other than lasting tasks for ``IDLE_SECONDS``, as its
         demand is not known before.
+    :param movable: VMs that may leave, the least loaded last; none until it is needed.
     """
 
     pool: PoolId
@@ -85,14 +86,21 @@
     max_recent: int
     retained: int
     rows: list[VmRow]
+    movable: list[VmRow] | None = None
 
 
 def rebalance_pools(
-    engine: Engine, vms: VmTable, demand: DemandHistory, now: float, standby: PoolId
+    engine: Engine,
+    vms: VmTable,
+    demand: DemandHistory,
+    now: float,
+    standby: PoolId,
+    max_moves: int,
 ) -> list[VmOperation]:
     """Begin moves of VMs according to demand, and cancel moves no longer needed.
 
     :param standby: id of the standby pool.
+    :param max_moves: most moves to begin, as the platform limits the rate of orders.
     """
     needs = _needs(engine, vms, demand, now, standby)
     engine.pools_lacking_room.clear()
@@ -101,19 +109,19 @@
     standby_vms.sort(key=lambda row: row.maintenance_due is MaintenanceDue.NONE)
     begun: list[VmOperation] = []
     for need in sorted(needs, key=lambda one: one.vm_count - one.wanted):
-        while need.vm_count < need.wanted and len(begun) < MAX_MOVES_PER_ROUND:
-            row = (
-                standby_vms.pop()
-                if standby_vms
-                else _take_donor_vm(engine, needs, need)
-            )
+        while need.vm_count < need.wanted and len(begun) < max_moves:
+            row = _take_surplus_vm(engine, needs, need)
+            if row is None and standby_vms:
+                row = standby_vms.pop()
+            if row is None:
+                row = _take_donor_vm(engine, needs, need)
             if row is None:
                 break
             begun.append(_begin_move(row, need.pool, now))
             need.vm_count += 1
     for need in needs:
-        while need.vm_count > need.retained and len(begun) < MAX_MOVES_PER_ROUND:
-            row = _least_loaded(engine, need)
+        while need.vm_count > need.retained and len(begun) < max_moves:
+            row = _pop_least_loaded(engine, need)
             if row is None:
                 break
             begun.append(_begin_move(row, standby, now))
@@ -159,7 +167,7 @@
             and row.operation.pool is not None
             and row.operation.pool != pool
         )
-        offered = engine.arrivals.offered_load(pool, now)
+        offered = engine.arrivals.offered_load(pool, now, JOIN_SECONDS)
         if offered != ZERO:
             offered = offered.plus(_lasting_size(engine, pool))
         size = wanted.get(pool, ZERO).maximum(offered)
@@ -243,6 +251,25 @@
             need.vm_count += 1
 
 
+def _take_surplus_vm(
+    engine: Engine, needs: list[_PoolNeed], receiver: _PoolNeed
+) -> VmRow | None:
+    """Return a VM without runs that another pool is about to release, if any.
+
+    It joins ``receiver`` as soon as a VM from standby does, with one move in place of
+    two.
+    """
+    for need in needs:
+        if need is receiver or need.vm_count <= need.retained:
+            continue
+        movable = _movable(engine, need)
+        endpoint = engine.endpoint_of(movable[-1].listing.endpoint) if movable else None
+        if endpoint is not None and not endpoint.runs:
+            need.vm_count -= 1
+            return movable.pop()
+    return None
+
+
 def _take_donor_vm(
     engine: Engine, needs: list[_PoolNeed], receiver: _PoolNeed
 ) -> VmRow | None:
@@ -261,7 +288,7 @@
             and _coverage(need) < _coverage(receiver) * DONOR_COVERAGE_FACTOR
         ):
             return None
-        row = _least_loaded(engine, need)
+        row = _pop_least_loaded(engine, need)
         if row is not None:
             need.vm_count -= 1
             return row
@@ -273,22 +300,26 @@
     return need.vm_count / max(1, need.max_recent)
 
 
-def _least_loaded(engine: Engine, need: _PoolNeed) -> VmRow | None:
-    """Return the least loaded VM without lasting tasks, if any.
+def _pop_least_loaded(engine: Engine, need: _PoolNeed) -> VmRow | None:
+    """Return the least loaded VM that may leave a pool, if any, once."""
+    movable = _movable(engine, need)
+    return movable.pop() if movable else None
+
 
-    VMs due for maintenance come last, as a VM is not maintained while it moves.
+def _movable(engine: Engine, need: _PoolNeed) -> list[VmRow]:
+    """Return the VMs without lasting tasks that may leave, the least loaded last.
+
+    VMs due for maintenance come first, as a VM is not maintained while it moves.
     """
-    best: VmRow | None = None
-    least = (True, 0)
-    for row in need.rows:
-        if not _is_movable(row):
-            continue
-        endpoint = engine.endpoint_of(row.listing.endpoint)
-        if endpoint is None or not endpoint.token_confirmed:
-            continue
-        if endpoint.lasting_count:
-            continue
-        load = (row.maintenance_due is not MaintenanceDue.NONE, endpoint.used.cpu)
-        if best is None or load < least:
-            best, least = row, load
-    return best
+    if need.movable is None:
+        loads = [
+            (row.maintenance_due is not MaintenanceDue.NONE, endpoint.used.cpu, row)
+            for row in need.rows
+            if _is_movable(row)
+            and (endpoint := engine.endpoint_of(row.listing.endpoint)) is not None
+            and endpoint.token_confirmed
+            and not endpoint.lasting_count
+        ]
+        loads.sort(key=lambda one: one[:2], reverse=True)
+        need.movable = [row for _, _, row in loads]
+    return need.movable
--- a/hickoryplank/jobs/sizes.py
+++ b/hickoryplank/jobs/sizes.py
@@ -33,6 +33,12 @@
         """Return ``count`` times the amount."""
         return Size(self.cpu * count, self.mem_mb * count, self.gpu * count)
 
+    def scaled(self, factor: float) -> "Size":
+        """Return ``factor`` times the amount, rounded down."""
+        return Size(
+            int(self.cpu * factor), int(self.mem_mb * factor), int(self.gpu * factor)
+        )
+
     def maximum(self, other: "Size") -> "Size":
         """Return the maximum of both amounts for each resource."""
         return Size(
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -131,7 +131,7 @@
             timing=EngineTiming(4000, 100, 9.2, 10_000, 180.0),
             vms=platform.vms,
             operator=platform.operator,
-            vm_bounds=VmOperationBounds(0.1, 0.1, 0.2),
+            vm_bounds=VmOperationBounds(0.1, 0.1, 0.2, 64.0),
             metrics=self.metrics,
         )
         self.local_coordinator: Coordinator | None = None
--- a/tests/jobs/test_arrivals.py
+++ b/tests/jobs/test_arrivals.py
@@ -4,7 +4,12 @@
 import pytest
 
 from hickoryplank.core.ids import PoolId
-from hickoryplank.jobs.arrivals import WINDOW_SECONDS, ArrivalRates
+from hickoryplank.jobs.arrivals import (
+    ENOUGH_ARRIVALS,
+    MIN_WINDOW_SECONDS,
+    WINDOW_SECONDS,
+    ArrivalRates,
+)
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.sizes import ZERO, Size
 from tests.jobs.driver import POOL, TASK, job
@@ -32,6 +37,20 @@
     assert rates.offered_load(POOL, asked_at) == expected
 
 
+@pytest.mark.parametrize("jobs_per_s", [40, 100])
+def test_many_arrivals_show_a_new_rate_before_the_window_is_full(jobs_per_s):
+    rates = ArrivalRates()
+    for number in range(10):
+        rates.add_job(job(f"a{number}", Step(1, TASK, estimate_ms=1000)), -number)
+    for number in range(ENOUGH_ARRIVALS):
+        step = Step(1, TASK, estimate_ms=1000)
+        rates.add_job(job(f"b{number}", step), number / jobs_per_s)
+    since_start_s = (ENOUGH_ARRIVALS - 1) / jobs_per_s
+    load = rates.offered_load(POOL, since_start_s)
+    expected_per_s = min(jobs_per_s, (ENOUGH_ARRIVALS - 1) / MIN_WINDOW_SECONDS)
+    assert load.cpu == pytest.approx(1000 * expected_per_s, rel=0.01)
+
+
 def test_arrivals_are_counted_by_pool():
     rates = ArrivalRates()
     other = msgspec.structs.replace(job("a", Step(1, TASK)), pool=PoolId("b"))
--- a/tests/jobs/test_fleet.py
+++ b/tests/jobs/test_fleet.py
@@ -6,7 +6,12 @@
 from hickoryplank.core.ids import EndpointId, JobId, PoolId, VmId, WaveId
 from hickoryplank.jobs.configuration import Configuration, Pool
 from hickoryplank.jobs.evacuation import evacuate, is_empty
-from hickoryplank.jobs.maintenance import ActiveWave, begin_maintenance, is_wave_done
+from hickoryplank.jobs.maintenance import (
+    MAX_UNAVAILABLE_FRACTION,
+    ActiveWave,
+    begin_maintenance,
+    is_wave_done,
+)
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.rebalancing import (
     IDLE_SECONDS,
@@ -15,10 +20,17 @@
     rebalance_pools,
 )
 from hickoryplank.jobs.sizes import Size
-from hickoryplank.jobs.vms import MaintenanceDue, OperationPhase, VmListing, VmTable
+from hickoryplank.jobs.vms import (
+    MaintenanceDue,
+    OperationPhase,
+    VmListing,
+    VmOperation,
+    VmTable,
+)
 from tests.jobs.driver import CAPACITY, POOL, TASK, Driver, configuration, job
 
 STANDBY = PoolId("standby")
+MAX_MOVES = 8
 
 
 def configuration_with_standby(weight: float = 1.0) -> Configuration:
@@ -86,7 +98,7 @@
     table, demand = vm_table(driver), DemandHistory()
     for _ in range(5):
         driver.engine.pools_lacking_room.add(POOL)
-        rebalance_pools(driver.engine, table, demand, driver.now, STANDBY)
+        rebalance_pools(driver.engine, table, demand, driver.now, STANDBY, MAX_MOVES)
     arriving = [one for one in table.operations() if one.pool == POOL]
     assert len(arriving) == 1
 
@@ -99,7 +111,9 @@
     for _ in range(3):
         driver.step()
     table = vm_table(driver)
-    rebalance_pools(driver.engine, table, DemandHistory(), driver.now, STANDBY)
+    rebalance_pools(
+        driver.engine, table, DemandHistory(), driver.now, STANDBY, MAX_MOVES
+    )
     arriving = [one for one in table.operations() if one.pool == POOL]
     assert len(arriving) == 3
     assert {one.vm for one in arriving} <= {VmId(f"s-{number}") for number in range(4)}
@@ -111,7 +125,7 @@
     for _ in range(3):
         driver.step()
     table, demand = vm_table(driver, spare=0), DemandHistory()
-    rebalance_pools(driver.engine, table, demand, driver.now, STANDBY)
+    rebalance_pools(driver.engine, table, demand, driver.now, STANDBY, MAX_MOVES)
     while any(one.runs for one in driver.engine.endpoints.values()):
         driver.step()
     leaving: list = []
@@ -119,7 +133,7 @@
     while not leaving:
         driver.step()
         waited += 0.1
-        rebalance_pools(driver.engine, table, demand, driver.now, STANDBY)
+        rebalance_pools(driver.engine, table, demand, driver.now, STANDBY, MAX_MOVES)
         leaving = [one for one in table.operations() if one.pool == STANDBY]
     assert waited >= IDLE_SECONDS / 2
     assert len(leaving) == 2
@@ -130,7 +144,7 @@
     table, demand = vm_table(driver), DemandHistory()
     for _ in range(40):
         driver.step()
-        rebalance_pools(driver.engine, table, demand, driver.now, STANDBY)
+        rebalance_pools(driver.engine, table, demand, driver.now, STANDBY, MAX_MOVES)
     assert table.operations() == []
 
 
@@ -141,7 +155,7 @@
     begun = driver.now
     while driver.now - begun < IDLE_SECONDS - 0.2:
         driver.step()
-        rebalance_pools(driver.engine, table, demand, driver.now, STANDBY)
+        rebalance_pools(driver.engine, table, demand, driver.now, STANDBY, MAX_MOVES)
         assert table.operations() == []
 
 
@@ -157,7 +171,7 @@
         driver.engine.submit(job(f"a{number}", step), driver.now)
         driver.step()
     assert not any(row.ready_steps(0) for row in driver.engine.open_jobs.values())
-    rebalance_pools(driver.engine, table, demand, driver.now, STANDBY)
+    rebalance_pools(driver.engine, table, demand, driver.now, STANDBY, MAX_MOVES)
     # About 15 jobs per second, each of 4 core-seconds, on VMs with 4 cores.
     assert len([one for one in table.operations() if one.pool == POOL]) >= 4
 
@@ -196,6 +210,29 @@
     assert begun[0].vm not in ("m-e0", "m-e1", "m-e2")
 
 
+@pytest.mark.parametrize("direction", ["joining", "leaving"])
+def test_a_wave_goes_on_while_vms_move_into_or_out_of_its_pool(direction):
+    driver = Driver(count=12)
+    driver.step()
+    table, row = vm_table(driver), active_wave(driver, max_concurrent=12)
+    # The wave is for half of the VMs; the others are moving.
+    row.vms = row.vms[:6]
+    moving = [VmId(f"m-{id}") for id in list(driver.endpoints)[6:]]
+    if direction == "joining":
+        listings = [
+            msgspec.structs.replace(one, up=False) if one.id in moving else one
+            for one in vm_listings(driver)
+        ]
+        table.update(tuple(listings), driver.now)
+    for vm in moving:
+        pool = POOL if direction == "joining" else STANDBY
+        table.rows[vm].operation = VmOperation(
+            vm, pool, None, OperationPhase.AWAITING_RETURN, driver.now
+        )
+    begun = begin_maintenance(row, table, driver.engine, driver.now, 2.0)
+    assert len(begun) == int(6 * MAX_UNAVAILABLE_FRACTION)
+
+
 def test_a_wave_takes_idle_vms_first():
     driver = Driver(count=3, work_ms=lambda key: None)
     driver.engine.submit(job("a", Step(2, TASK, lasting=True)), driver.now)
@@ -255,7 +292,9 @@
     table = vm_table(driver)
     for number in (1, 2, 3):
         table.rows[VmId(f"s-{number}")].maintenance_due = MaintenanceDue.LATER
-    rebalance_pools(driver.engine, table, DemandHistory(), driver.now, STANDBY)
+    rebalance_pools(
+        driver.engine, table, DemandHistory(), driver.now, STANDBY, MAX_MOVES
+    )
     arriving = [one.vm for one in table.operations() if one.pool == POOL]
     assert arriving[0] == "s-0"
     assert len(arriving) == 2
@@ -273,7 +312,9 @@
     spare = tuple(VmId(f"s-{number}") for number in range(4))
     row = ActiveWave(WaveId("1"), spare, driver.now + left_s, 0, set())
     begin_maintenance(row, table, driver.engine, driver.now, 2.0)
-    rebalance_pools(driver.engine, table, DemandHistory(), driver.now, STANDBY)
+    rebalance_pools(
+        driver.engine, table, DemandHistory(), driver.now, STANDBY, MAX_MOVES
+    )
     assert len([one for one in table.operations() if one.pool == POOL]) == moved
 
 
