Restart runs that make no progress on another endpoint

A run that makes none for 1.5 s and half of its estimate is stopped, if another endpoint has room; its task starts there once its end is reported, and the stall counts like a failure when an endpoint is ejected.

Ruled out: judging by slow progress. A run at 100 %, a task without estimate and one of sixty times its estimate are left alone.

--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -41,6 +41,8 @@
     """One run of a task on one endpoint.
 
     :param percent: progress as last reported, in percent.
+    :param progressed_at_ms: time by the endpoint's clock of the first report in which
+        the run had this progress; 0 before the first.
     :param pace_percent: pace, in percent of full speed.
     :param load: load as last reported, in the unit of ``RunningTask.load``.
     :param until_ms: end of the lease in the start, by the endpoint's clock.
@@ -62,6 +64,7 @@
         "pace_percent",
         "percent",
         "preassigned",
+        "progressed_at_ms",
         "checkpoint",
         "size",
         "state",
@@ -83,6 +86,7 @@
         self.checkpoint = ""
         self.ticket = ""
         self.percent = 0
+        self.progressed_at_ms = 0
         self.pace_percent = 100
         self.load = 0
         self.until_ms = 0
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -43,6 +43,7 @@
     for run in [run for run in before.runs.values() if run.may_be_in_next_incarnation]:
         before.remove(run)
         run.endpoint = fresh
+        run.progressed_at_ms = 0
         run.confirmed_at = None if run.state is RunState.SENT else now
         fresh.add(run)
         fresh.has_carried_over_runs = True
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -13,6 +13,7 @@
     RunningTask,
     StartOutcome,
 )
+from hickoryplank.jobs.stalls import note_progress, restart_if_stalled
 from hickoryplank.jobs.table import JobRow, JobState, Task, TaskState
 
 __all__ = [
@@ -149,7 +150,8 @@
         if run.confirmed_at is None:
             run.confirmed_at = now
         run.reported = True
-        _update_progress(tables, run, one)
+        _update_progress(tables, run, one, report.clock_ms)
+        restart_if_stalled(tables, run, report.clock_ms, now)
     for run in list(endpoint.runs.values()):
         if run.run_key in reported or run.confirmed_at is None:
             continue
@@ -157,8 +159,10 @@
             tables.give_up_run(run, "its endpoint lists neither it nor its end")
 
 
-def _update_progress(tables: EngineTables, run: Run, reported: RunningTask) -> None:
-    run.percent = reported.percent
+def _update_progress(
+    tables: EngineTables, run: Run, reported: RunningTask, clock_ms: int
+) -> None:
+    note_progress(run, reported.percent, clock_ms)
     run.load = reported.load
     task = tables.task_of(run)
     if task is None:
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -74,7 +74,7 @@
 
     :param attempt: attempt number of the last run, from 1; 0 before the first.
     :param failures: number of runs that ended ``failed``.
-    :param failed_on: endpoints of the runs that failed during this term.
+    :param failed_on: endpoints of the runs that failed or stalled during this term.
     :param run: the current run, while one may exist.
     :param stored_assignment: assignment of a former term, until its endpoint is listed.
     :param preassignment: endpoint chosen in advance for the next run.
--- a/tests/jobs/fake_endpoint.py
+++ b/tests/jobs/fake_endpoint.py
@@ -30,7 +30,7 @@
     checkpoint: str = ""
     stopping_ms: float | None = None
     percent: int = 0
-    started_at: float = 0.0
+    work_ms: float | None = None
 
 
 class FakeEndpoint:
@@ -40,6 +40,7 @@
         milliseconds, or none for a lasting task.
     :param stop_ms: time that a run takes to stop, in milliseconds.
     :ivar failing: whether runs end ``failed`` instead of ``done``.
+    :ivar stalled: whether runs make no progress.
     """
 
     def __init__(self, born_ms: int, work_ms, stop_ms: float = 400.0):
@@ -55,6 +56,7 @@
         self.work_ms = work_ms
         self.stop_ms = stop_ms
         self.failing = False
+        self.stalled = False
         self.started: list[RunKey] = []
 
     def start(
@@ -73,7 +75,8 @@
         if until_ms <= self.clock_ms:
             return StartOutcome.LEASE_EXPIRED
         self.until_ms = max(self.until_ms, until_ms)
-        run = FakeRun(key, attempt, payload, self.work_ms(key))
+        work_ms = self.work_ms(key)
+        run = FakeRun(key, attempt, payload, work_ms, work_ms=work_ms)
         self.running[(key, attempt)] = run
         self.started.append((key, attempt))
         return StartOutcome.STARTED
@@ -123,10 +126,13 @@
             if run.stopping_ms <= 0:
                 self._end(run, EndKind.STOPPED)
             return
-        if run.work_left_ms is None:
+        if run.work_left_ms is None or run.work_ms is None:
             run.percent = 100
             return
+        if self.stalled:
+            return
         run.work_left_ms -= ms
+        run.percent = int(100 - 100 * run.work_left_ms / run.work_ms)
         if run.work_left_ms <= 0:
             self._end(run, EndKind.FAILED if self.failing else EndKind.DONE)
 
