Append in one call what waits for a slow store, and answer repeated calls at once

Ticks are 1.7 to 2.1 s apart: records of jobs, of orders for VMs and of waves were appended one after the other, each by a call of its own, and a tick waited for all before it. An entry gives up after 1.2 s and repeats the call; the repetition of a submission whose record was stored meanwhile waited for a further tick, and the caller got 504.

Records that wait while an append is in progress now go together in the next one. A repeated submission of a recorded job, and a repeated cancellation of a job whose end is stored, are answered at once. Ruled out: that other entries could have taken over; the store was slow for all, and the lease was renewed.

--- a/hickoryplank/coordinator/call_handler.py
+++ b/hickoryplank/coordinator/call_handler.py
@@ -145,7 +145,10 @@
         engine = self._term.require_engine()
         if admitted.subpath != call.id:
             return NoSuchQueue()
-        if call.id not in engine.jobs and self._term.journal.failing:
+        known = engine.jobs.get(call.id)
+        if known is not None and known.recorded:
+            return Accepted()
+        if known is None and self._term.journal.failing:
             return NotRun(NotRunReason.STORE_AWAY)
         fault = _check_steps(call)
         if fault:
@@ -184,6 +187,8 @@
         row = engine.jobs.get(id)
         if row is None or row.job.queue != admitted.queue.id:
             return NoSuchJob()
+        if row.stored_state.final:
+            return Cancelled()
         engine.cancel(row, self._term.context.clock.now())
         if await self._term.wait_until_stored():
             return Cancelled()
--- a/hickoryplank/coordinator/journal.py
+++ b/hickoryplank/coordinator/journal.py
@@ -3,6 +3,7 @@
 import logging
 
 import anyio
+import msgspec
 from result import Err, Ok
 
 from hickoryplank.coordinator.ports import (
@@ -30,9 +31,24 @@
     """Raised when this entry is not, or no longer, the coordinator."""
 
 
+class _Waiting(msgspec.Struct, eq=False):
+    """Records that wait to be appended.
+
+    :param done: the records have been appended, with others or alone.
+    :param error: why the append that they were part of did not succeed.
+    """
+
+    records: list[Record]
+    done: bool = False
+    error: TermEnded | None = None
+
+
 class Journal:
     """Appends records in order, and repeats each append until it succeeds.
 
+    Records that wait while an append is in progress go together in the next one, so
+    that on a slow store nobody waits for more than two.
+
     :param epoch: epoch of the term; a higher one fences off all appends.
     """
 
@@ -41,6 +57,7 @@
         self._epoch = epoch
         self._sequence = 0
         self._append_lock = anyio.Lock()
+        self._waiting: list[_Waiting] = []
         #: Whether the last attempt of an append failed.
         self.failing = False
 
@@ -61,8 +78,32 @@
 
         :raises TermEnded: if the store has seen a higher epoch.
         """
-        async with self._append_lock:
-            await self._append_chunks(records)
+        own = _Waiting(records)
+        self._waiting.append(own)
+        try:
+            async with self._append_lock:
+                if own.error is not None:
+                    raise own.error
+                if not own.done:
+                    await self._append_waiting()
+        finally:
+            if own in self._waiting:
+                self._waiting.remove(own)
+
+    async def _append_waiting(self) -> None:
+        group, self._waiting = self._waiting, []
+        error = TermEnded("the task that appended the records was cancelled")
+        try:
+            await self._append_chunks([one for each in group for one in each.records])
+        except TermEnded as exc:
+            error = exc
+            raise
+        else:
+            for each in group:
+                each.done = True
+        finally:
+            for each in group:
+                each.error = None if each.done else error
 
     async def _append_chunks(self, records: list[Record]) -> None:
         chunk: list[Record] = []
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -44,6 +44,7 @@
         """Load the stored jobs of a former term, before any endpoint is listed."""
         for row in rows:
             self._note_first_job(row.job, self.term_started_at)
+            row.recorded = True
             self.jobs[row.job.id] = row
             if row.state.final:
                 self.ended_jobs.append(EndedJob(row.job.id, self.term_started_at))
@@ -239,7 +240,8 @@
 
     def take_batch(self) -> Batch:
         """Return the batch to be stored next."""
-        new, self.new_jobs = self.new_jobs, []
+        new = self.storing_jobs = self.new_jobs
+        self.new_jobs = []
         dirty, self.dirty = self.dirty, {}
         starts, self.starts = self.starts, []
         expired_jobs, self.expired_jobs = self.expired_jobs, []
@@ -261,6 +263,9 @@
 
     def batch_stored(self, batch: Batch, now: float) -> list[Run]:
         """Mark a batch as stored; return the runs that may be started now."""
+        for row in self.storing_jobs:
+            row.recorded = True
+        self.storing_jobs = []
         for row, state in self.storing_states:
             row.stored_state = state
         self.storing_states = []
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -108,6 +108,8 @@
         self.stop_repeat_at: dict[Run, float] = {}
         #: Stored assignments to endpoints that are not listed yet.
         self.unlisted_assignments: dict[EndpointId, list[tuple[JobRow, Task]]] = {}
+        #: New jobs in the batch that is being stored.
+        self.storing_jobs: list[JobRow] = []
         #: States in the batch that is being stored.
         self.storing_states: list[tuple[JobRow, JobState]] = []
 
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -145,6 +145,7 @@
     :param stored_state: state in the newest stored record; an end is reported to
         callers only once it is stored.
     :param steps: steps of each opened occurrence.
+    :param recorded: the job's record is stored.
     :param begun: some task was assigned to an endpoint.
     :param lasting: any task runs until the job is cancelled.
     :param needs_preassignment: tasks may have started to wait since the last
@@ -158,6 +159,7 @@
         self.state = JobState.QUEUED
         self.stored_state = JobState.QUEUED
         self.steps: dict[int, list[StepRow]] = {}
+        self.recorded = False
         self.begun = False
         self.needs_preassignment = True
         self.lasting = job.lasting
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -343,6 +343,26 @@
             entry.watcher.staleness = lambda: MAX_STALENESS_SECONDS + 1
 
 
+@pytest.mark.parametrize("call", ["submit", "cancel"])
+async def test_a_repeated_call_for_what_is_stored_does_not_wait_for_the_store(call):
+    platform = Platform(work_ms=lambda key: None)
+    await platform.open()
+    entry = Entry(platform, "a")
+    calls = {
+        "submit": (submit("j", Step(1, TASK)), Accepted()),
+        "cancel": (Cancel(where("/p/j"), JobId("j")), Cancelled()),
+    }
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        coordinator = entry.local_coordinator
+        assert await coordinator.answer(calls["submit"][0]) == Accepted()
+        repeated, answer = calls[call]
+        assert await coordinator.answer(repeated) == answer
+        entry.store.delay_s = 30.0
+        with anyio.fail_after(0.5):
+            assert await coordinator.answer(repeated) == answer
+
+
 async def test_a_cancelled_job_ends_and_stays_cancelled():
     platform = Platform(work_ms=lambda key: None)
     await platform.open()
