Expect the load of a pool when a VM has joined, and give idle VMs to tasks that wait

Cause, from logs of VMs wanted and had by pool: a forecast took the load to which the arrivals lead in the long run for that of the next moment.

The load is now expected for the time when a VM that is ordered now has joined: until then a part of the present jobs ends, by the length of their critical path, and the same part of the final load has come in its place. A pool whose tasks wait gets VMs without runs that others hold beyond what runs and waits there.

--- a/hickoryplank/jobs/arrivals.py
+++ b/hickoryplank/jobs/arrivals.py
@@ -4,7 +4,7 @@
 
 from hickoryplank.core.ids import PoolId
 from hickoryplank.jobs.model import Job
-from hickoryplank.jobs.ordering import task_ms
+from hickoryplank.jobs.ordering import critical_path_ms, task_ms
 from hickoryplank.jobs.sizes import ZERO, Size
 
 __all__ = ["ArrivalRates"]
@@ -32,6 +32,7 @@
     def __init__(self) -> None:
         self.times: deque[float] = deque()
         self.works: deque[Size] = deque(maxlen=AVERAGED_JOBS)
+        self.paths_ms: deque[int] = deque(maxlen=AVERAGED_JOBS)
 
     def forecast_rate(self, now: float, lead_s: float) -> float:
         """Return the arrivals per second that are expected ``lead_s`` from now.
@@ -59,6 +60,10 @@
         window_s = max(MIN_WINDOW_SECONDS, at - times[-ENOUGH_ARRIVALS])
         return (ENOUGH_ARRIVALS - 1) / window_s
 
+    def mean_path_s(self) -> float:
+        """Return the mean length of the critical path of a job, in seconds."""
+        return max(1, sum(self.paths_ms) / len(self.paths_ms)) / 1000
+
     def mean_work(self) -> Size:
         """Return the mean work of a job, without that of the largest job."""
         if len(self.works) < 2:
@@ -87,6 +92,7 @@
         arrivals = self._pools.setdefault(job.pool, _PoolArrivals())
         arrivals.times.append(now)
         arrivals.works.append(_total_work(job))
+        arrivals.paths_ms.append(critical_path_ms(job))
 
     def offered_load(self, pool: PoolId, now: float, lead_s: float = 0.0) -> Size:
         """Return the resources in use if jobs arrive at the rate that is expected.
@@ -99,6 +105,24 @@
         rate = arrivals.forecast_rate(now, lead_s)
         return arrivals.mean_work().scaled(rate / 1000)
 
+    def expected_load(
+        self, pool: PoolId, present: Size, now: float, lead_s: float
+    ) -> Size:
+        """Return the resources that the jobs of a pool need ``lead_s`` from now.
+
+        Until then a part of the present jobs ends, and as large a part of the load to
+        which the arrivals lead in the long run has come in its place.
+
+        :param present: resources that the present jobs need.
+        """
+        arrivals = self._pools.get(pool)
+        if arrivals is None:
+            return present
+        replaced = min(1.0, lead_s / arrivals.mean_path_s())
+        offered = self.offered_load(pool, now, lead_s)
+        grown = present.scaled(1 - replaced).plus(offered.scaled(replaced))
+        return present.maximum(grown)
+
 
 def _total_work(job: Job) -> Size:
     """Return the resources of all tasks, multiplied by their run times in ms."""
--- a/hickoryplank/jobs/rebalancing.py
+++ b/hickoryplank/jobs/rebalancing.py
@@ -72,7 +72,8 @@
 
     :param vm_count: VMs in the pool, including VMs that are moving to it, without those
         that are leaving it.
-    :param wanted: current demand.
+    :param backlog: demand of the tasks that run or are ready to run.
+    :param wanted: current demand, including that of the jobs that are about to arrive.
     :param max_recent: largest recent demand; VMs beyond it may go to other pools.
     :param retained: VMs beyond this number go to standby. A pool keeps all its VMs
         until it has had work other than lasting tasks for ``IDLE_SECONDS``, as its
@@ -82,6 +83,7 @@
 
     pool: PoolId
     vm_count: int
+    backlog: int
     wanted: int
     max_recent: int
     retained: int
@@ -113,6 +115,8 @@
             row = _take_surplus_vm(engine, needs, need)
             if row is None and standby_vms:
                 row = standby_vms.pop()
+            if row is None and need.vm_count < need.backlog:
+                row = _take_idle_vm(engine, needs, need)
             if row is None:
                 row = _take_donor_vm(engine, needs, need)
             if row is None:
@@ -167,20 +171,24 @@
             and row.operation.pool is not None
             and row.operation.pool != pool
         )
-        offered = engine.arrivals.offered_load(pool, now, JOIN_SECONDS)
-        if offered != ZERO:
-            offered = offered.plus(_lasting_size(engine, pool))
-        size = wanted.get(pool, ZERO).maximum(offered)
-        count = max(MIN_POOL_VMS, _vms_for(size, rows, vms))
+        present = wanted.get(pool, ZERO)
+        lasting = _lasting_size(engine, pool)
+        expected = engine.arrivals.expected_load(
+            pool, present.minus(lasting), now, JOIN_SECONDS
+        ).plus(lasting)
+        backlog = max(MIN_POOL_VMS, _vms_for(present, rows, vms))
         vm_count = len(rows) - leaving + arriving
         if pool in engine.pools_lacking_room and not arriving:
-            count = max(count, vm_count + 1)
+            backlog = max(backlog, vm_count + 1)
+        count = max(backlog, _vms_for(expected, rows, vms))
         demand.add_sample(pool, count, now)
         max_recent = demand.maximum(pool)
         first_job_at = engine.first_job_at.get(pool)
         demand_known = first_job_at is not None and now - first_job_at > IDLE_SECONDS
         retained = max_recent if demand_known else vm_count
-        needs.append(_PoolNeed(pool, vm_count, count, max_recent, retained, rows))
+        needs.append(
+            _PoolNeed(pool, vm_count, backlog, count, max_recent, retained, rows)
+        )
     return needs
 
 
@@ -260,16 +268,39 @@
     two.
     """
     for need in needs:
-        if need is receiver or need.vm_count <= need.retained:
-            continue
-        movable = _movable(engine, need)
-        endpoint = engine.endpoint_of(movable[-1].listing.endpoint) if movable else None
-        if endpoint is not None and not endpoint.runs:
-            need.vm_count -= 1
-            return movable.pop()
+        if need is not receiver and need.vm_count > need.retained:
+            row = _pop_idle(engine, need)
+            if row is not None:
+                return row
     return None
 
 
+def _take_idle_vm(
+    engine: Engine, needs: list[_PoolNeed], receiver: _PoolNeed
+) -> VmRow | None:
+    """Return a VM without runs that another pool holds beyond its backlog, if any.
+
+    That pool may expect jobs, or have needed the VM a moment ago. The tasks that wait
+    in ``receiver`` come first.
+    """
+    for need in sorted(needs, key=lambda one: one.backlog - one.vm_count):
+        if need is not receiver and need.vm_count > need.backlog:
+            row = _pop_idle(engine, need)
+            if row is not None:
+                return row
+    return None
+
+
+def _pop_idle(engine: Engine, need: _PoolNeed) -> VmRow | None:
+    """Return a VM without runs that may leave a pool, if any, once."""
+    movable = _movable(engine, need)
+    endpoint = engine.endpoint_of(movable[-1].listing.endpoint) if movable else None
+    if endpoint is None or endpoint.runs:
+        return None
+    need.vm_count -= 1
+    return movable.pop()
+
+
 def _take_donor_vm(
     engine: Engine, needs: list[_PoolNeed], receiver: _PoolNeed
 ) -> VmRow | None:
--- a/tests/jobs/fleet_play.py
+++ b/tests/jobs/fleet_play.py
@@ -181,6 +181,7 @@
     :param ramp_s: time until the highest rate, and from it, in seconds.
     :param hold_s: time at the highest rate, in seconds.
     :param jobs_per_s: the highest rate.
+    :param run_ms: shortest and longest run time of a task, in milliseconds.
     """
 
     pool: PoolId
@@ -188,6 +189,7 @@
     ramp_s: float
     hold_s: float
     jobs_per_s: float
+    run_ms: tuple[int, int] = (600, 1500)
 
     def rate(self, at_s: float) -> float:
         """Return the arrivals per second at a time."""
@@ -230,7 +232,9 @@
                 continue
             count += 1
             size = Size(rng.choice([1500, 2500, 3500]), 4000, 0)
-            first = Step(rng.randint(4, 12), size, estimate_ms=rng.randint(600, 1500))
+            first = Step(
+                rng.randint(4, 12), size, estimate_ms=rng.randint(*turn.run_ms)
+            )
             steps = [first]
             if rng.random() < 0.5:
                 steps.append(msgspec.structs.replace(first, after=(0,)))
--- a/tests/jobs/test_arrivals.py
+++ b/tests/jobs/test_arrivals.py
@@ -65,3 +65,33 @@
     rates.add_job(job("a", Step(50, TASK, estimate_ms=4000)), 0.0)
     rates.add_job(job("b", Step(1, TASK, estimate_ms=800)), 0.0)
     assert rates.offered_load(POOL, 0.0) == Size(1000, 1000)
+
+
+@pytest.mark.parametrize(
+    ("present_cores", "lead_s", "expected_cores"),
+    [
+        # Ten jobs a second, each of four seconds on one core, lead to 40 cores.
+        (0, 1.0, 10),
+        (0, 2.0, 20),
+        (0, 4.0, 40),
+        (0, 8.0, 40),
+        (20, 2.0, 30),
+        (40, 2.0, 40),
+        # Work that waits already does not become less.
+        (90, 2.0, 90),
+    ],
+)
+def test_load_grows_as_fast_as_jobs_of_their_length_replace_each_other(
+    present_cores, lead_s, expected_cores
+):
+    rates = ArrivalRates()
+    for number in range(30):
+        step = Step(1, TASK, estimate_ms=4000)
+        rates.add_job(job(str(number), step), number / 10)
+    present = Size(1000 * present_cores, 1000 * present_cores)
+    load = rates.expected_load(POOL, present, 2.9, lead_s)
+    assert load.cpu == pytest.approx(1000 * expected_cores, rel=0.01)
+
+
+def test_load_of_a_pool_without_arrivals_is_expected_to_stay():
+    assert ArrivalRates().expected_load(POOL, TASK, 0.0, 1.7) == TASK
