Go on trying to hand in a submission while its caller waits

A refusal would not be certain to be true, but a caller that is answered 504 calls again after 0.2 to 0.4 s whatever Retry-After says, and has used up its five calls after 1.6 s of the 3 s that it would wait: 18 of 26 callers of one window failed that way. An entry now makes attempts until the caller's timeout, as it does already for a call that may have reached a coordinator. It has not given the call up, and doesn't know that it can't be served.

Ruled out: a refusal by the coordinator whose lease has run out, as a successor may have taken the job; Retry-After with 504, which is sent already.

The new test serves 20 of 20 callers in an outage of 1.8 s.

--- a/hickoryplank/coordinator/forwarder.py
+++ b/hickoryplank/coordinator/forwarder.py
@@ -72,10 +72,13 @@
     async def answer(self, call: Call, within_s: float) -> Answer:
         """Forward a call and return its answer.
 
-        A submission or cancellation that may have reached a coordinator is retried
-        until the timeout of the caller; both are idempotent. Such a call is not refused
-        any more, as its first attempt may still take effect. Neither is one that has
-        reached no coordinator: an earlier call with its id may have.
+        A submission or cancellation is retried until the timeout of the caller; both
+        are idempotent. One that may have reached a coordinator is not refused any more,
+        as its first attempt may still take effect. Neither is one that has reached
+        none: an earlier call with its id may have. A caller that is not refused calls
+        again at once and only a few times, so that an outage of the store of some
+        seconds would use up its calls if this entry did not go on trying. Other calls
+        are refused soon, with a time after which to call again.
 
         :param within_s: timeout of the caller, in seconds.
         """
@@ -89,11 +92,9 @@
                 unsettled = answer
             elif not _is_no_coordinator(answer):
                 return unsettled if unsettled and is_refusal(answer) else answer
-            until = (
-                deadline
-                if unsettled is not None
-                else min(deadline, started_at + self._max_wait_s())
-            )
+            until = deadline
+            if not isinstance(call, Submit | Cancel):
+                until = min(deadline, started_at + self._max_wait_s())
             wait_s = until - self._clock.now()
             if wait_s <= 0:
                 return unsettled or _without_answer(
@@ -103,6 +104,7 @@
                 await changed.wait()
 
     def _max_wait_s(self) -> float:
+        """Return for how long a call that may be refused waits for a coordinator."""
         return (
             HANDOVER_WAIT_SECONDS
             if self._lease.handover_expected()
--- a/tests/coordinator/test_forwarder.py
+++ b/tests/coordinator/test_forwarder.py
@@ -5,7 +5,9 @@
 import anyio
 import pytest
 
+from hickoryplank.coordinator import forwarder as forwarder_module
 from hickoryplank.coordinator.calls import (
+    Accepted,
     Answer,
     Ask,
     Call,
@@ -21,6 +23,7 @@
     Unsettled,
 )
 from hickoryplank.coordinator.forwarder import (
+    ANSWER_RESERVE_SECONDS,
     ELECTION_WAIT_SECONDS,
     HANDOVER_WAIT_SECONDS,
     CallForwarder,
@@ -34,6 +37,7 @@
 
 WHERE = CallContext("host", "/queue/", "", 1)
 CALL = Ask(WHERE, JobId("00000000000000aa"))
+SUBMIT = Submit(WHERE, CALL.id, Submission("", ()))
 RUNNING = StateIs(JobState.RUNNING)
 #: When a coordinator appears: after the short wait and before the long one.
 TAKEOVER_AFTER_SECONDS = (ELECTION_WAIT_SECONDS + HANDOVER_WAIT_SECONDS) / 2
@@ -73,15 +77,20 @@
 
 
 @pytest.mark.parametrize(
-    ("handover_expected", "within_s", "served"),
+    ("call", "handover_expected", "within_s", "served"),
     [
-        (True, 3.0, True),
-        (False, 3.0, False),
-        (True, 0.4, False),
+        (CALL, True, 3.0, True),
+        (CALL, False, 3.0, False),
+        (CALL, True, 0.4, False),
+        (SUBMIT, True, 3.0, True),
+        (SUBMIT, False, 3.0, True),
+        (SUBMIT, True, 0.4, False),
+        (Cancel(WHERE, CALL.id), False, 3.0, True),
     ],
+    ids=str,
 )
-async def test_call_waits_longer_while_a_handover_is_expected(
-    handover_expected, within_s, served
+async def test_call_that_may_be_refused_waits_longer_while_a_handover_is_expected(
+    call, handover_expected, within_s, served
 ):
     lease = FakeLease(handover_expected)
     forwarder = build_forwarder(lease)
@@ -92,12 +101,12 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(become_coordinator_later)
-        answer = await forwarder.answer(CALL, within_s)
+        answer = await forwarder.answer(call, within_s)
         tasks.cancel_scope.cancel()
     if served:
         assert answer == RUNNING
     else:
-        assert isinstance(answer, NotRun)
+        assert isinstance(answer, NotRun if call is CALL else Unsettled)
         assert forwarder.local_coordinator is None
 
 
@@ -107,7 +116,6 @@
     NotRun(NotRunReason.STORE_AWAY),
     NotRun(NotRunReason.NO_COORDINATOR),
 ]
-SUBMIT = Submit(WHERE, CALL.id, Submission("", ()))
 
 
 @pytest.mark.parametrize("refusal", REFUSALS, ids=str)
@@ -132,3 +140,46 @@
     forwarder.local_coordinator = coordinator
     assert isinstance(await forwarder.answer(SUBMIT, 0.0), Unsettled)
     assert coordinator.calls == []
+
+
+#: Time for which no entry is coordinator, as the store is down, in seconds.
+OUTAGE_SECONDS = 1.8
+#: Callers in that time, and the timeout, the number of calls and the shortest pause of
+#: each, in seconds: as the users' callers do with a call that is not refused.
+CALLERS = 20
+#: How long an attempt lasted before, with the time that is reserved for its answer.
+FORMER_WAIT_SECONDS = ELECTION_WAIT_SECONDS + ANSWER_RESERVE_SECONDS
+CALLER_TIMEOUT_SECONDS = 3.0
+CALLS_OF_A_CALLER = 5
+CALLER_PAUSE_SECONDS = 0.2
+
+
+async def count_served_callers() -> int:
+    """Return how many of the callers in an outage of the store are served."""
+    forwarder = build_forwarder(FakeLease(is_handover_expected=False))
+    served = 0
+
+    async def call_until_served() -> None:
+        nonlocal served
+        with anyio.move_on_after(CALLER_TIMEOUT_SECONDS):
+            deadline = anyio.current_effective_deadline()
+            for _ in range(CALLS_OF_A_CALLER):
+                remaining_s = deadline - anyio.current_time()
+                if await forwarder.answer(SUBMIT, remaining_s) == Accepted():
+                    served += 1
+                    return
+                await anyio.sleep(CALLER_PAUSE_SECONDS)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(CALLERS):
+            tasks.start_soon(call_until_served)
+            await anyio.sleep(OUTAGE_SECONDS / CALLERS)
+        forwarder.local_coordinator = FakeCoordinator(Accepted())
+    return served
+
+
+async def test_callers_in_an_outage_of_the_store_are_served_after_it(monkeypatch):
+    served = await count_served_callers()
+    assert served == CALLERS
+    monkeypatch.setattr(forwarder_module, "MAX_CALL_SECONDS", FORMER_WAIT_SECONDS)
+    assert await count_served_callers() < served
