Take the present rate of arrivals for a pool's load at once, and its growth later

A rate that has been seen is now taken for the load that it leads to, as before; only its expected growth counts in part.

--- a/hickoryplank/jobs/arrivals.py
+++ b/hickoryplank/jobs/arrivals.py
@@ -108,10 +108,12 @@
     def expected_load(
         self, pool: PoolId, present: Size, now: float, lead_s: float
     ) -> Size:
-        """Return the resources that the jobs of a pool need ``lead_s`` from now.
+        """Return the resources that a pool needs of VMs that join ``lead_s`` from now.
 
-        Until then a part of the present jobs ends, and as large a part of the load to
-        which the arrivals lead in the long run has come in its place.
+        These are at least the resources to which the present rate of arrivals leads in
+        the long run. A growing rate adds to them only as fast as jobs of that length
+        replace each other: until then a part of the present jobs ends, and as large a
+        part of the load to which the expected rate leads has come in its place.
 
         :param present: resources that the present jobs need.
         """
@@ -121,7 +123,7 @@
         replaced = min(1.0, lead_s / arrivals.mean_path_s())
         offered = self.offered_load(pool, now, lead_s)
         grown = present.scaled(1 - replaced).plus(offered.scaled(replaced))
-        return present.maximum(grown)
+        return present.maximum(self.offered_load(pool, now)).maximum(grown)
 
 
 def _total_work(job: Job) -> Size:
