Let an endpoint's next incarnation settle runs taken over from a former coordinator

Cause, found by a new state machine over the engine (tests/jobs/test_engine_machine.py): after a take-over nobody repeats the start of a run that the former coordinator had recorded; the first report of its endpoint settles it. If a new incarnation of the endpoint came before that report, the run waited for the answer to a start that nobody sent, for as long as the incarnation lived, and its job was never done. The first report of the new incarnation now settles it: it was asked for with this term's token, so that later starts of the former coordinator are refused. Runs whose start this coordinator repeats go on as before.

test_incarnations.py has the case by itself, failing without the change (running, not completed, after 2 s).

--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -44,7 +44,10 @@
         before.remove(run)
         run.endpoint = fresh
         run.progressed_at_ms = 0
-        run.confirmed_at = None if run.state is RunState.SENT else now
+        # Nobody repeats the start of a run that was taken over from a former
+        # coordinator: the first report of this incarnation settles it.
+        if run.state is not RunState.SENT or run.confirmed_at is not None:
+            run.confirmed_at = now
         fresh.add(run)
         fresh.has_carried_over_runs = True
     if fresh.has_carried_over_runs:
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -71,8 +71,8 @@
         #: Batch of an append that the store has not answered yet.
         self.pending_batch: Batch | None = None
         self.endpoints = {
-            EndpointId(f"e{number}"): FakeEndpoint(1, work_ms)
-            for number in range(count)
+            id: self.build_endpoint(id, 1)
+            for id in (EndpointId(f"e{number}") for number in range(count))
         }
         self.unreachable: set[EndpointId] = set()
         #: Endpoints that receive starts, but whose answers to them are lost.
@@ -83,6 +83,10 @@
         self.tries: dict[Run, int] = {}
         self.engine = self._fresh_engine()
 
+    def build_endpoint(self, id: EndpointId, born_ms: int) -> FakeEndpoint:
+        """Return a new incarnation of an endpoint."""
+        return FakeEndpoint(born_ms, self.work_ms)
+
     def _fresh_engine(self) -> Engine:
         timing = EngineTiming(
             LEASE_MS, 600, FORMER_LEASE_SECONDS, MAX_LEASE_MS, RETENTION_SECONDS
@@ -221,7 +225,7 @@
     def restart_endpoint(self, id: EndpointId) -> None:
         """Begin a new incarnation of an endpoint under the same id, and list it."""
         before = self.endpoints[id]
-        self.endpoints[id] = FakeEndpoint(before.born_ms + 1, self.work_ms)
+        self.endpoints[id] = self.build_endpoint(id, before.born_ms + 1)
         self.engine.update_listing(listing(id, before.born_ms + 1), self.now)
 
     def run_count(self, key: TaskKey) -> int:
--- /dev/null
+++ b/tests/jobs/test_engine_machine.py
@@ -0,0 +1,221 @@
+"""Plays random faults on the engine, and holds what endpoints ran against the rules."""
+
+from hypothesis import assume, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from hickoryplank.core.ids import EndpointId
+from hickoryplank.jobs.evacuation import evacuate
+from hickoryplank.jobs.model import Step
+from hickoryplank.jobs.sizes import Size
+from hickoryplank.jobs.table import JobState
+from tests.jobs.driver import configuration, job, listing
+from tests.jobs.ledger import Ledger, LedgerDriver
+
+ENDPOINTS = [EndpointId(f"e{number}") for number in range(3)]
+TEAM_LIMIT = Size(9000, 0, 0)
+#: Jobs of one play, of which the last may wait for all others.
+MAX_JOBS = 12
+#: Steps of 0.1 s within which some task has to end once all faults have ended. The
+#: longest wait is for leases that former coordinators granted.
+STALL_STEPS = 150
+#: Slowest clock of an endpoint that the platform allows.
+SLOW_CLOCK = 0.98
+
+SIZES = st.builds(Size, st.sampled_from([500, 1500, 3000]), st.just(1000))
+PLAIN = st.builds(
+    Step,
+    st.integers(1, 4),
+    SIZES,
+    estimate_ms=st.sampled_from([0, 200, 2000]),
+    max_per_endpoint=st.integers(0, 2),
+    checkpointing=st.booleans(),
+)
+GANGS = st.builds(Step, st.integers(2, 3), SIZES, gang=st.just(True))
+LASTING = st.builds(
+    Step,
+    st.integers(1, 3),
+    st.just(Size(500, 500)),
+    lasting=st.just(True),
+    may_miss=st.integers(0, 1),
+)
+SUBSETS = st.sets(st.sampled_from(ENDPOINTS))
+
+
+def run_ms(key) -> float | None:
+    """Return how long a task runs; none for a lasting task, whose job is named so."""
+    if key.job.startswith("lasting"):
+        return None
+    return 200.0 + 700.0 * ((key.index * 7 + key.step * 3 + len(key.job)) % 4)
+
+
+class EngineMachine(RuleBasedStateMachine):
+    """One engine after the other, their store, and three endpoints with faults."""
+
+    @initialize(slow=st.booleans())
+    def begin(self, slow: bool) -> None:
+        self.ledger = Ledger()
+        self.driver = LedgerDriver(
+            self.ledger, len(ENDPOINTS), run_ms, configuration(TEAM_LIMIT)
+        )
+        self.driver.clock_rate = SLOW_CLOCK if slow else 1.0
+        self.store_up = True
+        self.cancelled: set[str] = set()
+
+    def submit(self, id: str, *steps: Step) -> None:
+        new = job(id, *steps)
+        self.ledger.jobs[new.id] = new
+        self.driver.engine.submit(new, self.driver.now)
+
+    @precondition(lambda self: len(self.ledger.jobs) < MAX_JOBS)
+    @rule(steps=st.lists(PLAIN, min_size=1, max_size=3), chained=st.booleans())
+    def submit_plain(self, steps: list[Step], chained: bool) -> None:
+        steps = [
+            Step(
+                one.count,
+                one.size,
+                estimate_ms=one.estimate_ms,
+                max_per_endpoint=one.max_per_endpoint,
+                checkpointing=one.checkpointing,
+                after=(number - 1,) if chained and number else (),
+            )
+            for number, one in enumerate(steps)
+        ]
+        self.submit(f"plain{len(self.ledger.jobs)}", *steps)
+
+    @precondition(lambda self: len(self.ledger.jobs) < MAX_JOBS)
+    @rule(step=GANGS)
+    def submit_gang(self, step: Step) -> None:
+        self.submit(f"gang{len(self.ledger.jobs)}", step)
+
+    @precondition(lambda self: len(self.ledger.jobs) < MAX_JOBS)
+    @rule(step=LASTING)
+    def submit_lasting(self, step: Step) -> None:
+        self.submit(f"lasting{len(self.ledger.jobs)}", step)
+
+    @rule(number=st.integers(0, 20))
+    def cancel(self, number: int) -> None:
+        rows = list(self.driver.engine.open_jobs.values())
+        assume(number < len(rows))
+        self.cancelled.add(rows[number].job.id)
+        self.driver.engine.cancel(rows[number], self.driver.now)
+
+    @rule(ids=SUBSETS)
+    def cut_endpoints(self, ids: set[EndpointId]) -> None:
+        self.driver.unreachable = ids
+
+    @rule(ids=SUBSETS)
+    def lose_answers_to_starts(self, ids: set[EndpointId]) -> None:
+        self.driver.lost_answers = ids
+
+    @rule(ids=SUBSETS, stalled=st.booleans())
+    def turn_endpoints_unwell(self, ids: set[EndpointId], stalled: bool) -> None:
+        for id, fake in self.driver.endpoints.items():
+            fake.failing = id in ids and not stalled
+            fake.stalled = id in ids and stalled
+
+    @rule(id=st.sampled_from(ENDPOINTS))
+    def restart_endpoint(self, id: EndpointId) -> None:
+        self.driver.restart_endpoint(id)
+
+    @rule(id=st.sampled_from(ENDPOINTS), draining=st.booleans())
+    def drain_endpoint(self, id: EndpointId, draining: bool) -> None:
+        born_ms = self.driver.endpoints[id].born_ms
+        self.driver.engine.update_listing(
+            listing(id, born_ms, draining), self.driver.now
+        )
+
+    @rule(id=st.sampled_from(ENDPOINTS), cordoned=st.booleans())
+    def cordon_endpoint(self, id: EndpointId, cordoned: bool) -> None:
+        endpoint = self.driver.engine.endpoint_of(id)
+        assume(endpoint is not None)
+        endpoint.cordoned = cordoned
+
+    @rule(up=st.booleans())
+    def change_store(self, up: bool) -> None:
+        self.store_up = up
+
+    @rule(applied=st.booleans())
+    def take_over(self, applied: bool) -> None:
+        self.driver.take_over(applied)
+
+    @rule(count=st.integers(1, 12), ms=st.sampled_from([50, 100, 400]))
+    def step(self, count: int, ms: int) -> None:
+        for _ in range(count):
+            self.driver.step(ms, self.store_up)
+            self.evacuate_cordoned()
+            self.driver.check()
+
+    def evacuate_cordoned(self) -> None:
+        """Evacuate cordoned endpoints, and check the disruption budgets of steps."""
+        engine = self.driver.engine
+        for endpoint in engine.endpoints.values():
+            if not endpoint.cordoned:
+                continue
+            before = set(engine.stop_repeat_at)
+            evacuate(engine, endpoint, self.driver.now)
+            for run in set(engine.stop_repeat_at) - before:
+                step = engine.jobs[run.key.job].step_of(run.key)
+                assert step.unavailable_count() <= max(1, step.step.may_miss)
+
+    @precondition(lambda self: hasattr(self, "driver"))
+    @invariant()
+    def what_runs_is_within_bounds(self) -> None:
+        self.driver.check()
+
+    @precondition(lambda self: hasattr(self, "driver"))
+    @invariant()
+    def jobs_end_as_their_tasks_did(self) -> None:
+        for row in self.driver.engine.jobs.values():
+            keys = {task.key for task in row.all_tasks()}
+            if row.stored_state is JobState.COMPLETED and row.job.id[:4] != "gang":
+                assert keys <= self.ledger.done, f"{row.job.id} is not done"
+            if row.stored_state is JobState.CANCELLED:
+                assert row.job.id in self.cancelled
+
+    def teardown(self) -> None:
+        """End all faults and lasting jobs; all other work then has to be done."""
+        if not hasattr(self, "driver"):
+            return
+        self.driver.unreachable = set()
+        self.driver.lost_answers = set()
+        self.turn_well()
+        for row in list(self.driver.engine.open_jobs.values()):
+            if row.lasting:
+                self.cancelled.add(row.job.id)
+                self.driver.engine.cancel(row, self.driver.now)
+        done, steps = -1, 0
+        while self.driver.engine.open_jobs:
+            done, steps = (
+                (done, steps + 1)
+                if len(self.ledger.done) == done
+                else (len(self.ledger.done), 0)
+            )
+            left = list(self.driver.engine.open_jobs)
+            assert steps < STALL_STEPS, f"{left} were left open"
+            self.driver.step()
+            self.driver.check()
+        self.jobs_end_as_their_tasks_did()
+
+    def turn_well(self) -> None:
+        for id, fake in self.driver.endpoints.items():
+            fake.failing = fake.stalled = False
+            self.driver.engine.update_listing(
+                listing(id, fake.born_ms), self.driver.now
+            )
+            endpoint = self.driver.engine.endpoint_of(id)
+            if endpoint is not None:
+                endpoint.cordoned = False
+
+
+EngineMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+
+
+def test_endpoints_run_what_the_rules_allow_and_all_work_is_done():
+    EngineMachine.TestCase().runTest()
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -5,6 +5,7 @@
 from hickoryplank.core.ids import EndpointId, JobId
 from hickoryplank.jobs.messages import EndKind
 from hickoryplank.jobs.model import Step, TaskKey
+from hickoryplank.jobs.table import JobState
 from tests.jobs.driver import TASK, Driver, job, listing
 from tests.jobs.fake_endpoint import FakeEndpoint
 
@@ -180,3 +181,22 @@
     driver.engine.submit(job("b", Step(1, TASK)), driver.now)
     driver.step()
     assert all(key.job == "a" for key, _ in driver.endpoints[endpoint_id].started)
+
+
+@pytest.mark.parametrize("start_arrived", [False, True])
+def test_next_incarnation_settles_a_run_taken_over_from_a_former_coordinator(
+    start_arrived,
+):
+    driver = Driver(count=1)
+    driver.step()
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    (driver.lost_answers if start_arrived else driver.unreachable).add(E0)
+    driver.commit()
+    driver.lost_answers.clear()
+    driver.unreachable.clear()
+    driver.take_over()
+    driver.restart_endpoint(E0)
+    for _ in range(20):
+        driver.step()
+    assert driver.engine.jobs[JobId("a")].state is JobState.COMPLETED
