Count recent jobs of a former term as arrivals, and towards the share of their team

A new term now counts the stored jobs of the last 10 s, in the order in which they were accepted.

The first of two new tests fails without the change. Left: the demand of the last 1.6 s and first jobs by pool are not kept, so that a new term keeps all VMs of a pool for 1.6 s.

--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -33,6 +33,9 @@
 
 #: Interval at which a stop is repeated until the run has ended.
 STOP_REPEAT_SECONDS = 0.5
+#: Age up to which stored jobs count as arrivals in the next term, in seconds: several
+#: times the time over which rates are estimated. Older ones only delay a hand-over.
+RESTORED_ARRIVALS_SECONDS = 10.0
 
 
 class Engine(EngineTables):
@@ -41,9 +44,16 @@
     # Jobs
 
     def restore(self, rows: Iterable[JobRow]) -> None:
-        """Load the stored jobs of a former term, before any endpoint is listed."""
-        for row in rows:
+        """Load the stored jobs of a former term, before any endpoint is listed.
+
+        The recent ones count as arrivals, so that a hand-over during a turn of demand
+        neither makes VMs late nor puts what a team sent beyond its share before other
+        work.
+        """
+        for row in sorted(rows, key=lambda one: one.accepted_at):
             self._note_first_job(row.job, self.term_started_at)
+            if row.accepted_at > self.term_started_at - RESTORED_ARRIVALS_SECONDS:
+                self._note_arrival(row)
             row.recorded = True
             self.jobs[row.job.id] = row
             if row.state.final:
@@ -63,14 +73,21 @@
         if known is not None:
             return known
         self._note_first_job(job, now)
-        within_share = self.rate_limiter.take_token(job.team, self.configuration, now)
-        row = JobRow(job, now, over_share=not within_share)
-        if within_share and not job.lasting and not job.repeats:
-            self.arrivals.add_job(job, now)
+        row = JobRow(job, now)
+        self._note_arrival(row)
         self.jobs[job.id] = self.open_jobs[job.id] = row
         self.new_jobs.append(row)
         return row
 
+    def _note_arrival(self, row: JobRow) -> None:
+        """Count a job towards the share of its team and the load of its pool."""
+        job = row.job
+        row.over_share = not self.rate_limiter.take_token(
+            job.team, self.configuration, row.accepted_at
+        )
+        if not row.over_share and not job.lasting and not job.repeats:
+            self.arrivals.add_job(job, row.accepted_at)
+
     def _note_first_job(self, job: Job, now: float) -> None:
         if not job.lasting:
             self.first_job_at.setdefault(job.pool, now)
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -1,13 +1,16 @@
 """Tests of the engine against fake endpoints."""
 
+import msgspec
 import pytest
 
-from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.core.ids import EndpointId, JobId, TeamId
+from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.messages import PollReport, StartOutcome
 from hickoryplank.jobs.model import Job, Step, TaskKey
-from hickoryplank.jobs.sizes import Size
-from hickoryplank.jobs.table import JobState
+from hickoryplank.jobs.sizes import ZERO, Size
+from hickoryplank.jobs.table import JobRow, JobState
 from tests.jobs.driver import (
+    POOL,
     RETENTION_SECONDS,
     TASK,
     Driver,
@@ -519,3 +522,35 @@
         driver.step(int(RETENTION_SECONDS * 1000))
     assert JobId("a") not in driver.engine.jobs
     assert driver.store == {}
+
+
+def test_a_new_term_knows_the_arrivals_and_shares_of_recent_jobs():
+    driver = Driver()
+    for number in range(12):
+        driver.now += 0.1
+        new = job(f"a{number}", Step(2, TASK, estimate_ms=1000))
+        if number % 2:
+            # Teams that the configuration doesn't name have no share.
+            new = msgspec.structs.replace(new, team=TeamId("other"))
+        driver.engine.submit(new, driver.now)
+    rows = [
+        JobRow(row.job, row.accepted_at) for row in driver.engine.open_jobs.values()
+    ]
+    former = driver.engine
+    assert {row.over_share for row in former.open_jobs.values()} == {False, True}
+    assert former.arrivals.offered_load(POOL, driver.now) != ZERO
+    engine = Engine(driver.cfg, driver.engine.timing, driver.now)
+    engine.restore(reversed(rows))
+    for row in rows:
+        assert row.over_share == former.jobs[row.job.id].over_share
+    assert engine.arrivals.offered_load(POOL, driver.now) == (
+        former.arrivals.offered_load(POOL, driver.now)
+    )
+
+
+def test_old_jobs_of_a_former_term_count_as_no_arrivals():
+    driver = Driver()
+    rows = [JobRow(job(f"a{number}", Step(1, TASK)), 0.0) for number in range(3)]
+    driver.engine.restore(rows)
+    assert not any(row.over_share for row in rows)
+    assert driver.engine.arrivals.offered_load(POOL, 0.0) == ZERO
