--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -120,9 +120,19 @@
             fake.failing = id in ids and not stalled
             fake.stalled = id in ids and stalled
 
-    @rule(id=st.sampled_from(ENDPOINTS))
-    def restart_endpoint(self, id: EndpointId) -> None:
-        self.driver.restart_endpoint(id)
+    @rule(count=st.integers(1, 12))
+    def fail_all_runs(self, count: int) -> None:
+        self.turn_endpoints_unwell(set(ENDPOINTS), stalled=False)
+        self.step(count, 400)
+
+    @rule(id=st.sampled_from(ENDPOINTS), listed=st.booleans())
+    def restart_endpoint(self, id: EndpointId, listed: bool) -> None:
+        """Begin a new incarnation, which is listed, or noticed by its next report."""
+        if listed:
+            self.driver.restart_endpoint(id)
+        else:
+            born_ms = self.driver.endpoints[id].born_ms + 1
+            self.driver.endpoints[id] = self.driver.build_endpoint(id, born_ms)
 
     @rule(id=st.sampled_from(ENDPOINTS), draining=st.booleans())
     def drain_endpoint(self, id: EndpointId, draining: bool) -> None:
@@ -145,6 +155,13 @@
     def take_over(self, applied: bool) -> None:
         self.driver.take_over(applied)
 
+    @rule(count=st.integers(1, 12), applied=st.booleans())
+    def take_over_in_an_outage_of_the_store(self, count: int, applied: bool) -> None:
+        self.store_up = False
+        self.step(count, 400)
+        self.driver.take_over(applied)
+        self.store_up = True
+
     @rule(count=st.integers(1, 12), ms=st.sampled_from([50, 100, 400]))
     def step(self, count: int, ms: int) -> None:
         for _ in range(count):
