Leave a caller time for another entry while the store does not answer this one

They now kept a submission until its caller's time was over, where a second call, at another entry, would have been served. An entry can't tell that from an outage of the store for all; while the store doesn't answer it, it takes half of the caller's time, and leaves the rest.

Failed try: to answer at once if neither the store nor a coordinator answers.

The new test fails without the change.

--- a/hickoryplank/coordinator/forwarder.py
+++ b/hickoryplank/coordinator/forwarder.py
@@ -51,6 +51,9 @@
 RETRY_AFTER_SECONDS = 1
 #: Longest time for which a call is retried, in seconds.
 MAX_CALL_SECONDS = 10.0
+#: Fraction of a caller's time for which an entry retries its call while the store does
+#: not answer. As much of the rest remains for each further call, at other entries.
+CUT_OFF_FRACTION = 0.5
 #: Part of the caller's timeout that is reserved for returning the answer, in seconds.
 ANSWER_RESERVE_SECONDS = 0.3
 
@@ -77,8 +80,10 @@
         as its first attempt may still take effect. Neither is one that has reached
         none: an earlier call with its id may have. A caller that is not refused calls
         again at once and only a few times, so that an outage of the store of some
-        seconds would use up its calls if this entry did not go on trying. Other calls
-        are refused soon, with a time after which to call again.
+        seconds would use up its calls if this entry did not go on trying. While the
+        store does not answer, this entry may be cut off and others not, so that the
+        caller keeps a part of its time for them. Other calls are refused soon, with a
+        time after which to call again.
 
         :param within_s: timeout of the caller, in seconds.
         """
@@ -92,8 +97,9 @@
                 unsettled = answer
             elif not _is_no_coordinator(answer):
                 return unsettled if unsettled and is_refusal(answer) else answer
-            until = deadline
-            if not isinstance(call, Submit | Cancel):
+            if isinstance(call, Submit | Cancel):
+                until = self._settled_by(started_at, deadline)
+            else:
                 until = min(deadline, started_at + self._max_wait_s())
             wait_s = until - self._clock.now()
             if wait_s <= 0:
@@ -103,6 +109,12 @@
             with anyio.move_on_after(min(wait_s, RETRY_SECONDS)):
                 await changed.wait()
 
+    def _settled_by(self, started_at: float, deadline: float) -> float:
+        """Return until when a call that may not be refused is retried."""
+        if self._lease.store_answers:
+            return deadline
+        return started_at + (deadline - started_at) * CUT_OFF_FRACTION
+
     def _max_wait_s(self) -> float:
         """Return for how long a call that may be refused waits for a coordinator."""
         return (
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -188,6 +188,11 @@
             and bool(self.newest_record.step_down_requested_by)
         )
 
+    @property
+    def store_answers(self) -> bool:
+        """Whether the store answered the last call about the lease."""
+        return self._availability.available
+
     def handover_expected(self) -> bool:
         """Return whether a coordinator is expected to serve within a second.
 
--- a/tests/coordinator/test_forwarder.py
+++ b/tests/coordinator/test_forwarder.py
@@ -53,6 +53,7 @@
     """A fake lease that no entry holds."""
 
     is_handover_expected: bool
+    store_answers: bool = True
     coordinator_address: str | None = None
     changed: anyio.Event = field(default_factory=anyio.Event)
 
@@ -110,6 +111,21 @@
         assert forwarder.local_coordinator is None
 
 
+@pytest.mark.parametrize("store_answers", [True, False])
+@pytest.mark.parametrize("call", [SUBMIT, Cancel(WHERE, CALL.id)], ids=type)
+async def test_an_entry_that_may_be_cut_off_leaves_its_caller_time_for_another(
+    store_answers, call
+):
+    forwarder = build_forwarder(FakeLease(False, store_answers))
+    answer: Answer | None = None
+    with anyio.move_on_after(0.8):
+        answer = await forwarder.answer(call, 1.0 + ANSWER_RESERVE_SECONDS)
+    if store_answers:
+        assert answer is None
+    else:
+        assert isinstance(answer, Unsettled)
+
+
 REFUSALS = [
     NoKey(),
     NoSuchQueue(),
