--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -11,7 +11,7 @@
 import tempfile
 from pathlib import Path
 
-from standin import HOST, Cloud, Executor, Recorder, Relay, Store, call, serve
+from standin import Cloud, Executor, Recorder, Relay, Store, call, serve
 
 ROOT = Path(__file__).resolve().parents[2]
 CALLERS_HOST = "calls.example"
@@ -21,6 +21,8 @@
 #: Whether the case plays with its disruption.
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+#: Longest time for a case, in seconds.
+MAX_SECONDS = 117.0
 
 _SETTINGS = """[node]
 name = {name}
@@ -59,8 +61,11 @@
 
 
 def _free_addresses(count: int) -> list[str]:
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    addresses = [f"{HOST}:{one.getsockname()[1]}" for one in sockets]
+    """Return free addresses, on a loopback address that no other case uses."""
+    pid = os.getpid()
+    host = f"127.{1 + (pid >> 16) % 250}.{pid >> 8 & 255}.{1 + (pid & 255) % 250}"
+    sockets = [socket.create_server((host, 0)) for _ in range(count)]
+    addresses = [f"{host}:{one.getsockname()[1]}" for one in sockets]
     for one in sockets:
         one.close()
     return addresses
@@ -117,26 +122,37 @@
 class Deployment:
     """Store, executors, machines and entries on loopback addresses.
 
-    :param executors: the executors; each is reached through a relay of its own.
+    :param services: names of all services; the queue is sent to the first.
+    :param store: settings of the store.
     """
 
-    def __init__(self, recorder: Recorder, entries: int = 3, **store):
+    def __init__(
+        self,
+        recorder: Recorder,
+        entries: int = 3,
+        services: tuple[str, ...] = (SERVICE,),
+        **store,
+    ):
         self.recorder = recorder
         self.store = Store(recorder, **store)
         self.executors: list[Executor] = []
         self.relays: dict[str, Relay] = {}
         self.entries: list[Entry] = []
         self._entry_count = entries
+        self._services = services
         self._folder = Path(tempfile.mkdtemp(prefix="hickoryplank-review-"))
         self._servers: list[asyncio.Server] = []
 
     async def start(self, executors: list[Executor]) -> None:
-        """Start the stand-ins and the entries, and wait until callers are served."""
+        """Start the stand-ins and the entries, and wait until callers are served.
+
+        :param executors: the executors; each is reached through a relay of its own.
+        """
         self.executors = executors
         for one in executors:
             await self._serve_executor(one)
             self.store.write("keyed.servers", one.id, one.listing())
-        self.publish()
+        self.publish(2, self._services[0])
         store_server, store = await serve(self.store.handle)
         cloud_server, cloud = await serve(Cloud(executors).handle)
         self._servers += [store_server, cloud_server]
@@ -153,23 +169,28 @@
         await relay.start(address)
         one.address = relay.address
 
-    def publish(self) -> None:
-        """Write the configuration as the operator."""
+    def publish(self, version: int, service: str) -> None:
+        """Write a configuration as the operator.
+
+        :param service: service that runs the tasks of the queue.
+        """
         config = {
-            "version": 2,
+            "version": version,
             "routes": [
                 {
                     "name": "ronda",
                     "host": CALLERS_HOST,
                     "path_prefix": QUEUE_PREFIX,
-                    "service": SERVICE,
+                    "service": service,
                     "priority": 0,
                     "attempts": 3,
                     "stretch": 1.6,
                     "target_latency_ms": 600,
                 }
             ],
-            "services": [{"name": SERVICE, "enforces_capacity": False}],
+            "services": [
+                {"name": name, "enforces_capacity": False} for name in self._services
+            ],
             "limits": {},
             "tenants": [
                 {
@@ -181,6 +202,7 @@
             ],
         }
         self.store.write("keyed.op", "config", json.dumps(config).encode())
+        self.recorder.note(f"operator: configuration {version}, queue to {service}")
 
     async def _await_service(self) -> None:
         for _ in range(300):
@@ -263,6 +285,16 @@
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
+async def _play_within_time(recorder: Recorder, play) -> list[str]:
+    """Play a case; end its processes also if it is stopped or takes too long."""
+    task = asyncio.ensure_future(play(recorder))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await asyncio.wait_for(task, MAX_SECONDS)
+    except (TimeoutError, asyncio.CancelledError):
+        raise NotRunError("stopped, or not finished in time") from None
+
+
 def run_case(folder: Path, play) -> None:
     """Play a case and exit with its result.
 
@@ -271,7 +303,7 @@
     recorder = Recorder(str(folder / "record.txt"))
     recorder.note(f"disruption: {'yes' if TROUBLE else 'no'}")
     try:
-        breaches = asyncio.run(play(recorder))
+        breaches = asyncio.run(_play_within_time(recorder, play))
     except NotRunError as exc:
         recorder.note(f"not run: {exc}")
         print(f"the case could not run: {exc}", flush=True)
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -417,6 +417,7 @@
         self._stop_grace_s = stop_grace_s
         self._saves = saves
         self.up = False
+        self._life = 0
         self.begin_life()
 
     # Lives
@@ -424,6 +425,7 @@
     def begin_life(self) -> None:
         """Begin a life, which knows nothing of those before."""
         self.up = True
+        self._life += 1
         self.born = time.time_ns() // 1_000_000
         self._clock_zero = time.monotonic() - 1.0
         self.running: dict[tuple[str, int], Run] = {}
@@ -452,8 +454,11 @@
         """Return the steady clock of this life, in milliseconds."""
         return int((time.monotonic() - self._clock_zero) * 1000)
 
-    def listing(self) -> bytes:
-        """Return the entry in the list of executors."""
+    def listing(self, draining_ms: int | None = None) -> bytes:
+        """Return the entry in the list of executors.
+
+        :param draining_ms: least time that is left, if the executor drains.
+        """
         entry = {
             "service": self.service,
             "address": self.address,
@@ -467,6 +472,8 @@
             "labels": ["a", "r-1"],
             "born": self.born,
         }
+        if draining_ms is not None:
+            entry |= {"state": "draining", "remaining_ms": draining_ms, "seq": 2}
         return json.dumps(entry).encode()
 
     # Orders
@@ -580,10 +587,13 @@
             self._extend(order["until_ms"])
         wait_s = order.get("wait_ms", 0) / 1000
         if not self.ended and wait_s:
-            event = self._ended_event
+            event, life = self._ended_event, self._life
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await event.wait()
+            if life != self._life or not self.up:
+                # The life that the call had reached has ended.
+                return Response(503, dropped=True)
         running = [[r.task, r.attempt, r.saved, 100, 10] for r in self.running.values()]
         ended = [
             [r.end_number, r.task, r.attempt, r.how, r.saved]
