--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -11,7 +11,7 @@
 import tempfile
 from pathlib import Path
 
-from standin import Cloud, Executor, Recorder, Relay, Store, call, serve
+from standin import Advice, Cloud, Executor, Recorder, Relay, Store, call, serve
 
 ROOT = Path(__file__).resolve().parents[2]
 CALLERS_HOST = "calls.example"
@@ -41,6 +41,7 @@
 [platform]
 store = {store}
 vms = {vms}
+advice = {advice}
 
 [bounds]
 grace_s = 6
@@ -74,7 +75,7 @@
 class Entry:
     """One entry process, run as the deploy file says."""
 
-    def __init__(self, folder: Path, number: int, store: str, vms: str):
+    def __init__(self, folder: Path, number: int, store: str, vms: str, advice: str):
         self.name = f"entry-{number}"
         callers, readiness, peers, metrics = _free_addresses(4)
         self.callers, self.readiness, self.peers = callers, readiness, peers
@@ -88,6 +89,7 @@
                 metrics=metrics,
                 store=store,
                 vms=vms,
+                advice=advice,
             )
         )
         self.log = folder / f"{self.name}.log"
@@ -123,6 +125,8 @@
     """Store, executors, machines and entries on loopback addresses.
 
     :param services: names of all services; the queue is sent to the first.
+    :param advice: the service that decides which executors may run a step, if the
+        queue has one.
     :param store: settings of the store.
     """
 
@@ -131,6 +135,7 @@
         recorder: Recorder,
         entries: int = 3,
         services: tuple[str, ...] = (SERVICE,),
+        advice: Advice | None = None,
         **store,
     ):
         self.recorder = recorder
@@ -140,6 +145,7 @@
         self.entries: list[Entry] = []
         self._entry_count = entries
         self._services = services
+        self._advice = advice
         self._folder = Path(tempfile.mkdtemp(prefix="hickoryplank-review-"))
         self._servers: list[asyncio.Server] = []
 
@@ -156,8 +162,12 @@
         store_server, store = await serve(self.store.handle)
         cloud_server, cloud = await serve(Cloud(executors).handle)
         self._servers += [store_server, cloud_server]
+        advice = ""
+        if self._advice is not None:
+            advice_server, advice = await serve(self._advice.handle)
+            self._servers.append(advice_server)
         for number in range(self._entry_count):
-            entry = Entry(self._folder, number, store, cloud)
+            entry = Entry(self._folder, number, store, cloud, advice)
             self.entries.append(entry)
             entry.start()
         await self._await_service()
@@ -169,25 +179,33 @@
         await relay.start(address)
         one.address = relay.address
 
+    async def replace(self, gone: Executor, fresh: Executor) -> None:
+        """Bring a machine back whose executor has crashed, as a new executor."""
+        self.executors[self.executors.index(gone)] = fresh
+        self.store.write("keyed.servers", gone.id, b"")
+        await self._serve_executor(fresh)
+        self.store.write("keyed.servers", fresh.id, fresh.listing())
+
     def publish(self, version: int, service: str) -> None:
         """Write a configuration as the operator.
 
         :param service: service that runs the tasks of the queue.
         """
+        route = {
+            "name": "ronda",
+            "host": CALLERS_HOST,
+            "path_prefix": QUEUE_PREFIX,
+            "service": service,
+            "priority": 0,
+            "attempts": 3,
+            "stretch": 1.6,
+            "target_latency_ms": 600,
+        }
+        if self._advice is not None:
+            route["advice"] = self._advice.timing
         config = {
             "version": version,
-            "routes": [
-                {
-                    "name": "ronda",
-                    "host": CALLERS_HOST,
-                    "path_prefix": QUEUE_PREFIX,
-                    "service": service,
-                    "priority": 0,
-                    "attempts": 3,
-                    "stretch": 1.6,
-                    "target_latency_ms": 600,
-                }
-            ],
+            "routes": [route],
             "services": [
                 {"name": name, "enforces_capacity": False} for name in self._services
             ],
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -387,6 +387,7 @@
 class Executor:
     """An executor, which may have several lives under one id.
 
+    :param machine: the machine of which it is one life; one of its own by default.
     :param work_s: returns the run time of a task, none for one that lasts, and the
         way in which it ends.
     :param saves: whether an end carries a saved state.
@@ -404,8 +405,10 @@
         hold_max_ms: int = 10_000,
         stop_grace_s: float = 0.1,
         saves: bool = False,
+        machine: str = "",
     ):
         self.id = id
+        self.machine = machine or f"m-{id}"
         self.service = service
         self.capacity = capacity
         self.address = ""
@@ -416,6 +419,8 @@
         self._hold_max_ms = hold_max_ms
         self._stop_grace_s = stop_grace_s
         self._saves = saves
+        #: Service whose tickets a start has to carry, if the queue has one.
+        self.advice: Advice | None = None
         self.up = False
         self._life = 0
         self.begin_life()
@@ -528,6 +533,8 @@
         if attempt <= self._highest.get(task, 0):
             self._extend(order["until_ms"])
             return self._answer(409, reason="old")
+        if self.advice is not None and not self.advice.permits(self, task, order):
+            return self._answer(409, reason="ticket")
         if order["until_ms"] <= self.clock_ms():
             return self._answer(409, reason="late")
         self._extend(order["until_ms"])
@@ -602,8 +609,60 @@
         return self._answer(200, running=running, ended=ended, born=self.born)
 
 
+class Advice:
+    """The service that decides which executors may run a step.
+
+    It handles one call at a time, as only one machine calls it here.
+
+    :param allowed: ids of the executors that may run the steps of each job, which
+        doesn't change.
+    """
+
+    def __init__(self, recorder: Recorder, allowed: dict[str, set[str]]):
+        self.timing = {"decide_ms": 20, "interval_ms": 5, "valid_ms": 3000}
+        self._recorder = recorder
+        self._allowed = allowed
+        self._executors: dict[str, Executor] = {}
+        self._tickets: dict[str, tuple[str, Executor, int, float]] = {}
+        self._turn = asyncio.Lock()
+
+    def guard(self, executor: Executor) -> None:
+        """Let an executor reject starts without a valid ticket."""
+        self._executors[executor.id] = executor
+        executor.advice = self
+
+    async def handle(self, request: Request) -> Response:
+        """Answer which of the executors named may run a step."""
+        ask = json.loads(request.body)
+        step, workers = ask["step"], ask["workers"]
+        async with self._turn:
+            spent_ms = self.timing["decide_ms"]
+            spent_ms += self.timing["interval_ms"] * len(workers)
+            await asyncio.sleep(spent_ms / 1000)
+        rows = []
+        for id in workers:
+            if id in self._allowed[step.split(".")[0]]:
+                one = self._executors[id]
+                ticket = f"t-{len(self._tickets)}"
+                until = time.monotonic() + self.timing["valid_ms"] / 1000
+                self._tickets[ticket] = (step, one, one.born, until)
+                rows.append([id, ticket])
+        allowed = [row[0] for row in rows]
+        self._recorder.note(f"advice: {step} asked for {workers}, allowed {allowed}")
+        return as_json(200, {"allowed": rows, "valid_ms": self.timing["valid_ms"]})
+
+    def permits(self, executor: "Executor", task: str, order: dict) -> bool:
+        """Return whether a start carries a valid ticket."""
+        known = self._tickets.get(order.get("ticket", ""))
+        if known is None:
+            return False
+        step, one, born, until = known
+        same = task.rsplit(".", 1)[0] == step and one is executor
+        return same and born == executor.born and time.monotonic() < until
+
+
 class Cloud:
-    """The platform's machines: one for each executor; none is ever moved."""
+    """The platform's machines, each with its newest executor; none is ever moved."""
 
     def __init__(self, executors: list[Executor]):
         self.executors = executors
@@ -615,13 +674,13 @@
             return as_json(409, {"reason": "busy"})
         machines = [
             {
-                "machine": f"m-{one.id}",
+                "machine": one.machine,
                 "pool": one.service,
-                "state": "up",
+                "state": "up" if one.up else "down",
                 "zone": "a",
                 "labels": ["a", "r-1"],
                 "capacity": one.capacity,
-                "id": one.id,
+                "id": one.id if one.up else None,
             }
             for one in self.executors
         ]
