Advice is requested while tasks find no room on endpoints with a ticket

Cause: the table of advice asked only while no usable endpoint had a valid ticket, and then only for the ones known as allowed. It did not consider whether those can take another task of the step.

Ruled out: the list of endpoints and the poll of the new one, as a job that only this endpoint may run completes; the advice service, whose record shows that it was never asked for it.

Change: where a step or gang lacks room on the endpoints with a ticket, tickets are requested for those with room, expired ones first. What is known belongs to an incarnation and ends with it; a denial outlived it. Answers of the advice service are logged.

--- a/hickoryplank/coordinator/request_sender.py
+++ b/hickoryplank/coordinator/request_sender.py
@@ -135,13 +135,31 @@
                 case Ok(answer):
                     engine.advice.add_answer(request, answer, sent_at)
                     self._term.request_tick()
+                    self._log_advice(
+                        request, len(answer.allowed), clock.now() - sent_at
+                    )
                 case Err(fault):
                     logger.info(
                         "advice request failed",
                         extra={"request": request.step.job, "detail": fault.detail},
                     )
+                    engine.advice.request_failed(request)
                     await anyio.sleep(ADVICE_RETRY_SECONDS)
 
+    def _log_advice(
+        self, request: AdviceRequest, allowed: int, answer_s: float
+    ) -> None:
+        logger.info(
+            "advice answered",
+            extra={
+                "request": request.step.job,
+                "step": request.step.step,
+                "asked": request.endpoints,
+                "allowed": allowed,
+                "ms": int(answer_s * 1000),
+            },
+        )
+
 
 def _advice_timeout_s(engine: Engine, request: AdviceRequest) -> float:
     """Return the timeout of an advice request, in seconds.
--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -6,7 +6,12 @@
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.engine_tables import EngineTables, step_key
 from hickoryplank.jobs.ordering import sort_jobs
-from hickoryplank.jobs.placement import PoolRoom, choose_endpoint, choose_gang
+from hickoryplank.jobs.placement import (
+    PoolRoom,
+    choose_endpoint,
+    choose_gang,
+    has_room_for,
+)
 from hickoryplank.jobs.preassignment import preassign_tasks, start_preassigned
 from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task
 
@@ -74,10 +79,13 @@
             if not room.may_hold(step.step):
                 continue
             if not step.step.gang:
-                if not _assign_step(tables, row, step, allowed, now, starts):
+                placed = _assign_step(tables, row, step, allowed, now, starts)
+                if not placed:
                     room.refresh()
-            elif allowed:
-                _assign_gang(tables, row, step, allowed)
+            else:
+                placed = not allowed or _assign_gang(tables, row, step, allowed)
+            if not placed and starts is not AllowedStarts.PREASSIGNED:
+                _request_more_advice(tables, row, step, room.endpoints, now)
         if starts is not AllowedStarts.PREASSIGNED:
             preassign_tasks(tables, row, occurrence, room.endpoints, now)
 
@@ -89,12 +97,33 @@
     endpoints: list[Endpoint],
     now: float,
 ) -> list[Endpoint]:
-    queue = tables.configuration.queues.get(row.job.queue)
-    if queue is None or queue.advice is None:
+    if not _needs_ticket(tables, row):
         return endpoints
     return tables.advice.permitted(step_key(step), endpoints, now)
 
 
+def _request_more_advice(
+    tables: EngineTables,
+    row: JobRow,
+    step: StepRow,
+    endpoints: list[Endpoint],
+    now: float,
+) -> None:
+    """Request tickets for endpoints with room, as those with a ticket have too little.
+
+    Without this, endpoints that came later, or weren't in the first request, would not
+    run the step for as long as one with a ticket is usable.
+    """
+    if _needs_ticket(tables, row):
+        with_room = [one for one in endpoints if has_room_for(one, step)]
+        tables.advice.request(step_key(step), with_room, now)
+
+
+def _needs_ticket(tables: EngineTables, row: JobRow) -> bool:
+    queue = tables.configuration.queues.get(row.job.queue)
+    return queue is not None and queue.advice is not None
+
+
 def _assign_step(
     tables: EngineTables,
     row: JobRow,
@@ -125,22 +154,24 @@
 
 def _assign_gang(
     tables: EngineTables, row: JobRow, step: StepRow, endpoints: list[Endpoint]
-) -> None:
+) -> bool:
+    """Assign the tasks of a gang, all or none; return whether it did not lack room."""
     if len(step.waiting) < step.step.count:
-        return
+        return True
     if any(task.run is not None for task in step.tasks):
-        return
+        return True
     total_size = step.step.size.times(step.step.count)
     if not tables.team_usage.allows(row.job.team, total_size, tables.configuration):
-        return
+        return True
     chosen = choose_gang(endpoints, step)
     if chosen is None:
-        return
+        return False
     attempt = max(task.attempt for task in step.tasks) + 1
     checkpoint = next((task.checkpoint for task in step.tasks if task.checkpoint), "")
     for task, endpoint in zip(step.tasks, chosen, strict=True):
         task.checkpoint = checkpoint
         _assign_task(tables, row, task, endpoint, attempt)
+    return True
 
 
 def _assign_task(
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -224,7 +224,7 @@
                 for run in list(endpoint.runs.values()):
                     self.give_up_run(run, "its lease has lapsed on a silent endpoint")
             if not endpoint.listed and not endpoint.runs:
-                del self.endpoints[endpoint.id]
+                self.drop_endpoint(endpoint)
 
     def _drop_expired_jobs(self, now: float) -> None:
         """Drop jobs past their retention period from memory and from the store."""
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -146,7 +146,7 @@
         step = row.step_of(task.key)
         run = Run(task.key, task.attempt, step.step, row.job.team, endpoint)
         run.checkpoint = task.checkpoint
-        run.ticket = self.advice.ticket(step_key(step), endpoint.id)
+        run.ticket = self.advice.ticket(step_key(step), endpoint)
         if task.state is not TaskState.DONE:
             task.state = TaskState.ACTIVE
             step.waiting.pop(task.key.index, None)
@@ -226,6 +226,12 @@
         if task is not None:
             task.working = False
 
+    def drop_endpoint(self, endpoint: Endpoint) -> None:
+        """Forget an incarnation of an endpoint that has no runs any more."""
+        if self.endpoints.get(endpoint.id) is endpoint:
+            del self.endpoints[endpoint.id]
+        self.advice.discard_endpoint(endpoint)
+
     def endpoint_of(self, id: EndpointId | None) -> Endpoint | None:
         """Return the endpoint with the given id, if it is known."""
         return self.endpoints.get(id) if id is not None else None
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -79,8 +79,7 @@
     """End an incarnation of an endpoint, and all runs on it."""
     for run in list(endpoint.runs.values()):
         tables.give_up_run(run, "the endpoint's life ended")
-    if tables.endpoints.get(endpoint.id) is endpoint:
-        del tables.endpoints[endpoint.id]
+    tables.drop_endpoint(endpoint)
 
 
 def end_down_incarnations(
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -294,7 +294,7 @@
         return
     if outcome is StartOutcome.NO_TICKET:
         step = StepKey(run.key.job, run.key.occurrence, run.key.step)
-        tables.advice.discard_ticket(step, run.endpoint.id)
+        tables.advice.discard_ticket(step, run.endpoint)
     if outcome is StartOutcome.UNHEALTHY:
         run.endpoint.note_failure(run.key.job, now)
     tables.give_up_run(run, f"start {outcome.value}")
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -1,7 +1,13 @@
 """Drives an engine against fake endpoints and a fake store, with injected faults."""
 
 from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId, TeamId, Zone
-from hickoryplank.jobs.configuration import Configuration, Pool, Queue, Team
+from hickoryplank.jobs.configuration import (
+    AdviceTiming,
+    Configuration,
+    Pool,
+    Queue,
+    Team,
+)
 from hickoryplank.jobs.endpoints import Listing, Run
 from hickoryplank.jobs.engine import Engine, EngineTiming
 from hickoryplank.jobs.messages import Batch, StartOutcome
@@ -28,7 +34,9 @@
 FORMER_LEASE_SECONDS = 9.0
 
 
-def configuration(limit: Size = ZERO, attempts: int = 3) -> Configuration:
+def configuration(
+    limit: Size = ZERO, attempts: int = 3, advice: AdviceTiming | None = None
+) -> Configuration:
     """Return a configuration with one queue, pool and team."""
     return Configuration.build(
         1,
@@ -41,6 +49,7 @@
                 attempts=attempts,
                 slack_ms=600,
                 public=False,
+                advice=advice,
             )
         ],
         [Pool(POOL)],
@@ -183,9 +192,11 @@
         outcome = StartOutcome.UNKNOWN
         clock_ms = 0
         if run.endpoint.id not in self.unreachable:
-            reported_outcome = fake.start(
-                run.key, run.attempt, "payload", run.until_ms, self.token
-            )
+            reported_outcome = StartOutcome.NO_TICKET
+            if self.accepts_ticket(run):
+                reported_outcome = fake.start(
+                    run.key, run.attempt, "payload", run.until_ms, self.token
+                )
             if run.endpoint.id not in self.lost_answers:
                 outcome, clock_ms = reported_outcome, int(fake.clock_ms)
         again = self.engine.start_answered(
@@ -194,6 +205,10 @@
         if not again:
             self.tries.pop(run, None)
 
+    def accepts_ticket(self, run: Run) -> bool:
+        """Return whether an endpoint accepts the ticket of a start."""
+        return True
+
     def _resend_starts(self) -> None:
         for run in list(self.tries):
             if run.endpoint.runs.get(run.run_key) is run:
--- a/tests/jobs/ledger.py
+++ b/tests/jobs/ledger.py
@@ -1,14 +1,29 @@
 """Checks the rules of the platform by what endpoints were told to run."""
 
+from collections.abc import Callable
+
 from hickoryplank.core.ids import EndpointId, JobId
-from hickoryplank.jobs.messages import End, EndKind, PollReport, StartOutcome
+from hickoryplank.jobs.endpoints import Run
+from hickoryplank.jobs.messages import (
+    AdviceAnswer,
+    End,
+    EndKind,
+    Permit,
+    PollReport,
+    StartOutcome,
+)
 from hickoryplank.jobs.model import Job, TaskKey
+from hickoryplank.jobs.placement import has_room_for
 from hickoryplank.jobs.sizes import ZERO, Size
+from hickoryplank.jobs.table import JobRow
 from tests.jobs.driver import CAPACITY, Driver
 from tests.jobs.fake_endpoint import FakeEndpoint
 
 __all__ = ["Ledger", "LedgerDriver", "LedgerEndpoint"]
 
+#: Validity of a ticket, in milliseconds.
+TICKET_MS = 3000
+
 
 class Ledger:
     """All that endpoints have run, over the terms of all coordinators.
@@ -103,13 +118,39 @@
     """A driver whose endpoints enter what they run in a ledger.
 
     :ivar clock_rate: rate of the clocks of endpoints that are built from now on.
+    :ivar permits: whether a job may run on an incarnation of an endpoint, if its queue
+        has advice; it is asked for once a step.
     """
 
     def __init__(self, ledger: Ledger, count: int, work_ms, cfg):
         self.ledger = ledger
         self.clock_rate = 1.0
+        self.permits: Callable[[JobId, EndpointId, int], bool] | None = None
         super().__init__(count, work_ms, cfg)
 
+    def step(self, ms: int = 100, store_up: bool = True) -> None:
+        """Advance the time, and answer a request for advice."""
+        super().step(ms, store_up)
+        request = self.engine.advice.pop_request()
+        if request is None or self.permits is None:
+            return
+        permits = tuple(
+            Permit(id, _ticket(request.step.job, id, self.endpoints[id].born_ms))
+            for id in request.endpoints
+            if self.permits(request.step.job, id, self.endpoints[id].born_ms)
+        )
+        answer = AdviceAnswer(permits, TICKET_MS)
+        self.engine.advice.add_answer(request, answer, self.now)
+
+    def accepts_ticket(self, run: Run) -> bool:
+        id = run.endpoint.id
+        born_ms = self.endpoints[id].born_ms
+        if self.permits is None:
+            return True
+        if not self.permits(run.key.job, id, born_ms):
+            return False
+        return run.ticket == _ticket(run.key.job, id, born_ms)
+
     def build_endpoint(self, id: EndpointId, born_ms: int) -> FakeEndpoint:
         attempts = next(iter(self.cfg.queues.values())).attempts
         return LedgerEndpoint(
@@ -132,3 +173,23 @@
                 if self.ledger.jobs[key.job].team == team.id:
                     used = used.plus(self.ledger.jobs[key.job].steps[key.step].size)
             assert used.within_limit(team.limit), f"{team.id} has {used} running"
+
+    def waits_beside_room(self, row: JobRow) -> bool:
+        """Return whether a task of a job waits though it may run on some endpoint."""
+        job = row.job
+        for step in row.steps[0]:
+            if not step.waiting or not self.engine.team_usage.allows(
+                job.team, step.step.size, self.cfg
+            ):
+                continue
+            for one in self.engine.endpoints.values():
+                permitted = self.permits is None or self.permits(
+                    job.id, one.id, one.listing.born_ms
+                )
+                if permitted and one.usable(self.now) and has_room_for(one, step):
+                    return True
+        return False
+
+
+def _ticket(job: JobId, id: EndpointId, born_ms: int) -> str:
+    return f"{job} on {id} since {born_ms}"
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -10,7 +10,8 @@
     rule,
 )
 
-from hickoryplank.core.ids import EndpointId
+from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.jobs.configuration import AdviceTiming
 from hickoryplank.jobs.evacuation import evacuate
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.sizes import Size
@@ -25,6 +26,10 @@
 #: Steps of 0.1 s within which some task has to end once all faults have ended. The
 #: longest wait is for leases that former coordinators granted.
 STALL_STEPS = 150
+#: Steps for which a lasting task may wait though an endpoint has room for it: the 6 s
+#: after its last run that the platform allows.
+MAX_WAITING_STEPS = 60
+ADVICE = AdviceTiming(10, 1, 3000)
 #: Slowest clock of an endpoint that the platform allows.
 SLOW_CLOCK = 0.98
 
@@ -44,6 +49,7 @@
     st.just(Size(500, 500)),
     lasting=st.just(True),
     may_miss=st.integers(0, 1),
+    max_per_endpoint=st.integers(0, 1),
 )
 SUBSETS = st.sets(st.sampled_from(ENDPOINTS))
 
@@ -55,15 +61,24 @@
     return 200.0 + 700.0 * ((key.index * 7 + key.step * 3 + len(key.job)) % 4)
 
 
+def permits(job: JobId, id: EndpointId, born_ms: int) -> bool:
+    """Return whether advice allows a job on an incarnation of an endpoint.
+
+    A gang may need all endpoints. Any other job may run on the first one, so that it
+    can be done, and on some incarnations of the others.
+    """
+    return job.startswith("gang") or id == ENDPOINTS[0] or (len(job) + born_ms) % 2 == 0
+
+
 class EngineMachine(RuleBasedStateMachine):
     """One engine after the other, their store, and three endpoints with faults."""
 
-    @initialize(slow=st.booleans())
-    def begin(self, slow: bool) -> None:
+    @initialize(slow=st.booleans(), advised=st.booleans())
+    def begin(self, slow: bool, advised: bool) -> None:
         self.ledger = Ledger()
-        self.driver = LedgerDriver(
-            self.ledger, len(ENDPOINTS), run_ms, configuration(TEAM_LIMIT)
-        )
+        cfg = configuration(TEAM_LIMIT, advice=ADVICE if advised else None)
+        self.driver = LedgerDriver(self.ledger, len(ENDPOINTS), run_ms, cfg)
+        self.driver.permits = permits if advised else None
         self.driver.clock_rate = SLOW_CLOCK if slow else 1.0
         self.store_up = True
         self.cancelled: set[str] = set()
@@ -203,6 +218,7 @@
         self.driver.unreachable = set()
         self.driver.lost_answers = set()
         self.turn_well()
+        self.lasting_tasks_run_where_there_is_room()
         for row in list(self.driver.engine.open_jobs.values()):
             if row.lasting:
                 self.cancelled.add(row.job.id)
@@ -220,6 +236,20 @@
             self.driver.check()
         self.jobs_end_as_their_tasks_did()
 
+    def lasting_tasks_run_where_there_is_room(self) -> None:
+        """Check that no lasting task waits beside room for long."""
+        waiting_steps: dict[JobId, int] = {}
+        for _ in range(STALL_STEPS):
+            self.driver.step()
+            self.driver.check()
+            rows = [row for row in self.driver.engine.open_jobs.values() if row.lasting]
+            waiting_steps = {
+                row.job.id: waiting_steps.get(row.job.id, 0) + 1
+                for row in rows
+                if self.driver.waits_beside_room(row)
+            }
+        assert max(waiting_steps.values(), default=0) < MAX_WAITING_STEPS
+
     def turn_well(self) -> None:
         for id, fake in self.driver.endpoints.items():
             fake.failing = fake.stalled = False
