Timed jobs cost what their open occurrences cost

Cause: each tick went through all occurrences of each open job, due or not. It takes longer than the lease is valid, on the event loop that renews it; the next coordinator reads the same job from the store. Function calls in a tick with nothing due: 162 for 60 occurrences, 5,256,102 for ten years.

Ruled out: reading the job back at the begin of a term (the log has "term begun" each time), and the size of its record (one step).

Change: the number of due occurrences is computed, and only those after the last one opened are looked at. A backlog is opened in parts. The former format is read, and written where no occurrence has ended; its recorded bytes are unchanged and go through the encoder that the product uses.

--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -42,7 +42,7 @@
             usable.setdefault(endpoint.listing.pool, []).append(endpoint)
     rows_by_pool: dict[PoolId, list[JobRow]] = {}
     for row in tables.open_jobs.values():
-        _open_due_occurrences(tables, row, wall_ms)
+        row.open_due_occurrences(wall_ms)
         if row.job.pool in usable:
             rows = rows_by_pool.setdefault(row.job.pool, [])
             if row.needs_preassignment or row.has_waiting:
@@ -53,14 +53,6 @@
             _assign_job(tables, row, room, now, wall_ms, starts)
 
 
-def _open_due_occurrences(tables: EngineTables, row: JobRow, wall_ms: int) -> None:
-    if len(row.steps) == row.job.occurrences:
-        return
-    for occurrence in range(row.job.occurrences):
-        if row.job.due_ms(occurrence) <= wall_ms:
-            row.open_occurrence(occurrence)
-
-
 def _assign_job(
     tables: EngineTables,
     row: JobRow,
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -192,6 +192,7 @@
         if task is not None:
             task.run = None
             task.working = False
+            self.jobs[run.key.job].discard_occurrence_if_ended(run.key.occurrence)
 
     def give_up_run(self, run: Run, reason: str) -> None:
         """Close a run whose end will not be reported; its task waits again."""
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -107,6 +107,7 @@
     for row, task in tables.unlisted_assignments.pop(id):
         task.stored_assignment = None
         tables.requeue(row, task)
+        row.discard_occurrence_if_ended(task.key.occurrence)
 
 
 def release_unlisted_assignments(tables: EngineTables, now: float) -> None:
--- a/hickoryplank/jobs/model.py
+++ b/hickoryplank/jobs/model.py
@@ -101,6 +101,26 @@
         """Number of times that the steps run."""
         return max(1, self.repeats)
 
+    def due_count(self, wall_ms: int) -> int:
+        """Return the number of occurrences that are due.
+
+        :param wall_ms: time of day, in Unix milliseconds.
+        """
+        if wall_ms < self.due_ms(0):
+            return 0
+        if not self.repeats or self.period_ms <= 0:
+            return self.occurrences
+        return min(self.occurrences, (wall_ms - self.first_ms) // self.period_ms + 1)
+
+    def step_of(self, key: TaskKey) -> Step | None:
+        """Return the step of the task with the given key, if the job has one."""
+        if not 0 <= key.occurrence < self.occurrences:
+            return None
+        if not 0 <= key.step < len(self.steps):
+            return None
+        step = self.steps[key.step]
+        return step if 0 <= key.index < step.count else None
+
     def due_ms(self, occurrence: int) -> int:
         """Return the earliest start of an occurrence, in Unix milliseconds."""
         return self.first_ms + occurrence * self.period_ms if self.repeats else 0
--- a/hickoryplank/jobs/ordering.py
+++ b/hickoryplank/jobs/ordering.py
@@ -66,6 +66,8 @@
 
 
 def _done_steps(row: JobRow) -> frozenset[int]:
+    if 0 in row.ended_occurrences:
+        return frozenset(range(len(row.job.steps)))
     rows = row.steps.get(0, [])
     return frozenset(one.number for one in rows if not one.remaining)
 
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -4,6 +4,7 @@
 
 from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId
 from hickoryplank.jobs.model import Job, TaskKey
+from hickoryplank.jobs.occurrences import OccurrenceSet
 from hickoryplank.jobs.table import JobRow, JobState, StoredAssignment, Task, TaskState
 
 __all__ = [
@@ -85,10 +86,16 @@
 
 
 class _StateRecord(msgspec.Struct, array_like=True):
-    """State of a job; tasks in their initial state are omitted."""
+    """State of a job; tasks in their initial state are omitted.
+
+    :param ended_occurrences: ranges of the occurrences of a timed job that have ended,
+        whose tasks are omitted too; each its first occurrence, and the one after its
+        last.
+    """
 
     state: JobState
     tasks: list[_TaskRecord]
+    ended_occurrences: list[tuple[int, int]] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -132,8 +139,15 @@
         for task in row.all_tasks()
         if task.attempt or (include_preassignments and task.preassignment is not None)
     ]
-    record = _StateRecord(row.state, tasks)
-    return Record(_STATE_PREFIX + row.job.id, _encoder.encode(record))
+    record = _StateRecord(row.state, tasks, row.ended_occurrences.ranges)
+    return Record(_STATE_PREFIX + row.job.id, _encode_state_record(record))
+
+
+def _encode_state_record(record: _StateRecord) -> bytes:
+    """Encode the state of a job, in the shorter former format where that suffices."""
+    if record.ended_occurrences:
+        return _encoder.encode(record)
+    return _encoder.encode((record.state, record.tasks))
 
 
 def _task_record(task: Task, include_preassignments: bool) -> _TaskRecord:
@@ -174,7 +188,11 @@
         stored = _state_decoder.decode(record.value)
     except msgspec.MsgspecError as exc:
         return RecordFault(record.key, str(exc))
+    ranges = stored.ended_occurrences
+    if not _is_valid_set(ranges, row.job.occurrences):
+        return RecordFault(record.key, f"invalid ended occurrences {ranges}")
     row.state = row.stored_state = stored.state
+    row.ended_occurrences = OccurrenceSet(ranges)
     for one in stored.tasks:
         key = TaskKey(row.job.id, one.occurrence, one.step, one.index)
         task = row.task(key)
@@ -195,9 +213,21 @@
             task.stored_assignment = StoredAssignment(
                 endpoint, one.born_ms, one.preassigned
             )
+    for occurrence in list(row.steps):
+        row.discard_occurrence_if_ended(occurrence)
     return None
 
 
+def _is_valid_set(ranges: list[tuple[int, int]], occurrences: int) -> bool:
+    """Return whether ranges are in order, apart from each other and within a job."""
+    after = -1
+    for first, end in ranges:
+        if not after < first < end <= occurrences:
+            return False
+        after = end
+    return True
+
+
 def is_wave_key(key: str) -> bool:
     """Return whether ``key`` is the key of the progress of a wave."""
     return key.startswith(_WAVE_PREFIX)
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -178,10 +178,9 @@
 ) -> None:
     """Stop a run that the endpoint reports but that is not assigned to it."""
     row = tables.jobs.get(key.job)
-    task = row.task(key) if row is not None else None
-    if row is None or task is None:
+    step = row.job.step_of(key) if row is not None else None
+    if row is None or step is None:
         return
-    step = row.step_of(key).step
     run = Run(key, attempt, step, row.job.team, endpoint)
     run.state = RunState.SENT
     run.confirmed_at = now
@@ -225,6 +224,7 @@
         if one.run is not None and not step.step.gang:
             tables.stop(one.run, now, "another run is done")
     tables.mark_dirty(row)
+    row.discard_occurrence_if_ended(task.key.occurrence)
     if not row.state.final and row.complete:
         tables.end_job(row, JobState.COMPLETED, now)
 
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -5,6 +5,7 @@
 from hickoryplank.core.ids import EndpointId, JobId
 from hickoryplank.jobs.endpoints import Endpoint, Run
 from hickoryplank.jobs.model import Job, Step, TaskKey
+from hickoryplank.jobs.occurrences import OccurrenceSet
 
 __all__ = [
     "JobRow",
@@ -16,6 +17,10 @@
     "TaskState",
 ]
 
+#: Tasks of occurrences that have not begun, from which on no further one is opened. It
+#: bounds the memory and the work of a tick for a job that has many due occurrences.
+MAX_UNBEGUN_TASKS = 1000
+
 
 class JobState(Enum):
     """State of a job as reported to callers."""
@@ -144,7 +149,10 @@
     :param over_share: the team had exceeded its share when it submitted the job.
     :param stored_state: state in the newest stored record; an end is reported to
         callers only once it is stored.
-    :param steps: steps of each opened occurrence.
+    :param steps: steps of each occurrence that is open.
+    :param ended_occurrences: occurrences of a timed job whose tasks are done and have
+        no runs; nothing else is kept of them.
+    :param next_occurrence: all occurrences before this one are open or have ended.
     :param recorded: the job's record is stored.
     :param begun: some task was assigned to an endpoint.
     :param lasting: any task runs until the job is cancelled.
@@ -159,6 +167,8 @@
         self.state = JobState.QUEUED
         self.stored_state = JobState.QUEUED
         self.steps: dict[int, list[StepRow]] = {}
+        self.ended_occurrences = OccurrenceSet()
+        self.next_occurrence = 0
         self.recorded = False
         self.begun = False
         self.needs_preassignment = True
@@ -176,15 +186,62 @@
             ]
         return rows
 
+    def open_due_occurrences(self, wall_ms: int) -> None:
+        """Open the occurrences that are due, up to ``MAX_UNBEGUN_TASKS``.
+
+        :param wall_ms: time of day, in Unix milliseconds.
+        """
+        if self.next_occurrence >= self.job.occurrences:
+            return
+        due_count = self.job.due_count(wall_ms)
+        if self.next_occurrence >= due_count:
+            return
+        tasks_each = sum(step.count for step in self.job.steps)
+        unbegun = sum(
+            tasks_each
+            for rows in self.steps.values()
+            if all(len(row.waiting) == row.step.count for row in rows)
+        )
+        while True:
+            self.next_occurrence = self.ended_occurrences.next_missing(
+                self.next_occurrence
+            )
+            if self.next_occurrence >= due_count:
+                return
+            if self.next_occurrence not in self.steps:
+                if unbegun and unbegun + tasks_each > MAX_UNBEGUN_TASKS:
+                    return
+                self.open_occurrence(self.next_occurrence)
+                unbegun += tasks_each
+            self.next_occurrence += 1
+
+    def discard_occurrence_if_ended(self, occurrence: int) -> None:
+        """Discard the steps of an occurrence of a timed job once nothing is left to do.
+
+        A job that runs once keeps them until it is dropped as a whole.
+        """
+        rows = self.steps.get(occurrence)
+        if rows is None or not self.job.repeats:
+            return
+        if any(row.remaining for row in rows):
+            return
+        if any(
+            task.run is not None or task.stored_assignment is not None
+            for row in rows
+            for task in row.tasks
+        ):
+            return
+        del self.steps[occurrence]
+        self.ended_occurrences.add(occurrence)
+
     def task(self, key: TaskKey) -> Task | None:
-        """Return the task with the given key, if the job has one."""
-        if not 0 <= key.occurrence < self.job.occurrences:
-            return None
-        rows = self.open_occurrence(key.occurrence)
-        if not 0 <= key.step < len(rows):
+        """Return the task with the given key, if the job has one.
+
+        There is none in an occurrence that has ended.
+        """
+        if self.job.step_of(key) is None or key.occurrence in self.ended_occurrences:
             return None
-        tasks = rows[key.step].tasks
-        return tasks[key.index] if 0 <= key.index < len(tasks) else None
+        return self.open_occurrence(key.occurrence)[key.step].tasks[key.index]
 
     def step_of(self, key: TaskKey) -> StepRow:
         """Return the step of the task with the given key."""
@@ -201,11 +258,11 @@
 
     @property
     def has_waiting(self) -> bool:
-        """Whether any task of an opened occurrence waits for a run."""
+        """Whether any task of an open occurrence waits for a run."""
         return any(row.waiting for rows in self.steps.values() for row in rows)
 
     def all_tasks(self) -> list[Task]:
-        """Return the tasks of all opened occurrences."""
+        """Return the tasks of all open occurrences."""
         return [
             task for rows in self.steps.values() for row in rows for task in row.tasks
         ]
@@ -213,6 +270,7 @@
     @property
     def complete(self) -> bool:
         """Whether every task of every occurrence is done."""
-        return len(self.steps) == self.job.occurrences and all(
+        known = len(self.steps) + len(self.ended_occurrences)
+        return known == self.job.occurrences and all(
             not row.remaining for rows in self.steps.values() for row in rows
         )
--- a/tests/jobs/ledger.py
+++ b/tests/jobs/ledger.py
@@ -19,7 +19,7 @@
 from tests.jobs.driver import CAPACITY, Driver
 from tests.jobs.fake_endpoint import FakeEndpoint
 
-__all__ = ["Ledger", "LedgerDriver", "LedgerEndpoint"]
+__all__ = ["Ledger", "LedgerDriver", "LedgerEndpoint", "task_keys"]
 
 #: Validity of a ticket, in milliseconds.
 TICKET_MS = 3000
@@ -32,6 +32,7 @@
     :ivar done: tasks of which a run has ended ``done``.
     :ivar noted: tasks of which such an end was acknowledged.
     :ivar noted_failures: acknowledged ends ``failed``, by task.
+    :ivar wall_ms: time of day, in milliseconds.
     """
 
     def __init__(self) -> None:
@@ -40,13 +41,16 @@
         self.noted: set[TaskKey] = set()
         self.noted_failures: dict[TaskKey, int] = {}
         self.highest_attempts: dict[TaskKey, int] = {}
+        self.wall_ms = 0
 
     def note_start(self, key: TaskKey, attempt: int, attempts: int) -> None:
         """Check a start that an endpoint has carried out.
 
         :param attempts: runs of a task that may fail.
         """
-        step = self.jobs[key.job].steps[key.step]
+        job = self.jobs[key.job]
+        step = job.steps[key.step]
+        assert self.wall_ms >= job.due_ms(key.occurrence), f"{key} was started early"
         assert key not in self.noted, f"{key} is done, and was started again"
         for number in step.after:
             for index in range(self.jobs[key.job].steps[number].count):
@@ -75,6 +79,16 @@
         return self.jobs[key.job].steps[key.step].counted_size
 
 
+def task_keys(job: Job) -> set[TaskKey]:
+    """Return the keys of all tasks of a job."""
+    return {
+        TaskKey(job.id, occurrence, number, index)
+        for occurrence in range(job.occurrences)
+        for number, step in enumerate(job.steps)
+        for index in range(step.count)
+    }
+
+
 class LedgerEndpoint(FakeEndpoint):
     """A fake endpoint that enters what it runs in a ledger.
 
@@ -130,6 +144,7 @@
 
     def step(self, ms: int = 100, store_up: bool = True) -> None:
         """Advance the time, and answer a request for advice."""
+        self.ledger.wall_ms = int((self.now + ms / 1000) * 1000)
         super().step(ms, store_up)
         request = self.engine.advice.pop_request()
         if request is None or self.permits is None:
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -1,5 +1,6 @@
 """Plays random faults on the engine, and holds what endpoints ran against the rules."""
 
+import msgspec
 from hypothesis import assume, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -17,7 +18,7 @@
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
 from tests.jobs.driver import configuration, job, listing
-from tests.jobs.ledger import Ledger, LedgerDriver
+from tests.jobs.ledger import Ledger, LedgerDriver, task_keys
 
 ENDPOINTS = [EndpointId(f"e{number}") for number in range(3)]
 TEAM_LIMIT = Size(9000, 0, 0)
@@ -114,6 +115,24 @@
     def submit_lasting(self, step: Step) -> None:
         self.submit(f"lasting{len(self.ledger.jobs)}", step)
 
+    @precondition(lambda self: len(self.ledger.jobs) < MAX_JOBS)
+    @rule(
+        step=PLAIN,
+        repeats=st.integers(1, 4),
+        first_ms=st.integers(-500, 1000),
+        period_ms=st.sampled_from([0, 100, 1000]),
+    )
+    def submit_timed(
+        self, step: Step, repeats: int, first_ms: int, period_ms: int
+    ) -> None:
+        plain = job(f"timed{len(self.ledger.jobs)}", step)
+        first_ms += int(self.driver.now * 1000)
+        new = msgspec.structs.replace(
+            plain, repeats=repeats, first_ms=first_ms, period_ms=period_ms
+        )
+        self.ledger.jobs[new.id] = new
+        self.driver.engine.submit(new, self.driver.now)
+
     @rule(number=st.integers(0, 20))
     def cancel(self, number: int) -> None:
         rows = list(self.driver.engine.open_jobs.values())
@@ -205,7 +224,7 @@
     @invariant()
     def jobs_end_as_their_tasks_did(self) -> None:
         for row in self.driver.engine.jobs.values():
-            keys = {task.key for task in row.all_tasks()}
+            keys = task_keys(row.job)
             if row.stored_state is JobState.COMPLETED and row.job.id[:4] != "gang":
                 assert keys <= self.ledger.done, f"{row.job.id} is not done"
             if row.stored_state is JobState.CANCELLED:
--- a/tests/test_encodings.py
+++ b/tests/test_encodings.py
@@ -38,7 +38,10 @@
         lambda data: job_records.decode_job(job_records.Record("j:", data)),
         lambda job: job_records.encode_job(job).value,
     ),
-    "job state": (job_records._state_decoder.decode, msgspec.msgpack.encode),
+    "job state": (
+        job_records._state_decoder.decode,
+        job_records._encode_state_record,
+    ),
     "platform: advice": (advice._advice_decoder.decode, msgspec.json.encode),
     "platform: clock": (endpoints._clock_decoder.decode, msgspec.json.encode),
     "platform: configuration": (
