No run is given up because a full list of ends leaves it out

Cause: an endpoint lists 500 ends in an answer, and the others once these are acknowledged. Each run that was in neither list of such an answer was taken for one that the endpoint has forgotten, and was started again.

Ruled out: the lease, which did not lapse (the cut is shorter), and the acknowledgement, which follows the record.

Change: a report says whether its list of ends is full; such a report gives up no run.

--- a/hickoryplank/jobs/messages.py
+++ b/hickoryplank/jobs/messages.py
@@ -74,12 +74,15 @@
 
     :param born_ms: start of the endpoint's incarnation, in Unix milliseconds.
     :param clock_ms: the endpoint's clock, in milliseconds.
+    :param may_have_more_ends: the endpoint may have ends after these, which it reports
+        once these are acknowledged.
     """
 
     born_ms: int
     clock_ms: int
     running: tuple[RunningTask, ...]
     ends: tuple[End, ...]
+    may_have_more_ends: bool = False
 
 
 class PollRequest(msgspec.Struct, frozen=True):
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -152,6 +152,9 @@
         run.reported = True
         _update_progress(tables, run, one, report.clock_ms)
         restart_if_stalled(tables, run, report.clock_ms, now)
+    if report.may_have_more_ends:
+        # A run that is not reported may have ended; a later report has its end.
+        return
     for run in list(endpoint.runs.values()):
         if run.run_key in reported or run.confirmed_at is None:
             continue
--- a/hickoryplank/platform/endpoints.py
+++ b/hickoryplank/platform/endpoints.py
@@ -33,6 +33,8 @@
 REQUEST_TIMEOUT_SECONDS = 0.4
 #: Timeout of a poll, in seconds, added to the time for which it may wait for an end.
 POLL_TIMEOUT_SECONDS = 0.5
+#: Most ends that an executor lists in one answer, by the platform's protocol.
+MAX_ENDS_PER_ANSWER = 500
 _BAD_REQUEST = 400
 _CONFLICT = 409
 _MISDIRECTED = 421
@@ -265,4 +267,8 @@
         )
     except (msgspec.MsgspecError, ValueError, OverflowError) as exc:
         return Err(CallFault(CallFaultKind.INVALID_ANSWER, str(exc)))
-    return Ok(PollReport(lists.born, lists.clock_ms, running, ends))
+    # Counted before unknown tasks are left out, as they take part of the list.
+    is_full = len(lists.ended) >= MAX_ENDS_PER_ANSWER
+    if is_full:
+        logger.info("report with a full list of ends", extra={"ends": len(ends)})
+    return Ok(PollReport(lists.born, lists.clock_ms, running, ends, is_full))
--- a/spec/coordinator.py
+++ b/spec/coordinator.py
@@ -32,6 +32,7 @@
     REPLACE_SENT = "an assignment is replaced although its start was sent"
     REPLACE_INHERITED = "a term replaces an assignment of the previous term"
     REPLACE_UNSTORED = "the start of a replaced assignment is sent before it is stored"
+    FULL_REPORT = "a run that a full report of ends leaves out is treated as gone"
 
 
 class Record(NamedTuple):
@@ -330,6 +331,7 @@
             confirmed = own_term.confirmed | {index}
             if endpoint.ended:
                 yield from self.end_report_steps(polled, term, index, confirmed)
+                yield from self.full_report_steps(polled, term, index, confirmed)
             elif (
                 own_term.assigned_to == index
                 and not endpoint.running
@@ -369,6 +371,14 @@
                 self.with_endpoint(updated, index, ended=0, lease_expired=False),
             )
 
+    def full_report_steps(self, s: State, term: int, index: int, confirmed: frozenset):
+        """Report so many ends of other tasks that the end of this one is left out."""
+        reported = self.with_term(s, term, confirmed=confirmed)
+        is_assigned_here = s.terms[term - 1].assigned_to == index
+        if is_assigned_here and self.broken is Defect.FULL_REPORT:
+            reported = self.with_term(reported, term, attempt=0, assigned_to=None)
+        yield f"{term} gets a full report without the end at {index}", reported
+
     def presumed_idle_steps(self, s: State):
         """The second term treats an unreachable endpoint as idle."""
         own_term = s.terms[1]
--- a/tests/jobs/fake_endpoint.py
+++ b/tests/jobs/fake_endpoint.py
@@ -39,6 +39,7 @@
     :param work_ms: function of the key of a task that returns its run time in
         milliseconds, or none for a lasting task.
     :param stop_ms: time that a run takes to stop, in milliseconds.
+    :ivar ends_per_report: most ends in one report.
     :ivar failing: whether runs end ``failed`` instead of ``done``.
     :ivar stalled: whether runs make no progress.
     """
@@ -55,6 +56,7 @@
         self.number = 0
         self.work_ms = work_ms
         self.stop_ms = stop_ms
+        self.ends_per_report = 500
         self.failing = False
         self.stalled = False
         self.started: list[RunKey] = []
@@ -107,8 +109,10 @@
             RunningTask(one.key, one.attempt, one.checkpoint, one.percent, 0)
             for one in self.running.values()
         )
+        reported = tuple(self.ends[: self.ends_per_report])
+        may_have_more = len(reported) == self.ends_per_report
         return PollReport(
-            self.born_ms, int(self.clock_ms), running, tuple(self.ends[:500])
+            self.born_ms, int(self.clock_ms), running, reported, may_have_more
         )
 
     def advance(self, ms: float) -> None:
--- a/tests/jobs/ledger.py
+++ b/tests/jobs/ledger.py
@@ -132,6 +132,7 @@
     """A driver whose endpoints enter what they run in a ledger.
 
     :ivar clock_rate: rate of the clocks of endpoints that are built from now on.
+    :ivar ends_per_report: most ends in a report of endpoints built from now on.
     :ivar permits: whether a job may run on an incarnation of an endpoint, if its queue
         has advice; it is asked for once a step.
     """
@@ -139,6 +140,7 @@
     def __init__(self, ledger: Ledger, count: int, work_ms, cfg):
         self.ledger = ledger
         self.clock_rate = 1.0
+        self.ends_per_report = 500
         self.permits: Callable[[JobId, EndpointId, int], bool] | None = None
         super().__init__(count, work_ms, cfg)
 
@@ -168,9 +170,11 @@
 
     def build_endpoint(self, id: EndpointId, born_ms: int) -> FakeEndpoint:
         attempts = next(iter(self.cfg.queues.values())).attempts
-        return LedgerEndpoint(
+        fake = LedgerEndpoint(
             born_ms, self.work_ms, self.ledger, self.clock_rate, attempts
         )
+        fake.ends_per_report = self.ends_per_report
+        return fake
 
     def check(self) -> None:
         """Check what runs now against capacities, limits and the states of jobs."""
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -554,3 +554,39 @@
     driver.engine.restore(rows)
     assert not any(row.over_share for row in rows)
     assert driver.engine.arrivals.offered_load(POOL, 0.0) == ZERO
+
+
+# Guards against runs that are given up, and started again, because their ends did not
+# fit into the report of an endpoint that had been out of reach (review case 4).
+@pytest.mark.parametrize("takes_over", [False, True])
+@pytest.mark.parametrize("store_up", [False, True])
+def test_runs_whose_ends_are_beyond_a_full_report_are_not_started_again(
+    takes_over, store_up
+):
+    driver = Driver(count=1, cfg=configuration(attempts=1))
+    fake = driver.endpoints[E0]
+    fake.ends_per_report = 2
+    small = Size(100, 100, 0)
+    driver.engine.submit(job("a", Step(9, small)), driver.now)
+    run_until(driver, lambda: len(fake.running) == 9)
+    driver.unreachable = {E0}
+    run_until(driver, lambda: len(fake.ends) == 9)
+    driver.unreachable = set()
+    if takes_over:
+        driver.take_over()
+    for _ in range(5):
+        driver.step(store_up=store_up)
+    run_until(driver, lambda: stored_state(driver, "a") is JobState.COMPLETED)
+    assert len(fake.started) == 9
+
+
+def test_a_run_missing_from_a_report_with_all_ends_is_started_again():
+    driver = Driver(count=1)
+    fake = driver.endpoints[E0]
+    fake.ends_per_report = 2
+    driver.engine.submit(job("a", Step(5, TASK)), driver.now)
+    run_until(driver, lambda: len(fake.running) == 4)
+    forgotten = next(iter(fake.running))
+    del fake.running[forgotten]
+    run_until(driver, lambda: stored_state(driver, "a") is JobState.COMPLETED)
+    assert [key for key, _ in fake.started].count(forgotten[0]) == 2
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -74,13 +74,20 @@
 class EngineMachine(RuleBasedStateMachine):
     """One engine after the other, their store, and three endpoints with faults."""
 
-    @initialize(slow=st.booleans(), advised=st.booleans())
-    def begin(self, slow: bool, advised: bool) -> None:
+    @initialize(
+        slow=st.booleans(),
+        advised=st.booleans(),
+        ends_per_report=st.sampled_from([1, 2, 500]),
+    )
+    def begin(self, slow: bool, advised: bool, ends_per_report: int) -> None:
         self.ledger = Ledger()
         cfg = configuration(TEAM_LIMIT, advice=ADVICE if advised else None)
         self.driver = LedgerDriver(self.ledger, len(ENDPOINTS), run_ms, cfg)
         self.driver.permits = permits if advised else None
         self.driver.clock_rate = SLOW_CLOCK if slow else 1.0
+        self.driver.ends_per_report = ends_per_report
+        for fake in self.driver.endpoints.values():
+            fake.ends_per_report = ends_per_report
         self.store_up = True
         self.cancelled: set[str] = set()
 
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -86,6 +86,24 @@
         assert (await executor.poll(3, last_seen=1)).unwrap().ends == ()
 
 
+@pytest.mark.parametrize(
+    ("count", "foreign", "may_have_more"),
+    [(0, 0, False), (499, 0, False), (500, 0, True), (499, 1, True), (0, 500, True)],
+)
+async def test_a_full_list_of_ends_may_leave_others_out(count, foreign, may_have_more):
+    names = [task_name(KEY)] * count + ["of another system"] * foreign
+    ended = [[number, name, 1, "done"] for number, name in enumerate(names, 1)]
+    lists = {"clock_ms": 5, "running": [], "ended": ended}
+
+    async def answer(request):
+        return web.json_response(lists)
+
+    async with fake_executor(answer) as executor:
+        report = (await executor.poll(3)).unwrap()
+        assert len(report.ends) == count
+        assert report.may_have_more_ends is may_have_more
+
+
 @pytest.mark.parametrize(
     ("attempt", "until_ms", "token", "outcome"),
     [
