Messages that are nested deeply or hold large numbers are refused as malformed

Seen (report of other operators): one odd entry of another writer in the list of endpoints ends the processes that read it, again and again. Here a deeply nested entry ended each coordinator's term; one with a number beyond 64 bits was taken for an endpoint.

Cause: the decoder raises RecursionError for deep nesting, which no adapter caught, and it returns integers of any size. Each adapter had its own choice of errors.

Change: one function decodes all JSON of other systems and returns a result for any bytes; integers in these messages are bounded by what JSON numbers hold exactly.

Ruled out: invalid UTF-8 and numbers of thousands of digits, which were ignored before.

Shown: the new tables in test_records.py and test_malformed_answers.py failed before with RecursionError from each decoder, and with results where an error is due; they pass now.

--- a/hickoryplank/platform/advice.py
+++ b/hickoryplank/platform/advice.py
@@ -8,6 +8,7 @@
 from hickoryplank.http_client import HttpClient, HttpResponse
 from hickoryplank.jobs.advice import AdviceRequest
 from hickoryplank.jobs.messages import AdviceAnswer, Permit
+from hickoryplank.platform.decoding import Natural, decode_json
 
 __all__ = ["PlatformAdvice"]
 
@@ -25,7 +26,7 @@
 
 class _Advice(msgspec.Struct):
     allowed: list[_AllowedWorker]
-    valid_ms: int = 0
+    valid_ms: Natural = 0
 
 
 _advice_decoder = msgspec.json.Decoder(_Advice)
@@ -66,9 +67,11 @@
 
 
 def _decode_advice(data: bytes) -> Result[AdviceAnswer, CallFault]:
-    try:
-        advice = _advice_decoder.decode(data)
-    except msgspec.MsgspecError as exc:
-        return Err(CallFault(CallFaultKind.INVALID_ANSWER, str(exc)))
-    rows = tuple(Permit(EndpointId(row.id), row.ticket) for row in advice.allowed)
-    return Ok(AdviceAnswer(rows, advice.valid_ms))
+    match decode_json(_advice_decoder, data):
+        case Ok(advice):
+            rows = tuple(
+                Permit(EndpointId(row.id), row.ticket) for row in advice.allowed
+            )
+            return Ok(AdviceAnswer(rows, advice.valid_ms))
+        case Err(detail):
+            return Err(CallFault(CallFaultKind.INVALID_ANSWER, detail))
--- a/hickoryplank/platform/endpoints.py
+++ b/hickoryplank/platform/endpoints.py
@@ -23,6 +23,7 @@
     StartOutcome,
 )
 from hickoryplank.jobs.model import TaskKey
+from hickoryplank.platform.decoding import Integer, Natural, decode_json
 
 __all__ = ["PlatformEndpoints"]
 
@@ -81,29 +82,29 @@
 
 class _Running(msgspec.Struct, array_like=True):
     task: str
-    attempt: int
+    attempt: Natural
     checkpoint: str = ""
-    percent: int = 0
+    percent: Integer = 0
     load: float = 0
 
 
 class _Ended(msgspec.Struct, array_like=True):
-    number: int
+    number: Natural
     task: str
-    attempt: int
+    attempt: Natural
     how: EndKind
     checkpoint: str = ""
 
 
 class _Lists(msgspec.Struct):
-    clock_ms: int
+    clock_ms: Integer
     running: list[_Running]
     ended: list[_Ended]
-    born: int = 0
+    born: Natural = 0
 
 
 class _Clock(msgspec.Struct):
-    clock_ms: int = 0
+    clock_ms: Integer = 0
     reason: str = ""
 
 
@@ -127,11 +128,8 @@
 
 
 def _decode_clock(body: bytes) -> _Clock:
-    try:
-        return _clock_decoder.decode(body)
-    except msgspec.MsgspecError:
-        # A clock of 0 stands for an unknown one.
-        return _Clock()
+    # A clock of 0 stands for an unknown one.
+    return decode_json(_clock_decoder, body).unwrap_or(_Clock())
 
 
 class PlatformEndpoints(EndpointPort):
@@ -253,8 +251,15 @@
 
 
 def _decode_report(data: bytes) -> Result[PollReport, CallFault]:
+    match decode_json(_lists_decoder, data):
+        case Ok(lists):
+            return _report(lists)
+        case Err(detail):
+            return Err(CallFault(CallFaultKind.INVALID_ANSWER, detail))
+
+
+def _report(lists: _Lists) -> Result[PollReport, CallFault]:
     try:
-        lists = _lists_decoder.decode(data)
         running = tuple(
             RunningTask(key, row.attempt, row.checkpoint, row.percent, int(row.load))
             for row in lists.running
@@ -265,7 +270,7 @@
             for row in lists.ended
             if (key := _own_task_key(row.task)) is not None
         )
-    except (msgspec.MsgspecError, ValueError, OverflowError) as exc:
+    except (ValueError, OverflowError) as exc:
         return Err(CallFault(CallFaultKind.INVALID_ANSWER, str(exc)))
     # Counted before unknown tasks are left out, as they take part of the list.
     is_full = len(lists.ended) >= MAX_ENDS_PER_ANSWER
--- a/hickoryplank/platform/records.py
+++ b/hickoryplank/platform/records.py
@@ -3,6 +3,7 @@
 import logging
 
 import msgspec
+from result import Err, Ok, Result
 
 from hickoryplank.coordinator.ports import (
     ListingDecoder,
@@ -28,6 +29,7 @@
 from hickoryplank.jobs.endpoints import Listing
 from hickoryplank.jobs.records import Record
 from hickoryplank.jobs.sizes import Size
+from hickoryplank.platform.decoding import Integer, Natural, decode_json
 
 __all__ = ["PlatformListingDecoder", "PlatformOperatorRecordCodec", "to_size"]
 
@@ -38,9 +40,9 @@
 
 
 class _Size(msgspec.Struct, frozen=True):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Natural = 0
+    mem_mb: Natural = 0
+    gpu: Natural = 0
 
 
 class _Advice(msgspec.Struct):
@@ -104,8 +106,8 @@
     capacity: _Size
     labels: list[str] = []
     #: Start of this incarnation of the executor, not of the machine.
-    born: int = 0
-    remaining_ms: int = 0
+    born: Natural = 0
+    remaining_ms: Integer = 0
 
 
 class _Status(msgspec.Struct):
@@ -128,14 +130,17 @@
 
     def decode(self, record: Record) -> Listing | None:
         """Return the listing, or none if the record holds no valid one."""
-        try:
-            server = _server_decoder.decode(record.value)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-            logger.info(
-                "malformed listing ignored",
-                extra={"endpoint": record.key, "detail": str(exc)},
-            )
-            return None
+        match decode_json(_server_decoder, record.value):
+            case Ok(server):
+                return self._listing(record, server)
+            case Err(detail):
+                logger.info(
+                    "malformed listing ignored",
+                    extra={"endpoint": record.key, "detail": detail},
+                )
+                return None
+
+    def _listing(self, record: Record, server: _Server) -> Listing | None:
         if server.state not in _LISTED_STATES:
             logger.info(
                 "listing with an unknown state ignored",
@@ -160,17 +165,24 @@
 
     def decode(self, record: Record) -> Configuration | WaveOrder | None:
         """Return the decoded record, or none if it is malformed or of another kind."""
-        try:
-            if record.key == _CONFIG_KEY:
-                return _configuration(_config_decoder.decode(record.value))
-            if record.key.startswith(_WAVE_PREFIX):
-                return _wave(record)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-            logger.error(
-                "malformed operator record ignored",
-                extra={"key": record.key, "detail": str(exc)},
+        decoded: Result[Configuration | WaveOrder, str]
+        if record.key == _CONFIG_KEY:
+            decoded = decode_json(_config_decoder, record.value).map(_configuration)
+        elif record.key.startswith(_WAVE_PREFIX):
+            decoded = decode_json(_wave_decoder, record.value).map(
+                lambda wave: _wave_order(record, wave)
             )
-        return None
+        else:
+            return None
+        match decoded:
+            case Ok(value):
+                return value
+            case Err(detail):
+                logger.error(
+                    "malformed operator record ignored",
+                    extra={"key": record.key, "detail": detail},
+                )
+                return None
 
     def encode_wave_status(self, wave: WaveId, *, completed: bool) -> Record:
         """Return the record that reports the state of a wave."""
@@ -178,8 +190,7 @@
         return Record(_WAVE_PREFIX + wave, msgspec.json.encode(status))
 
 
-def _wave(record: Record) -> WaveOrder:
-    wave = _wave_decoder.decode(record.value)
+def _wave_order(record: Record, wave: _Wave) -> WaveOrder:
     return WaveOrder(
         id=WaveId(record.key[len(_WAVE_PREFIX) :]),
         vms=tuple(VmId(machine) for machine in wave.machines),
--- a/hickoryplank/platform/store.py
+++ b/hickoryplank/platform/store.py
@@ -21,6 +21,7 @@
 )
 from hickoryplank.http_client import HttpClient, HttpResponse
 from hickoryplank.jobs.records import Record
+from hickoryplank.platform.decoding import Natural, decode_json
 
 __all__ = ["PlatformStore"]
 
@@ -55,21 +56,21 @@
 
 
 class _Offsets(msgspec.Struct):
-    offset: int = 0
-    end_offset: int = 0
+    offset: Natural = 0
+    end_offset: Natural = 0
     reason: str = ""
 
 
 class _Item(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: Natural
 
 
 class _Items(msgspec.Struct):
     items: list[_Item]
     has_more: bool
-    end_offset: int
+    end_offset: Natural
 
 
 _offsets_decoder = msgspec.json.Decoder(_Offsets)
@@ -113,6 +114,18 @@
     return CallFault(faults.get(response.status, CallFaultKind.INVALID_ANSWER), detail)
 
 
+def _decode_items(body: bytes) -> Result[tuple[_Items, list[Record]], str]:
+    """Decode a page of newest records; return it with its records."""
+    match decode_json(_items_decoder, body):
+        case Ok(page):
+            try:
+                return Ok((page, [_newest_record(item) for item in page.items]))
+            except ValueError as exc:
+                return Err(str(exc))
+        case Err(detail):
+            return Err(detail)
+
+
 def _newest_record(item: _Item) -> Record:
     """Return the record of an item; ``ValueError`` if its value is not base64."""
     return Record(item.key, base64.b64decode(item.value, validate=True))
@@ -163,12 +176,12 @@
         self._note_answer_time(time.monotonic() - started_at)
         match answer:
             case Ok(HttpResponse(200, body)):
-                try:
-                    offsets = _offsets_decoder.decode(body)
-                except msgspec.MsgspecError as exc:
-                    # The status says that the records were appended.
-                    return Err(CallFault(CallFaultKind.UNKNOWN, str(exc)))
-                return Ok(Appended(offsets.offset, offsets.end_offset))
+                # Whatever the body is, the status says that the records were appended.
+                return (
+                    decode_json(_offsets_decoder, body)
+                    .map(lambda one: Appended(one.offset, one.end_offset))
+                    .map_err(lambda detail: CallFault(CallFaultKind.UNKNOWN, detail))
+                )
             case Ok(response):
                 return Err(_call_fault(response))
             case Err(fault):
@@ -227,15 +240,15 @@
             )
             match answer:
                 case Ok(HttpResponse(200, body)):
-                    try:
-                        page = _items_decoder.decode(body)
-                        records += [_newest_record(item) for item in page.items]
-                    except (msgspec.MsgspecError, ValueError) as exc:
-                        return Err(CallFault(CallFaultKind.INVALID_ANSWER, str(exc)))
+                    decoded = _decode_items(body)
                 case Ok(response):
                     return Err(_call_fault(response))
                 case Err(fault):
                     return Err(fault)
+            if isinstance(decoded, Err):
+                return Err(CallFault(CallFaultKind.INVALID_ANSWER, decoded.err()))
+            page, page_records = decoded.ok()
+            records += page_records
             end = page.end_offset if end is None else end
             if not page.has_more:
                 return Ok(Newest(tuple(records), end))
--- a/hickoryplank/platform/vms.py
+++ b/hickoryplank/platform/vms.py
@@ -1,5 +1,7 @@
 """Adapter to the machines of the platform, which hickoryplank calls VMs."""
 
+import logging
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -15,9 +17,12 @@
 from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId, Zone
 from hickoryplank.http_client import HttpClient, HttpResponse
 from hickoryplank.jobs.sizes import Size
+from hickoryplank.platform.decoding import Natural, decode_json
 
 __all__ = ["PlatformVms"]
 
+logger = logging.getLogger(__name__)
+
 #: Timeout of a call, in seconds.
 CALL_TIMEOUT_SECONDS = 1.0
 
@@ -35,9 +40,9 @@
 
 
 class _Capacity(msgspec.Struct, frozen=True):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Natural = 0
+    mem_mb: Natural = 0
+    gpu: Natural = 0
 
 
 class _Machine(msgspec.Struct):
@@ -97,14 +102,14 @@
             )
             match answer:
                 case Ok(HttpResponse(200, body)):
-                    try:
-                        page = _page_decoder.decode(body)
-                    except msgspec.MsgspecError as exc:
-                        return Err(CallFault(CallFaultKind.INVALID_ANSWER, str(exc)))
+                    decoded = decode_json(_page_decoder, body)
                 case Ok(response):
                     return Err(CallFault(CallFaultKind.NOT_DONE, str(response)))
                 case Err(fault):
                     return Err(fault)
+            if isinstance(decoded, Err):
+                return Err(CallFault(CallFaultKind.INVALID_ANSWER, decoded.err()))
+            page = decoded.ok()
             vms += [
                 _to_listed_vm(machine)
                 for machine in page.machines
@@ -161,12 +166,13 @@
 
 
 def _conflict_outcome(body: bytes) -> OrderOutcome:
-    try:
-        reason = _reason_decoder.decode(body).reason
-    except msgspec.MsgspecError:
-        # Not carried out, but without a reason to give the order up.
-        return OrderOutcome.NOT_DONE
-    return _REASONS.get(reason, OrderOutcome.IMPOSSIBLE)
+    match decode_json(_reason_decoder, body):
+        case Ok(answer):
+            return _REASONS.get(answer.reason, OrderOutcome.IMPOSSIBLE)
+        case Err(detail):
+            # Not carried out, but without a reason to give the order up.
+            logger.info("malformed answer to a VM order", extra={"detail": detail})
+            return OrderOutcome.NOT_DONE
 
 
 def _to_listed_vm(machine: _Machine) -> ListedVm:
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -61,7 +61,23 @@
 JSON = st.dictionaries(FIELDS, VALUES, max_size=6).map(
     lambda one: json.dumps(one).encode()
 )
-BODIES = st.binary(max_size=60) | JSON
+#: Bodies on which parsers fail in ways of their own.
+ODD_BODIES = [
+    template.replace("ODD", odd).encode()
+    for odd in ("[" * 50_000, '{"a":' * 50_000, "9" * 30, "9" * 400, "9" * 5000)
+    for template in (
+        "ODD",
+        '{"x":ODD}',
+        '{"offset":ODD}',
+        '{"clock_ms":ODD,"running":[],"ended":[]}',
+        '{"clock_ms":5,"running":[["j.0.0.0",1,"",5,ODD]],"ended":[]}',
+        '{"clock_ms":5,"running":[],"ended":[[ODD,"j.0.0.0",1,"done"]]}',
+        '{"allowed":[],"valid_ms":ODD}',
+        '{"items":[],"has_more":false,"end_offset":ODD}',
+        '{"machines":[{"machine":"m","pool":"p","state":"up","capacity":{"cpu":ODD}}]}',
+    )
+]
+BODIES = st.binary(max_size=60) | JSON | st.sampled_from(ODD_BODIES)
 
 
 class FakeClient:
@@ -133,6 +149,29 @@
     return False
 
 
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("status", [200, 409])
+def test_odd_bodies_give_a_result(call, status):
+    for body in ODD_BODIES:
+        anyio.run(CALLS[call], FakeClient(status, body))
+
+
+@pytest.mark.parametrize(
+    ("call", "body"),
+    [
+        ("poll", '{"clock_ms":ODD,"running":[],"ended":[]}'),
+        ("poll", '{"clock_ms":5,"running":[],"ended":[[ODD,"j.0.0.0",1,"done"]]}'),
+        ("advice", '{"allowed":[],"valid_ms":ODD}'),
+        ("newest", '{"items":[],"has_more":false,"end_offset":ODD}'),
+        ("append", '{"offset":ODD}'),
+    ],
+)
+@pytest.mark.parametrize("number", ["9" * 30, "9" * 400, "-" + "9" * 30])
+def test_numbers_that_records_and_floats_cannot_hold_are_refused(call, body, number):
+    client = FakeClient(200, body.replace("ODD", number).encode())
+    assert isinstance(anyio.run(CALLS[call], client), Err)
+
+
 @settings(max_examples=300, deadline=None)
 @given(
     key=st.sampled_from(["config", "wave/1", "e0"]),
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -97,6 +97,38 @@
     assert PlatformListingDecoder().decode(Record("i-1", value)) is None
 
 
+DEPTH = 50_000
+NESTED = "[" * DEPTH + "]" * DEPTH
+#: Texts that replace the value of a field, as JSON.
+ODD_VALUES = {
+    "deeply nested": NESTED,
+    "beyond 64 bits": "9" * 30,
+    "beyond a float": "9" * 400,
+    "beyond the digits of an integer": "9" * 5000,
+    "infinite": "1e999",
+    "negative": "-1",
+}
+
+
+# Guards against entries of other writers that end each coordinator in turn: one that is
+# deeply nested was not ignored, and one with a large number was taken for an endpoint.
+@pytest.mark.parametrize("field", ["born", "capacity", "labels"])
+@pytest.mark.parametrize("odd", ODD_VALUES.values(), ids=ODD_VALUES)
+def test_server_records_with_an_odd_value_are_ignored(field, odd):
+    body = {**SERVER, field: {"cpu": "ODD"} if field == "capacity" else "ODD"}
+    value = json.dumps(body).replace('"ODD"', odd).encode()
+    assert PlatformListingDecoder().decode(Record("i-1", value)) is None
+
+
+@pytest.mark.parametrize("text", [NESTED, '{"a":' * DEPTH + "1" + "}" * DEPTH])
+def test_deeply_nested_records_are_ignored(text):
+    in_unknown_field = json.dumps({**SERVER, "x": "ODD"}).replace('"ODD"', text)
+    for value in (text.encode(), in_unknown_field.encode()):
+        assert PlatformListingDecoder().decode(Record("i-1", value)) is None
+        for key in ("config", "wave/1"):
+            assert PlatformOperatorRecordCodec().decode(Record(key, value)) is None
+
+
 def test_configuration_is_decoded():
     cfg = PlatformOperatorRecordCodec().decode(record("config", CONFIG))
     assert isinstance(cfg, Configuration)
