Entries that can't be called, or whose pool is unknown, are no endpoints

Cause: an entry of the right types was taken for an endpoint. The HTTP library raises ValueError for such a request, which the client let through, and an error in a task ends the term.

Change: id and address of an entry are checked when it is decoded. An endpoint is first called when a configuration names its pool, or if it has runs. The client returns a result for a request that can't be sent.

Ruled out: ports out of range end nothing, as the library's error for them is one that was caught.

Shown: the tables in test_records.py and test_http_client.py, and the test of an unknown pool, failed before.

--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -85,8 +85,13 @@
         self._polled.discard(endpoint)
 
     def _poll_new_endpoints(self, engine: Engine) -> None:
+        pools = engine.configuration.pools
         for endpoint in engine.endpoints.values():
-            if endpoint not in self._polled:
+            if endpoint in self._polled:
+                continue
+            # An entry with an unknown pool may be none of an endpoint, unless it has
+            # runs from when its pool was known.
+            if endpoint.listing.pool in pools or endpoint.runs:
                 self._polled.add(endpoint)
                 self._term.require_tasks().start_soon(self._poll_loop, endpoint)
 
--- a/hickoryplank/http_client.py
+++ b/hickoryplank/http_client.py
@@ -1,5 +1,6 @@
 """HTTP client of an entry for the platform's services and for peers."""
 
+import logging
 from types import SimpleNamespace
 
 import msgspec
@@ -19,6 +20,8 @@
 
 __all__ = ["HttpClient", "HttpResponse"]
 
+logger = logging.getLogger(__name__)
+
 #: Open connections to one address. The platform allows 64 to an endpoint, from all
 #: entries together.
 CONNECTIONS_PER_ADDRESS = 16
@@ -119,6 +122,14 @@
             return Err(
                 CallFault(CallFaultKind.UNKNOWN, f"no response within {timeout_s} s")
             )
+        except (ValueError, OverflowError) as exc:
+            # The library raises these for an address or a header that can't be sent. It
+            # doesn't say whether anything was sent before.
+            logger.error(
+                "request can't be sent",
+                extra={"address": address[:100], "detail": str(exc)[:200]},
+            )
+            return Err(CallFault(CallFaultKind.UNKNOWN, f"{type(exc).__name__}: {exc}"))
         except (ClientError, OSError) as exc:
             return Err(CallFault(CallFaultKind.UNKNOWN, f"{type(exc).__name__}: {exc}"))
 
--- a/hickoryplank/platform/records.py
+++ b/hickoryplank/platform/records.py
@@ -1,6 +1,8 @@
 """Records that operators and executors write to the store."""
 
 import logging
+import re
+from ipaddress import AddressValueError, IPv4Address
 
 import msgspec
 from result import Err, Ok, Result
@@ -118,6 +120,10 @@
 _wave_decoder = msgspec.json.Decoder(_Wave)
 _server_decoder = msgspec.json.Decoder(_Server)
 _LISTED_STATES = ("ready", "draining")
+#: Ids of executors are sent in a header.
+_HEADER_TOKEN = re.compile(r"[!-~]+")
+_PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65535
 
 
 def to_size(size: _Size) -> Size:
@@ -141,10 +147,11 @@
                 return None
 
     def _listing(self, record: Record, server: _Server) -> Listing | None:
-        if server.state not in _LISTED_STATES:
+        fault = _listing_fault(record.key, server)
+        if fault:
             logger.info(
-                "listing with an unknown state ignored",
-                extra={"endpoint": record.key, "detail": f"state {server.state!r}"},
+                "invalid listing ignored",
+                extra={"endpoint": record.key[:100], "detail": fault[:200]},
             )
             return None
         return Listing(
@@ -160,6 +167,22 @@
         )
 
 
+def _listing_fault(key: str, server: _Server) -> str:
+    """Return why an entry names no executor to use; empty if it names one."""
+    if server.state not in _LISTED_STATES:
+        return f"state {server.state!r}, expected one of {', '.join(_LISTED_STATES)}"
+    if not _HEADER_TOKEN.fullmatch(key):
+        return f"id {key!r} can't be sent in a header"
+    host, _, port = server.address.rpartition(":")
+    if not _PORT.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
+        return f"address {server.address!r}, expected a port from 1 to {MAX_PORT}"
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return f"address {server.address!r}, expected an IPv4 address and a port"
+    return ""
+
+
 class PlatformOperatorRecordCodec(OperatorRecordCodec):
     """Decodes and encodes records of the topics ``keyed.op`` and ``keyed.status``."""
 
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -35,7 +35,8 @@
 from hickoryplank.coordinator.operator_watcher import OperatorWatcher
 from hickoryplank.coordinator.ports import ListedVm, Topic, VmState, WaveOrder
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
-from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId, Zone
+from hickoryplank.core.ids import EndpointId, JobId, PoolId, VmId, WaveId, Zone
+from hickoryplank.jobs.configuration import Configuration, Pool
 from hickoryplank.jobs.engine import EngineTiming
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.records import (
@@ -424,6 +425,31 @@
     assert _started(platform) == 4
 
 
+async def test_an_endpoint_is_called_once_its_pool_is_known():
+    platform = Platform()
+    await platform.open()
+    later = EndpointId("e9")
+    platform.fake_endpoints[later] = FakeEndpoint(1, platform.work_ms)
+    platform.listings.listings[later] = msgspec.structs.replace(
+        listing(later, 1), pool=PoolId("later")
+    )
+    await platform.store.append(Topic.LISTINGS, [Record(later, b"listed")], None)
+    entry = Entry(platform, "a")
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        await entry.local_coordinator.answer(submit("j", Step(1, TASK)))
+        await wait_for_state(entry, "j", JobState.COMPLETED)
+        assert platform.fake_endpoints[later].token == 0
+        cfg = configuration()
+        pools = [*cfg.pools.values(), Pool(PoolId("later"))]
+        await platform.publish(
+            Configuration.build(
+                2, list(cfg.queues.values()), pools, list(cfg.teams.values())
+            )
+        )
+        await wait_until(lambda: platform.fake_endpoints[later].token > 0)
+
+
 async def test_store_outage_rejects_jobs_and_keeps_leases():
     platform = Platform(work_ms=lambda key: None)
     await platform.open()
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -129,6 +129,39 @@
             assert PlatformOperatorRecordCodec().decode(Record(key, value)) is None
 
 
+# Guards against a coordinator that ends at its first call to an entry whose id can't be
+# sent in a header, or whose address can't be looked up (review case 1).
+@pytest.mark.parametrize(
+    ("id", "address"),
+    [
+        ("\x00\x7f", "10.128.0.9:8080"),
+        ("i 1", "10.128.0.9:8080"),
+        ("i-\ufffd", "10.128.0.9:8080"),
+        ("i-é", "10.128.0.9:8080"),
+        ("i-1\r\nX: y", "10.128.0.9:8080"),
+        ("", "10.128.0.9:8080"),
+        ("i-1", ""),
+        ("i-1", "10.128.0.9"),
+        ("i-1", "10.128.0.9:"),
+        ("i-1", "10.128.0.9:0"),
+        ("i-1", "10.128.0.9:65536"),
+        ("i-1", "10.128.0.9:-1"),
+        ("i-1", "10.128.0.9:+80"),
+        ("i-1", "10.128.0.9:8_0"),
+        ("i-1", "10.128.0.9:٨٠"),
+        ("i-1", "10.128.0.9:80/x"),
+        ("i-1", "10.128.0.256:80"),
+        ("i-1", "a..b:80"),
+        ("i-1", "x" * 70 + ":80"),
+        ("i-1", "user@10.128.0.9:80"),
+        ("i-1", "[::1]:80"),
+    ],
+)
+def test_servers_that_cannot_be_called_are_ignored(id, address):
+    body = {**SERVER, "address": address}
+    assert PlatformListingDecoder().decode(record(id, body)) is None
+
+
 def test_configuration_is_decoded():
     cfg = PlatformOperatorRecordCodec().decode(record("config", CONFIG))
     assert isinstance(cfg, Configuration)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -3,10 +3,12 @@
 import asyncio
 import json
 import random
+import re
 import signal
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -61,6 +63,18 @@
 orders_apart_ms = 3000
 """
 
+_NESTED = "[" * 20_000 + "]" * 20_000
+#: How a sound entry is edited, by the key of the odd one.
+_ODD_LISTINGS: dict[str, Callable[[str], str]] = {
+    "i-nested": lambda text: text.replace("{", f'{{"x":{_NESTED},', 1),
+    "i-number": lambda text: text.replace('"born": 1', '"born": ' + "9" * 400),
+    "i-port": lambda text: re.sub(r":\d+\"", ':99999"', text),
+    "i-host": lambda text: text.replace("127.0.0.1", "a..b"),
+    "i-\x00\x7f": lambda text: text,
+    "i-pool": lambda text: re.sub(r'"service": "\w+"', '"service": "other"', text),
+    "i-text": lambda text: "\xff",
+}
+
 
 class Entry:
     """An entry process with its settings, and a proxy to the store of its own.
@@ -253,6 +267,14 @@
         wave = {"wave": number, "machines": machines, "deadline_s": 20, "cap": 2}
         await self._write(Topic.OPERATOR, f"wave/{number}", wave)
 
+    async def write_odd_listings(self) -> None:
+        """Write entries to the list of endpoints that name none to use, for good."""
+        sound = json.dumps(self._listing(next(iter(self.vms.vms.values())), 1))
+        records = [
+            Record(key, edit(sound).encode()) for key, edit in _ODD_LISTINGS.items()
+        ]
+        (await self.store.append(Topic.LISTINGS, records, None)).unwrap()
+
     async def _write(self, topic: Topic, key: str, body) -> None:
         record = Record(key, json.dumps(body).encode() if body else b"")
         (await self.store.append(topic, [record], None)).unwrap()
--- a/tests/soak/fault_plan.py
+++ b/tests/soak/fault_plan.py
@@ -14,6 +14,8 @@
 MAX_FAULTS = 11
 #: Fraction of the faults that begin right after the previous one.
 BURST_FRACTION = 0.3
+#: Fraction of the seeds with odd entries in the list of endpoints.
+ODD_LISTINGS_FRACTION = 0.5
 
 
 class FaultKind(Enum):
@@ -42,6 +44,7 @@
     ENDPOINT_FAILING = "endpoint fails all its runs"
     KEY_WITHDRAWN = "key withdrawn"
     WAVE = "maintenance wave"
+    ODD_LISTINGS = "odd entries of another writer in the list of endpoints"
 
 
 #: Weights of kinds in the random choice; 1 for all others.
@@ -70,7 +73,7 @@
 def draw_faults(seed: int, length_s: float = INJECTION_SECONDS) -> list[Fault]:
     """Return the faults of a seed in the order of their times."""
     rng = random.Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.ODD_LISTINGS]
     weights = [_WEIGHTS.get(kind, 1) for kind in kinds]
     faults: list[Fault] = []
     at = 0.0
@@ -85,4 +88,8 @@
                 target=rng.randrange(64),
             )
         )
+    # Drawn last, so that the other faults of a seed that failed before stay the same.
+    if rng.random() < ODD_LISTINGS_FRACTION:
+        at = round(rng.uniform(0.0, length_s), 2)
+        faults.append(Fault(at, 0.0, FaultKind.ODD_LISTINGS, target=0))
     return sorted(faults, key=lambda one: one.at)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -73,6 +73,8 @@
                 self._entry(fault).signal(signal.SIGHUP)
             case FaultKind.KEY_WITHDRAWN:
                 await self._deployment.withdraw_key()
+            case FaultKind.ODD_LISTINGS:
+                await self._deployment.write_odd_listings()
             case FaultKind.WAVE:
                 self._waves += 1
                 await self._deployment.request_wave(self._waves)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,8 @@
         # elsewhere. An acknowledgement in a poll for the previous incarnation made
         # the restarted endpoint drop a task's end.
         (1007, 10.0),
+        # Guards against odd entries in the list of endpoints that end each coordinator.
+        (3002, SHORT_SECONDS),
     ],
 )
 def test_soak_finds_no_violation(seed, length_s, tmp_path):
