Jobs with numbers out of range or deep nesting are refused with a reason

Cause: as for the entries of other writers: integers of any size were taken over, which a record can't hold, and RecursionError was not caught.

Change: submissions are decoded like the messages of the platform. Negative numbers are refused as well, but for the first due time.

--- a/hickoryplank/platform/ingress.py
+++ b/hickoryplank/platform/ingress.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from aiohttp import web
+from result import Err, Ok, Result
 
 from hickoryplank.coordinator.calls import (
     Accepted,
@@ -32,6 +33,7 @@
 from hickoryplank.core.ids import JobId
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.sizes import Size
+from hickoryplank.platform.decoding import Integer, Natural, decode_json
 
 __all__ = ["Ingress", "decode_submission"]
 
@@ -47,13 +49,13 @@
 
 
 class _Stage(msgspec.Struct):
-    count: int
+    count: Natural
     #: CPU that each task requests, in thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: list[int] = []
+    cpu: Natural = 0
+    mem_mb: Natural = 0
+    gpu: Natural = 0
+    estimate_ms: Natural = 0
+    after: list[Natural] = []
     #: The tasks store checkpoints, from which they can resume.
     checkpointing: bool = False
     gang: bool = False
@@ -61,35 +63,38 @@
     required_label: str = ""
     #: The rack near the data; on other racks the task takes longer.
     affinity: str = ""
-    max_per_server: int = 0
+    max_per_server: Natural = 0
     speculative: bool = False
     #: The tasks run until the job is cancelled.
     perpetual: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: Natural = 0
     #: The tasks use idle capacity; their ``cpu`` is not counted.
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Natural = 0
 
 
 class _Job(msgspec.Struct):
     job_stages: list[_Stage]
     spec: str = ""
     #: Number of timed occurrences; 0 for a job that runs once, now.
-    repeats: int = 0
-    first_ms: int = 0
-    period_ms: int = 0
+    repeats: Natural = 0
+    first_ms: Integer = 0
+    period_ms: Natural = 0
 
 
 _job_decoder = msgspec.json.Decoder(_Job)
 
 
-def decode_submission(body: bytes) -> Submission:
+def decode_submission(body: bytes) -> Result[Submission, str]:
     """Decode a job from the body of a request.
 
-    :raises msgspec.MsgspecError: if the body is malformed.
+    :return: the submission, or why the body is malformed.
     """
-    job = _job_decoder.decode(body)
+    return decode_json(_job_decoder, body).map(_submission)
+
+
+def _submission(job: _Job) -> Submission:
     return Submission(
         payload=job.spec,
         steps=tuple(_step(stage) for stage in job.job_stages),
@@ -227,9 +232,9 @@
             case "DELETE":
                 return Cancel(where, id)
             case "POST":
-                try:
-                    submission = decode_submission(await request.read())
-                except msgspec.MsgspecError as exc:
-                    return Faulty(str(exc))
-                return Submit(where, id, submission)
+                match decode_submission(await request.read()):
+                    case Ok(submission):
+                        return Submit(where, id, submission)
+                    case Err(detail):
+                        return Faulty(detail)
         return Faulty(f"method {request.method} is not supported")
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -157,3 +157,38 @@
 
 async def _answer() -> PendingIs:
     return PendingIs(0)
+
+
+def job_text(odd: str, field: str) -> str:
+    """Return the text of a job in which a field has an odd value."""
+    if field in ("repeats", "first_ms", "period_ms", "unknown"):
+        return json.dumps({**JOB, field: "ODD"}).replace('"ODD"', odd)
+    step = {**JOB["job_stages"][0], field: "ODD"}
+    return json.dumps({"job_stages": [step]}).replace('"ODD"', odd)
+
+
+# Guards against jobs that end the term of the coordinator, as their record can't be
+# encoded, or the entry's handling of the request.
+@pytest.mark.parametrize(
+    ("field", "odd"),
+    [
+        ("cpu", "9" * 30),
+        ("cpu", "-1"),
+        ("count", "9" * 400),
+        ("estimate_ms", "9" * 5000),
+        ("target_ms", "1e999"),
+        ("after", "[" + "9" * 30 + "]"),
+        ("repeats", "9" * 30),
+        ("repeats", "-1"),
+        ("first_ms", "9" * 30),
+        ("first_ms", "-" + "9" * 30),
+        ("period_ms", "-1"),
+        ("unknown", "[" * 50_000 + "]" * 50_000),
+    ],
+)
+async def test_jobs_with_odd_values_are_refused_with_a_reason(field, odd):
+    text = job_text(odd, field)
+    call, _, resp = await exchange(Accepted(), "POST", f"/p/{ID}", content=text)
+    assert call is None
+    assert resp.status_code == 400
+    assert resp.json()["error"]
