--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -89,7 +89,7 @@
         for endpoint in engine.endpoints.values():
             if endpoint in self._polled:
                 continue
-            # An entry with an unknown pool may be none of an endpoint, unless it has
+            # A listing with an unknown pool need not be an endpoint's, unless it has
             # runs from when its pool was known.
             if endpoint.listing.pool in pools or endpoint.runs:
                 self._polled.add(endpoint)
--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -75,6 +75,7 @@
                 if not placed:
                     room.refresh()
             else:
+                # Without any ticket, advice has been requested already.
                 placed = not allowed or _assign_gang(tables, row, step, allowed)
             if not placed and starts is not AllowedStarts.PREASSIGNED:
                 _request_more_advice(tables, row, step, room.endpoints, now)
@@ -124,7 +125,7 @@
     now: float,
     starts: AllowedStarts,
 ) -> bool:
-    """Assign the waiting tasks of a step; return whether none lacked room."""
+    """Assign the waiting tasks of a step; return false if any lacked room."""
     for task in list(step.waiting.values()):
         if task.not_before > now or task.run is not None:
             continue
@@ -147,7 +148,7 @@
 def _assign_gang(
     tables: EngineTables, row: JobRow, step: StepRow, endpoints: list[Endpoint]
 ) -> bool:
-    """Assign the tasks of a gang, all or none; return whether it did not lack room."""
+    """Assign the tasks of a gang, all or none; return false if they lacked room."""
     if len(step.waiting) < step.step.count:
         return True
     if any(task.run is not None for task in step.tasks):
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -220,16 +220,11 @@
 
         A job that runs once keeps them until it is dropped as a whole.
         """
-        rows = self.steps.get(occurrence)
-        if rows is None or not self.job.repeats:
-            return
-        if any(row.remaining for row in rows):
+        rows = self.steps.get(occurrence) if self.job.repeats else None
+        if rows is None or any(row.remaining for row in rows):
             return
-        if any(
-            task.run is not None or task.stored_assignment is not None
-            for row in rows
-            for task in row.tasks
-        ):
+        tasks = (task for row in rows for task in row.tasks)
+        if any(task.run or task.stored_assignment for task in tasks):
             return
         del self.steps[occurrence]
         self.ended_occurrences.add(occurrence)
--- a/hickoryplank/platform/endpoints.py
+++ b/hickoryplank/platform/endpoints.py
@@ -272,7 +272,7 @@
         )
     except (ValueError, OverflowError) as exc:
         return Err(CallFault(CallFaultKind.INVALID_ANSWER, str(exc)))
-    # Counted before unknown tasks are left out, as they take part of the list.
+    # Ends of unknown tasks count, as they are in the list of the executor.
     is_full = len(lists.ended) >= MAX_ENDS_PER_ANSWER
     if is_full:
         logger.info("report with a full list of ends", extra={"ends": len(ends)})
