--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -120,11 +120,16 @@
 
     async def stop(self) -> bool:
         """Stop the process; return whether it ended within the grace period."""
-        self.signal(signal.SIGTERM)
+        # Another stop that overlaps with this one may start the next process meanwhile.
+        process = self.process
+        if process is None or process.poll() is not None:
+            return True
+        process.send_signal(signal.SIGTERM)
         until = time.monotonic() + GRACE_SECONDS
-        while self.process is not None and self.process.poll() is None:
+        while process.poll() is None:
             if time.monotonic() > until:
-                self.kill()
+                process.kill()
+                process.wait()
                 return False
             await asyncio.sleep(0.05)
         return True
