Soak: timed jobs, some with an occurrence for each minute of ten years

The checker looks at due times, and takes a timed job that is said to be completed too early for a violation.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,7 +11,7 @@
 from hickoryplank.core.ids import JobId, TeamId
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.sizes import Size
-from tests.soak.checker import ObservedJob
+from tests.soak.checker import ObservedJob, Timing
 from tests.soak.deployment import HOST, KEPT_KEY, POOLS, WITHDRAWN_KEY, Deployment
 
 __all__ = ["Callers"]
@@ -32,6 +32,13 @@
 JOBS_PER_SECOND = 8.0
 CANCELLED_FRACTION = 0.12
 REPEATED_FRACTION = 0.2
+TIMED_FRACTION = 0.1
+MANY_OCCURRENCES_FRACTION = 0.02
+#: Each minute for ten years.
+MANY_OCCURRENCES = 10 * 365 * 24 * 60
+MINUTE_MS = 60_000
+#: Time after which the first of them is due, in milliseconds; longer than a run.
+FAR_MS = 120_000
 FINAL = ("completed", "failed", "cancelled")
 _TEAM_KEYS = {TeamId("rutas"): KEPT_KEY, TeamId("pagos"): WITHDRAWN_KEY}
 
@@ -56,6 +63,22 @@
     return (step(),)
 
 
+def draw_timing(rng: random.Random) -> Timing | None:
+    """Return the due times of a new job, or none if it runs at once.
+
+    Of a job with very many occurrences none is due within the run.
+    """
+    now_ms = int(time.time() * 1000)
+    kind = rng.random()
+    if kind < MANY_OCCURRENCES_FRACTION:
+        return Timing(MANY_OCCURRENCES, now_ms + FAR_MS, MINUTE_MS, 0)
+    if kind < TIMED_FRACTION:
+        repeats = rng.randint(1, 4)
+        period_ms = rng.choice((0, 100, 800))
+        return Timing(repeats, now_ms + rng.randint(-500, 1500), period_ms, repeats)
+    return None
+
+
 def encode_stage(step: Step) -> dict:
     """Return a step in the format of a request."""
     stage = {
@@ -114,6 +137,8 @@
             payload=f"payload {rng.random()}",
             steps=draw_steps(rng, lasting < MAX_LASTING_JOBS),
         )
+        if not job.lasting:
+            job.timing = draw_timing(random.Random(f"timing of {job.id}"))
         self._checker.jobs[job.id] = job
         return job
 
@@ -133,7 +158,14 @@
 
     def _body(self, job: ObservedJob) -> bytes:
         stages = [encode_stage(step) for step in job.steps]
-        return json.dumps({"spec": job.payload, "job_stages": stages}).encode()
+        body = {"spec": job.payload, "job_stages": stages}
+        if job.timing is not None:
+            body |= {
+                "repeats": job.timing.repeats,
+                "first_ms": job.timing.first_ms,
+                "period_ms": job.timing.period_ms,
+            }
+        return json.dumps(body).encode()
 
     async def _submit(self, job: ObservedJob, path: str, rng: random.Random) -> bool:
         until = time.monotonic() + MAX_RETRY_SECONDS
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -9,7 +9,7 @@
 from hickoryplank.jobs.sizes import ZERO, Size
 from tests.jobs.fake_endpoint import FakeEndpoint
 
-__all__ = ["InvariantChecker", "ObservedEndpoint", "ObservedJob"]
+__all__ = ["InvariantChecker", "ObservedEndpoint", "ObservedJob", "Timing"]
 
 #: Time after the answer to a cancellation from which no task of the job may start, in
 #: seconds: the bound that users require, and the longest time that a fault delays a
@@ -18,14 +18,32 @@
 #: Time after the withdrawal of a key from which it must not work, in seconds: the
 #: bound that users require.
 REVOKE_GRACE_SECONDS = 5.0
+#: Time by which a task may start before it is due, in milliseconds: the bound of the
+#: users.
+EARLY_MS = 250
 #: Multiple of its limit up to which a team may have tasks running.
 LIMIT_TOLERANCE_FACTOR = 1.1
 
 
+@dataclass(frozen=True)
+class Timing:
+    """Due times of a timed job.
+
+    :param first_ms: due time of the first occurrence, in Unix milliseconds.
+    :param due_count: occurrences that are due within the run.
+    """
+
+    repeats: int
+    first_ms: int
+    period_ms: int
+    due_count: int
+
+
 @dataclass
 class ObservedJob:
     """A job as observed by its caller and by endpoints.
 
+    :param timing: due times, if it is a timed job.
     :ivar sent: number of attempts to submit it.
     :ivar refused: number of those attempts that were answered as rejected.
     :ivar accepted_at: when the caller got the acceptance.
@@ -39,6 +57,7 @@
     team: TeamId
     payload: str
     steps: tuple[Step, ...]
+    timing: Timing | None = None
     sent: int = 0
     refused: int = 0
     accepted_at: float | None = None
@@ -56,15 +75,26 @@
     def all_refused(self) -> bool:
         return self.sent > 0 and self.sent == self.refused
 
-    def tasks(self, number: int) -> set[TaskKey]:
+    def tasks(self, number: int, occurrence: int = 0) -> set[TaskKey]:
         """Return the keys of the tasks of a step."""
         return {
-            TaskKey(self.id, 0, number, index)
+            TaskKey(self.id, occurrence, number, index)
             for index in range(self.steps[number].count)
         }
 
     def all_tasks(self) -> set[TaskKey]:
-        return set().union(*(self.tasks(n) for n in range(len(self.steps))))
+        """Return the keys of all tasks that are due within the run."""
+        occurrences = self.timing.due_count if self.timing is not None else 1
+        return {
+            key
+            for occurrence in range(occurrences)
+            for number in range(len(self.steps))
+            for key in self.tasks(number, occurrence)
+        }
+
+    @property
+    def ends_within_run(self) -> bool:
+        return self.timing is None or self.timing.due_count == self.timing.repeats
 
 
 @dataclass
@@ -136,8 +166,12 @@
 
     def _check_job(self, job: ObservedJob, key: TaskKey, endpoint: "ObservedEndpoint"):
         step = job.steps[key.step]
+        if job.timing is not None:
+            due_ms = job.timing.first_ms + key.occurrence * job.timing.period_ms
+            if time.time() * 1000 < due_ms - EARLY_MS:
+                self.report_violation("order", f"{key} before its time")
         for before in step.after:
-            if not job.tasks(before) <= job.done:
+            if not job.tasks(before, key.occurrence) <= job.done:
                 self.report_violation("order", f"{key} before step {before} was done")
         if job.cancelled_at is not None:
             delay_s = time.monotonic() - job.cancelled_at
@@ -147,7 +181,7 @@
                 )
         task_count = sum(
             1
-            for other in job.tasks(key.step)
+            for other in job.tasks(key.step, key.occurrence)
             if endpoint in self.running.get(other, ())
         )
         if step.max_per_endpoint and task_count > step.max_per_endpoint:
@@ -215,7 +249,9 @@
     def note_state(self, job: ObservedJob, state: str) -> None:
         """Record a state from an answer, and check it against the observed ends."""
         job.state = state
-        if state == "completed" and not job.all_tasks() <= job.done:
+        if state == "completed" and not (
+            job.ends_within_run and job.all_tasks() <= job.done
+        ):
             self.report_violation(
                 "state", f"{job.id} completed although not all of its tasks are done"
             )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,14 @@
 """Short soak runs, seeds of former failures, and tests of the soak's checker."""
 
+import time
+
 import pytest
 
 from hickoryplank.core.ids import EndpointId, JobId, TeamId
 from hickoryplank.jobs.messages import StartOutcome
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import Size
-from tests.soak.checker import InvariantChecker, ObservedEndpoint, ObservedJob
+from tests.soak.checker import InvariantChecker, ObservedEndpoint, ObservedJob, Timing
 from tests.soak.fault_plan import FaultKind, draw_faults
 from tests.soak.run import soak
 
@@ -154,3 +156,31 @@
     start(a, 0, 0)
     start(a if same_endpoint else b, 0, 1)
     assert [line.split(":")[0] for line in checker.violations] == violations
+
+
+@pytest.mark.parametrize(
+    ("due_in_ms", "occurrence", "violations"),
+    [
+        (-100, 0, []),
+        (200, 0, []),
+        (5000, 0, ["order"]),
+        (-100, 1, ["order"]),
+        (-100, 2, ["unasked"]),
+    ],
+)
+def test_checker_detects_starts_before_their_time(due_in_ms, occurrence, violations):
+    checker, (a, _) = new_checker()
+    first_ms = int(time.time() * 1000) + due_in_ms
+    timing = Timing(repeats=3, first_ms=first_ms, period_ms=5000, due_count=2)
+    steps = (Step(1, Size(100, 100)),)
+    checker.jobs[JOB] = ObservedJob(JOB, TEAM, "payload", steps, timing)
+    a.start(TaskKey(JOB, occurrence, 0, 0), 1, "payload", 60_000, 1)
+    assert [line.split(":")[0] for line in checker.violations] == violations
+
+
+def test_checker_detects_a_timed_job_that_is_completed_too_early():
+    checker, _ = new_checker()
+    timing = Timing(repeats=3, first_ms=0, period_ms=0, due_count=0)
+    job = ObservedJob(JOB, TEAM, "payload", (Step(1, Size(1, 1)),), timing)
+    checker.note_state(job, "completed")
+    assert [line.split(":")[0] for line in checker.violations] == ["state"]
