--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,8 @@
         (1007, 10.0),
         # Guards against odd entries in the list of endpoints that end each coordinator.
         (3002, SHORT_SECONDS),
+        # Guards against ticks that go through all occurrences of a timed job.
+        (3020, 10.0),
         # Guards against a fault of the soak: of two stops that overlap, the second one
         # waited for the end of the next process, which it had not signalled.
         (2105523503, 10.0),
