A VM isn't ordered away while runs are stored for its unlisted endpoint

Cause: the next coordinator took a VM whose endpoint wasn't back in the list for empty, though the store names what its predecessor started there.

The order of a wave's VMs counts these runs. Ruled out: moves, which take only VMs with a listed endpoint that has confirmed the token, or from standby.

Shown: the new test in test_coordinator.py failed before (both tasks ended by one order).

--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -22,7 +22,7 @@
 )
 from hickoryplank.core.ids import VmId, WaveId
 from hickoryplank.jobs.engine import Engine
-from hickoryplank.jobs.evacuation import evacuate, is_empty, uncordon
+from hickoryplank.jobs.evacuation import continue_evacuation, uncordon
 from hickoryplank.jobs.maintenance import ActiveWave, begin_maintenance, is_wave_done
 from hickoryplank.jobs.rebalancing import DemandHistory, rebalance_pools
 from hickoryplank.jobs.records import VmOrder, WaveProgress, encode_order, encode_wave
@@ -47,9 +47,6 @@
 LIST_INTERVAL_SECONDS = 0.4
 #: Time between two reads of the VM list otherwise, in seconds.
 IDLE_LIST_INTERVAL_SECONDS = 2.0
-#: Grace period for tasks on a VM that is being evacuated, in seconds. After it the
-#: operation is ordered even if tasks still run, unless one of them is lasting.
-EVACUATION_GRACE_SECONDS = 5.0
 #: Fraction of the configured duration of an operation before which the VM is not
 #: expected back. The platform may be faster than the configured duration.
 MIN_OUTAGE_FRACTION = 0.8
@@ -298,18 +295,8 @@
                 await self._report_completion(wave)
 
     def _is_evacuated(self, engine: Engine, operation: VmOperation) -> bool:
-        now = self._clock.now()
-        endpoint = engine.endpoint_of(self._table.rows[operation.vm].listing.endpoint)
-        if endpoint is None:
-            return True
-        endpoint.cordoned = True
-        evacuate(engine, endpoint, now)
-        if is_empty(endpoint):
-            return True
-        grace_expired = now - operation.phase_since > EVACUATION_GRACE_SECONDS
-        return grace_expired and not any(
-            run.step.lasting for run in endpoint.runs.values()
-        )
+        id = self._table.rows[operation.vm].listing.endpoint
+        return continue_evacuation(engine, operation, id, self._clock.now())
 
     async def _send_order(
         self, engine: Engine, journal: Journal, operation: VmOperation, token: int
--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -1,12 +1,17 @@
 """Evacuation of endpoints whose VMs are to be moved or maintained."""
 
+from hickoryplank.core.ids import EndpointId
 from hickoryplank.jobs.endpoints import Endpoint, Run, RunState
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.placement import choose_endpoint
 from hickoryplank.jobs.table import StepRow
-from hickoryplank.jobs.vms import VmRow
+from hickoryplank.jobs.vms import VmOperation, VmRow
 
-__all__ = ["is_empty", "evacuate", "uncordon"]
+__all__ = ["continue_evacuation", "evacuate", "is_empty", "run_count", "uncordon"]
+
+#: Grace period for tasks on a VM that is being evacuated, in seconds. After it the
+#: operation is ordered even if tasks still run, unless one of them is lasting.
+EVACUATION_GRACE_SECONDS = 5.0
 
 
 def is_empty(endpoint: Endpoint) -> bool:
@@ -14,6 +19,39 @@
     return not endpoint.runs
 
 
+def run_count(engine: Engine, id: EndpointId | None) -> int:
+    """Return the number of runs that an endpoint has, or may have.
+
+    What is stored as assigned to an endpoint that isn't listed may run there.
+    """
+    endpoint = engine.endpoint_of(id)
+    if endpoint is not None:
+        return len(endpoint.runs)
+    return len(engine.unlisted_assignments.get(id, ())) if id is not None else 0
+
+
+def continue_evacuation(
+    engine: Engine, operation: VmOperation, id: EndpointId | None, now: float
+) -> bool:
+    """Evacuate the endpoint of a VM; return whether the VM may be taken out of service.
+
+    An endpoint that isn't listed can't be evacuated. The VM has to wait until it is
+    listed again, or until the leases of its runs have expired.
+
+    :param operation: the operation for which the VM is evacuated.
+    :param id: the endpoint of the VM, if it has one.
+    """
+    endpoint = engine.endpoint_of(id)
+    if endpoint is None:
+        return run_count(engine, id) == 0
+    endpoint.cordoned = True
+    evacuate(engine, endpoint, now)
+    if is_empty(endpoint):
+        return True
+    grace_expired = now - operation.phase_since > EVACUATION_GRACE_SECONDS
+    return grace_expired and not any(run.step.lasting for run in endpoint.runs.values())
+
+
 def uncordon(engine: Engine, row: VmRow) -> None:
     """Allow new runs on the endpoint of a VM that stays in its pool."""
     endpoint = engine.endpoint_of(row.listing.endpoint)
--- a/hickoryplank/jobs/maintenance.py
+++ b/hickoryplank/jobs/maintenance.py
@@ -6,6 +6,7 @@
 
 from hickoryplank.core.ids import PoolId, VmId, WaveId
 from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.evacuation import run_count
 from hickoryplank.jobs.records import WaveProgress
 from hickoryplank.jobs.vms import (
     MaintenanceDue,
@@ -166,8 +167,7 @@
 
 def _rank(row: VmRow, engine: Engine, urgent: set[PoolId]) -> tuple[int, int, int]:
     pool = row.listing.pool
-    endpoint = engine.endpoint_of(row.listing.endpoint)
-    runs = len(endpoint.runs) if endpoint is not None else 0
+    runs = run_count(engine, row.listing.endpoint)
     return (pool not in urgent, not _is_standby(pool, engine), runs)
 
 
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -36,6 +36,7 @@
 from hickoryplank.coordinator.ports import ListedVm, Topic, VmState, WaveOrder
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
 from hickoryplank.core.ids import EndpointId, JobId, PoolId, VmId, WaveId, Zone
+from hickoryplank.jobs import evacuation
 from hickoryplank.jobs.configuration import Configuration, Pool
 from hickoryplank.jobs.engine import EngineTiming
 from hickoryplank.jobs.model import Step
@@ -597,6 +598,37 @@
         assert time.time() - ordered_at >= entry.context.vm_bounds.orders_apart_s + 0.9
 
 
+async def test_vm_is_not_ordered_away_while_its_runs_are_only_known_from_the_store():
+    """Guards against maintenance of VMs whose endpoints aren't listed after a takeover.
+
+    Such a VM was taken for empty, so that the order ended what ran there.
+    """
+    platform = Platform(work_ms=lambda key: None, count=3)
+    platform.vms.on_down = lambda vm: ended_by_order.extend(
+        platform.fake_endpoints[vm.endpoint].running
+    )
+    ended_by_order: list = []
+    await platform.open()
+    former = Entry(platform, "a")
+    async with running(former):
+        await wait_until(lambda: former.serving)
+        step = Step(2, TASK, lasting=True, max_per_endpoint=1, may_miss=1)
+        await former.local_coordinator.answer(submit("j", step))
+        await wait_until(lambda: _started(platform) == 2)
+    for id in platform.fake_endpoints:
+        await platform.store.append(Topic.LISTINGS, [Record(id, b"")], None)
+    await platform.request_wave(within_s=20.0, max_concurrent=3)
+    entry = Entry(platform, "b")
+    async with running(entry):
+        await wait_until(lambda: bool(platform.vms.orders))
+        await anyio.sleep(0.5)
+        assert (ended_by_order, len(platform.vms.orders)) == ([], 1)
+        for id in platform.fake_endpoints:
+            await platform.store.append(Topic.LISTINGS, [Record(id, b"listed")], None)
+        await wait_until(lambda: len(platform.vms.orders) == 3)
+    assert ended_by_order == []
+
+
 async def test_open_calls_are_answered_before_the_lease_is_released():
     platform = Platform()
     await platform.open()
@@ -674,7 +706,7 @@
 
 
 async def test_order_that_was_carried_out_before_ends_no_runs(monkeypatch):
-    monkeypatch.setattr(vm_controller, "EVACUATION_GRACE_SECONDS", 0.2)
+    monkeypatch.setattr(evacuation, "EVACUATION_GRACE_SECONDS", 0.2)
     platform = Platform(work_ms=lambda key: 2500.0)
     await platform.open()
     entry = Entry(platform, "a")
