Tasks on silent endpoints count as unavailable in disruption budgets

Cause: a task on an endpoint that doesn't answer counted as in full operation until its leases had lapsed, so that an evacuation could stop as many others of its step as if it were.

Change: nothing is known of such a task, so it counts as unavailable. The wave goes on once the endpoint answers or its runs are given up.

--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -4,7 +4,7 @@
 from hickoryplank.jobs.endpoints import Endpoint, Run, RunState
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.placement import choose_endpoint
-from hickoryplank.jobs.table import StepRow
+from hickoryplank.jobs.table import StepRow, Task
 from hickoryplank.jobs.vms import VmOperation, VmRow
 
 __all__ = ["continue_evacuation", "evacuate", "is_empty", "run_count", "uncordon"]
@@ -90,6 +90,16 @@
 def _budget_allows(step: StepRow, run: Run) -> bool:
     """Return whether the disruption budget of the step allows stopping the run."""
     others_unavailable = sum(
-        1 for task in step.tasks if not task.working and task.run is not run
+        1 for task in step.tasks if task.run is not run and not _is_available(task)
     )
     return others_unavailable < max(1, step.step.may_miss)
+
+
+def _is_available(task: Task) -> bool:
+    """Return whether a lasting task is known to be in full operation.
+
+    Nothing is known of a task on a silent endpoint.
+    """
+    return (
+        task.working and task.run is not None and task.run.endpoint.silent_since is None
+    )
