Stops of a former coordinator count against disruption budgets

Cause: a run that is being stopped stays in its endpoint's reports until it has ended, which takes up to 0.9 s on the platform. A coordinator that takes over from one that released its lease has read these reports within about 0.1 s. It took the tasks for available, and could stop as many others of their step.

Change: a task counts as available only by a report that came later than stop_grace_ms after its endpoint accepted the coordinator's token. Earlier stops have ended by then, and later ones of former coordinators are refused. The bound is a setting, from the platform's; without it, 1 s.

--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -117,6 +117,7 @@
                 FORMER_LEASE_SECONDS,
                 cfg.lease_max_ms,
                 cfg.status_s * STATUS_RETENTION_FACTOR,
+                cfg.stop_grace_ms,
             ),
             vms=PlatformVms(self._client, cfg.vms, cfg.name),
             operator=operator,
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -22,6 +22,7 @@
     :param grace_s: grace period from SIGTERM until the process is killed, in
         seconds.
     :param lease_max_ms: longest lease that endpoints grant, in ms.
+    :param stop_grace_ms: longest time from a stop order until the run has ended, in ms.
     :param move_s: duration of the move of a VM, in seconds.
     :param maintenance_s: duration of the maintenance of a VM, in seconds.
     :param orders_apart_ms: minimum time between orders for one VM by two
@@ -48,6 +49,7 @@
     move_s: float
     maintenance_s: float
     orders_apart_ms: int
+    stop_grace_ms: int = 1000
     orders_per_s: float = 64.0
     status_s: float = 120.0
     cpu_share: float = 1.0
@@ -65,6 +67,7 @@
     "bounds": (
         "grace_s",
         "lease_max_ms",
+        "stop_grace_ms",
         "move_s",
         "maintenance_s",
         "orders_apart_ms",
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -147,8 +147,9 @@
         #: Time of the first unanswered call since the last answer; none if there is no
         #: such call. While it is set, no run is assigned here and no lease extended.
         self.silent_since: float | None = None
-        #: Whether the endpoint has accepted this coordinator's fencing token.
-        self.token_confirmed = False
+        #: Time of the first report in which the endpoint had accepted this
+        #: coordinator's fencing token; none before it.
+        self.token_confirmed_at: float | None = None
         #: Latest reading of the clock of the endpoint, 0 before the first, and the
         #: time at which it arrived, by the local clock.
         self.clock_ms = 0
@@ -177,6 +178,16 @@
         #: Whether the VM awaits maintenance; lasting tasks prefer other endpoints.
         self.maintenance_due = False
 
+    @property
+    def token_confirmed(self) -> bool:
+        """Whether the endpoint has accepted this coordinator's fencing token."""
+        return self.token_confirmed_at is not None
+
+    def reported_since_confirmation(self, seconds: float) -> bool:
+        """Return whether a report came so long after the token was first accepted."""
+        confirmed_at = self.token_confirmed_at
+        return confirmed_at is not None and self.reported_at >= confirmed_at + seconds
+
     @property
     def draining(self) -> bool:
         """Whether the listing says that the endpoint is draining, or is gone."""
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -34,6 +34,7 @@
         may last.
     :param max_lease_ms: longest lease that an endpoint grants, whatever is requested.
     :param retention_seconds: retention period of a job that has ended.
+    :param stop_grace_ms: longest time from a stop order until the run has ended.
     """
 
     def __init__(
@@ -43,12 +44,14 @@
         former_lease_seconds: float,
         max_lease_ms: int,
         retention_seconds: float,
+        stop_grace_ms: int,
     ):
         self.lease_ms = lease_ms
         self.poll_wait_ms = poll_wait_ms
         self.former_lease_seconds = former_lease_seconds
         self.max_lease_ms = max_lease_ms
         self.retention_seconds = retention_seconds
+        self.stop_grace_ms = stop_grace_ms
 
 
 class EndedJob(msgspec.Struct, frozen=True):
--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -74,7 +74,7 @@
     if row is None or row.state.final:
         return
     step = row.step_of(run.key)
-    if not _budget_allows(step, run):
+    if not _budget_allows(engine, step, run):
         return
     others = [
         one
@@ -87,19 +87,27 @@
     engine.stop(run, now, "its VM is to leave")
 
 
-def _budget_allows(step: StepRow, run: Run) -> bool:
+def _budget_allows(engine: Engine, step: StepRow, run: Run) -> bool:
     """Return whether the disruption budget of the step allows stopping the run."""
     others_unavailable = sum(
-        1 for task in step.tasks if task.run is not run and not _is_available(task)
+        1
+        for task in step.tasks
+        if task.run is not run and not _is_available(engine, task)
     )
     return others_unavailable < max(1, step.step.may_miss)
 
 
-def _is_available(task: Task) -> bool:
+def _is_available(engine: Engine, task: Task) -> bool:
     """Return whether a lasting task is known to be in full operation.
 
-    Nothing is known of a task on a silent endpoint.
+    Nothing is known of a task on a silent endpoint. Once an endpoint has accepted the
+    token of this coordinator, it refuses stops of former ones; those that it accepted
+    before may end a task that it still reports.
     """
-    return (
-        task.working and task.run is not None and task.run.endpoint.silent_since is None
+    if task.run is None or not task.working:
+        return False
+    endpoint = task.run.endpoint
+    stop_grace_s = engine.timing.stop_grace_ms / 1000
+    return endpoint.silent_since is None and endpoint.reported_since_confirmation(
+        stop_grace_s
     )
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -88,7 +88,7 @@
         endpoint.confirmed_ack_number, endpoint.sent_ack_number
     )
     if not endpoint.token_confirmed:
-        endpoint.token_confirmed = True
+        endpoint.token_confirmed_at = now
         _record_initial_leases(tables, endpoint, report.clock_ms)
     for end in report.ends:
         if end.number > endpoint.last_end_number:
