Endpoints that are listed while their VM is ordered away are cordoned

Cause: a cordon was an attribute of a listed endpoint. One that came back into the list, or began a new incarnation, after its VM had been ordered away could be given tasks, and the order, repeated until the platform took it, ended them.

Change: the engine is told the endpoints of all VMs that are to leave, whether they are listed or not, and cordons them from their first listing on.

Shown: the new test in test_coordinator.py failed before (two starts, one of them on the VM that was ordered away). The Hypothesis machine has the case, but 600 plays with the change taken out didn't meet it.

--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -132,6 +132,7 @@
             now = self._clock.now()
             if await self._refresh_vm_list(engine, now) and self._lease.valid():
                 self._plan_operations(engine, now)
+                engine.cordon(self._table.leaving_endpoints())
                 if not journal.failing:
                     await self._run_operations(engine, journal, token)
 
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -118,6 +118,20 @@
         if known is not None:
             known.listed = False
 
+    def cordon(self, leaving: frozenset[EndpointId]) -> None:
+        """Allow no new runs on the endpoints of VMs that are to leave.
+
+        This includes endpoints that are listed, or begin a new incarnation, only later:
+        the platform may carry out an order for their VM at any time.
+
+        :param leaving: all such endpoints, in place of those of the last call.
+        """
+        self.leaving = leaving
+        for id in leaving:
+            endpoint = self.endpoint_of(id)
+            if endpoint is not None:
+                endpoint.cordoned = True
+
     def end_incarnation(self, endpoint: Endpoint, now: float) -> None:
         """End an incarnation of an endpoint, and all runs on it."""
         incarnations.end_incarnation(self, endpoint, now)
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -78,6 +78,8 @@
         #: Jobs that have not ended.
         self.open_jobs: dict[JobId, JobRow] = {}
         self.endpoints: dict[EndpointId, Endpoint] = {}
+        #: Endpoints that are to be cordoned whenever they are listed.
+        self.leaving: frozenset[EndpointId] = frozenset()
         self.team_usage = TeamUsage()
         self.rate_limiter = TeamRateLimiter()
         #: Time of the first job other than a lasting one, by pool.
--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -39,12 +39,11 @@
     listed again, or until the leases of its runs have expired.
 
     :param operation: the operation for which the VM is evacuated.
-    :param id: the endpoint of the VM, if it has one.
+    :param id: the endpoint of the VM, if it has one; it has been cordoned.
     """
     endpoint = engine.endpoint_of(id)
     if endpoint is None:
         return run_count(engine, id) == 0
-    endpoint.cordoned = True
     evacuate(engine, endpoint, now)
     if is_empty(endpoint):
         return True
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -28,6 +28,7 @@
     fresh.former_leases_until = (
         tables.term_started_at + tables.timing.former_lease_seconds
     )
+    fresh.cordoned = listing.id in tables.leaving
     if known is not None:
         _carry_over_runs(tables, known, fresh, now)
         end_incarnation(tables, known, now)
--- a/hickoryplank/jobs/vms.py
+++ b/hickoryplank/jobs/vms.py
@@ -114,6 +114,19 @@
         """Return the VMs of a pool, according to the last list."""
         return [row for row in self.rows.values() if row.listing.pool == pool]
 
+    def leaving_endpoints(self) -> frozenset[EndpointId]:
+        """Return the endpoints of the VMs that are to be, or may be, ordered away.
+
+        Once an order has been carried out, what the VM returns with may be used.
+        """
+        return frozenset(
+            row.listing.endpoint
+            for row in self.rows.values()
+            if row.operation is not None
+            and row.operation.phase is not OperationPhase.AWAITING_RETURN
+            and row.listing.endpoint is not None
+        )
+
     def operations(self) -> list[VmOperation]:
         """Return all operations in progress."""
         return [
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -33,7 +33,13 @@
 from hickoryplank.coordinator.lease import Holder, LeaseManager
 from hickoryplank.coordinator.metrics import EntryMetrics
 from hickoryplank.coordinator.operator_watcher import OperatorWatcher
-from hickoryplank.coordinator.ports import ListedVm, Topic, VmState, WaveOrder
+from hickoryplank.coordinator.ports import (
+    ListedVm,
+    OrderOutcome,
+    Topic,
+    VmState,
+    WaveOrder,
+)
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
 from hickoryplank.core.ids import EndpointId, JobId, PoolId, VmId, WaveId, Zone
 from hickoryplank.jobs import evacuation
@@ -629,6 +635,46 @@
     assert ended_by_order == []
 
 
+async def test_nothing_starts_on_a_vm_whose_order_is_under_way(monkeypatch):
+    """Guards against starts on an endpoint that is listed after its VM was ordered.
+
+    The order, which the platform accepts only later, ended what ran there.
+    """
+    platform = Platform(work_ms=lambda key: None, count=2)
+    ended_by_order: list = []
+    platform.vms.on_down = lambda vm: ended_by_order.extend(
+        platform.fake_endpoints[vm.endpoint].running
+    )
+    await platform.open()
+    late = EndpointId("e0")
+    await platform.store.append(Topic.LISTINGS, [Record(late, b"")], None)
+    maintain, accepting, attempts = platform.vms.maintain, False, 0
+
+    async def maintain_once_accepting(vm, wave, token, permitted):
+        nonlocal attempts
+        attempts += 1
+        if not accepting:
+            return OrderOutcome.NOT_DONE
+        return await maintain(vm, wave, token, permitted)
+
+    monkeypatch.setattr(platform.vms, "maintain", maintain_once_accepting)
+    del platform.vms.vms[VmId("m-e1")]
+    entry = Entry(platform, "a")
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        await platform.request_wave(max_concurrent=1)
+        await wait_until(lambda: attempts > 0)
+        await platform.store.append(Topic.LISTINGS, [Record(late, b"listed")], None)
+        step = Step(2, TASK, lasting=True, max_per_endpoint=1, may_miss=1)
+        await entry.local_coordinator.answer(submit("j", step))
+        await wait_until(lambda: late in entry.local_coordinator.engine.endpoints)
+        await anyio.sleep(0.5)
+        accepting = True
+        await wait_until(lambda: bool(platform.vms.orders))
+    assert _started(platform) == 1
+    assert ended_by_order == []
+
+
 async def test_open_calls_are_answered_before_the_lease_is_released():
     platform = Platform()
     await platform.open()
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -206,6 +206,7 @@
         """Keep a VM in service that was to be evacuated."""
         assume(id in self.operations)
         self.operations.pop(id)
+        self.driver.engine.cordon(frozenset(self.operations) | self.ordered)
         endpoint = self.driver.engine.endpoint_of(id)
         if endpoint is not None:
             endpoint.cordoned = False
@@ -213,12 +214,13 @@
     @rule()
     def carry_out_orders(self) -> None:
         """Take VMs out of service, and return them at once with new incarnations."""
-        for id in sorted(self.ordered):
+        carried_out, self.ordered = sorted(self.ordered), set()
+        self.driver.engine.cordon(frozenset(self.operations))
+        for id in carried_out:
             ended = self._in_operation(id)
             self.ledger.check_budgets(ended)
             self.ledger.stopped |= ended
             self.driver.restart_endpoint(id)
-        self.ordered.clear()
 
     def _in_operation(self, id: EndpointId) -> set[TaskKey]:
         """Return the lasting tasks of open jobs that are in full operation."""
@@ -265,8 +267,9 @@
 
     def evacuate_vms(self) -> None:
         """Go on with the operations on VMs, and check the disruption budgets."""
+        engine = self.driver.engine
+        engine.cordon(frozenset(self.operations) | self.ordered)
         for id, operation in list(self.operations.items()):
-            engine = self.driver.engine
             before = set(engine.stop_repeat_at)
             if continue_evacuation(engine, operation, id, self.driver.now):
                 del self.operations[id]
@@ -333,6 +336,7 @@
     def turn_well(self) -> None:
         self.operations.clear()
         self.ordered.clear()
+        self.driver.engine.cordon(frozenset())
         self.driver.unlisted = set()
         for id, fake in self.driver.endpoints.items():
             fake.failing = fake.stalled = False
--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -25,6 +25,7 @@
 
 
 def evacuate_vm(driver: Driver, id: EndpointId) -> bool:
+    driver.engine.cordon(frozenset([id]))
     operation = VmOperation(
         VmId(f"m-{id}"), None, WaveId("1"), OperationPhase.EVACUATING, driver.now
     )
