--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -22,7 +22,7 @@
 )
 from hickoryplank.core.ids import VmId, WaveId
 from hickoryplank.jobs.engine import Engine
-from hickoryplank.jobs.evacuation import continue_evacuation, uncordon
+from hickoryplank.jobs.evacuation import continue_evacuation, run_count, uncordon
 from hickoryplank.jobs.maintenance import ActiveWave, begin_maintenance, is_wave_done
 from hickoryplank.jobs.rebalancing import DemandHistory, rebalance_pools
 from hickoryplank.jobs.records import VmOrder, WaveProgress, encode_order, encode_wave
@@ -222,6 +222,7 @@
                             "vm": operation.vm,
                             "wave": operation.wave,
                             "left": len(wave.vms) - len(wave.done),
+                            **self._describe_endpoint(engine, operation.vm),
                         },
                     )
 
@@ -246,9 +247,19 @@
                     "vm": operation.vm,
                     "from": self._table.rows[operation.vm].listing.pool,
                     "to": operation.pool,
+                    **self._describe_endpoint(engine, operation.vm),
                 },
             )
 
+    def _describe_endpoint(self, engine: Engine, vm: VmId) -> dict:
+        """Return log fields for what an operation on a VM is decided by."""
+        id = self._table.rows[vm].listing.endpoint
+        return {
+            "endpoint": id,
+            "listed": engine.endpoint_of(id) is not None,
+            "runs": run_count(engine, id),
+        }
+
     def _active_wave(self, order: WaveOrder) -> ActiveWave:
         wave = self._waves.get(order.id)
         if wave is None:
