Specification of evacuations; the soak lapses entries of endpoints

What should have met the fault of the unlisted endpoints, and didn't: no specification had VMs, and the soak's list of endpoints was always whole.

The soak has outages of the store in which all entries lapse, with a take-over and a wave, and holds what orders end against the budgets of steps. Kinds that are drawn last keep the faults of former seeds as they were.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -6,6 +6,7 @@
 from spec.claims import CLAIMS
 from spec.coordinator import COORDINATOR
 from spec.escrow import ESCROW
+from spec.evacuation import EVACUATION
 from spec.fold import FOLD
 from spec.freshness import FRESHNESS
 from spec.lease import LEASE
@@ -13,7 +14,16 @@
 
 __all__ = ["MECHANISMS", "main"]
 
-MECHANISMS = (FOLD, FRESHNESS, ESCROW, CLAIMS, COORDINATOR, LEASE, SUBMISSIONS)
+MECHANISMS = (
+    FOLD,
+    FRESHNESS,
+    ESCROW,
+    CLAIMS,
+    COORDINATOR,
+    EVACUATION,
+    LEASE,
+    SUBMISSIONS,
+)
 
 
 def main() -> int:
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -246,6 +246,21 @@
             endpoints.discard(endpoint)
         self.note_lapsed(endpoint)
 
+    def note_ordered_away(self, endpoint: "ObservedEndpoint") -> None:
+        """Check what the order of a VM ends against the budgets of steps."""
+        for job in self.jobs.values():
+            if not job.lasting or job.cancel_sent:
+                continue
+            for number, step in enumerate(job.steps):
+                keys = job.tasks(number)
+                ended = keys & endpoint.in_operation()
+                if step.may_miss and len(ended) > step.may_miss:
+                    self.report_violation(
+                        "budget",
+                        f"order for the VM of {endpoint.id} ended {len(ended)} tasks of"
+                        f" {job.id}, of which {step.may_miss} may be missing",
+                    )
+
     def note_state(self, job: ObservedJob, state: str) -> None:
         """Record a state from an answer, and check it against the observed ends."""
         job.state = state
@@ -313,6 +328,14 @@
                     self._checker.note_acknowledged(self, end.number)
         return super().poll(token, last_seen, until_ms)
 
+    def in_operation(self) -> set[TaskKey]:
+        """Return the tasks in full operation that aren't being stopped."""
+        return {
+            run.key
+            for run in self.running.values()
+            if run.percent >= 100 and run.stopping_ms is None
+        }
+
     def advance(self, ms):
         super().advance(ms * self._rate)
         if self.clock_ms > self.until_ms:
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -35,6 +35,8 @@
 POOLS = ("norte", "costa")
 STANDBY = "socios"
 VMS_PER_POOL = 4
+#: VMs of one maintenance wave.
+WAVE_VMS = 4
 LIMITS = {TeamId("rutas"): Size(9000), TeamId("pagos"): Size(6000)}
 ZONES = ("talcahuano", "concepcion", "coronel")
 #: Time for which an order takes a VM out of service, in seconds.
@@ -266,9 +268,14 @@
             await self.publish()
             self.checker.withdrawn_at[WITHDRAWN_KEY] = time.monotonic()
 
-    async def request_wave(self, number: int) -> None:
-        """Request a maintenance wave for four random VMs."""
-        machines = self._rng.sample(sorted(self.vms.vms), 4)
+    async def request_random_wave(self, number: int) -> None:
+        """Request a maintenance wave for random VMs."""
+        await self.request_wave(
+            number, self._rng.sample(sorted(self.vms.vms), WAVE_VMS)
+        )
+
+    async def request_wave(self, number: int, machines: list[VmId]) -> None:
+        """Request a maintenance wave."""
         wave = {"wave": number, "machines": machines, "deadline_s": 20, "cap": 2}
         await self._write(Topic.OPERATOR, f"wave/{number}", wave)
 
@@ -297,6 +304,9 @@
 
     def _take_down(self, vm: ListedVm) -> None:
         assert vm.endpoint is not None
+        ordered_away = self.endpoints.endpoints.get(vm.endpoint)
+        if isinstance(ordered_away, ObservedEndpoint):
+            self.checker.note_ordered_away(ordered_away)
         self._end_incarnation(vm.endpoint)
         self._write_listing(vm.endpoint, None)
 
@@ -314,6 +324,31 @@
             self._end_incarnation(row.endpoint)
             self._begin_incarnation(row)
 
+    def lapse_listings(self) -> list[VmId]:
+        """Remove all endpoints from the list, and return their VMs."""
+        vms = sorted(set(self.vms.vms) - set(self.vms.unavailable))
+        for vm in vms:
+            self._write_listing(self.vms.vms[vm].endpoint, None)
+        return vms
+
+    def vms_with_lasting_tasks(self) -> list[VmId]:
+        """Return the VMs on which lasting tasks run, those with most of them first."""
+        counts = {
+            id: sum(run.work_ms is None for run in endpoint.running.values())
+            for id, vm in sorted(self.vms.vms.items())
+            if (endpoint := self.endpoints.endpoints.get(vm.endpoint)) is not None
+        }
+        busy = [id for id, count in counts.items() if count]
+        return sorted(busy, key=lambda id: counts[id], reverse=True)[:WAVE_VMS]
+
+    def relist(self, vms: list[VmId]) -> None:
+        """List the endpoints of VMs again, as far as these are in service."""
+        for id in vms:
+            vm = self.vms.vms[id]
+            endpoint = self.endpoints.endpoints.get(vm.endpoint)
+            if id not in self.vms.unavailable and endpoint is not None:
+                self._write_listing(vm.endpoint, self._listing(vm, endpoint.born_ms))
+
     def _begin_incarnation(self, vm: ListedVm) -> None:
         born_ms = time.time_ns() // 1_000_000
         self.endpoints.endpoints[vm.endpoint] = ObservedEndpoint(
--- a/tests/soak/fault_plan.py
+++ b/tests/soak/fault_plan.py
@@ -16,6 +16,13 @@
 BURST_FRACTION = 0.3
 #: Fraction of the seeds with odd entries in the list of endpoints.
 ODD_LISTINGS_FRACTION = 0.5
+#: Fraction of the seeds in which entries of endpoints are missing during a take-over.
+LISTINGS_LAPSED_FRACTION = 0.5
+#: Duration of the outage of the store in which entries lapse, in seconds. It is longer
+#: than another entry needs to take over.
+LAPSE_OUTAGE_SECONDS = 2.5
+#: Time from the lapse until the coordinator is killed, in seconds.
+TAKE_OVER_DELAY_SECONDS = 0.2
 
 
 class FaultKind(Enum):
@@ -44,9 +51,13 @@
     ENDPOINT_FAILING = "endpoint fails all its runs"
     KEY_WITHDRAWN = "key withdrawn"
     WAVE = "maintenance wave"
+    LISTINGS_LAPSED = "wave, and an outage of the store in which entries lapse"
     ODD_LISTINGS = "odd entries of another writer in the list of endpoints"
 
 
+#: Kinds that are drawn after all others, so that the other faults of a seed that failed
+#: before stay the same.
+_DRAWN_LAST = (FaultKind.ODD_LISTINGS, FaultKind.LISTINGS_LAPSED)
 #: Weights of kinds in the random choice; 1 for all others.
 _WEIGHTS = {
     FaultKind.KILL_COORDINATOR: 3,
@@ -73,7 +84,7 @@
 def draw_faults(seed: int, length_s: float = INJECTION_SECONDS) -> list[Fault]:
     """Return the faults of a seed in the order of their times."""
     rng = random.Random(seed)
-    kinds = [kind for kind in FaultKind if kind is not FaultKind.ODD_LISTINGS]
+    kinds = [kind for kind in FaultKind if kind not in _DRAWN_LAST]
     weights = [_WEIGHTS.get(kind, 1) for kind in kinds]
     faults: list[Fault] = []
     at = 0.0
@@ -88,8 +99,20 @@
                 target=rng.randrange(64),
             )
         )
-    # Drawn last, so that the other faults of a seed that failed before stay the same.
     if rng.random() < ODD_LISTINGS_FRACTION:
         at = round(rng.uniform(0.0, length_s), 2)
         faults.append(Fault(at, 0.0, FaultKind.ODD_LISTINGS, target=0))
+    if rng.random() < LISTINGS_LAPSED_FRACTION:
+        faults += _lapse_during_take_over(rng, length_s)
     return sorted(faults, key=lambda one: one.at)
+
+
+def _lapse_during_take_over(rng: random.Random, length_s: float) -> list[Fault]:
+    """Return the faults of a take-over while entries of endpoints are missing."""
+    at = round(rng.uniform(2.0, length_s), 2)
+    target = rng.randrange(64)
+    killed_at = at + TAKE_OVER_DELAY_SECONDS
+    return [
+        Fault(at, LAPSE_OUTAGE_SECONDS, FaultKind.LISTINGS_LAPSED, target),
+        Fault(killed_at, 1.0, FaultKind.KILL_COORDINATOR, target),
+    ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,7 +11,7 @@
 from hickoryplank.coordinator.ports import Topic
 from tests.proxy import Direction, Proxy
 from tests.soak.callers import Callers
-from tests.soak.deployment import Deployment, Entry
+from tests.soak.deployment import WAVE_VMS, Deployment, Entry
 from tests.soak.fault_plan import INJECTION_SECONDS, Fault, FaultKind, draw_faults
 
 __all__ = ["Report", "soak"]
@@ -21,6 +21,9 @@
 FINISH_SECONDS = 3.0 + 14.0
 #: Longest wait until an entry is coordinator, in seconds.
 READY_SECONDS = 15.0
+#: Time after an outage of the store until lapsed entries are back, in seconds. The
+#: platform states it.
+RELIST_SECONDS = 2.0
 #: Delay of each chunk of data from and to a slow store, in seconds.
 STORE_DELAY_SECONDS = 0.12
 REPOSITORY = str(Path(__file__).parents[2])
@@ -75,12 +78,25 @@
                 await self._deployment.withdraw_key()
             case FaultKind.ODD_LISTINGS:
                 await self._deployment.write_odd_listings()
+            case FaultKind.LISTINGS_LAPSED:
+                await self._lapse_listings(fault.for_s)
             case FaultKind.WAVE:
                 self._waves += 1
-                await self._deployment.request_wave(self._waves)
+                await self._deployment.request_random_wave(self._waves)
             case _:
                 await self._inject_platform_fault(fault)
 
+    async def _lapse_listings(self, for_s: float) -> None:
+        vms = self._deployment.lapse_listings()
+        self._waves += 1
+        machines = self._deployment.vms_with_lasting_tasks() or vms[:WAVE_VMS]
+        await self._deployment.request_wave(self._waves, machines)
+        self._deployment.platform.store_status = 503
+        await asyncio.sleep(for_s)
+        self._deployment.platform.store_status = None
+        await asyncio.sleep(RELIST_SECONDS)
+        self._deployment.relist(vms)
+
     async def _inject_platform_fault(self, fault: Fault) -> None:
         if fault.kind.name.startswith("STORE"):
             await self._inject_store_fault(fault)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,8 @@
         (3002, SHORT_SECONDS),
         # Guards against ticks that go through all occurrences of a timed job.
         (3020, 10.0),
+        # Guards against orders for VMs whose endpoints aren't listed after a takeover.
+        (4005, SHORT_SECONDS),
         # Guards against a fault of the soak: of two stops that overlap, the second one
         # waited for the end of the next process, which it had not signalled.
         (2105523503, 10.0),
@@ -180,6 +182,25 @@
     assert [line.split(":")[0] for line in checker.violations] == violations
 
 
+@pytest.mark.parametrize(
+    ("ended", "cancel_sent", "violations"),
+    [(1, False, []), (2, False, ["budget"]), (2, True, [])],
+)
+def test_checker_detects_orders_that_overdraw_a_budget(ended, cancel_sent, violations):
+    checker, _ = new_checker()
+    step = Step(2, Size(1, 1), lasting=True, may_miss=1)
+    job = ObservedJob(JOB, TEAM, "payload", (step,), cancel_sent=cancel_sent)
+    checker.jobs[JOB] = job
+    endpoint = ObservedEndpoint(
+        EndpointId("i-9"), 1, lambda key: None, Size(9, 9), 1.0, checker
+    )
+    for index in range(ended):
+        start(endpoint, 0, index)
+    endpoint.advance(10)
+    checker.note_ordered_away(endpoint)
+    assert [line.split(":")[0] for line in checker.violations] == violations
+
+
 def test_checker_detects_a_timed_job_that_is_completed_too_early():
     checker, _ = new_checker()
     timing = Timing(repeats=3, first_ms=0, period_ms=0, due_count=0)
