--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -149,7 +149,11 @@
 
 
 class Deployment:
-    """A store, VMs with endpoints, and entries."""
+    """A store, VMs with endpoints, and entries.
+
+    :ivar longest_stall_s: longest time for which this process, which plays the store
+        and the endpoints, got no processor and answered nothing, in seconds.
+    """
 
     def __init__(self, root: Path, seed: int, code: str):
         self._root = root
@@ -168,6 +172,7 @@
         self._version = 0
         self._incarnations = 0
         self._clock_task: asyncio.Task | None = None
+        self.longest_stall_s = 0.0
 
     async def start(self) -> None:
         """Start everything."""
@@ -198,7 +203,10 @@
     async def _advance(self) -> None:
         while True:
             self.endpoints.advance_clocks()
+            before = time.monotonic()
             await asyncio.sleep(CLOCK_INTERVAL_SECONDS)
+            stall_s = time.monotonic() - before - CLOCK_INTERVAL_SECONDS
+            self.longest_stall_s = max(self.longest_stall_s, stall_s)
 
     async def _handle_endpoint(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/api/hold":
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -40,13 +40,15 @@
     accepted: int
     starts: int
     statuses: dict[int | None, int]
+    longest_stall_s: float
     logs: Path
 
     def lines(self) -> list[str]:
         """Return the report as lines of text."""
         summary = (
             f"seed {self.seed}: {self.jobs} jobs, {self.accepted} accepted,"
-            f" {self.starts} starts, answers {self.statuses}"
+            f" {self.starts} starts, answers {self.statuses},"
+            f" stand-ins stalled for up to {self.longest_stall_s:.2f} s"
         )
         if not self.violations:
             return [summary]
@@ -251,6 +253,7 @@
         accepted=sum(1 for job in jobs if job.accepted_at is not None),
         starts=deployment.checker.starts,
         statuses=callers.statuses,
+        longest_stall_s=deployment.longest_stall_s,
         logs=root,
     )
 
