--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-exec timeout --kill-after=5 115 python3 "$(dirname "$0")/case.py"
+exec timeout --preserve-status --kill-after=10 108 python3 "$(dirname "$0")/case.py"
--- a/review/shared2/deployment.py
+++ b/review/shared2/deployment.py
@@ -25,13 +25,22 @@
 GRACE_SECONDS = 6.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+_used_ports: set[int] = set()
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports of loopback, below those that outgoing connections take."""
+    """Return free ports of loopback, from a range of this case.
+
+    They are below those that outgoing connections take.
+    """
+    name = Path(sys.argv[0]).resolve().parent.name
+    first = 20000 + 1000 * (int(name) if name.isdigit() else 1)
     ports: list[int] = []
     while len(ports) < count:
-        port = random.randint(20000, 32000)
+        port = random.randrange(first, first + 1000)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
         with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
             ports.append(port)
     return ports
@@ -281,7 +290,8 @@
                     why = "connection ended"
                 else:
                     status = int(message[0].split(" ")[1])
-                    answer = json.loads(message[2] or b"{}")
+                    with contextlib.suppress(ValueError):
+                        answer = json.loads(message[2])
         except TimeoutError:
             why = "no answer in time"
         except (OSError, asyncio.IncompleteReadError) as exc:
@@ -353,12 +363,20 @@
     async def main() -> int:
         deployment = Deployment(services, entries)
         deployment.note("begin", trouble=TROUBLE)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+
+        def give_up() -> None:
+            # Once: the processes have to be ended after it.
+            loop.add_signal_handler(signal.SIGTERM, lambda: None)
+            task.cancel()
+
+        loop.add_signal_handler(signal.SIGTERM, give_up)
         try:
             await deployment.start(**start)
             why = await play(deployment)
-        except RuntimeError as exc:
-            deployment.note("the case could not run", why=exc)
-            print(f"not run: {exc}")
+        except (Exception, asyncio.CancelledError) as exc:
+            deployment.note("the case could not run", why=repr(exc))
+            print(f"not run: {exc!r}")
             return NOT_RUN
         finally:
             await deployment.close()
--- a/review/shared2/standins.py
+++ b/review/shared2/standins.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import socket
 import struct
 import time
 from collections import deque
@@ -90,6 +91,11 @@
                 head += "Content-Type: application/json\r\n\r\n"
                 writer.write(head.encode() + data)
                 await writer.drain()
+        except ConnectionResetError:
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
         except asyncio.CancelledError:
@@ -315,6 +321,7 @@
     :param labels: its kind and its rack.
     :ivar fails: tells which runs fail, by task and attempt.
     :ivar silent: leaves requests unanswered, and does nothing for them.
+    :ivar resets: resets the connection of each request, and does nothing for it.
     :ivar down: whether it has crashed, and has not started again.
     """
 
@@ -328,6 +335,7 @@
         self.fails: Callable[[str, int], bool] = lambda task, attempt: False
         self.silent: Callable[[str], bool] = lambda path: False
         self.running: dict[str, Run] = {}
+        self.resets = False
         self.down = False
         self._sequence = 0
         self._beat_at = 0.0
@@ -443,6 +451,8 @@
     async def _handle(self, method, path, query, headers, body) -> Answer:
         if self.silent(path):
             await asyncio.sleep(3600)
+        if self.resets:
+            raise ConnectionResetError
         if headers.get("hickoryplank-expect-instance", self.id) != self.id:
             return 421, b"{}"
         order = json.loads(body)
