--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Jobs are cancelled while the executor of their task leaves requests unanswered."""
+"""Jobs are cancelled while the executor of their task resets connections."""
 
 import asyncio
 import sys
@@ -12,8 +12,6 @@
 EXECUTORS = 9
 SERVICES = ("norte", "costa", "sur")
 ROUNDS = 14
-#: Executors that leave requests unanswered at the same time, of 27.
-SILENT = len(SERVICES)
 
 
 async def play(deployment: Deployment) -> str:
@@ -35,16 +33,16 @@
             "required_label": executor.labels[0],
         }
         if TROUBLE:
-            deployment.note("requests left unanswered", executor=executor.id)
-            executor.silent = lambda path: True
+            deployment.note("requests are reset", executor=executor.id)
+            executor.resets = True
         if await deployment.submit(service, id, {"ms": {"0": 2000}}, [stage]):
             entry = deployment.entries[number % len(deployment.entries)]
             status, _ = await deployment.call(entry, "DELETE", f"/{service}/{id}")
             if 200 <= status < 300:
                 acknowledged[id] = deployment.now()
         await asyncio.sleep(seconds)
-        deployment.note("requests answered again", executor=executor.id)
-        executor.silent = lambda path: False
+        deployment.note("requests are answered", executor=executor.id)
+        executor.resets = False
 
     for number in range(ROUNDS):
         seconds = 3.1 + 0.05 * number
--- a/review/shared2/standins.py
+++ b/review/shared2/standins.py
@@ -51,6 +51,10 @@
     return line.decode("latin-1").strip(), headers, await reader.readexactly(length)
 
 
+class _ResetRequest(Exception):
+    """Raised by a handler to reset the connection of a request."""
+
+
 class Server:
     """An HTTP/1.1 server on a free port of loopback.
 
@@ -91,7 +95,7 @@
                 head += "Content-Type: application/json\r\n\r\n"
                 writer.write(head.encode() + data)
                 await writer.drain()
-        except ConnectionResetError:
+        except _ResetRequest:
             linger = struct.pack("ii", 1, 0)
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -452,7 +456,7 @@
         if self.silent(path):
             await asyncio.sleep(3600)
         if self.resets:
-            raise ConnectionResetError
+            raise _ResetRequest
         if headers.get("hickoryplank-expect-instance", self.id) != self.id:
             return 421, b"{}"
         order = json.loads(body)
