--- a/review/9/case.py
+++ b/review/9/case.py
@@ -33,7 +33,7 @@
     await asyncio.sleep(2 * CONFIG_APPLY_SECONDS)
     if TROUBLE:
         deployment.configure([route, other])
-    # The executor is sound again 6.5 s after it began to fail.
+    # The executor is sound again some 6 s after it began to fail.
     await asyncio.sleep(2.0)
     failing.fails = lambda task, attempt: False
     wrong = {}
