--- a/review/shared2/standins.py
+++ b/review/shared2/standins.py
@@ -264,6 +264,8 @@
         if self.work_ms is not None and self.spec.get("uneven"):
             self.work_ms *= 0.5 + int(index) * 37 % 100 / 100
         self.gang = self.spec.get("gang", {}).get(step, 0)
+        #: What the task requests, for the reviewer's checks.
+        self.cpu = self.spec.get("cpu", {}).get(step, 0)
         self.left_ms = self.work_ms
         self.started_at = time.monotonic()
         self.stop_at: float | None = None
@@ -289,6 +291,8 @@
         self.clock = time.monotonic
         #: Label that the spec of a task names, and that its executor does not have.
         self.wrong_kind: list[str] = []
+        #: Tasks that have ended done.
+        self.done: set[str] = set()
         #: Runs that ended failed, by job and task.
         self.failures: dict[str, dict[str, int]] = {}
         self._task: asyncio.Task | None = None
@@ -444,6 +448,8 @@
         del self.running[run.task]
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.attempt)
         self.number += 1
+        if how == "done":
+            self.park.done.add(run.task)
         if how == "failed":
             tasks = self.park.failures.setdefault(run.task.split(".")[0], {})
             tasks[run.task] = tasks.get(run.task, 0) + 1
