Jobs begin with a start that an endpoint has confirmed

Cause: a job became RUNNING when a task was assigned, before the start was sent. Nothing took that back when the start was refused or lost, and it was stored, so that the next coordinator gave the same count.

Ruled out: a stale count (all three entries ask the coordinator, and its own engine has 0), and starts whose answers were lost (the record of the endpoints has no start of these jobs).

Change: a job has begun once an endpoint has answered its start, or reports the run or its end. Stored assignments count after a takeover until the first poll of their endpoint is answered or not, so that no job is shown as queued again.

The state machine of the engine has a new check, and fails with it on the former code ("'gang0' have begun without a start").

--- a/hickoryplank/coordinator/call_handler.py
+++ b/hickoryplank/coordinator/call_handler.py
@@ -195,12 +195,13 @@
         return Unsettled("the cancellation is not stored yet")
 
     def _job_state(self, id, admitted: "_Admitted") -> Answer:
-        row = self._term.require_engine().jobs.get(id)
+        engine = self._term.require_engine()
+        row = engine.jobs.get(id)
         if row is None or row.job.queue != admitted.queue.id:
             return NoSuchJob()
         if row.stored_state.final:
             return StateIs(row.stored_state)
-        return StateIs(JobState.RUNNING if row.begun else JobState.QUEUED)
+        return StateIs(JobState.RUNNING if engine.has_begun(row) else JobState.QUEUED)
 
 
 class _Admitted(msgspec.Struct, frozen=True):
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -51,9 +51,11 @@
     :param reported: a report of this incarnation of the endpoint contained the run.
     :param preassigned: a former coordinator stored it as a pre-assignment, so that its
         start may never have been sent.
+    :param adopted: it was taken over from a former coordinator.
     """
 
     __slots__ = (
+        "adopted",
         "attempt",
         "confirmed_at",
         "counted_size",
@@ -93,6 +95,13 @@
         self.confirmed_at: float | None = None
         self.reported = False
         self.preassigned = False
+        self.adopted = False
+
+    @property
+    def awaits_first_report(self) -> bool:
+        """Whether it was taken over, and its endpoint has not been asked for it yet."""
+        asked = self.endpoint.token_confirmed or self.endpoint.silent_since is not None
+        return self.adopted and not self.preassigned and not asked
 
     @property
     def may_be_in_next_incarnation(self) -> bool:
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -99,11 +99,25 @@
             self.end_job(row, JobState.CANCELLED, now)
 
     def pending_count(self, queue: QueueId) -> int:
-        """Return the number of jobs of a queue of which no task has been started."""
+        """Return the number of jobs of a queue of which no task has been started.
+
+        A start without an answer counts once its endpoint reports the run.
+        """
         return sum(
             1
             for row in self.open_jobs.values()
-            if row.job.queue == queue and row.state is JobState.QUEUED
+            if row.job.queue == queue and not self.has_begun(row)
+        )
+
+    def has_begun(self, row: JobRow) -> bool:
+        """Return whether a task of a job has been started.
+
+        After a takeover a stored assignment counts until its endpoint has answered the
+        first poll, or failed to.
+        """
+        return row.begun or any(
+            task.run is not None and task.run.awaits_first_report
+            for task in row.all_tasks()
         )
 
     # Endpoints
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -183,14 +183,21 @@
         task.attempt = attempt
         task.preassignment = None
         run = self.create_run(row, task, endpoint)
-        row.begun = True
-        if row.state is JobState.QUEUED:
-            row.state = JobState.RUNNING
-            self.mark_dirty(row)
         if task.key.index == 0 or attempt > 1:
             self.add_event(EngineEventKind.ASSIGNED, run, reason)
         return run
 
+    def note_begun(self, row: JobRow) -> None:
+        """Record that an endpoint has started a task of a job.
+
+        An assignment alone does not count: its start may be refused or lost.
+        """
+        if row.begun or row.state.final:
+            return
+        row.begun = True
+        row.state = JobState.RUNNING
+        self.mark_dirty(row)
+
     def task_of(self, run: Run) -> Task | None:
         """Return the task whose current run this is, if any."""
         row = self.jobs.get(run.key.job)
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -71,6 +71,7 @@
         run = tables.create_run(row, task, endpoint)
         run.state = RunState.SENT
         run.preassigned = assignment.preassigned
+        run.adopted = True
         run.confirmed_at = endpoint.listed_at
         if row.state.final:
             tables.stop(run, endpoint.listed_at, row.state.value)
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -192,13 +192,13 @@
     if not _is_valid_set(ranges, row.job.occurrences):
         return RecordFault(record.key, f"invalid ended occurrences {ranges}")
     row.state = row.stored_state = stored.state
+    row.begun = stored.state is not JobState.QUEUED
     row.ended_occurrences = OccurrenceSet(ranges)
     for one in stored.tasks:
         key = TaskKey(row.job.id, one.occurrence, one.step, one.index)
         task = row.task(key)
         if task is None:
             return RecordFault(record.key, f"the job has no task {key}")
-        row.begun = row.begun or not one.preassigned
         task.attempt = one.attempt
         task.failures = one.failures
         task.checkpoint = one.checkpoint
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -149,7 +149,9 @@
             run.state = RunState.STARTED
         if run.confirmed_at is None:
             run.confirmed_at = now
-        run.reported = True
+        if not run.reported:
+            run.reported = True
+            _note_begun(tables, run)
         _update_progress(tables, run, one, report.clock_ms)
         restart_if_stalled(tables, run, report.clock_ms, now)
     if report.may_have_more_ends:
@@ -162,6 +164,13 @@
             tables.give_up_run(run, "its endpoint lists neither it nor its end")
 
 
+def _note_begun(tables: EngineTables, run: Run) -> None:
+    """Record that the job of a run has begun, as its endpoint has started the run."""
+    row = tables.jobs.get(run.key.job)
+    if row is not None:
+        tables.note_begun(row)
+
+
 def _update_progress(
     tables: EngineTables, run: Run, reported: RunningTask, clock_ms: int
 ) -> None:
@@ -184,6 +193,7 @@
     step = row.job.step_of(key) if row is not None else None
     if row is None or step is None:
         return
+    tables.note_begun(row)
     run = Run(key, attempt, step, row.job.team, endpoint)
     run.state = RunState.SENT
     run.confirmed_at = now
@@ -202,6 +212,7 @@
         tables.close_run(run)
     if row is None or task is None:
         return
+    tables.note_begun(row)
     if end.checkpoint and current:
         task.checkpoint = end.checkpoint
     if end.kind is EndKind.DONE and not _is_lasting(row, end):
@@ -272,6 +283,9 @@
         endpoint.note_answer(clock_ms, now)
     match outcome:
         case StartOutcome.STARTED | StartOutcome.ALREADY_ENDED:
+            # A run that was stopped before its start arrived counts as ended, too.
+            if outcome is StartOutcome.STARTED:
+                _note_begun(tables, run)
             if run.state is RunState.SENT:
                 run.state = RunState.STARTED
             run.confirmed_at = now
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -154,7 +154,7 @@
         no runs; nothing else is kept of them.
     :param next_occurrence: all occurrences before this one are open or have ended.
     :param recorded: the job's record is stored.
-    :param begun: some task was assigned to an endpoint.
+    :param begun: an endpoint has confirmed that it started some task.
     :param lasting: any task runs until the job is cancelled.
     :param needs_preassignment: tasks may have started to wait since the last
         pre-assignment.
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -297,6 +297,14 @@
             if row.stored_state is JobState.CANCELLED:
                 assert row.job.id in self.cancelled
 
+    @precondition(lambda self: hasattr(self, "driver"))
+    @invariant()
+    def only_started_jobs_count_as_begun(self) -> None:
+        """Guards against jobs that count as begun once a task was assigned."""
+        started = {key.job for key in self.ledger.highest_attempts}
+        begun = {row.job.id for row in self.driver.engine.jobs.values() if row.begun}
+        assert begun <= started, f"{begun - started} have begun without a start"
+
     def teardown(self) -> None:
         """End all faults and lasting jobs; all other work then has to be done."""
         if not hasattr(self, "driver"):
