A restored job that was cancelled before it began has not begun

Cause: restored "begun" for each state but QUEUED, so also for a job that was cancelled before any start. Callers saw nothing of it, as only open jobs are counted; the state machine's new check met it in a whole run of tests/jobs ("'gang0' have begun without a start"), though not when played alone. Change: only a stored RUNNING says that a job has begun.

--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -192,7 +192,7 @@
     if not _is_valid_set(ranges, row.job.occurrences):
         return RecordFault(record.key, f"invalid ended occurrences {ranges}")
     row.state = row.stored_state = stored.state
-    row.begun = stored.state is not JobState.QUEUED
+    row.begun = stored.state is JobState.RUNNING
     row.ended_occurrences = OccurrenceSet(ranges)
     for one in stored.tasks:
         key = TaskKey(row.job.id, one.occurrence, one.step, one.index)
