Starts are not sent again once they have been withdrawn

Cause: a start without an answer was repeated every 0.15 s while the run had its place on the endpoint. A run that is to be stopped keeps it until a report settles it or the lease has lapsed (4 s); the stop goes out every 0.5 s, so that the start came first once the endpoint served again. Likewise on endpoints that had begun to drain, were gone from the list, or whose VM was to be ordered away.

Change: the engine is asked before each send. A withdrawn start may still arrive, so that a later report without the run leads to a stop, which makes the endpoint refuse it; the next report settles the run. New log line `start withdrawn`. The state machine's ledger checks starts against the cancellations that are stored and the endpoints that are listed as draining; the fake endpoints keep which starts were sent.

--- a/hickoryplank/coordinator/request_sender.py
+++ b/hickoryplank/coordinator/request_sender.py
@@ -52,23 +52,27 @@
     async def _start(self, run: Run) -> None:
         engine = self._term.require_engine()
         row = engine.jobs[run.key.job]
+        clock = self._term.context.clock
         attempts = 0
-        retry = True
-        while retry:
+        unanswered = True
+        while unanswered:
+            if not engine.is_start_due(run, attempts, clock.now()):
+                self._log_withdrawn(run, attempts)
+                self._term.request_tick()
+                return
             attempts += 1
             answer = await self._term.context.endpoints.start(
                 run, row.job.payload, self._term.fencing_token
             )
-            now = self._term.context.clock.now()
-            retry = engine.start_answered(
-                run, answer.outcome, attempts, answer.clock_ms, now
+            unanswered = engine.start_answered(
+                run, answer.outcome, attempts, answer.clock_ms, clock.now()
             )
             self._term.context.metrics.start(answer.outcome)
             if answer.outcome is not StartOutcome.STARTED or attempts > 1:
                 self._log_start(run, attempts, answer.outcome, answer.detail)
             if answer.outcome is StartOutcome.FENCED:
                 self._term.end_fenced_term()
-            if retry:
+            if unanswered:
                 await anyio.sleep(START_RETRY_SECONDS)
             elif answer.outcome is not StartOutcome.STARTED:
                 self._term.request_tick()
@@ -88,6 +92,21 @@
             },
         )
 
+    def _log_withdrawn(self, run: Run, attempts: int) -> None:
+        logger.info(
+            "start withdrawn",
+            extra={
+                "request": run.key.job,
+                "step": run.key.step,
+                "task": run.key.index,
+                "attempt": run.attempt,
+                "endpoint": run.endpoint.id,
+                "tries": attempts,
+                "run": run.state.value,
+                "endpoint_leaves": run.endpoint.leaves,
+            },
+        )
+
     async def _stop(self, run: Run) -> None:
         match await self._term.context.endpoints.stop(run, self._term.fencing_token):
             case Ok(clock_ms):
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -52,6 +52,8 @@
     :param preassigned: a former coordinator stored it as a pre-assignment, so that its
         start may never have been sent.
     :param adopted: it was taken over from a former coordinator.
+    :param start_withdrawn_at: time from which its start, which had no answer yet, is
+        not sent any more; none while it may be.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "progressed_at_ms",
         "checkpoint",
         "size",
+        "start_withdrawn_at",
         "state",
         "step",
         "team",
@@ -96,6 +99,7 @@
         self.reported = False
         self.preassigned = False
         self.adopted = False
+        self.start_withdrawn_at: float | None = None
 
     @property
     def awaits_first_report(self) -> bool:
@@ -213,13 +217,20 @@
         self.listed = True
         self.free = listing.capacity.minus(self.used)
 
+    @property
+    def leaves(self) -> bool:
+        """Whether it is draining, gone from the list, or its VM is to be ordered away.
+
+        No start may be sent to it, not even again.
+        """
+        return self.draining or self.cordoned
+
     def usable(self, now: float) -> bool:
         """Return whether new runs may be assigned here."""
         return (
             self.token_confirmed
             and self.silent_since is None
-            and not self.draining
-            and not self.cordoned
+            and not self.leaves
             and now >= self.ejected_until
         )
 
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -197,10 +197,17 @@
         """
         reports.poll_answered(self, endpoint, report, asked_at, now)
 
+    def is_start_due(self, run: Run, tries: int, now: float) -> bool:
+        """Return whether the start of a run is to be sent, for the first time or again.
+
+        :param tries: number of times that it has been sent.
+        """
+        return reports.is_start_due(self, run, tries, now)
+
     def start_answered(
         self, run: Run, outcome: StartOutcome, tries: int, clock_ms: int, now: float
     ) -> bool:
-        """Apply the answer to a start; return whether the start must be sent again.
+        """Apply the answer to a start; return whether it is still without an answer.
 
         :param tries: number of times that it was sent, including this one.
         :param clock_ms: the endpoint's clock in the answer; 0 if not known.
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -20,6 +20,7 @@
     "poll_answered",
     "note_no_answer",
     "next_poll",
+    "is_start_due",
     "start_answered",
     "stop_answered",
 ]
@@ -158,10 +159,23 @@
         # A run that is not reported may have ended; a later report has its end.
         return
     for run in list(endpoint.runs.values()):
-        if run.run_key in reported or run.confirmed_at is None:
-            continue
+        if run.run_key not in reported:
+            _settle_unreported_run(tables, run, asked_at, now)
+
+
+def _settle_unreported_run(
+    tables: EngineTables, run: Run, asked_at: float, now: float
+) -> None:
+    """Give up a run that its endpoint should list, or stop it if its start may come.
+
+    :param asked_at: time at which the poll was sent whose report lacks the run.
+    """
+    if run.confirmed_at is not None:
         if run.confirmed_at < asked_at:
             tables.give_up_run(run, "its endpoint lists neither it nor its end")
+    elif run.start_withdrawn_at is not None and run.start_withdrawn_at < asked_at:
+        # Once the endpoint has accepted the stop, it refuses the start.
+        tables.stop(run, now, "its start was withdrawn without an answer")
 
 
 def _note_begun(tables: EngineTables, run: Run) -> None:
@@ -263,6 +277,24 @@
         tables.end_job(row, JobState.FAILED, now)
 
 
+def is_start_due(tables: EngineTables, run: Run, tries: int, now: float) -> bool:
+    """Return whether the start of a run is to be sent, for the first time or again.
+
+    It is withdrawn once the run is to be stopped, or its endpoint takes no more starts.
+
+    :param tries: number of times that it has been sent.
+    """
+    if run.endpoint.runs.get(run.run_key) is not run:
+        return False
+    if run.state is RunState.SENT and not run.endpoint.leaves:
+        return True
+    if not tries:
+        tables.give_up_run(run, "its start was withdrawn before it was sent")
+    elif run.start_withdrawn_at is None:
+        run.start_withdrawn_at = now
+    return False
+
+
 def start_answered(
     tables: EngineTables,
     run: Run,
@@ -271,7 +303,7 @@
     clock_ms: int,
     now: float,
 ) -> bool:
-    """Apply the answer to a start; return whether the start must be sent again.
+    """Apply the answer to a start; return whether it is still without an answer.
 
     :param tries: number of times that it was sent, including this one.
     :param clock_ms: the endpoint's clock in the answer; 0 if not known.
--- a/tests/coordinator/memory_platform.py
+++ b/tests/coordinator/memory_platform.py
@@ -160,11 +160,13 @@
     """Fake endpoints whose clocks follow the monotonic clock of the machine.
 
     :ivar unreachable: endpoints that do not answer.
+    :ivar starts_sent: run of each start that was sent, whether it arrived or not.
     """
 
     def __init__(self, endpoints: dict[EndpointId, FakeEndpoint]):
         self.endpoints = endpoints
         self.unreachable: set[EndpointId] = set()
+        self.starts_sent: list[Run] = []
         self._advanced_at = time.monotonic()
 
     def advance_clocks(self) -> None:
@@ -180,6 +182,7 @@
 
     async def start(self, run: Run, payload: str, token: int) -> StartAnswer:
         """Start a run under a lease until ``run.until_ms``."""
+        self.starts_sent.append(run)
         await anyio.lowlevel.checkpoint()
         endpoint = self._reachable_endpoint(run.endpoint.id)
         if endpoint is None:
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -389,6 +389,25 @@
         )
 
 
+async def test_start_without_an_answer_is_not_sent_again_after_a_cancellation():
+    """Guards against starts that follow the cancellation of their job."""
+    platform = Platform(count=1)
+    await platform.open()
+    entry = Entry(platform, "a")
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        engine = entry.local_coordinator.engine
+        await wait_until(lambda: engine.endpoints[EndpointId("e0")].token_confirmed)
+        platform.endpoints.unreachable.add(EndpointId("e0"))
+        await entry.local_coordinator.answer(submit("j", Step(1, TASK)))
+        await wait_until(lambda: len(platform.endpoints.starts_sent) > 1)
+        cancel = Cancel(where("/p/j"), JobId("j"))
+        assert await entry.local_coordinator.answer(cancel) == Cancelled()
+        sent = len(platform.endpoints.starts_sent)
+        await anyio.sleep(0.6)
+        assert len(platform.endpoints.starts_sent) == sent
+
+
 async def test_next_coordinator_restores_jobs_and_starts_none_twice():
     platform = Platform(work_ms=lambda key: None)
     await platform.open()
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -201,6 +201,9 @@
                 del self.store[record.key]
 
     def _send_start(self, run: Run) -> None:
+        if not self.engine.is_start_due(run, self.tries.get(run, 0), self.now):
+            self.tries.pop(run, None)
+            return
         self.tries[run] = self.tries.get(run, 0) + 1
         fake = self.endpoints[run.endpoint.id]
         outcome = StartOutcome.UNKNOWN
@@ -225,10 +228,7 @@
 
     def _resend_starts(self) -> None:
         for run in list(self.tries):
-            if run.endpoint.runs.get(run.run_key) is run:
-                self._send_start(run)
-            else:
-                del self.tries[run]
+            self._send_start(run)
 
     def _send_stops(self) -> None:
         stops, self.engine.stops = self.engine.stops, []
--- a/tests/jobs/ledger.py
+++ b/tests/jobs/ledger.py
@@ -15,8 +15,8 @@
 from hickoryplank.jobs.model import Job, TaskKey
 from hickoryplank.jobs.placement import has_room_for
 from hickoryplank.jobs.sizes import ZERO, Size
-from hickoryplank.jobs.table import JobRow
-from tests.jobs.driver import CAPACITY, Driver
+from hickoryplank.jobs.table import JobRow, JobState
+from tests.jobs.driver import CAPACITY, Driver, listing
 from tests.jobs.fake_endpoint import FakeEndpoint
 
 __all__ = ["Ledger", "LedgerDriver", "LedgerEndpoint", "task_keys"]
@@ -24,6 +24,12 @@
 #: Time after which a task that isn't in full operation counts as unavailable whatever
 #: the cause, in milliseconds. The platform states it.
 UNAVAILABLE_AFTER_MS = 4500
+#: Time after the acknowledgement of a cancellation from which no task of the job may
+#: start, in milliseconds. The platform states it.
+CANCEL_MS = 3000
+#: Time after an endpoint was listed as draining from which nothing may start there, in
+#: milliseconds. The platform states it.
+DRAIN_MS = 2000
 #: Validity of a ticket, in milliseconds.
 TICKET_MS = 3000
 
@@ -37,6 +43,7 @@
     :ivar noted_failures: acknowledged ends ``failed``, by task.
     :ivar in_operation_ms: time of day at which each task was last in full operation.
     :ivar stopped: tasks that the system has stopped, until in full operation again.
+    :ivar cancelled_ms: time of day at which the cancellation of each job was stored.
     :ivar wall_ms: time of day, in milliseconds.
     """
 
@@ -48,6 +55,7 @@
         self.highest_attempts: dict[TaskKey, int] = {}
         self.in_operation_ms: dict[TaskKey, int] = {}
         self.stopped: set[TaskKey] = set()
+        self.cancelled_ms: dict[JobId, int] = {}
         self.wall_ms = 0
 
     def note_start(self, key: TaskKey, attempt: int, attempts: int) -> None:
@@ -59,6 +67,8 @@
         step = job.steps[key.step]
         assert self.wall_ms >= job.due_ms(key.occurrence), f"{key} was started early"
         assert key not in self.noted, f"{key} is done, and was started again"
+        cancelled_ms = self.cancelled_ms.get(key.job, self.wall_ms)
+        assert self.wall_ms - cancelled_ms <= CANCEL_MS, f"{key} of a cancelled job"
         for number in step.after:
             for index in range(self.jobs[key.job].steps[number].count):
                 before = TaskKey(key.job, key.occurrence, number, index)
@@ -136,12 +146,17 @@
         self._attempts = attempts
         #: Ends up to this one don't count as noted, as the lease lapsed after them.
         self._lapsed_number = 0
+        #: Time of day since which it is listed as draining; none if it isn't.
+        self.draining_since_ms: int | None = None
 
     def start(self, key, attempt, payload, until_ms, token) -> StartOutcome:
         known = (key, attempt) in self.running
         outcome = super().start(key, attempt, payload, until_ms, token)
         if (key, attempt) in self.running and not known:
             self._ledger.note_start(key, attempt, self._attempts)
+            if self.draining_since_ms is not None:
+                drained_ms = self._ledger.wall_ms - self.draining_since_ms
+                assert drained_ms <= DRAIN_MS, f"{key} on a draining endpoint"
         return outcome
 
     def poll(self, token, last_seen, until_ms) -> PollReport | None:
@@ -209,6 +224,29 @@
         answer = AdviceAnswer(permits, TICKET_MS)
         self.engine.advice.add_answer(request, answer, self.now)
 
+    def commit(self) -> None:
+        """Store a batch, and note which cancellations are acknowledged from now on."""
+        super().commit()
+        for row in self.engine.jobs.values():
+            if row.stored_state is JobState.CANCELLED:
+                self.ledger.cancelled_ms.setdefault(row.job.id, self.ledger.wall_ms)
+
+    def list_endpoint(self, id: EndpointId, draining: bool) -> None:
+        """List the present incarnation of an endpoint."""
+        fake = self.endpoints[id]
+        assert isinstance(fake, LedgerEndpoint)
+        if not draining:
+            fake.draining_since_ms = None
+        elif fake.draining_since_ms is None:
+            fake.draining_since_ms = self.ledger.wall_ms
+        self.engine.update_listing(listing(id, fake.born_ms, draining), self.now)
+
+    def take_over(self, applied: bool = False) -> None:
+        """Begin the term of another coordinator, for which no endpoint drains."""
+        for fake in self.endpoints.values():
+            fake.draining_since_ms = None
+        super().take_over(applied)
+
     def accepts_ticket(self, run: Run) -> bool:
         id = run.endpoint.id
         born_ms = self.endpoints[id].born_ms
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -18,7 +18,7 @@
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
 from hickoryplank.jobs.vms import OperationPhase, VmOperation
-from tests.jobs.driver import configuration, job, listing
+from tests.jobs.driver import configuration, job
 from tests.jobs.ledger import Ledger, LedgerDriver, task_keys
 
 ENDPOINTS = [EndpointId(f"e{number}") for number in range(3)]
@@ -184,10 +184,7 @@
 
     @rule(id=st.sampled_from(ENDPOINTS), draining=st.booleans())
     def drain_endpoint(self, id: EndpointId, draining: bool) -> None:
-        born_ms = self.driver.endpoints[id].born_ms
-        self.driver.engine.update_listing(
-            listing(id, born_ms, draining), self.driver.now
-        )
+        self.driver.list_endpoint(id, draining)
 
     @rule(ids=SOME_ENDPOINTS)
     def begin_wave(self, ids: set[EndpointId]) -> None:
@@ -351,9 +348,7 @@
         self.driver.unlisted = set()
         for id, fake in self.driver.endpoints.items():
             fake.failing = fake.stalled = False
-            self.driver.engine.update_listing(
-                listing(id, fake.born_ms), self.driver.now
-            )
+            self.driver.list_endpoint(id, draining=False)
             endpoint = self.driver.engine.endpoint_of(id)
             if endpoint is not None:
                 endpoint.cordoned = False
