Jobs keep the terms of their queue while its route is away

Cause: attempts were read from the configuration in force, with 1 where it lacks the queue, and the failed state is stored for good. Priority, objective and the need for tickets were read in the same way.

Ruled out: failures counted twice (the endpoints have one end `failed` a task), and a takeover (one term in the whole case).

Change: a job is stored with its queue's terms at acceptance, which hold while the configuration lacks the queue. Every place that needs them asks the job. Records without terms, of former versions, are read; such a job isn't failed until its queue is back. The state machine drops the queue and adds it again, and checks that a failed job has failed often enough.

--- a/hickoryplank/coordinator/call_handler.py
+++ b/hickoryplank/coordinator/call_handler.py
@@ -165,6 +165,7 @@
             repeats=submission.repeats,
             first_ms=submission.first_ms,
             period_ms=submission.period_ms,
+            terms=admitted.queue.terms,
         )
         engine.submit(job, self._term.context.clock.now())
         stored = await self._term.wait_until_stored()
--- a/hickoryplank/coordinator/request_sender.py
+++ b/hickoryplank/coordinator/request_sender.py
@@ -186,8 +186,8 @@
     The queue may configure how long the service takes for an answer.
     """
     row = engine.jobs.get(request.step.job)
-    queue = engine.configuration.queues.get(row.job.queue) if row is not None else None
-    timing = queue.advice if queue is not None else None
+    terms = row.job.terms_in(engine.configuration) if row is not None else None
+    timing = terms.advice if terms is not None else None
     if timing is None:
         return MIN_ADVICE_TIMEOUT_SECONDS
     duration_ms = timing.decide_ms + timing.per_endpoint_ms * len(request.endpoints)
--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -113,8 +113,8 @@
 
 
 def _needs_ticket(tables: EngineTables, row: JobRow) -> bool:
-    queue = tables.configuration.queues.get(row.job.queue)
-    return queue is not None and queue.advice is not None
+    terms = row.job.terms_in(tables.configuration)
+    return terms is not None and terms.advice is not None
 
 
 def _assign_step(
--- a/hickoryplank/jobs/configuration.py
+++ b/hickoryplank/jobs/configuration.py
@@ -5,7 +5,15 @@
 from hickoryplank.core.ids import PoolId, QueueId, TeamId
 from hickoryplank.jobs.sizes import Size
 
-__all__ = ["AdviceTiming", "Configuration", "Pool", "Queue", "RouteMatch", "Team"]
+__all__ = [
+    "AdviceTiming",
+    "Configuration",
+    "Pool",
+    "Queue",
+    "QueueTerms",
+    "RouteMatch",
+    "Team",
+]
 
 
 class AdviceTiming(msgspec.Struct, frozen=True):
@@ -21,30 +29,48 @@
     valid_ms: int
 
 
-class Queue(msgspec.Struct, frozen=True):
-    """A queue.
+class QueueTerms(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """How a queue serves its jobs.
 
-    :param prefix: prefix of the paths of its calls.
     :param priority: 0 is served first.
     :param attempts: number of failed runs of a task at which its job fails.
     :param stretch: factor from the critical path of a job to its latency objective.
     :param slack_ms: time that the objective adds to that product, in milliseconds.
-    :param public: whether calls need no key.
     :param advice: the advice service's durations, if its tickets are required.
     """
 
-    id: QueueId
-    host: str
-    prefix: str
-    pool: PoolId
     priority: int = 0
     attempts: int = 1
     stretch: float = 1.0
     slack_ms: int = 0
-    public: bool = False
     advice: AdviceTiming | None = None
 
 
+class Queue(QueueTerms, frozen=True):
+    """A queue.
+
+    :param prefix: prefix of the paths of its calls.
+    :param public: whether calls need no key.
+    """
+
+    id: QueueId
+    host: str
+    prefix: str
+    pool: PoolId
+    public: bool = False
+
+    @property
+    def terms(self) -> QueueTerms:
+        """How the queue serves its jobs, without its address."""
+        return QueueTerms(
+            priority=self.priority,
+            attempts=self.attempts,
+            stretch=self.stretch,
+            slack_ms=self.slack_ms,
+            advice=self.advice,
+        )
+
+
 class Pool(msgspec.Struct, frozen=True):
     """A pool of VMs.
 
--- a/hickoryplank/jobs/model.py
+++ b/hickoryplank/jobs/model.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from hickoryplank.core.ids import JobId, PoolId, QueueId, TeamId
+from hickoryplank.jobs.configuration import Configuration, QueueTerms
 from hickoryplank.jobs.sizes import Size
 
 __all__ = ["Job", "Step", "TaskKey"]
@@ -78,6 +79,8 @@
     :param repeats: number of timed occurrences; 0 for a job that runs once, at once.
     :param first_ms: due time of occurrence 0, in Unix milliseconds.
     :param period_ms: time from one occurrence to the next, in milliseconds.
+    :param terms: terms of the queue at acceptance, which hold while the configuration
+        lacks the queue; none in records of former versions.
     """
 
     id: JobId
@@ -90,6 +93,11 @@
     repeats: int = 0
     first_ms: int = 0
     period_ms: int = 0
+    terms: QueueTerms | None = None
+
+    def terms_in(self, configuration: Configuration) -> QueueTerms | None:
+        """Return the terms of the queue, as configured or else as at acceptance."""
+        return configuration.queues.get(self.queue) or self.terms
 
     @property
     def lasting(self) -> bool:
--- a/hickoryplank/jobs/ordering.py
+++ b/hickoryplank/jobs/ordering.py
@@ -7,7 +7,7 @@
 after these, and jobs for which no caller is likely to wait any more come last.
 """
 
-from hickoryplank.jobs.configuration import Configuration, Queue
+from hickoryplank.jobs.configuration import Configuration, QueueTerms
 from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.table import JobRow
 
@@ -48,20 +48,20 @@
     return length_ms
 
 
-def objective_s(row: JobRow, queue: Queue) -> float:
+def objective_s(row: JobRow, terms: QueueTerms) -> float:
     """Return the latency objective of a job, in seconds."""
-    return (queue.stretch * _remaining_path_ms(row) + queue.slack_ms) / 1000
+    return (terms.stretch * _remaining_path_ms(row) + terms.slack_ms) / 1000
 
 
-def worth_serving(row: JobRow, queue: Queue | None, now: float) -> bool:
+def worth_serving(row: JobRow, terms: QueueTerms | None, now: float) -> bool:
     """Return whether a caller is likely to be still waiting for the end of a job.
 
     Estimates may be far too low. A job is therefore served for some time beyond the
     time that its estimate suggests.
     """
-    if row.lasting or row.job.repeats or queue is None:
+    if row.lasting or row.job.repeats or terms is None:
         return True
-    abandonment_s = ABANDONMENT_FACTOR * objective_s(row, queue)
+    abandonment_s = ABANDONMENT_FACTOR * objective_s(row, terms)
     return now < row.accepted_at + max(abandonment_s, MIN_ABANDONMENT_SECONDS)
 
 
@@ -80,17 +80,17 @@
 
 
 def _rank(row: JobRow, configuration: Configuration, now: float) -> tuple[float, ...]:
-    queue = configuration.queues.get(row.job.queue)
-    if queue is None:
+    terms = row.job.terms_in(configuration)
+    if terms is None:
         return (1, 0, 0, row.accepted_at)
     if row.lasting:
-        return (0, queue.priority, 0, row.accepted_at)
-    objective_at = row.accepted_at + objective_s(row, queue)
+        return (0, terms.priority, 0, row.accepted_at)
+    objective_at = row.accepted_at + objective_s(row, terms)
     remaining_s = _remaining_path_ms(row, _done_steps(row)) / 1000
     if row.over_share:
-        return (2, queue.priority, 0, row.accepted_at)
-    if not worth_serving(row, queue, now):
-        return (3, queue.priority, 0, row.accepted_at)
+        return (2, terms.priority, 0, row.accepted_at)
+    if not worth_serving(row, terms, now):
+        return (3, terms.priority, 0, row.accepted_at)
     if now + remaining_s <= objective_at:
-        return (0, queue.priority, 1, objective_at - remaining_s)
-    return (1, queue.priority, remaining_s, row.accepted_at)
+        return (0, terms.priority, 1, objective_at - remaining_s)
+    return (1, terms.priority, remaining_s, row.accepted_at)
--- a/hickoryplank/jobs/preassignment.py
+++ b/hickoryplank/jobs/preassignment.py
@@ -50,10 +50,10 @@
 
 
 def _can_preassign(tables: EngineTables, row: JobRow) -> bool:
-    queue = tables.configuration.queues.get(row.job.queue)
+    terms = row.job.terms_in(tables.configuration)
     if row.job.lasting or row.job.repeats or row.state.final:
         return False
-    return queue is not None and queue.advice is None
+    return terms is not None and terms.advice is None
 
 
 def _preassign_step(
--- a/hickoryplank/jobs/rebalancing.py
+++ b/hickoryplank/jobs/rebalancing.py
@@ -204,8 +204,8 @@
         wanted[pool] = wanted.get(pool, Size()).plus(endpoint.used)
     for row in engine.open_jobs.values():
         pool = row.job.pool
-        queue = engine.configuration.queues.get(row.job.queue)
-        if row.over_share or not worth_serving(row, queue, now):
+        terms = row.job.terms_in(engine.configuration)
+        if row.over_share or not worth_serving(row, terms, now):
             continue
         for occurrence in row.steps:
             for step in row.ready_steps(occurrence):
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -268,12 +268,13 @@
     if step.step.lasting:
         task.not_before = now + LASTING_RESTART_DELAY_SECONDS
         return
-    queue = tables.configuration.queues.get(row.job.queue)
-    attempts = queue.attempts if queue is not None else 1
+    terms = row.job.terms_in(tables.configuration)
     failures = task.failures
     if step.step.gang:
         failures = sum(one.failures for one in step.tasks)
-    if failures >= attempts and not row.state.final:
+    if terms is None or row.state.final:
+        return
+    if failures >= terms.attempts:
         tables.end_job(row, JobState.FAILED, now)
 
 
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -66,6 +66,13 @@
     )
 
 
+def without_queues(cfg: Configuration) -> Configuration:
+    """Return the next version of a configuration, with the same pools and teams."""
+    return Configuration.build(
+        cfg.version + 1, [], list(cfg.pools.values()), list(cfg.teams.values())
+    )
+
+
 def job(id: str, *steps: Step) -> Job:
     """Return a job of the team in ``configuration()``."""
     return Job(JobId(id), QUEUE, POOL, TEAM, "payload", steps, accepted_ms=0)
@@ -139,6 +146,10 @@
         self.engine.restore(rows.values())
         self._list_endpoints(self.engine)
 
+    def configure(self, cfg: Configuration) -> None:
+        """Put a configuration in force, for this term and later ones."""
+        self.cfg = self.engine.configuration = cfg
+
     def relist(self) -> None:
         """List the endpoints that the list has left out."""
         self.unlisted = set()
--- a/tests/jobs/ledger.py
+++ b/tests/jobs/ledger.py
@@ -40,6 +40,7 @@
     :ivar jobs: the submitted jobs.
     :ivar done: tasks of which a run has ended ``done``.
     :ivar noted: tasks of which such an end was acknowledged.
+    :ivar failures: ends ``failed``, by task.
     :ivar noted_failures: acknowledged ends ``failed``, by task.
     :ivar in_operation_ms: time of day at which each task was last in full operation.
     :ivar stopped: tasks that the system has stopped, until in full operation again.
@@ -51,6 +52,7 @@
         self.jobs: dict[JobId, Job] = {}
         self.done: set[TaskKey] = set()
         self.noted: set[TaskKey] = set()
+        self.failures: dict[TaskKey, int] = {}
         self.noted_failures: dict[TaskKey, int] = {}
         self.highest_attempts: dict[TaskKey, int] = {}
         self.in_operation_ms: dict[TaskKey, int] = {}
@@ -83,6 +85,17 @@
         """Record how a run has ended."""
         if kind is EndKind.DONE:
             self.done.add(key)
+        elif kind is EndKind.FAILED:
+            self.failures[key] = self.failures.get(key, 0) + 1
+
+    def check_failed(self, job: Job, attempts: int) -> None:
+        """Check that some task, or gang, of a failed job has failed often enough."""
+        counts = [
+            self.failures.get(key, 0) for key in task_keys(job) if not _is_gang(job)
+        ]
+        if _is_gang(job):
+            counts = [sum(self.failures.get(key, 0) for key in task_keys(job))]
+        assert max(counts) >= attempts, f"{job.id} has failed after {max(counts)} runs"
 
     def note_acknowledged(self, end: End) -> None:
         """Record that the system has taken note of an end."""
@@ -132,6 +145,11 @@
     }
 
 
+def _is_gang(job: Job) -> bool:
+    """Return whether the only step of a job is a gang."""
+    return job.steps[0].gang
+
+
 class LedgerEndpoint(FakeEndpoint):
     """A fake endpoint that enters what it runs in a ledger.
 
@@ -198,6 +216,7 @@
 
     :ivar clock_rate: rate of the clocks of endpoints that are built from now on.
     :ivar ends_per_report: most ends in a report of endpoints built from now on.
+    :ivar attempts: runs of a task that may fail.
     :ivar permits: whether a job may run on an incarnation of an endpoint, if its queue
         has advice; it is asked for once a step.
     """
@@ -206,6 +225,7 @@
         self.ledger = ledger
         self.clock_rate = 1.0
         self.ends_per_report = 500
+        self.attempts = next(iter(cfg.queues.values())).attempts
         self.permits: Callable[[JobId, EndpointId, int], bool] | None = None
         super().__init__(count, work_ms, cfg)
 
@@ -257,7 +277,7 @@
         return run.ticket == _ticket(run.key.job, id, born_ms)
 
     def build_endpoint(self, id: EndpointId, born_ms: int) -> FakeEndpoint:
-        attempts = next(iter(self.cfg.queues.values())).attempts
+        attempts = self.attempts
         fake = LedgerEndpoint(
             born_ms, self.work_ms, self.ledger, self.clock_rate, attempts
         )
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -14,15 +14,17 @@
 from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId
 from hickoryplank.jobs.configuration import AdviceTiming
 from hickoryplank.jobs.evacuation import continue_evacuation
-from hickoryplank.jobs.model import Step, TaskKey
+from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
 from hickoryplank.jobs.vms import OperationPhase, VmOperation
-from tests.jobs.driver import configuration, job
+from tests.jobs.driver import QUEUE, configuration, job, without_queues
 from tests.jobs.ledger import Ledger, LedgerDriver, task_keys
 
 ENDPOINTS = [EndpointId(f"e{number}") for number in range(3)]
 TEAM_LIMIT = Size(9000, 0, 0)
+#: Runs of a task, or gang, that may fail.
+ATTEMPTS = 3
 #: Jobs of one play, of which the last may wait for all others.
 MAX_JOBS = 12
 #: Steps of 0.1 s within which some task has to end once all faults have ended. The
@@ -84,8 +86,8 @@
     )
     def begin(self, slow: bool, advised: bool, ends_per_report: int) -> None:
         self.ledger = Ledger()
-        cfg = configuration(TEAM_LIMIT, advice=ADVICE if advised else None)
-        self.driver = LedgerDriver(self.ledger, len(ENDPOINTS), run_ms, cfg)
+        self.cfg = configuration(TEAM_LIMIT, ATTEMPTS, ADVICE if advised else None)
+        self.driver = LedgerDriver(self.ledger, len(ENDPOINTS), run_ms, self.cfg)
         self.driver.permits = permits if advised else None
         self.driver.clock_rate = SLOW_CLOCK if slow else 1.0
         self.driver.ends_per_report = ends_per_report
@@ -99,7 +101,12 @@
         self.ordered: set[EndpointId] = set()
 
     def submit(self, id: str, *steps: Step) -> None:
-        new = job(id, *steps)
+        self.accept(job(id, *steps))
+
+    def accept(self, new: Job) -> None:
+        """Submit a job with the terms that its queue has in the configuration."""
+        terms = self.cfg.queues[QUEUE].terms
+        new = msgspec.structs.replace(new, terms=terms)
         self.ledger.jobs[new.id] = new
         self.driver.engine.submit(new, self.driver.now)
 
@@ -144,8 +151,7 @@
         new = msgspec.structs.replace(
             plain, repeats=repeats, first_ms=first_ms, period_ms=period_ms
         )
-        self.ledger.jobs[new.id] = new
-        self.driver.engine.submit(new, self.driver.now)
+        self.accept(new)
 
     @rule(number=st.integers(0, 20))
     def cancel(self, number: int) -> None:
@@ -154,6 +160,11 @@
         self.cancelled.add(rows[number].job.id)
         self.driver.engine.cancel(rows[number], self.driver.now)
 
+    @rule(present=st.booleans())
+    def change_configuration(self, present: bool) -> None:
+        """Drop the queue from the configuration, or add it again."""
+        self.driver.configure(self.cfg if present else without_queues(self.cfg))
+
     @rule(ids=SUBSETS)
     def cut_endpoints(self, ids: set[EndpointId]) -> None:
         self.driver.unreachable = ids
@@ -293,6 +304,8 @@
                 assert keys <= self.ledger.done, f"{row.job.id} is not done"
             if row.stored_state is JobState.CANCELLED:
                 assert row.job.id in self.cancelled
+            if row.stored_state is JobState.FAILED:
+                self.ledger.check_failed(row.job, ATTEMPTS)
 
     @precondition(lambda self: hasattr(self, "driver"))
     @invariant()
@@ -308,6 +321,7 @@
             return
         self.driver.unreachable = set()
         self.driver.lost_answers = set()
+        self.driver.configure(self.cfg)
         self.turn_well()
         self.lasting_tasks_run_where_there_is_room()
         for row in list(self.driver.engine.open_jobs.values()):
