Starts sent to a VM that is down may reach its next incarnation

Cause: the VM list shows the VM as down, and its silent endpoint was ended with all runs. A start that was sent after the crash is carried out by the next incarnation, while its task had been started elsewhere.

Ruled out: late listings (an older incarnation changes nothing), and an acknowledgement that drops ends (nothing had ended).

Change: a run whose start has had no answer keeps its place while its VM is down, and its start is withdrawn. The next incarnation's report settles it, if need be after a stop, or 5 s pass since the start was last sent. A run that was confirmed after a try without an answer is stopped first, too, before a report that lacks it gives it up. The soak crashes endpoints together, shows their VMs as down, holds back what is sent meanwhile, and cuts them off after their return; its fake endpoints shorten leases to 10 s as the platform's do.

Shown: the eight cases of test_a_start_sent_to_a_vm_that_is_down_... failed before.

--- a/hickoryplank/coordinator/request_sender.py
+++ b/hickoryplank/coordinator/request_sender.py
@@ -103,7 +103,7 @@
                 "endpoint": run.endpoint.id,
                 "tries": attempts,
                 "run": run.state.value,
-                "endpoint_leaves": run.endpoint.leaves,
+                "endpoint_takes_starts": run.endpoint.takes_starts,
             },
         )
 
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -8,7 +8,14 @@
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import ZERO, Size
 
-__all__ = ["Endpoint", "Listing", "Run", "RunState", "MIN_CLOCK_RATE"]
+__all__ = [
+    "LATE_CALL_SECONDS",
+    "MIN_CLOCK_RATE",
+    "Endpoint",
+    "Listing",
+    "Run",
+    "RunState",
+]
 
 #: Lowest rate of an endpoint's clock relative to true time. The platform states that
 #: clocks may be up to 2 % slow; the rest is margin.
@@ -22,6 +29,10 @@
 EJECTION_JOBS = 3
 #: Time for which an ejected endpoint gets no new runs.
 EJECTION_SECONDS = 3.0
+#: Time after which a call that had no answer is taken to be lost, in seconds. Until
+#: then it may be carried out, also by a later incarnation. It is less than the 6 s
+#: after which the platform expects a lasting task to run again.
+LATE_CALL_SECONDS = 5.0
 
 
 class RunState(Enum):
@@ -52,6 +63,10 @@
     :param preassigned: a former coordinator stored it as a pre-assignment, so that its
         start may never have been sent.
     :param adopted: it was taken over from a former coordinator.
+    :param unanswered_at: time of the last start that this coordinator has sent, unless
+        its first one was answered.
+    :param fenced_at: time at which this incarnation of the endpoint accepted a stop,
+        after which it refuses the start.
     :param start_withdrawn_at: time from which its start, which had no answer yet, is
         not sent any more; none while it may be.
     """
@@ -62,6 +77,7 @@
         "confirmed_at",
         "counted_size",
         "endpoint",
+        "fenced_at",
         "key",
         "reported",
         "load",
@@ -76,6 +92,7 @@
         "step",
         "team",
         "ticket",
+        "unanswered_at",
         "until_ms",
     )
 
@@ -100,6 +117,8 @@
         self.preassigned = False
         self.adopted = False
         self.start_withdrawn_at: float | None = None
+        self.unanswered_at: float | None = None
+        self.fenced_at: float | None = None
 
     @property
     def awaits_first_report(self) -> bool:
@@ -112,6 +131,11 @@
         """Whether the start may have reached a later incarnation of the endpoint."""
         return self.state is not RunState.ASSIGNED and not self.reported
 
+    def start_may_arrive(self, now: float) -> bool:
+        """Return whether a start without an answer may still be carried out."""
+        at = self.unanswered_at
+        return at is not None and now < at + LATE_CALL_SECONDS
+
     @property
     def run_key(self) -> tuple[TaskKey, int]:
         """Task and attempt number, which identify the run on its endpoint."""
@@ -188,6 +212,8 @@
         self.pace_changed_at = 0.0
         #: Whether the VM is to be moved or maintained; no new run is assigned here.
         self.cordoned = False
+        #: Whether the VM list has shown the VM as down since the last answer.
+        self.vm_down = False
         #: Whether the VM awaits maintenance; lasting tasks prefer other endpoints.
         self.maintenance_due = False
 
@@ -218,19 +244,16 @@
         self.free = listing.capacity.minus(self.used)
 
     @property
-    def leaves(self) -> bool:
-        """Whether it is draining, gone from the list, or its VM is to be ordered away.
-
-        No start may be sent to it, not even again.
-        """
-        return self.draining or self.cordoned
+    def takes_starts(self) -> bool:
+        """Whether starts may be sent to it, for the first time or again."""
+        return not self.draining and not self.cordoned and not self.vm_down
 
     def usable(self, now: float) -> bool:
         """Return whether new runs may be assigned here."""
         return (
             self.token_confirmed
             and self.silent_since is None
-            and not self.leaves
+            and self.takes_starts
             and now >= self.ejected_until
         )
 
@@ -272,6 +295,7 @@
         :param clock_ms: the endpoint's clock in the answer.
         """
         self.silent_since = None
+        self.vm_down = False
         if clock_ms > self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_at = now
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -258,6 +258,8 @@
                 continue
             if endpoint.runs and endpoint.leases_expired(now):
                 for run in list(endpoint.runs.values()):
+                    if endpoint.vm_down and run.start_may_arrive(now):
+                        continue
                     self.give_up_run(run, "its lease has lapsed on a silent endpoint")
             if not endpoint.listed and not endpoint.runs:
                 self.drop_endpoint(endpoint)
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -1,7 +1,12 @@
 """Incarnations of endpoints: listings, ends, and assignments after a takeover."""
 
 from hickoryplank.core.ids import EndpointId
-from hickoryplank.jobs.endpoints import MIN_CLOCK_RATE, Endpoint, Listing, RunState
+from hickoryplank.jobs.endpoints import (
+    MIN_CLOCK_RATE,
+    Endpoint,
+    Listing,
+    RunState,
+)
 from hickoryplank.jobs.engine_tables import EngineTables
 
 __all__ = [
@@ -41,10 +46,13 @@
     tables: EngineTables, before: Endpoint, fresh: Endpoint, now: float
 ) -> None:
     """Keep the runs that a new incarnation may have, until its reports settle them."""
-    for run in [run for run in before.runs.values() if run.may_be_in_next_incarnation]:
+    for run in list(before.runs.values()):
+        if not run.may_be_in_next_incarnation and not run.start_may_arrive(now):
+            continue
         before.remove(run)
         run.endpoint = fresh
         run.progressed_at_ms = 0
+        run.fenced_at = None
         # Nobody repeats the start of a run that was taken over from a former
         # coordinator: the first report of this incarnation settles it.
         if run.state is not RunState.SENT or run.confirmed_at is not None:
@@ -100,11 +108,27 @@
         if endpoint.id in alive or silent_since is None:
             continue
         if silent_since < asked_at:
-            end_incarnation(tables, endpoint, now)
+            _end_down_incarnation(tables, endpoint, now)
     for id in [one for one in tables.unlisted_assignments if one not in alive]:
         _release_assignments(tables, id)
 
 
+def _end_down_incarnation(tables: EngineTables, endpoint: Endpoint, now: float) -> None:
+    """End what ran on a VM that is down, but for starts that may still arrive.
+
+    The VM may be back at any time with an endpoint of the same id, which then carries
+    out the starts that were sent while it was down.
+    """
+    endpoint.vm_down = True
+    for run in list(endpoint.runs.values()):
+        if not run.start_may_arrive(now):
+            tables.give_up_run(run, "its VM is down")
+        elif run.start_withdrawn_at is None:
+            run.start_withdrawn_at = now
+    if not endpoint.runs:
+        tables.drop_endpoint(endpoint)
+
+
 def _release_assignments(tables: EngineTables, id: EndpointId) -> None:
     for row, task in tables.pop_unlisted_assignments(id):
         task.stored_assignment = None
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -170,12 +170,19 @@
 
     :param asked_at: time at which the poll was sent whose report lacks the run.
     """
-    if run.confirmed_at is not None:
-        if run.confirmed_at < asked_at:
-            tables.give_up_run(run, "its endpoint lists neither it nor its end")
-    elif run.start_withdrawn_at is not None and run.start_withdrawn_at < asked_at:
+    if _is_before(run.fenced_at, asked_at):
+        tables.give_up_run(run, "its endpoint has accepted a stop")
+        return
+    confirmed = _is_before(run.confirmed_at, asked_at)
+    if confirmed and not run.start_may_arrive(now):
+        tables.give_up_run(run, "its endpoint lists neither it nor its end")
+    elif confirmed or _is_before(run.start_withdrawn_at, asked_at):
         # Once the endpoint has accepted the stop, it refuses the start.
-        tables.stop(run, now, "its start was withdrawn without an answer")
+        tables.stop(run, now, "a start without an answer may still arrive")
+
+
+def _is_before(at: float | None, asked_at: float) -> bool:
+    return at is not None and at < asked_at
 
 
 def _note_begun(tables: EngineTables, run: Run) -> None:
@@ -287,7 +294,8 @@
     """
     if run.endpoint.runs.get(run.run_key) is not run:
         return False
-    if run.state is RunState.SENT and not run.endpoint.leaves:
+    if run.state is RunState.SENT and run.endpoint.takes_starts:
+        run.unanswered_at = now
         return True
     if not tries:
         tables.give_up_run(run, "its start was withdrawn before it was sent")
@@ -312,6 +320,8 @@
     endpoint = run.endpoint
     if endpoint.runs.get(run.run_key) is not run:
         return False
+    if tries == 1 and outcome is not StartOutcome.UNKNOWN:
+        run.unanswered_at = None
     if clock_ms:
         endpoint.note_answer(clock_ms, now)
     match outcome:
@@ -352,8 +362,7 @@
 
 def stop_answered(tables: EngineTables, run: Run, now: float) -> None:
     """Record that a stop was accepted; the next report settles the run."""
-    if run.confirmed_at is None:
-        run.confirmed_at = now
+    run.fenced_at = now
 
 
 def _is_lasting(row: JobRow, end: End) -> bool:
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -21,7 +21,7 @@
 )
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.table import JobRow
-from tests.jobs.fake_endpoint import FakeEndpoint
+from tests.jobs.fake_endpoint import MAX_LEASE_MS, FakeEndpoint
 
 POOL = PoolId("routes")
 QUEUE = QueueId("plan")
@@ -29,7 +29,6 @@
 CAPACITY = Size(4000, 8000, 0)
 TASK = Size(1000, 1000, 0)
 LEASE_MS = 4000
-MAX_LEASE_MS = 10_000
 RETENTION_SECONDS = 180.0
 STOP_GRACE_MS = 400
 FORMER_LEASE_SECONDS = 9.0
--- a/tests/jobs/fake_endpoint.py
+++ b/tests/jobs/fake_endpoint.py
@@ -15,6 +15,9 @@
 
 RunKey = tuple[TaskKey, int]
 
+#: Longest lease that an endpoint grants, in milliseconds; a longer one is shortened.
+MAX_LEASE_MS = 10_000
+
 
 class FakeRun(msgspec.Struct):
     """A run on the endpoint.
@@ -69,20 +72,23 @@
             return StartOutcome.FENCED
         self.token = token
         if (key, attempt) in self.running:
-            self.until_ms = max(self.until_ms, until_ms)
+            self._extend_leases(until_ms)
             return StartOutcome.STARTED
         if attempt <= self.highest_attempts.get(key, 0):
-            self.until_ms = max(self.until_ms, until_ms)
+            self._extend_leases(until_ms)
             return StartOutcome.ALREADY_ENDED
         if until_ms <= self.clock_ms:
             return StartOutcome.LEASE_EXPIRED
-        self.until_ms = max(self.until_ms, until_ms)
+        self._extend_leases(until_ms)
         work_ms = self.work_ms(key)
         run = FakeRun(key, attempt, payload, work_ms, work_ms=work_ms)
         self.running[(key, attempt)] = run
         self.started.append((key, attempt))
         return StartOutcome.STARTED
 
+    def _extend_leases(self, until_ms: float) -> None:
+        self.until_ms = max(self.until_ms, min(until_ms, self.clock_ms + MAX_LEASE_MS))
+
     def stop(self, key: TaskKey, attempt: int, token: int) -> bool:
         """Handle a stop; return false if the fencing token is too low."""
         if token < self.token:
@@ -102,7 +108,7 @@
             return None
         self.token = token
         if until_ms is not None:
-            self.until_ms = max(self.until_ms, until_ms)
+            self._extend_leases(until_ms)
         self.acknowledged = max(self.acknowledged, last_seen)
         self.ends = [end for end in self.ends if end.number > last_seen]
         running = tuple(
--- a/tests/jobs/ledger.py
+++ b/tests/jobs/ledger.py
@@ -4,6 +4,7 @@
 
 from hickoryplank.core.ids import EndpointId, JobId
 from hickoryplank.jobs.endpoints import Run
+from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.messages import (
     AdviceAnswer,
     End,
@@ -261,11 +262,12 @@
             fake.draining_since_ms = self.ledger.wall_ms
         self.engine.update_listing(listing(id, fake.born_ms, draining), self.now)
 
-    def take_over(self, applied: bool = False) -> None:
-        """Begin the term of another coordinator, for which no endpoint drains."""
-        for fake in self.endpoints.values():
-            fake.draining_since_ms = None
-        super().take_over(applied)
+    def _list_endpoints(self, engine: Engine) -> None:
+        """List the endpoints, none of which is draining."""
+        for id, fake in self.endpoints.items():
+            if id not in self.unlisted and isinstance(fake, LedgerEndpoint):
+                fake.draining_since_ms = None
+        super()._list_endpoints(engine)
 
     def accepts_ticket(self, run: Run) -> bool:
         id = run.endpoint.id
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -227,3 +227,59 @@
     assert driver.engine.team_usage.used(TEAM) == Size(3000, 3000, 0)
     running = [id for id, one in driver.endpoints.items() if one.running]
     assert (running == [busy]) is relisted
+
+
+def crash(driver: Driver, endpoint_id: EndpointId) -> None:
+    """End an incarnation with its runs; the endpoint is silent from now on."""
+    before = driver.endpoints[endpoint_id]
+    driver.endpoints[endpoint_id] = FakeEndpoint(before.born_ms + 1, driver.work_ms)
+    driver.unreachable.add(endpoint_id)
+
+
+def note_vm_down(driver: Driver, endpoint_id: EndpointId) -> None:
+    alive = frozenset(driver.endpoints) - {endpoint_id}
+    driver.engine.end_down_incarnations(alive, driver.now + 0.001, driver.now)
+
+
+@pytest.mark.parametrize("dark_steps", [3, 6, 12, 25])
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_a_start_sent_to_a_vm_that_is_down_may_reach_the_next_incarnation(
+    dark_steps, is_listed
+):
+    """Guards against a second run of a task whose start was sent in the dark."""
+    driver = Driver(work_ms=lambda key: None)
+    driver.step()
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    for endpoint_id in driver.endpoints:
+        driver.unreachable.add(endpoint_id)
+    driver.commit()
+    (run,) = [r for one in driver.engine.endpoints.values() for r in one.runs.values()]
+    busy = run.endpoint.id
+    driver.unreachable = {busy}
+    crash(driver, busy)
+    for _ in range(dark_steps):
+        driver.step()
+        note_vm_down(driver, busy)
+    driver.endpoints[busy].start(KEY, 1, "payload", run.until_ms, 1)
+    driver.unreachable.clear()
+    if is_listed:
+        list_incarnation(driver, busy)
+    assert max_concurrent_runs(driver, 30) == 1
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+
+
+def test_the_task_of_a_lost_start_is_started_elsewhere_before_long():
+    driver = Driver(count=2, work_ms=lambda key: None)
+    driver.step()
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.unreachable = set(driver.endpoints)
+    driver.commit()
+    (run,) = [r for one in driver.engine.endpoints.values() for r in one.runs.values()]
+    driver.unreachable = {run.endpoint.id}
+    crash(driver, run.endpoint.id)
+    for _ in range(58):
+        driver.step()
+        note_vm_down(driver, run.endpoint.id)
+    assert driver.run_count(KEY) == 1
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -30,6 +30,8 @@
 MAX_LASTING_JOBS = 4
 #: Mean rate of new jobs, per second.
 JOBS_PER_SECOND = 8.0
+#: The same for jobs of given steps, whose tasks are long.
+LONG_JOBS_PER_SECOND = 4.0
 CANCELLED_FRACTION = 0.12
 REPEATED_FRACTION = 0.2
 TIMED_FRACTION = 0.1
@@ -97,9 +99,18 @@
 
 
 class Callers:
-    """Submits jobs over persistent connections while faults are injected."""
+    """Submits jobs over persistent connections while faults are injected.
 
-    def __init__(self, deployment: Deployment, seed: int):
+    :param steps: steps of every job; random by default.
+    """
+
+    def __init__(
+        self, deployment: Deployment, seed: int, steps: tuple[Step, ...] | None = None
+    ):
+        self._steps = steps
+        self._jobs_per_second = (
+            JOBS_PER_SECOND if steps is None else LONG_JOBS_PER_SECOND
+        )
         self._deployment = deployment
         self._checker = deployment.checker
         self._rng = random.Random(f"callers {seed}")
@@ -117,7 +128,7 @@
             task = asyncio.create_task(self._run_caller())
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(self._rng.expovariate(JOBS_PER_SECOND))
+            await asyncio.sleep(self._rng.expovariate(self._jobs_per_second))
 
     async def finish(self) -> None:
         """Wait until all callers have ended; raise the first of their errors."""
@@ -135,9 +146,9 @@
             id=JobId(next(self._ids)),
             team=team,
             payload=f"payload {rng.random()}",
-            steps=draw_steps(rng, lasting < MAX_LASTING_JOBS),
+            steps=self._steps or draw_steps(rng, lasting < MAX_LASTING_JOBS),
         )
-        if not job.lasting:
+        if not job.lasting and self._steps is None:
             job.timing = draw_timing(random.Random(f"timing of {job.id}"))
         self._checker.jobs[job.id] = job
         return job
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -43,6 +43,8 @@
 OUTAGE_SECONDS = 0.5
 #: Grace period from SIGTERM until a process is killed, in seconds.
 GRACE_SECONDS = 6.0
+#: Readings of the clock of an endpoint at its start, in milliseconds.
+FIRST_CLOCKS_MS = (0.0, 1000.0, 1000.0, 8000.0, 90_000.0)
 #: Interval at which the clocks of the endpoints are advanced, in seconds.
 CLOCK_INTERVAL_SECONDS = 0.01
 
@@ -159,6 +161,7 @@
         self._root = root
         self._code = code
         self._rng = random.Random(seed)
+        self._clock_rng = random.Random(f"clocks {seed}")
         self.checker = InvariantChecker(dict(LIMITS))
         self.store = MemoryStore()
         self.endpoints = MemoryEndpoints({})
@@ -173,6 +176,8 @@
         self._incarnations = 0
         self._clock_task: asyncio.Task | None = None
         self.longest_stall_s = 0.0
+        #: Run time of every task that ends, in milliseconds; random by default.
+        self.task_ms: float | None = None
 
     async def start(self) -> None:
         """Start everything."""
@@ -332,11 +337,33 @@
             self._end_incarnation(row.endpoint)
             self._begin_incarnation(row)
 
+    def crash_endpoints(self, vms: list[VmId]) -> None:
+        """End the endpoints of VMs, and hold back all data from and to them.
+
+        What was sent to them meanwhile reaches the next incarnation.
+        """
+        for vm in vms:
+            self.proxies[vm].freeze()
+            self._end_incarnation(self.vms.vms[vm].endpoint)
+            self.vms.set_state(vm, VmState.DOWN)
+
+    def start_endpoints_again(self, vms: list[VmId]) -> None:
+        """Begin the next incarnation of crashed endpoints, under the same ids."""
+        for vm in vms:
+            self.vms.set_state(vm, VmState.UP)
+            if vm not in self.vms.unavailable:
+                self._begin_incarnation(self.vms.vms[vm])
+            self.proxies[vm].restore()
+
+    def lapse_listings_of(self, vms: list[VmId]) -> None:
+        """Remove the endpoints of VMs from the list."""
+        for vm in vms:
+            self._write_listing(self.vms.vms[vm].endpoint, None)
+
     def lapse_listings(self) -> list[VmId]:
         """Remove all endpoints from the list, and return their VMs."""
         vms = sorted(set(self.vms.vms) - set(self.vms.unavailable))
-        for vm in vms:
-            self._write_listing(self.vms.vms[vm].endpoint, None)
+        self.lapse_listings_of(vms)
         return vms
 
     def vms_with_lasting_tasks(self) -> list[VmId]:
@@ -359,7 +386,7 @@
 
     def _begin_incarnation(self, vm: ListedVm) -> None:
         born_ms = time.time_ns() // 1_000_000
-        self.endpoints.endpoints[vm.endpoint] = ObservedEndpoint(
+        incarnation = ObservedEndpoint(
             vm.endpoint,
             born_ms,
             self._work_ms,
@@ -367,6 +394,8 @@
             self._rng.uniform(0.98, 1.0),
             self.checker,
         )
+        incarnation.clock_ms = self._clock_rng.choice(FIRST_CLOCKS_MS)
+        self.endpoints.endpoints[vm.endpoint] = incarnation
         self._write_listing(vm.endpoint, self._listing(vm, born_ms))
 
     def _end_incarnation(self, id: EndpointId | None) -> None:
@@ -392,6 +421,8 @@
         job = self.checker.jobs.get(key.job)
         if job is None or job.steps[key.step].lasting:
             return None
+        if self.task_ms is not None:
+            return self.task_ms
         return random.Random(f"{key.job}{key.step}{key.index}").uniform(60, 900)
 
     def lease_holder(self) -> Entry:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,10 +9,19 @@
 from pathlib import Path
 
 from hickoryplank.coordinator.ports import Topic
+from hickoryplank.core.ids import VmId
+from hickoryplank.jobs.model import Step
+from hickoryplank.jobs.sizes import Size
 from tests.proxy import Direction, Proxy
 from tests.soak.callers import Callers
-from tests.soak.deployment import WAVE_VMS, Deployment, Entry
-from tests.soak.fault_plan import INJECTION_SECONDS, Fault, FaultKind, draw_faults
+from tests.soak.deployment import POOLS, WAVE_VMS, Deployment, Entry
+from tests.soak.fault_plan import (
+    INJECTION_SECONDS,
+    Fault,
+    FaultKind,
+    draw_faults,
+    draw_recuts,
+)
 
 __all__ = ["Report", "soak"]
 
@@ -26,6 +35,16 @@
 RELIST_SECONDS = 2.0
 #: Delay of each chunk of data from and to a slow store, in seconds.
 STORE_DELAY_SECONDS = 0.12
+#: Endpoints that start again together, the time from then until they are cut off, and
+#: the time for which they are, in seconds.
+RECUT_VMS = 3
+RECUT_DELAY_SECONDS = 2.0
+RECUT_CUT_SECONDS = 9.0
+#: Silence of an endpoint after which it is removed from the list, in seconds.
+LISTING_LAPSE_SECONDS = 4.5
+#: Run time of the tasks in a play of such faults alone, in milliseconds.
+LONG_TASK_MS = 12_000.0
+LONG_STEPS = (Step(2, Size(100, 100), estimate_ms=12_000),)
 REPOSITORY = str(Path(__file__).parents[2])
 
 
@@ -129,6 +148,8 @@
         vm = vms[fault.target % len(vms)]
         proxy = self._deployment.proxies[vm]
         match fault.kind:
+            case FaultKind.ENDPOINTS_RECUT:
+                await self._restart_and_cut(vm, fault.for_s)
             case FaultKind.ENDPOINT_RESTARTED:
                 self._deployment.restart_endpoint(vm)
             case FaultKind.ENDPOINT_FAILING:
@@ -144,6 +165,32 @@
             case _:
                 await self._disturb_connections(proxy, fault)
 
+    async def _restart_and_cut(self, vm: VmId, dark_s: float) -> None:
+        """Restart endpoints of one pool under their ids, and cut them off soon after.
+
+        They go on working while they are cut off, and renew no listing.
+        """
+        deployment = self._deployment
+        rows = deployment.vms.vms
+        pool = rows[vm].pool if rows[vm].pool in POOLS else POOLS[0]
+        vms = [
+            id
+            for id in sorted(rows)
+            if rows[id].pool == pool and id not in deployment.vms.unavailable
+        ][:RECUT_VMS]
+        deployment.crash_endpoints(vms)
+        await asyncio.sleep(dark_s)
+        deployment.start_endpoints_again(vms)
+        await asyncio.sleep(RECUT_DELAY_SECONDS)
+        for id in vms:
+            deployment.proxies[id].freeze()
+        await asyncio.sleep(LISTING_LAPSE_SECONDS)
+        deployment.lapse_listings_of(vms)
+        await asyncio.sleep(RECUT_CUT_SECONDS - LISTING_LAPSE_SECONDS)
+        for id in vms:
+            deployment.proxies[id].restore()
+        deployment.relist(vms)
+
     async def _disturb_connections(self, proxy: Proxy, fault: Fault) -> None:
         match fault.kind.name.partition("_")[2]:
             case "FROZEN":
@@ -215,7 +262,8 @@
 
 
 async def _finish(deployment: Deployment, callers: Callers) -> None:
-    until = time.monotonic() + FINISH_SECONDS
+    task_s = (deployment.task_ms or 0.0) / 1000
+    until = time.monotonic() + FINISH_SECONDS + task_s
     while _unfinished(deployment) and time.monotonic() < until:
         await asyncio.sleep(0.1)
     for detail in _unfinished(deployment):
@@ -225,10 +273,13 @@
     deployment.checker.check_refusals()
 
 
-async def _soak(seed: int, length_s: float, root: Path, code: str) -> Report:
+async def _soak(
+    seed: int, length_s: float, root: Path, code: str, recut: bool
+) -> Report:
     deployment = Deployment(root, seed, code)
-    callers = Callers(deployment, seed)
-    faults = draw_faults(seed, length_s)
+    deployment.task_ms = LONG_TASK_MS if recut else None
+    callers = Callers(deployment, seed, LONG_STEPS if recut else None)
+    faults = draw_recuts(seed) if recut else draw_faults(seed, length_s)
     try:
         await deployment.start()
         await _wait_until_ready(deployment)
@@ -263,6 +314,7 @@
     length_s: float = INJECTION_SECONDS,
     root: Path | None = None,
     code: str = REPOSITORY,
+    recut: bool = False,
 ) -> Report:
     """Run one seed and return its report.
 
@@ -270,7 +322,8 @@
     :param length_s: time for which jobs are submitted and faults begin, in seconds.
     :param root: directory for settings and logs; a new temporary one by default.
     :param code: directory of the code that the entries run.
+    :param recut: play only endpoints that restart and are cut off, with long tasks.
     """
     root = root or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     random.seed(seed)
-    return asyncio.run(_soak(seed, length_s, root, code))
+    return asyncio.run(_soak(seed, length_s, root, code, recut))
--- a/tests/standins/fake_platform.py
+++ b/tests/standins/fake_platform.py
@@ -17,6 +17,7 @@
     Condition,
     Fence,
     Topic,
+    VmState,
 )
 from hickoryplank.core.ids import EndpointId, JobId, PoolId, VmId, WaveId
 from hickoryplank.jobs.messages import StartOutcome
@@ -35,6 +36,8 @@
 }
 PAGE_ITEMS = 500
 _LENGTH = struct.Struct(">I")
+#: The platform's word for each state of a VM; for any other, it is ``up``.
+_VM_STATES = {VmState.MAINTENANCE: "upkeep", VmState.DOWN: "down"}
 _REFUSAL_REASONS = {
     StartOutcome.FENCED: "fence",
     StartOutcome.ALREADY_ENDED: "old",
@@ -231,7 +234,7 @@
                 {
                     "machine": vm.id,
                     "pool": vm.pool,
-                    "state": "upkeep" if vm.state.value == "maintenance" else "up",
+                    "state": _VM_STATES.get(vm.state, "up"),
                     "zone": vm.zone,
                     "labels": list(vm.labels),
                     "capacity": {"cpu": vm.capacity.cpu, "mem_mb": vm.capacity.mem_mb},
