Young incarnations may have leases by the clock of their former life

Cause: a call for the former incarnation names the end of leases by the former clock, so that the new one grants its longest lease, 10 s. The coordinator expected 4 s, unless it had kept a run whose start may have reached the new incarnation; one that took over after the return never knew.

Ruled out for these: starts sent while the VM was down (these runs had been reported by the new incarnation).

Change: an incarnation that begins during a term, or is young by the time of day when it is first listed, counts as having leases of the longest duration for 5 s and that duration. The engine is given the time of day at its start.

--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -126,7 +126,7 @@
             await self._term.watcher.changed.wait()
             configuration = self._term.watcher.configuration
         now = self._term.context.clock.now()
-        engine = Engine(configuration, self._term.context.timing, now)
+        engine = Engine(configuration, self._term.context.timing, now, wall_ms())
         engine.restore(stored.rows)
         self._term.malformed_jobs = stored.malformed
         self._term.engine = engine
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -193,11 +193,12 @@
         self.clock_read_at = now
         #: Latest end of any lease that was sent, by the clock of the endpoint.
         self.latest_lease_ms = 0
-        #: Latest end of a lease that a former coordinator renewed, or that a start sent
+        #: Latest end of a lease that a former coordinator renewed, or that a call sent
         #: to the previous incarnation granted, by the local clock.
         self.former_leases_until = 0.0
-        #: Whether starts sent to the previous incarnation may run here.
-        self.has_carried_over_runs = False
+        #: Time until which calls that were sent to the previous incarnation may have
+        #: granted leases here, by the local clock.
+        self.stale_leases_until = 0.0
         self.last_end_number = 0
         self.stored_end_number = 0
         #: Time of the last report of this incarnation, by the local clock.
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -8,7 +8,7 @@
 from hickoryplank.jobs.advice import AdviceTable, StepKey
 from hickoryplank.jobs.arrivals import ArrivalRates
 from hickoryplank.jobs.configuration import Configuration
-from hickoryplank.jobs.endpoints import Endpoint, Run, RunState
+from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
 from hickoryplank.jobs.limits import TeamRateLimiter, TeamUsage
 from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
 from hickoryplank.jobs.table import (
@@ -68,12 +68,20 @@
     """All jobs, endpoints and runs.
 
     :param now: start of this coordinator's term, by the local clock, in seconds.
+    :param wall_ms: the same by the time of day, in Unix milliseconds.
     """
 
-    def __init__(self, configuration: Configuration, timing: EngineTiming, now: float):
+    def __init__(
+        self,
+        configuration: Configuration,
+        timing: EngineTiming,
+        now: float,
+        wall_ms: int,
+    ):
         self.configuration = configuration
         self.timing = timing
         self.term_started_at = now
+        self.term_started_ms = wall_ms
         self.jobs: dict[JobId, JobRow] = {}
         #: Jobs that have not ended.
         self.open_jobs: dict[JobId, JobRow] = {}
@@ -119,6 +127,11 @@
         #: States in the batch that is being stored.
         self.storing_states: list[tuple[JobRow, JobState]] = []
 
+    def age_s(self, listing: Listing, now: float) -> float:
+        """Return the age of an incarnation by the time of day, in seconds."""
+        born_s = (listing.born_ms - self.term_started_ms) / 1000
+        return max(0.0, now - self.term_started_at - born_s)
+
     def pop_unlisted_assignments(self, id: EndpointId) -> list[tuple[JobRow, Task]]:
         """Remove and return the stored assignments to an endpoint that is not listed.
 
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -2,6 +2,7 @@
 
 from hickoryplank.core.ids import EndpointId
 from hickoryplank.jobs.endpoints import (
+    LATE_CALL_SECONDS,
     MIN_CLOCK_RATE,
     Endpoint,
     Listing,
@@ -30,8 +31,14 @@
             known.relist(listing)
         return known
     fresh = Endpoint(listing, now)
-    fresh.former_leases_until = (
-        tables.term_started_at + tables.timing.former_lease_seconds
+    # Of the calls that a former coordinator sent to the previous incarnation, only the
+    # age of this one tells that they are over.
+    age_s = tables.age_s(listing, now) if known is None else 0.0
+    max_lease_s = tables.timing.max_lease_ms / 1000 / MIN_CLOCK_RATE
+    fresh.stale_leases_until = now - age_s + LATE_CALL_SECONDS + max_lease_s
+    fresh.former_leases_until = max(
+        tables.term_started_at + tables.timing.former_lease_seconds,
+        min(fresh.stale_leases_until, now + max_lease_s),
     )
     fresh.cordoned = listing.id in tables.leaving
     if known is not None:
@@ -58,10 +65,6 @@
         if run.state is not RunState.SENT or run.confirmed_at is not None:
             run.confirmed_at = now
         fresh.add(run)
-        fresh.has_carried_over_runs = True
-    if fresh.has_carried_over_runs:
-        max_lease_s = tables.timing.max_lease_ms / 1000 / MIN_CLOCK_RATE
-        fresh.former_leases_until = max(fresh.former_leases_until, now + max_lease_s)
 
 
 def _adopt_assignments(tables: EngineTables, endpoint: Endpoint) -> None:
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -90,7 +90,7 @@
     )
     if not endpoint.token_confirmed:
         endpoint.token_confirmed_at = now
-        _record_initial_leases(tables, endpoint, report.clock_ms)
+        _record_initial_leases(tables, endpoint, report.clock_ms, now)
     for end in report.ends:
         if end.number > endpoint.last_end_number:
             endpoint.last_end_number = end.number
@@ -99,18 +99,20 @@
 
 
 def _record_initial_leases(
-    tables: EngineTables, endpoint: Endpoint, clock_ms: int
+    tables: EngineTables, endpoint: Endpoint, clock_ms: int, now: float
 ) -> None:
-    """Record the latest lease end that any run may have by the endpoint's clock."""
+    """Record the latest lease end that any run may have by the endpoint's clock.
+
+    A call that was meant for the previous incarnation gave the end by the clock of that
+    one, so that it may have granted the longest lease.
+    """
+    timing = tables.timing
+    stale_ms = int((endpoint.stale_leases_until - now) * 1000)
+    lease_ms = max(timing.lease_ms, min(stale_ms, timing.max_lease_ms))
     endpoint.former_leases_until = 0.0
-    endpoint.record_lease(clock_ms + tables.timing.lease_ms)
-    if not endpoint.has_carried_over_runs:
-        return
-    # The starts of the carried-over runs gave the ends of their leases by the clock of
-    # the previous incarnation.
-    endpoint.record_lease(clock_ms + tables.timing.max_lease_ms)
+    endpoint.record_lease(clock_ms + lease_ms)
     for run in endpoint.runs.values():
-        run.until_ms = clock_ms + tables.timing.lease_ms
+        run.until_ms = clock_ms + timing.lease_ms
 
 
 def _begin_incarnation(
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -114,7 +114,7 @@
         return FakeEndpoint(born_ms, self.work_ms)
 
     def _fresh_engine(self) -> Engine:
-        engine = Engine(self.cfg, TIMING, self.now)
+        engine = Engine(self.cfg, TIMING, self.now, self.wall_ms)
         self._list_endpoints(engine)
         return engine
 
@@ -133,7 +133,7 @@
         self.token += 1
         self.tries.clear()
         self.pending_batch = None
-        self.engine = Engine(self.cfg, TIMING, self.now)
+        self.engine = Engine(self.cfg, TIMING, self.now, self.wall_ms)
         rows: dict[str, JobRow] = {}
         for record in self.records():
             if is_job_key(record.key):
@@ -145,6 +145,11 @@
         self.engine.restore(rows.values())
         self._list_endpoints(self.engine)
 
+    @property
+    def wall_ms(self) -> int:
+        """Time of day, in milliseconds."""
+        return int(self.now * 1000)
+
     def configure(self, cfg: Configuration) -> None:
         """Put a configuration in force, for this term and later ones."""
         self.cfg = self.engine.configuration = cfg
@@ -170,9 +175,9 @@
         self.engine.release_unlisted_assignments(self.now)
         self.poll_endpoints()
         if self.pending_batch is None:
-            self.engine.tick(self.now, int(self.now * 1000))
+            self.engine.tick(self.now, self.wall_ms)
         else:
-            self.engine.tick_preassigned(self.now, int(self.now * 1000))
+            self.engine.tick_preassigned(self.now, self.wall_ms)
         for run in self.engine.take_preassigned_starts(self.now):
             self._send_start(run)
         self._send_stops()
--- a/tests/jobs/fleet_play.py
+++ b/tests/jobs/fleet_play.py
@@ -72,7 +72,7 @@
         self.now = 100.0
         self.max_moves = max_moves
         self.engine = Engine(
-            cfg, EngineTiming(4000, 600, 9.0, 10_000, 180, 400), self.now
+            cfg, EngineTiming(4000, 600, 9.0, 10_000, 180, 400), self.now, 100_000
         )
         self.table = VmTable()
         self.demand = DemandHistory()
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -539,7 +539,7 @@
     former = driver.engine
     assert {row.over_share for row in former.open_jobs.values()} == {False, True}
     assert former.arrivals.offered_load(POOL, driver.now) != ZERO
-    engine = Engine(driver.cfg, driver.engine.timing, driver.now)
+    engine = Engine(driver.cfg, driver.engine.timing, driver.now, driver.wall_ms)
     engine.restore(reversed(rows))
     for row in rows:
         assert row.over_share == former.jobs[row.job.id].over_share
