A run is settled though its stop is repeated during each poll

The stop is repeated every 0.5 s, and each answer moved that time; a poll takes 0.6 s. The state machine's polls take no time, so that it didn't meet this.

Change: the first accepted stop counts. The test failed before.

The soak has a regression case of the recut play, and its seed 11.

--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -65,7 +65,7 @@
     :param adopted: it was taken over from a former coordinator.
     :param unanswered_at: time of the last start that this coordinator has sent, unless
         its first one was answered.
-    :param fenced_at: time at which this incarnation of the endpoint accepted a stop,
+    :param fenced_at: when this incarnation of the endpoint first accepted a stop,
         after which it refuses the start.
     :param start_withdrawn_at: time from which its start, which had no answer yet, is
         not sent any more; none while it may be.
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -363,8 +363,12 @@
 
 
 def stop_answered(tables: EngineTables, run: Run, now: float) -> None:
-    """Record that a stop was accepted; the next report settles the run."""
-    run.fenced_at = now
+    """Record that a stop was accepted; the next report settles the run.
+
+    The stop is repeated until then.
+    """
+    if run.fenced_at is None:
+        run.fenced_at = now
 
 
 def _is_lasting(row: JobRow, end: End) -> bool:
--- a/tests/jobs/test_starts.py
+++ b/tests/jobs/test_starts.py
@@ -77,3 +77,17 @@
     for _ in range(40):
         driver.step()
     assert driver.engine.jobs[JobId("a")].stored_state is JobState.COMPLETED
+
+
+def test_a_stopped_run_is_settled_though_its_stop_is_repeated_during_each_poll():
+    """Guards against runs that stay open, as polls take longer than stops are apart."""
+    driver = unanswered_start(count=1)
+    driver.engine.cancel(driver.engine.jobs[JobId("a")], driver.now)
+    endpoint = driver.engine.endpoints[E0]
+    (run,) = endpoint.runs.values()
+    asked_at = driver.now + 0.3
+    for stopped_at in (driver.now, driver.now + 0.5):
+        driver.engine.stop_answered(run, stopped_at)
+    report = driver.endpoints[E0].poll(driver.token, 0, None)
+    driver.engine.poll_answered(endpoint, report, asked_at, driver.now + 0.9)
+    assert not endpoint.runs
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,12 @@
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import Size
 from tests.soak.checker import InvariantChecker, ObservedEndpoint, ObservedJob, Timing
-from tests.soak.fault_plan import FaultKind, draw_faults
+from tests.soak.fault_plan import (
+    RECUT_SECONDS,
+    FaultKind,
+    draw_faults,
+    draw_recuts,
+)
 from tests.soak.run import soak
 
 SHORT_SECONDS = 6.0
@@ -45,8 +50,20 @@
     assert report.starts > 0
 
 
+def test_endpoints_that_restart_and_are_cut_off_run_no_task_twice(tmp_path):
+    """Guards against second runs of tasks around a restart under the same id.
+
+    Starts that were sent while the VM was down reached the next incarnation, and a
+    successor of the coordinator expected its leases to end too early.
+    """
+    report = soak(11, RECUT_SECONDS, tmp_path, recut=True)
+    assert report.violations == [], "\n".join(report.lines())
+    assert report.starts > 0
+
+
 def test_seed_determines_the_injected_faults():
     assert draw_faults(7) == draw_faults(7)
+    assert draw_recuts(7) == draw_recuts(7)
     drawn = {fault.kind for seed in range(200) for fault in draw_faults(seed)}
     assert drawn == set(FaultKind)
 
