The clock of an endpoint is read from its reports only

Cause, as far as shown: answers to starts and stops carry a clock, but not the incarnation that sent them. One of the former incarnation that arrives after the first report of the next one moved the estimate of its clock ahead by any amount; each renewal then named an end by the former clock and granted the longest lease.

Change: only reports, which name their incarnation, set the clock.

Shown: the case `start` of the new test failed before. The soak's crashed endpoints answer nothing any more: an answer 421 of theirs had made entries give up starts that reached the next incarnation, which the platform's do not do.

--- a/hickoryplank/coordinator/request_sender.py
+++ b/hickoryplank/coordinator/request_sender.py
@@ -109,9 +109,9 @@
 
     async def _stop(self, run: Run) -> None:
         match await self._term.context.endpoints.stop(run, self._term.fencing_token):
-            case Ok(clock_ms):
+            case Ok(_):
+                run.endpoint.note_answer()
                 now = self._term.context.clock.now()
-                run.endpoint.note_answer(clock_ms, now)
                 self._term.require_engine().stop_answered(run, now)
             case Err(CallFault(CallFaultKind.FENCED, _)):
                 self._term.end_fenced_term()
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -290,13 +290,17 @@
         """Return an estimate of the endpoint's clock, in milliseconds."""
         return self.clock_ms + int((now - self.clock_read_at) * 1000)
 
-    def note_answer(self, clock_ms: int, now: float) -> None:
-        """Record an answer that arrived now.
-
-        :param clock_ms: the endpoint's clock in the answer.
-        """
+    def note_answer(self) -> None:
+        """Record that it has answered a call."""
         self.silent_since = None
         self.vm_down = False
+
+    def note_clock(self, clock_ms: int, now: float) -> None:
+        """Record a reading of its clock in a report.
+
+        Answers to starts and stops do not tell which incarnation sent them, and may
+        arrive after the first report of the next one.
+        """
         if clock_ms > self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_read_at = now
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -83,7 +83,8 @@
     if report.born_ms != endpoint.listing.born_ms:
         _begin_incarnation(tables, endpoint, report, now)
         return
-    endpoint.note_answer(report.clock_ms, now)
+    endpoint.note_answer()
+    endpoint.note_clock(report.clock_ms, now)
     endpoint.reported_at = now
     endpoint.confirmed_ack_number = max(
         endpoint.confirmed_ack_number, endpoint.sent_ack_number
@@ -325,7 +326,7 @@
     if tries == 1 and outcome is not StartOutcome.UNKNOWN:
         run.unanswered_at = None
     if clock_ms:
-        endpoint.note_answer(clock_ms, now)
+        endpoint.note_answer()
     match outcome:
         case StartOutcome.STARTED | StartOutcome.ALREADY_ENDED:
             # A run that was stopped before its start arrived counts as ended, too.
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -3,11 +3,19 @@
 import pytest
 
 from hickoryplank.core.ids import EndpointId, JobId
-from hickoryplank.jobs.messages import EndKind
+from hickoryplank.jobs.messages import EndKind, StartOutcome
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
-from tests.jobs.driver import TASK, TEAM, Driver, configuration, job, listing
+from tests.jobs.driver import (
+    LEASE_MS,
+    TASK,
+    TEAM,
+    Driver,
+    configuration,
+    job,
+    listing,
+)
 from tests.jobs.fake_endpoint import FakeEndpoint
 
 E0 = EndpointId("e0")
@@ -313,3 +321,26 @@
     driver.unreachable = {id for id, one in driver.endpoints.items() if one.running}
     assert max_concurrent_runs(driver, 130) == 1
     assert driver.run_count(KEY) == 1
+
+
+@pytest.mark.parametrize("answer", ["start", "stop"])
+def test_a_late_answer_of_the_former_incarnation_does_not_set_the_clock(answer):
+    """Guards against leases by the clock of a former incarnation."""
+    driver = Driver(count=1, work_ms=lambda key: None)
+    driver.endpoints[E0].clock_ms = 80_000.0
+    driver.step()
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.lost_answers.add(E0)
+    driver.commit()
+    driver.lost_answers.clear()
+    restart_unnoticed(driver, E0)
+    list_incarnation(driver, E0)
+    driver.poll_endpoints()
+    (run,) = driver.engine.endpoints[E0].runs.values()
+    if answer == "start":
+        driver.engine.start_answered(run, StartOutcome.STARTED, 1, 80_200, driver.now)
+    else:
+        driver.engine.stop_answered(run, driver.now)
+    driver.poll_endpoints()
+    assert driver.endpoints[E0].until_ms <= driver.endpoints[E0].clock_ms + LEASE_MS
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -45,6 +45,8 @@
 GRACE_SECONDS = 6.0
 #: Readings of the clock of an endpoint at its start, in milliseconds.
 FIRST_CLOCKS_MS = (0.0, 1000.0, 1000.0, 8000.0, 90_000.0)
+#: Longest time for which a crashed endpoint leaves a connection open, in seconds.
+UNANSWERED_SECONDS = 15.0
 #: Interval at which the clocks of the endpoints are advanced, in seconds.
 CLOCK_INTERVAL_SECONDS = 0.01
 
@@ -176,6 +178,8 @@
         self._incarnations = 0
         self._clock_task: asyncio.Task | None = None
         self.longest_stall_s = 0.0
+        #: Endpoints that have crashed and answer nothing until their next incarnation.
+        self._crashed: set[EndpointId | None] = set()
         #: Run time of every task that ends, in milliseconds; random by default.
         self.task_ms: float | None = None
 
@@ -213,12 +217,23 @@
             stall_s = time.monotonic() - before - CLOCK_INTERVAL_SECONDS
             self.longest_stall_s = max(self.longest_stall_s, stall_s)
 
+    async def _leave_unanswered(self, request: web.BaseRequest) -> None:
+        """Leave a request open that an endpoint had received before it crashed."""
+        until = time.monotonic() + UNANSWERED_SECONDS
+        while time.monotonic() < until and request.transport is not None:
+            await asyncio.sleep(0.1)
+
     async def _handle_endpoint(self, request: web.BaseRequest) -> web.Response:
+        if request.headers["Hickoryplank-Expect-Instance"] in self._crashed:
+            await self._leave_unanswered(request)
+            raise ConnectionResetError
         if request.path == "/api/hold":
             order = json.loads(await request.read())
             id = EndpointId(request.headers["Hickoryplank-Expect-Instance"])
             incarnation = self.endpoints.endpoints.get(id)
             await self._wait_for_end(id, order.get("wait_ms", 0) / 1000)
+            if id in self._crashed:
+                await self._leave_unanswered(request)
             if (
                 self.endpoints.endpoints.get(id) is not incarnation
                 and request.transport
@@ -344,6 +359,7 @@
         """
         for vm in vms:
             self.proxies[vm].freeze()
+            self._crashed.add(self.vms.vms[vm].endpoint)
             self._end_incarnation(self.vms.vms[vm].endpoint)
             self.vms.set_state(vm, VmState.DOWN)
 
@@ -351,6 +367,7 @@
         """Begin the next incarnation of crashed endpoints, under the same ids."""
         for vm in vms:
             self.vms.set_state(vm, VmState.UP)
+            self._crashed.discard(self.vms.vms[vm].endpoint)
             if vm not in self.vms.unavailable:
                 self._begin_incarnation(self.vms.vms[vm])
             self.proxies[vm].restore()
