That a job has begun is stored with its next change

Cause: a state record of its own for the first confirmed start of each job is one more append for each job.

Change: the state goes with the next record of the job. After a takeover a stored assignment counts until its endpoint has been asked, as before, so that no caller sees a job queued again.

--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -203,13 +203,12 @@
     def note_begun(self, row: JobRow) -> None:
         """Record that an endpoint has started a task of a job.
 
-        An assignment alone does not count: its start may be refused or lost.
+        An assignment alone does not count: its start may be refused or lost. This is
+        stored with the next change of the job.
         """
-        if row.begun or row.state.final:
-            return
-        row.begun = True
-        row.state = JobState.RUNNING
-        self.mark_dirty(row)
+        if not row.begun and not row.state.final:
+            row.begun = True
+            row.state = JobState.RUNNING
 
     def task_of(self, run: Run) -> Task | None:
         """Return the task whose current run this is, if any."""
