Leases by a former clock may be granted after the first report

Cause: a log of the stand-ins shows polls for the former incarnation that were carried out 0.4 to 0.8 s after its return. The longest lease was counted from the first report, though a call that had no answer may come later.

Change: what is counted is not cut at the longest lease from the first report: calls may arrive for LATE_CALL_SECONDS after an incarnation was noticed, or, for one that a coordinator lists first, after its birth by the time of day.

--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -38,7 +38,7 @@
     fresh.stale_leases_until = now - age_s + LATE_CALL_SECONDS + max_lease_s
     fresh.former_leases_until = max(
         tables.term_started_at + tables.timing.former_lease_seconds,
-        min(fresh.stale_leases_until, now + max_lease_s),
+        fresh.stale_leases_until,
     )
     fresh.cordoned = listing.id in tables.leaving
     if known is not None:
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -105,15 +105,14 @@
     """Record the latest lease end that any run may have by the endpoint's clock.
 
     A call that was meant for the previous incarnation gave the end by the clock of that
-    one, so that it may have granted the longest lease.
+    one, so that it grants the longest lease, also if it arrives after this report.
     """
-    timing = tables.timing
+    lease_ms = tables.timing.lease_ms
     stale_ms = int((endpoint.stale_leases_until - now) * 1000)
-    lease_ms = max(timing.lease_ms, min(stale_ms, timing.max_lease_ms))
     endpoint.former_leases_until = 0.0
-    endpoint.record_lease(clock_ms + lease_ms)
+    endpoint.record_lease(clock_ms + max(lease_ms, stale_ms))
     for run in endpoint.runs.values():
-        run.until_ms = clock_ms + timing.lease_ms
+        run.until_ms = clock_ms + lease_ms
 
 
 def _begin_incarnation(
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -295,8 +295,9 @@
 
 @pytest.mark.parametrize("taken_over", [False, True])
 @pytest.mark.parametrize("cut_after", [5, 20, 40])
+@pytest.mark.parametrize("late_steps", [0, 3, 9])
 def test_leases_of_a_restarted_endpoint_may_be_those_of_its_former_life(
-    taken_over, cut_after
+    taken_over, cut_after, late_steps
 ):
     """Guards against a second run while a lease by the former clock holds.
 
@@ -310,16 +311,18 @@
         fake = FakeEndpoint(int(driver.now * 1000), driver.work_ms)
         driver.endpoints[endpoint_id] = fake
         list_incarnation(driver, endpoint_id)
-        fake.poll(driver.token, 0, 84_000)
     driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
-    for _ in range(3):
+    for number in range(12):
+        if number == late_steps:
+            for fake in driver.endpoints.values():
+                fake.poll(fake.token, 0, 84_000)
         driver.step()
     if taken_over:
         driver.take_over()
     for _ in range(cut_after):
         driver.step()
     driver.unreachable = {id for id, one in driver.endpoints.items() if one.running}
-    assert max_concurrent_runs(driver, 130) == 1
+    assert max_concurrent_runs(driver, 170) == 1
     assert driver.run_count(KEY) == 1
 
 
