--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,15 +5,15 @@
 import sys
 from concurrent.futures import ProcessPoolExecutor
 
-from tests.soak.fault_plan import INJECTION_SECONDS, RECUT_SECONDS
+from tests.soak.fault_plan import INJECTION_SECONDS, RESTART_PLAY_SECONDS
 from tests.soak.run import REPOSITORY, Report, soak
 
 __all__ = ["main"]
 
 
 def _run(job: tuple[int, float, str, bool]) -> Report:
-    seed, length_s, code, recut = job
-    return soak(seed, length_s, code=code, recut=recut)
+    seed, length_s, code, restarts = job
+    return soak(seed, length_s, code=code, restarts=restarts)
 
 
 def main() -> int:
@@ -29,14 +29,14 @@
         "--code", default=REPOSITORY, help="directory of the code that the entries run"
     )
     options.add_argument(
-        "--recut",
+        "--restarts",
         action="store_true",
         help="play only endpoints that restart and are cut off soon after",
     )
     args = options.parse_args()
-    length_s = RECUT_SECONDS if args.recut else args.seconds
+    length_s = RESTART_PLAY_SECONDS if args.restarts else args.seconds
     first = args.seed if args.seed is not None else secrets.randbelow(2**31)
-    work = [(first + n, length_s, args.code, args.recut) for n in range(args.seeds)]
+    work = [(first + n, length_s, args.code, args.restarts) for n in range(args.seeds)]
     failed = 0
     with ProcessPoolExecutor(args.jobs) as pool:
         for report in pool.map(_run, work):
--- a/tests/soak/fault_plan.py
+++ b/tests/soak/fault_plan.py
@@ -7,11 +7,11 @@
 __all__ = [
     "ENTRY_COUNT",
     "INJECTION_SECONDS",
-    "RECUT_SECONDS",
+    "RESTART_PLAY_SECONDS",
     "Fault",
     "FaultKind",
     "draw_faults",
-    "draw_recuts",
+    "draw_restarts",
 ]
 
 ENTRY_COUNT = 3
@@ -27,14 +27,14 @@
 #: Fraction of the seeds in which entries of endpoints are missing during a take-over.
 LISTINGS_LAPSED_FRACTION = 0.5
 #: Fraction of the seeds with endpoints that start again and are cut off soon after.
-RECUT_FRACTION = 0.25
+RESTART_AND_CUT_FRACTION = 0.25
 #: Rounds of a play of such faults alone, and the time from one to the next, in seconds.
-RECUT_ROUNDS = 3
-RECUT_INTERVAL_SECONDS = 14.0
+RESTART_ROUNDS = 3
+RESTART_INTERVAL_SECONDS = 14.0
 #: Time for which jobs are submitted in such a play, in seconds.
-RECUT_SECONDS = 4.0 + RECUT_ROUNDS * RECUT_INTERVAL_SECONDS
+RESTART_PLAY_SECONDS = 4.0 + RESTART_ROUNDS * RESTART_INTERVAL_SECONDS
 #: Fraction of these rounds in which the coordinator is killed before the cut.
-RECUT_KILL_FRACTION = 0.4
+RESTART_KILL_FRACTION = 0.4
 #: Duration of the outage of the store in which entries lapse, in seconds. It is longer
 #: than another entry needs to take over.
 LAPSE_OUTAGE_SECONDS = 2.5
@@ -69,7 +69,7 @@
     KEY_WITHDRAWN = "key withdrawn"
     WAVE = "maintenance wave"
     LISTINGS_LAPSED = "wave, and an outage of the store in which entries lapse"
-    ENDPOINTS_RECUT = "endpoints restarted under their ids, and then cut"
+    ENDPOINTS_RESTARTED_AND_CUT = "endpoints restarted under their ids, and then cut"
     ODD_LISTINGS = "odd entries of another writer in the list of endpoints"
 
 
@@ -78,7 +78,7 @@
 _DRAWN_LAST = (
     FaultKind.ODD_LISTINGS,
     FaultKind.LISTINGS_LAPSED,
-    FaultKind.ENDPOINTS_RECUT,
+    FaultKind.ENDPOINTS_RESTARTED_AND_CUT,
 )
 #: Weights of kinds in the random choice; 1 for all others.
 _WEIGHTS = {
@@ -126,22 +126,26 @@
         faults.append(Fault(at, 0.0, FaultKind.ODD_LISTINGS, target=0))
     if rng.random() < LISTINGS_LAPSED_FRACTION:
         faults += _lapse_during_take_over(rng, length_s)
-    if rng.random() < RECUT_FRACTION:
+    if rng.random() < RESTART_AND_CUT_FRACTION:
         at = round(rng.uniform(1.0, length_s / 2), 2)
         dark_s = round(rng.uniform(0.2, 1.5), 2)
-        faults.append(Fault(at, dark_s, FaultKind.ENDPOINTS_RECUT, rng.randrange(64)))
+        faults.append(
+            Fault(at, dark_s, FaultKind.ENDPOINTS_RESTARTED_AND_CUT, rng.randrange(64))
+        )
     return sorted(faults, key=lambda one: one.at)
 
 
-def draw_recuts(seed: int) -> list[Fault]:
+def draw_restarts(seed: int) -> list[Fault]:
     """Return the faults of a play in which endpoints start again and are cut off."""
     rng = random.Random(f"recut {seed}")
     faults: list[Fault] = []
-    for number in range(RECUT_ROUNDS):
-        at = 4.0 + number * RECUT_INTERVAL_SECONDS
+    for number in range(RESTART_ROUNDS):
+        at = 4.0 + number * RESTART_INTERVAL_SECONDS
         dark_s = round(rng.choice((0.3, 0.6, 0.6, 1.2, 2.5)), 2)
-        faults.append(Fault(at, dark_s, FaultKind.ENDPOINTS_RECUT, rng.randrange(64)))
-        if rng.random() < RECUT_KILL_FRACTION:
+        faults.append(
+            Fault(at, dark_s, FaultKind.ENDPOINTS_RESTARTED_AND_CUT, rng.randrange(64))
+        )
+        if rng.random() < RESTART_KILL_FRACTION:
             kill_at = round(at + dark_s + rng.uniform(0.1, 1.8), 2)
             faults.append(Fault(kill_at, 1.0, FaultKind.KILL_COORDINATOR, 0))
     return faults
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,7 +20,7 @@
     Fault,
     FaultKind,
     draw_faults,
-    draw_recuts,
+    draw_restarts,
 )
 
 __all__ = ["Report", "soak"]
@@ -37,9 +37,9 @@
 STORE_DELAY_SECONDS = 0.12
 #: Endpoints that start again together, the time from then until they are cut off, and
 #: the time for which they are, in seconds.
-RECUT_VMS = 3
-RECUT_DELAY_SECONDS = 2.0
-RECUT_CUT_SECONDS = 9.0
+RESTARTED_VMS = 3
+CUT_DELAY_SECONDS = 2.0
+CUT_SECONDS = 9.0
 #: Silence of an endpoint after which it is removed from the list, in seconds.
 LISTING_LAPSE_SECONDS = 4.5
 #: Run time of the tasks in a play of such faults alone, in milliseconds.
@@ -148,7 +148,7 @@
         vm = vms[fault.target % len(vms)]
         proxy = self._deployment.proxies[vm]
         match fault.kind:
-            case FaultKind.ENDPOINTS_RECUT:
+            case FaultKind.ENDPOINTS_RESTARTED_AND_CUT:
                 await self._restart_and_cut(vm, fault.for_s)
             case FaultKind.ENDPOINT_RESTARTED:
                 self._deployment.restart_endpoint(vm)
@@ -177,16 +177,16 @@
             id
             for id in sorted(rows)
             if rows[id].pool == pool and id not in deployment.vms.unavailable
-        ][:RECUT_VMS]
+        ][:RESTARTED_VMS]
         deployment.crash_endpoints(vms)
         await asyncio.sleep(dark_s)
         deployment.start_endpoints_again(vms)
-        await asyncio.sleep(RECUT_DELAY_SECONDS)
+        await asyncio.sleep(CUT_DELAY_SECONDS)
         for id in vms:
             deployment.proxies[id].freeze()
         await asyncio.sleep(LISTING_LAPSE_SECONDS)
         deployment.lapse_listings_of(vms)
-        await asyncio.sleep(RECUT_CUT_SECONDS - LISTING_LAPSE_SECONDS)
+        await asyncio.sleep(CUT_SECONDS - LISTING_LAPSE_SECONDS)
         for id in vms:
             deployment.proxies[id].restore()
         deployment.relist(vms)
@@ -274,12 +274,12 @@
 
 
 async def _soak(
-    seed: int, length_s: float, root: Path, code: str, recut: bool
+    seed: int, length_s: float, root: Path, code: str, restarts: bool
 ) -> Report:
     deployment = Deployment(root, seed, code)
-    deployment.task_ms = LONG_TASK_MS if recut else None
-    callers = Callers(deployment, seed, LONG_STEPS if recut else None)
-    faults = draw_recuts(seed) if recut else draw_faults(seed, length_s)
+    deployment.task_ms = LONG_TASK_MS if restarts else None
+    callers = Callers(deployment, seed, LONG_STEPS if restarts else None)
+    faults = draw_restarts(seed) if restarts else draw_faults(seed, length_s)
     try:
         await deployment.start()
         await _wait_until_ready(deployment)
@@ -314,7 +314,7 @@
     length_s: float = INJECTION_SECONDS,
     root: Path | None = None,
     code: str = REPOSITORY,
-    recut: bool = False,
+    restarts: bool = False,
 ) -> Report:
     """Run one seed and return its report.
 
@@ -322,8 +322,8 @@
     :param length_s: time for which jobs are submitted and faults begin, in seconds.
     :param root: directory for settings and logs; a new temporary one by default.
     :param code: directory of the code that the entries run.
-    :param recut: play only endpoints that restart and are cut off, with long tasks.
+    :param restarts: play only endpoints that restart and are cut off, with long tasks.
     """
     root = root or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     random.seed(seed)
-    return asyncio.run(_soak(seed, length_s, root, code, recut))
+    return asyncio.run(_soak(seed, length_s, root, code, restarts))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,10 +10,10 @@
 from hickoryplank.jobs.sizes import Size
 from tests.soak.checker import InvariantChecker, ObservedEndpoint, ObservedJob, Timing
 from tests.soak.fault_plan import (
-    RECUT_SECONDS,
+    RESTART_PLAY_SECONDS,
     FaultKind,
     draw_faults,
-    draw_recuts,
+    draw_restarts,
 )
 from tests.soak.run import soak
 
@@ -56,14 +56,14 @@
     Starts that were sent while the VM was down reached the next incarnation, and a
     successor of the coordinator expected its leases to end too early.
     """
-    report = soak(11, RECUT_SECONDS, tmp_path, recut=True)
+    report = soak(11, RESTART_PLAY_SECONDS, tmp_path, restarts=True)
     assert report.violations == [], "\n".join(report.lines())
     assert report.starts > 0
 
 
 def test_seed_determines_the_injected_faults():
     assert draw_faults(7) == draw_faults(7)
-    assert draw_recuts(7) == draw_recuts(7)
+    assert draw_restarts(7) == draw_restarts(7)
     drawn = {fault.kind for seed in range(200) for fault in draw_faults(seed)}
     assert drawn == set(FaultKind)
 
