A second order of service while a pool has too little room

Cause: the order looks at one job at a time, by its latest start. While a queue asks several times what its pool holds, each job is served at its last moment and most end late.

Change: jobs/shortage.py plans the jobs of a pool together (after Moore and Hodgson), with priority, remaining work and the time waited as the cost of a delay, and a least share for the largest tenth. It is off unless the settings say '[scheduling] shortage_order = least-cost'.

--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -126,7 +126,13 @@
             await self._term.watcher.changed.wait()
             configuration = self._term.watcher.configuration
         now = self._term.context.clock.now()
-        engine = Engine(configuration, self._term.context.timing, now, wall_ms())
+        engine = Engine(
+            configuration,
+            self._term.context.timing,
+            now,
+            wall_ms(),
+            self._term.context.shortage_order,
+        )
         engine.restore(stored.rows)
         self._term.malformed_jobs = stored.malformed
         self._term.engine = engine
--- a/hickoryplank/coordinator/term_state.py
+++ b/hickoryplank/coordinator/term_state.py
@@ -19,6 +19,7 @@
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
 from hickoryplank.core.ids import JobId
 from hickoryplank.jobs.engine import Engine, EngineTiming
+from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.shell.clock import Clock
 
 __all__ = ["MAX_RENEWAL_AGE_SECONDS", "CoordinatorContext", "Term"]
@@ -38,6 +39,7 @@
     :param timing: durations that bound the engine.
     :param vm_bounds: durations of operations on VMs.
     :param advice: external advice service, if one is configured.
+    :param shortage_order: order of service while a pool has too little room.
     """
 
     store: StorePort
@@ -50,6 +52,7 @@
     vm_bounds: VmOperationBounds
     metrics: EntryMetrics
     advice: AdvicePort | None = None
+    shortage_order: ShortageOrder = ShortageOrder.DEADLINE
 
 
 class Term:
--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -26,6 +26,7 @@
 from hickoryplank.jobs.maintenance import ActiveWave, begin_maintenance, is_wave_done
 from hickoryplank.jobs.rebalancing import DemandHistory, rebalance_pools
 from hickoryplank.jobs.records import VmOrder, WaveProgress, encode_order, encode_wave
+from hickoryplank.jobs.vm_supply import read_supply
 from hickoryplank.jobs.vms import (
     MaintenanceDue,
     OperationPhase,
@@ -133,6 +134,7 @@
             if await self._refresh_vm_list(engine, now) and self._lease.valid():
                 self._plan_operations(engine, now)
                 engine.cordon(self._table.leaving_endpoints())
+                engine.vm_supply = read_supply(self._table)
                 if not journal.failing:
                     await self._run_operations(engine, journal, token)
 
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -123,6 +123,7 @@
             operator=operator,
             metrics=self._entry_metrics,
             advice=PlatformAdvice(self._client, cfg.advice) if cfg.advice else None,
+            shortage_order=cfg.shortage_order,
             vm_bounds=VmOperationBounds(
                 cfg.move_s,
                 cfg.maintenance_s,
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -6,6 +6,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from hickoryplank.jobs.shortage import ShortageOrder
+
 __all__ = ["EntrySettings", "load_entry_settings"]
 
 
@@ -34,6 +36,8 @@
     :param core_speed: speed of the VM's cores relative to the reference core.
     :param link_mbps: speed of the VM's network link, in Mbit/s.
     :param advice: address of the platform's advice service; empty for none.
+    :param shortage_order: order of service while a pool has too little room:
+        ``deadline`` or ``least-cost``.
     :param log_level: least severe level that is logged.
     """
 
@@ -56,6 +60,7 @@
     core_speed: float = 1.0
     link_mbps: float = 1000.0
     advice: str = ""
+    shortage_order: ShortageOrder = ShortageOrder.DEADLINE
     log_level: str = "info"
 
 
@@ -74,6 +79,7 @@
         "orders_per_s",
         "status_s",
     ),
+    "scheduling": ("shortage_order",),
     "log": ("log_level",),
 }
 
--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -5,7 +5,6 @@
 from hickoryplank.core.ids import PoolId
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.engine_tables import EngineTables, step_key
-from hickoryplank.jobs.ordering import sort_jobs
 from hickoryplank.jobs.placement import (
     PoolRoom,
     choose_endpoint,
@@ -13,6 +12,7 @@
     has_room_for,
 )
 from hickoryplank.jobs.preassignment import preassign_tasks, start_preassigned
+from hickoryplank.jobs.service_order import serve_order
 from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task
 
 __all__ = ["AllowedStarts", "assign_tasks"]
@@ -49,7 +49,7 @@
                 rows.append(row)
     for pool, rows in rows_by_pool.items():
         room = PoolRoom(usable[pool])
-        for row in sort_jobs(rows, tables.configuration, now):
+        for row in serve_order(tables, pool, rows, usable[pool], now):
             _assign_job(tables, row, room, now, wall_ms, starts)
 
 
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -11,6 +11,7 @@
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
 from hickoryplank.jobs.limits import TeamRateLimiter, TeamUsage
 from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
+from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.table import (
     JobRow,
     JobState,
@@ -19,6 +20,7 @@
     Task,
     TaskState,
 )
+from hickoryplank.jobs.vm_supply import VmSupply
 
 __all__ = ["EndedJob", "EngineTables", "EngineTiming", "step_key"]
 
@@ -69,6 +71,7 @@
 
     :param now: start of this coordinator's term, by the local clock, in seconds.
     :param wall_ms: the same by the time of day, in Unix milliseconds.
+    :param shortage_order: order of service while a pool has too little room.
     """
 
     def __init__(
@@ -77,8 +80,12 @@
         timing: EngineTiming,
         now: float,
         wall_ms: int,
+        shortage_order: ShortageOrder = ShortageOrder.DEADLINE,
     ):
         self.configuration = configuration
+        self.shortage_order = shortage_order
+        #: Written by whoever follows the VM list; none before its first reading.
+        self.vm_supply: VmSupply | None = None
         self.timing = timing
         self.term_started_at = now
         self.term_started_ms = wall_ms
--- a/hickoryplank/jobs/ordering.py
+++ b/hickoryplank/jobs/ordering.py
@@ -11,7 +11,14 @@
 from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.table import JobRow
 
-__all__ = ["critical_path_ms", "sort_jobs", "objective_s", "task_ms", "worth_serving"]
+__all__ = [
+    "critical_path_ms",
+    "objective_s",
+    "remaining_path_s",
+    "sort_jobs",
+    "task_ms",
+    "worth_serving",
+]
 
 #: Run time assumed for a task without an estimate; about the mean over the
 #: users' kinds of requests.
@@ -72,6 +79,11 @@
     return frozenset(one.number for one in rows if not one.remaining)
 
 
+def remaining_path_s(row: JobRow) -> float:
+    """Return the length of the critical path of what is left, in seconds."""
+    return _remaining_path_ms(row, _done_steps(row)) / 1000
+
+
 def sort_jobs(
     rows: list[JobRow], configuration: Configuration, now: float
 ) -> list[JobRow]:
@@ -86,7 +98,7 @@
     if row.lasting:
         return (0, terms.priority, 0, row.accepted_at)
     objective_at = row.accepted_at + objective_s(row, terms)
-    remaining_s = _remaining_path_ms(row, _done_steps(row)) / 1000
+    remaining_s = remaining_path_s(row)
     if row.over_share:
         return (2, terms.priority, 0, row.accepted_at)
     if not worth_serving(row, terms, now):
--- /dev/null
+++ b/hickoryplank/jobs/service_order.py
@@ -0,0 +1,160 @@
+"""The order of service of a pool's jobs, by which tasks are placed and jobs admitted.
+
+Lasting jobs come first, then the jobs of callers within the share of their team, then
+what teams hand in beyond their share, and last jobs for which no caller is likely to
+wait any more. ``ShortageOrder`` decides among the second while the pool has too little
+room.
+"""
+
+from collections.abc import Iterable
+
+from hickoryplank.core.ids import JobId, PoolId
+from hickoryplank.jobs.endpoints import Endpoint, Run
+from hickoryplank.jobs.engine_tables import EngineTables
+from hickoryplank.jobs.ordering import (
+    objective_s,
+    remaining_path_s,
+    sort_jobs,
+    task_ms,
+    worth_serving,
+)
+from hickoryplank.jobs.shortage import (
+    PoolSupply,
+    ServicePlan,
+    ShortageOrder,
+    WaitingJob,
+    plan_service,
+)
+from hickoryplank.jobs.sizes import ZERO, Size
+from hickoryplank.jobs.table import JobRow
+
+__all__ = ["pool_plan", "pool_supply", "serve_order", "waiting_work"]
+
+#: Time until a VM that is on its way into a pool takes work, in seconds: about the
+#: duration of a move.
+JOIN_SECONDS = 1.7
+#: Priority of a job whose caller came back at the time that it had been told; it goes
+#: before every priority of the configuration.
+RETURNED_PRIORITY = -1
+
+
+def serve_order(
+    tables: EngineTables,
+    pool: PoolId,
+    rows: list[JobRow],
+    endpoints: list[Endpoint],
+    now: float,
+) -> list[JobRow]:
+    """Return the jobs of a pool in the order in which they are served.
+
+    :param rows: jobs with waiting tasks.
+    :param endpoints: usable endpoints of the pool.
+    """
+    rows = sort_jobs(rows, tables.configuration, now)
+    if tables.shortage_order is not ShortageOrder.LEAST_COST:
+        return rows
+    planned = [row for row in rows if _is_planned(tables, row, now)]
+    if not _lacks_room(planned, endpoints):
+        return rows
+    supply = pool_supply(tables, pool, endpoints)
+    plan = pool_plan(tables, planned, endpoints, supply, now)
+    if plan.in_time == len(planned):
+        return rows
+    by_id = {row.job.id: row for row in planned}
+    first = [row for row in rows if row.lasting]
+    last = [row for row in rows if not row.lasting and row.job.id not in by_id]
+    return first + [by_id[id] for id in plan.order] + last
+
+
+def pool_supply(
+    tables: EngineTables, pool: PoolId, endpoints: list[Endpoint]
+) -> PoolSupply:
+    """Return the room of a pool for jobs that end by themselves."""
+    present = ZERO
+    for endpoint in endpoints:
+        present = present.plus(endpoint.listing.capacity.minus(endpoint.lasting_used))
+    joining = tables.vm_supply.joining_to(pool) if tables.vm_supply else ZERO
+    return PoolSupply(present, joining, JOIN_SECONDS)
+
+
+def pool_plan(
+    tables: EngineTables,
+    rows: Iterable[JobRow],
+    endpoints: list[Endpoint],
+    supply: PoolSupply,
+    now: float,
+) -> ServicePlan[JobId]:
+    """Return the plan for the jobs of a pool that end by themselves."""
+    busy = ZERO
+    for endpoint in endpoints:
+        for run in endpoint.runs.values():
+            if not run.step.lasting:
+                busy = busy.plus(_remaining_work(run))
+    jobs = [_waiting_job(tables, row, supply, now) for row in rows]
+    return plan_service(jobs, supply, supply.pool_seconds(busy))
+
+
+def waiting_work(row: JobRow) -> Size:
+    """Return the resources of the waiting tasks, times their run times in ms."""
+    work = ZERO
+    for steps in row.steps.values():
+        for step in steps:
+            if step.waiting:
+                run_ms = len(step.waiting) * task_ms(step.step)
+                work = work.plus(step.step.counted_size.times(run_ms))
+    return work
+
+
+def _is_planned(tables: EngineTables, row: JobRow, now: float) -> bool:
+    terms = row.job.terms_in(tables.configuration)
+    if row.lasting or row.over_share or terms is None:
+        return False
+    return worth_serving(row, terms, now)
+
+
+def _lacks_room(rows: list[JobRow], endpoints: list[Endpoint]) -> bool:
+    """Return whether the tasks that could run now exceed the free room."""
+    free = ZERO
+    for endpoint in endpoints:
+        free = free.plus(endpoint.free)
+    wanted = ZERO
+    for row in rows:
+        for occurrence in row.steps:
+            for step in row.ready_steps(occurrence):
+                size = step.step.counted_size.times(len(step.waiting))
+                wanted = wanted.plus(size)
+    return not wanted.fits(free)
+
+
+def _remaining_work(run: Run) -> Size:
+    remaining_ms = task_ms(run.step) * (100 - min(100, run.percent)) // 100
+    return run.counted_size.times(remaining_ms)
+
+
+def _waiting_job(
+    tables: EngineTables, row: JobRow, supply: PoolSupply, now: float
+) -> WaitingJob[JobId]:
+    terms = row.job.terms_in(tables.configuration)
+    assert terms is not None
+    asked_at = _asked_at(tables, row)
+    objective = objective_s(row, terms)
+    return WaitingJob(
+        key=row.job.id,
+        priority=RETURNED_PRIORITY if row.returned else terms.priority,
+        latest_end_s=asked_at + objective - now,
+        path_s=remaining_path_s(row),
+        pool_seconds=supply.pool_seconds(waiting_work(row)),
+        waited_s=now - asked_at,
+        objective_s=objective,
+    )
+
+
+def _asked_at(tables: EngineTables, row: JobRow) -> float:
+    """Return the time from which the caller waits, by the local clock, in seconds.
+
+    For a timed job it is when the first open occurrence was due.
+    """
+    if not row.job.repeats or not row.steps:
+        return row.accepted_at
+    due_s = (row.job.due_ms(min(row.steps)) - tables.term_started_ms) / 1000
+    return max(row.accepted_at, tables.term_started_at + due_s)
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -156,6 +156,7 @@
     :param recorded: the job's record is stored.
     :param begun: an endpoint has confirmed that it started some task.
     :param lasting: any task runs until the job is cancelled.
+    :param returned: it had been refused, and its caller came back when told to.
     :param needs_preassignment: tasks may have started to wait since the last
         pre-assignment.
     """
@@ -173,6 +174,7 @@
         self.begun = False
         self.needs_preassignment = True
         self.lasting = job.lasting
+        self.returned = False
         #: Lengths of the critical path in milliseconds, by the steps that are done.
         self.path_ms: dict[frozenset[int], int] = {}
 
--- a/tests/jobs/fleet_play.py
+++ b/tests/jobs/fleet_play.py
@@ -23,8 +23,10 @@
 from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.ordering import objective_s
 from hickoryplank.jobs.rebalancing import DemandHistory, rebalance_pools
+from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.table import JobState
+from hickoryplank.jobs.vm_supply import read_supply
 from hickoryplank.jobs.vms import OperationPhase, VmListing, VmOperation, VmTable
 from tests.jobs.fake_endpoint import FakeEndpoint
 
@@ -51,9 +53,16 @@
     :param sizes: number of VMs of each pool other than standby.
     :param standby: number of VMs in standby.
     :param max_moves: moves begun in one run of the control loop.
+    :param order: order of service while a pool has too little room.
     """
 
-    def __init__(self, sizes: dict[PoolId, int], standby: int, max_moves: int):
+    def __init__(
+        self,
+        sizes: dict[PoolId, int],
+        standby: int,
+        max_moves: int,
+        order: ShortageOrder = ShortageOrder.DEADLINE,
+    ):
         queues = [
             Queue(
                 QueueId(pool),
@@ -72,7 +81,11 @@
         self.now = 100.0
         self.max_moves = max_moves
         self.engine = Engine(
-            cfg, EngineTiming(4000, 600, 9.0, 10_000, 180, 400), self.now, 100_000
+            cfg,
+            EngineTiming(4000, 600, 9.0, 10_000, 180, 400),
+            self.now,
+            100_000,
+            order,
         )
         self.table = VmTable()
         self.demand = DemandHistory()
@@ -147,6 +160,7 @@
         rebalance_pools(
             self.engine, self.table, self.demand, self.now, STANDBY, self.max_moves
         )
+        self.engine.vm_supply = read_supply(self.table)
         by_id = {vm.id: vm for vm in self.vms}
         for operation in self.table.operations():
             if operation.phase is OperationPhase.EVACUATING:
@@ -166,6 +180,11 @@
         operation.phase = OperationPhase.AWAITING_RETURN
         operation.earliest_return_at = self.now + MOVE_SECONDS * 0.8
 
+    def took_s(self, id: JobId) -> float:
+        """Return how long a job took, in seconds; infinity if it hasn't ended."""
+        ended_at = self._ended_at.get(id, float("inf"))
+        return ended_at - self.engine.jobs[id].accepted_at
+
     def in_time(self) -> dict[JobId, bool]:
         """Return for each job whether it was completed within its objective."""
         met = {}
--- /dev/null
+++ b/tests/jobs/test_service_order.py
@@ -0,0 +1,129 @@
+"""Plays an overload with both orders of service, and compares what callers get."""
+
+import msgspec
+import pytest
+
+from hickoryplank.core.ids import JobId, PoolId
+from hickoryplank.jobs.model import Step
+from hickoryplank.jobs.service_order import serve_order
+from hickoryplank.jobs.shortage import ShortageOrder
+from hickoryplank.jobs.sizes import Size
+from hickoryplank.jobs.table import JobRow
+from tests.jobs.driver import POOL, TASK, Driver, configuration, job
+from tests.jobs.fleet_play import FleetPlay, Turn, play_turns
+
+NORTH, COAST = PoolId("north"), PoolId("coast")
+SEEDS = (1, 2, 3)
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What callers got.
+
+    :param in_time: share of the jobs that met their objective.
+    :param large_in_time: the same among the tenth with the most work.
+    :param median_s: time that half of the jobs took at most, in seconds.
+    :param all_done: whether every job was completed.
+    """
+
+    in_time: float
+    large_in_time: float
+    median_s: float
+    all_done: bool
+
+
+def play(order: ShortageOrder, jobs_per_s: float, seed: int) -> Outcome:
+    """Play two queues that ask for more than the fleet holds, one after the other."""
+    fleet = FleetPlay({NORTH: 12, COAST: 12}, standby=4, max_moves=31, order=order)
+    turns = [
+        Turn(NORTH, 0.0, 1.0, 5.0, jobs_per_s),
+        Turn(COAST, 6.0, 1.0, 5.0, jobs_per_s),
+    ]
+    play_turns(fleet, turns, for_s=14.0, seed=seed)
+    met = fleet.in_time()
+    rows = sorted(fleet.engine.jobs.values(), key=_work)
+    large = [met[row.job.id] for row in rows[-len(rows) // 10 :]]
+    took_s = sorted(fleet.took_s(row.job.id) for row in rows)
+    return Outcome(
+        sum(met.values()) / len(met),
+        sum(large) / len(large),
+        took_s[len(took_s) // 2],
+        all(row.state.final for row in rows),
+    )
+
+
+def _work(row: JobRow) -> int:
+    return sum(step.count * step.size.cpu * step.estimate_ms for step in row.job.steps)
+
+
+@pytest.mark.parametrize("jobs_per_s", [8.0, 16.0])
+def test_more_callers_are_in_time_when_the_cheapest_are_delayed(jobs_per_s):
+    by_deadline = [play(ShortageOrder.DEADLINE, jobs_per_s, seed) for seed in SEEDS]
+    by_cost = [play(ShortageOrder.LEAST_COST, jobs_per_s, seed) for seed in SEEDS]
+
+    def mean(outcomes: list[Outcome], field: str) -> float:
+        return sum(getattr(one, field) for one in outcomes) / len(outcomes)
+
+    assert mean(by_cost, "in_time") >= mean(by_deadline, "in_time")
+    assert mean(by_cost, "median_s") <= mean(by_deadline, "median_s")
+    assert mean(by_cost, "large_in_time") >= 0.5 * mean(by_cost, "in_time")
+    assert all(one.all_done for one in by_cost)
+
+
+def order_of(driver: Driver) -> list[JobId]:
+    """Return the order of service of the driver's waiting jobs."""
+    engine = driver.engine
+    rows = list(engine.open_jobs.values())
+    for row in rows:
+        row.open_due_occurrences(driver.wall_ms)
+    endpoints = [one for one in engine.endpoints.values() if one.usable(driver.now)]
+    ordered = serve_order(engine, POOL, rows, endpoints, driver.now)
+    return [row.job.id for row in ordered]
+
+
+@pytest.mark.parametrize(
+    "order, expected",
+    [
+        (ShortageOrder.DEADLINE, ["large", "s0", "s1", "s2"]),
+        (ShortageOrder.LEAST_COST, ["s0", "s1", "s2", "large"]),
+    ],
+)
+def test_the_settings_choose_the_order_in_a_shortage(order, expected):
+    driver = Driver(count=1, cfg=weighty_configuration())
+    driver.step()
+    driver.engine.shortage_order = order
+    driver.engine.submit(job("large", Step(12, TASK, 1000)), driver.now)
+    for number in range(3):
+        driver.engine.submit(job(f"s{number}", Step(2, TASK, 1000)), driver.now)
+    assert order_of(driver) == expected
+
+
+@pytest.mark.parametrize("order", list(ShortageOrder))
+def test_both_orders_are_the_same_with_enough_room(order):
+    driver = Driver(count=8, cfg=weighty_configuration())
+    driver.step()
+    driver.engine.shortage_order = order
+    driver.engine.submit(job("large", Step(12, TASK, 1000)), driver.now)
+    driver.engine.submit(job("s", Step(2, TASK, 500)), driver.now)
+    assert order_of(driver) == ["large", "s"]
+
+
+def test_lasting_jobs_come_first_and_those_beyond_the_share_after_the_others():
+    driver = Driver(count=1)
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    driver.step()
+    big = Step(12, TASK, 1000)
+    for id, step in [("a", big), ("b", big), ("c", Step(1, TASK, lasting=True))]:
+        driver.engine.submit(job(id, step), driver.now)
+    driver.engine.jobs[JobId("a")].over_share = True
+    driver.engine.jobs[JobId("b")].over_share = False
+    assert order_of(driver) == ["c", "b", "a"]
+
+
+def weighty_configuration():
+    """Return a configuration whose team may submit several jobs at once."""
+    cfg = configuration(limit=Size())
+    teams = {
+        id: msgspec.structs.replace(team, weight=100.0)
+        for id, team in cfg.teams.items()
+    }
+    return msgspec.structs.replace(cfg, teams=teams)
