Refuse jobs that are known to come too late, and say when to return

Cause: nothing was ever refused for want of room. A caller whose job could only end after it had stopped waiting learnt that by waiting.

Change: jobs/admission.py forecasts a new job's end by the plan of its pool, with every VM that the pool could get. Refused jobs stay in the plan until their time, so that later ones are told later times; one that comes back in its time is accepted and delayed last. Nothing is refused before the VM list is read and every endpoint of the pool has reported, nor beside an endpoint with room; lasting and timed jobs never. Only with '[scheduling] shortage_order = least-cost'.

--- a/hickoryplank/coordinator/call_handler.py
+++ b/hickoryplank/coordinator/call_handler.py
@@ -28,6 +28,7 @@
 )
 from hickoryplank.coordinator.term_state import Term
 from hickoryplank.core.ids import TeamId
+from hickoryplank.jobs.admission import Refusal
 from hickoryplank.jobs.configuration import Queue
 from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.table import JobState
@@ -167,7 +168,14 @@
             period_ms=submission.period_ms,
             terms=admitted.queue.terms,
         )
-        engine.submit(job, self._term.context.clock.now())
+        now = self._term.context.clock.now()
+        refusal = engine.refusal(job, now) if known is None else None
+        if refusal is not None:
+            self._note_refusal(job, refusal)
+            return NotRun(NotRunReason.NO_ROOM, refusal.again_s)
+        row = engine.submit(job, now)
+        if known is None:
+            self._term.context.metrics.acceptance(returned=row.returned)
         stored = await self._term.wait_until_stored()
         logger.info(
             "job taken",
@@ -183,6 +191,21 @@
             return Accepted()
         return Unsettled("the job is not stored yet")
 
+    def _note_refusal(self, job: Job, refusal: Refusal) -> None:
+        self._term.context.metrics.refusal(refusal.again_s)
+        logger.info(
+            "job refused for want of room",
+            extra={
+                "request": job.id,
+                "queue": job.queue,
+                "team": job.team,
+                "expected_s": round(refusal.expected_s, 1),
+                "patience_s": round(refusal.patience_s, 1),
+                "ahead": refusal.ahead,
+                "again_s": refusal.again_s,
+            },
+        )
+
     async def _cancel(self, id, admitted: "_Admitted") -> Answer:
         engine = self._term.require_engine()
         row = engine.jobs.get(id)
--- a/hickoryplank/coordinator/calls.py
+++ b/hickoryplank/coordinator/calls.py
@@ -105,6 +105,7 @@
     NO_COORDINATOR = "no_coordinator"
     NO_CONFIGURATION = "no_configuration"
     STORE_AWAY = "store_away"
+    NO_ROOM = "no_room"
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
 
--- a/hickoryplank/coordinator/metrics.py
+++ b/hickoryplank/coordinator/metrics.py
@@ -28,6 +28,8 @@
     STARTS = "starts"
     DECISIONS = "decisions"
     APPEND_SECONDS = "append.seconds"
+    ADMISSIONS = "admissions"
+    RETURN_SECONDS = "admission.return.seconds"
 
 
 class _Measurement(msgspec.Struct, frozen=True):
@@ -80,6 +82,24 @@
         labels = {"happening": event.kind.value, "why": event.reason}
         self._record(_Measurement(_InstrumentName.DECISIONS, 1, labels))
 
+    def refusal(self, again_s: int) -> None:
+        """Count a job that was refused for want of room.
+
+        :param again_s: after how long its caller was told to return, in seconds.
+        """
+        self._record(
+            _Measurement(_InstrumentName.ADMISSIONS, 1, {"outcome": "refused"})
+        )
+        self._record(_Measurement(_InstrumentName.RETURN_SECONDS, again_s, {}))
+
+    def acceptance(self, *, returned: bool) -> None:
+        """Count a new job that was accepted.
+
+        :param returned: it had been refused, and its caller came back at its time.
+        """
+        outcome = "returned" if returned else "accepted"
+        self._record(_Measurement(_InstrumentName.ADMISSIONS, 1, {"outcome": outcome}))
+
     def append(self, seconds: float) -> None:
         """Record a stored batch.
 
@@ -120,4 +140,13 @@
             "s",
             "time until a batch of records was stored",
         ).record,
+        _InstrumentName.ADMISSIONS: meter.create_counter(
+            _InstrumentName.ADMISSIONS.value,
+            description="new jobs, by whether there was room for them in time",
+        ).add,
+        _InstrumentName.RETURN_SECONDS: meter.create_histogram(
+            _InstrumentName.RETURN_SECONDS.value,
+            "s",
+            "time after which callers of refused jobs were told to return",
+        ).record,
     }
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -9,7 +9,9 @@
 
 from hickoryplank.core.ids import EndpointId, QueueId
 from hickoryplank.jobs import incarnations, reports
+from hickoryplank.jobs.admission import Admissions, Refusal, refusal
 from hickoryplank.jobs.assignment import AllowedStarts, assign_tasks
+from hickoryplank.jobs.configuration import Configuration
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
 from hickoryplank.jobs.engine_tables import EndedJob, EngineTables, EngineTiming
 from hickoryplank.jobs.messages import (
@@ -27,6 +29,7 @@
     encode_job,
     encode_state,
 )
+from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.table import JobRow, JobState
 
 __all__ = ["Engine", "EngineTiming"]
@@ -41,6 +44,17 @@
 class Engine(EngineTables):
     """State of all jobs, endpoints and runs, and the operations that change it."""
 
+    def __init__(
+        self,
+        configuration: Configuration,
+        timing: EngineTiming,
+        now: float,
+        wall_ms: int,
+        shortage_order: ShortageOrder = ShortageOrder.DEADLINE,
+    ):
+        super().__init__(configuration, timing, now, wall_ms, shortage_order)
+        self.admissions = Admissions()
+
     # Jobs
 
     def restore(self, rows: Iterable[JobRow]) -> None:
@@ -68,6 +82,10 @@
                     assignments.append((row, task))
                     self.team_usage.add(row.job.team, row.step_of(task.key).step.size)
 
+    def refusal(self, job: Job, now: float) -> Refusal | None:
+        """Return why a job that isn't known is refused; none if it is accepted."""
+        return refusal(self, self.admissions, job, now)
+
     def submit(self, job: Job, now: float) -> JobRow:
         """Add a job, or return the row of the job if it is known already."""
         known = self.jobs.get(job.id)
@@ -75,6 +93,7 @@
             return known
         self._note_first_job(job, now)
         row = JobRow(job, now)
+        row.returned = self.admissions.take_return(job.id, now)
         self._note_arrival(row)
         self.jobs[job.id] = self.open_jobs[job.id] = row
         self.new_jobs.append(row)
--- a/hickoryplank/jobs/ordering.py
+++ b/hickoryplank/jobs/ordering.py
@@ -14,6 +14,7 @@
 __all__ = [
     "critical_path_ms",
     "objective_s",
+    "patience_s",
     "remaining_path_s",
     "sort_jobs",
     "task_ms",
@@ -68,8 +69,13 @@
     """
     if row.lasting or row.job.repeats or terms is None:
         return True
+    return now < row.accepted_at + patience_s(row, terms)
+
+
+def patience_s(row: JobRow, terms: QueueTerms) -> float:
+    """Return for how long a caller is likely to wait for the end, in seconds."""
     abandonment_s = ABANDONMENT_FACTOR * objective_s(row, terms)
-    return now < row.accepted_at + max(abandonment_s, MIN_ABANDONMENT_SECONDS)
+    return max(abandonment_s, MIN_ABANDONMENT_SECONDS)
 
 
 def _done_steps(row: JobRow) -> frozenset[int]:
--- a/hickoryplank/jobs/service_order.py
+++ b/hickoryplank/jobs/service_order.py
@@ -28,7 +28,16 @@
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.table import JobRow
 
-__all__ = ["pool_plan", "pool_supply", "serve_order", "waiting_work"]
+__all__ = [
+    "JOIN_SECONDS",
+    "is_planned",
+    "pool_plan",
+    "pool_supply",
+    "remaining_work",
+    "serve_order",
+    "waiting_job",
+    "waiting_work",
+]
 
 #: Time until a VM that is on its way into a pool takes work, in seconds: about the
 #: duration of a move.
@@ -53,7 +62,7 @@
     rows = sort_jobs(rows, tables.configuration, now)
     if tables.shortage_order is not ShortageOrder.LEAST_COST:
         return rows
-    planned = [row for row in rows if _is_planned(tables, row, now)]
+    planned = [row for row in rows if is_planned(tables, row, now)]
     if not _lacks_room(planned, endpoints):
         return rows
     supply = pool_supply(tables, pool, endpoints)
@@ -83,15 +92,18 @@
     endpoints: list[Endpoint],
     supply: PoolSupply,
     now: float,
+    others: Iterable[WaitingJob[JobId]] = (),
 ) -> ServicePlan[JobId]:
-    """Return the plan for the jobs of a pool that end by themselves."""
+    """Return the plan for the jobs of a pool that end by themselves.
+
+    :param others: jobs that aren't accepted, or not yet.
+    """
     busy = ZERO
     for endpoint in endpoints:
         for run in endpoint.runs.values():
-            if not run.step.lasting:
-                busy = busy.plus(_remaining_work(run))
-    jobs = [_waiting_job(tables, row, supply, now) for row in rows]
-    return plan_service(jobs, supply, supply.pool_seconds(busy))
+            busy = busy.plus(remaining_work(run))
+    jobs = [waiting_job(tables, row, supply, now) for row in rows]
+    return plan_service([*jobs, *others], supply, supply.pool_seconds(busy))
 
 
 def waiting_work(row: JobRow) -> Size:
@@ -105,7 +117,8 @@
     return work
 
 
-def _is_planned(tables: EngineTables, row: JobRow, now: float) -> bool:
+def is_planned(tables: EngineTables, row: JobRow, now: float) -> bool:
+    """Return whether a job is served by the plan, and not before or after it."""
     terms = row.job.terms_in(tables.configuration)
     if row.lasting or row.over_share or terms is None:
         return False
@@ -126,14 +139,21 @@
     return not wanted.fits(free)
 
 
-def _remaining_work(run: Run) -> Size:
+def remaining_work(run: Run) -> Size:
+    """Return the resources of a run, times the time that it needs yet in ms.
+
+    A lasting run has none.
+    """
+    if run.step.lasting:
+        return ZERO
     remaining_ms = task_ms(run.step) * (100 - min(100, run.percent)) // 100
     return run.counted_size.times(remaining_ms)
 
 
-def _waiting_job(
+def waiting_job(
     tables: EngineTables, row: JobRow, supply: PoolSupply, now: float
 ) -> WaitingJob[JobId]:
+    """Return what the plan has to know of a job."""
     terms = row.job.terms_in(tables.configuration)
     assert terms is not None
     asked_at = _asked_at(tables, row)
--- a/hickoryplank/jobs/shortage.py
+++ b/hickoryplank/jobs/shortage.py
@@ -189,8 +189,10 @@
 ) -> ServicePlan[T]:
     """Return the order that keeps the delays that cost callers most from happening.
 
+    :param jobs: the jobs; among equal ones those that are named first go first.
     :param busy_seconds: room that present runs still need; see ``PoolSupply``.
     """
+    jobs = list(jobs)
     by_objective = sorted(jobs, key=lambda job: job.latest_end_s)
     in_time: _InTime[T] = _InTime(_least_large(by_objective))
     delayed: list[WaitingJob[T]] = []
@@ -205,7 +207,8 @@
             cheapest = in_time.pop_cheapest()
             load -= cheapest.pool_seconds
             delayed.append(cheapest)
-    delayed.sort(key=lambda job: job.delay_rank)
+    position = {job.key: number for number, job in enumerate(jobs)}
+    delayed.sort(key=lambda job: (job.delay_rank, position[job.key]))
     return _with_ends(in_time.jobs(), delayed, supply, busy_seconds)
 
 
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -54,6 +54,7 @@
     encode_order,
     is_wave_key,
 )
+from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.table import JobState
 from hickoryplank.meter import Metrics
 from hickoryplank.shell.clock import MonotonicClock
@@ -247,6 +248,32 @@
         assert await entry.local_coordinator.answer(call) == answer
 
 
+async def test_a_job_that_cant_be_served_in_time_is_refused_before_it_is_stored():
+    platform = Platform(work_ms=lambda key: 60_000.0, count=1)
+    await platform.open()
+    entry = Entry(platform, "a")
+    entry.context = msgspec.structs.replace(
+        entry.context, shortage_order=ShortageOrder.LEAST_COST
+    )
+    backlog, more = Step(160, TASK, 1000), Step(160, TASK, 1000)
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        coordinator = entry.local_coordinator
+        assert await coordinator.answer(submit("first", backlog)) == Accepted()
+        await wait_until(lambda: coordinator.engine.vm_supply is not None)
+        await wait_until(
+            lambda: any(one.runs for one in coordinator.engine.endpoints.values())
+        )
+        answer = await coordinator.answer(submit("second", more))
+        assert isinstance(answer, NotRun)
+        assert answer.why is NotRunReason.NO_ROOM
+        assert answer.again_s >= 1
+        assert await state(entry, "second") == NoSuchJob()
+        assert await coordinator.answer(submit("first", backlog)) == Accepted()
+    stored = platform.store.partition(Topic.JOBS).records
+    assert not any(record.key.endswith("second") for record in stored)
+
+
 @pytest.mark.parametrize(
     "steps", [(), (Step(0, TASK),), (Step(1, TASK), Step(1, TASK, after=(1,)))]
 )
--- a/tests/jobs/fleet_play.py
+++ b/tests/jobs/fleet_play.py
@@ -235,10 +235,15 @@
 
 
 def _jobs(turns: list[Turn], for_s: float, rng: random.Random) -> list:
-    return sorted(
-        (at_s, number, job)
-        for number, (at_s, job) in enumerate(_arrivals(turns, for_s, rng))
-    )
+    return sorted(arrivals_of(turns, for_s, rng))
+
+
+def arrivals_of(
+    turns: list[Turn], for_s: float, rng: random.Random
+) -> Iterator[tuple[float, int, Job]]:
+    """Return the jobs of some turns, each with its time in seconds and a number."""
+    for number, (at_s, job) in enumerate(_arrivals(turns, for_s, rng)):
+        yield at_s, number, job
 
 
 def _arrivals(
