--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -12,6 +12,7 @@
 from hickoryplank.coordinator.operator_watcher import OperatorWatcher
 from hickoryplank.coordinator.recovery import read_jobs
 from hickoryplank.coordinator.request_sender import RequestSender
+from hickoryplank.coordinator.shortage_reporter import ShortageReporter
 from hickoryplank.coordinator.term_state import CoordinatorContext, Term
 from hickoryplank.coordinator.vm_controller import VmController
 from hickoryplank.jobs.assignment import AllowedStarts
@@ -45,6 +46,7 @@
         self._call_handler = CallHandler(self._term)
         self._request_sender = RequestSender(self._term)
         self._endpoint_poller = EndpointPoller(self._term)
+        self._shortage_reporter = ShortageReporter(context.metrics)
         self._vm_controller = VmController(
             context.vms,
             context.store,
@@ -168,6 +170,7 @@
         batch = engine.take_batch()
         stored = self._term.begin_storing()
         self._record_events(engine)
+        self._shortage_reporter.report(engine.shortages, now)
         self._request_sender.send_stops_and_pace_changes(engine)
         if batch.records:
             started_at = self._term.context.clock.now()
--- a/hickoryplank/coordinator/metrics.py
+++ b/hickoryplank/coordinator/metrics.py
@@ -30,6 +30,7 @@
     APPEND_SECONDS = "append.seconds"
     ADMISSIONS = "admissions"
     RETURN_SECONDS = "admission.return.seconds"
+    DELAYED_JOBS = "shortage.delayed.jobs"
 
 
 class _Measurement(msgspec.Struct, frozen=True):
@@ -100,6 +101,10 @@
         outcome = "returned" if returned else "accepted"
         self._record(_Measurement(_InstrumentName.ADMISSIONS, 1, {"outcome": outcome}))
 
+    def delayed_jobs(self, count: int) -> None:
+        """Record the jobs of a pool that are delayed while it lacks room."""
+        self._record(_Measurement(_InstrumentName.DELAYED_JOBS, count, {}))
+
     def append(self, seconds: float) -> None:
         """Record a stored batch.
 
@@ -144,6 +149,11 @@
             _InstrumentName.ADMISSIONS.value,
             description="new jobs, by whether there was room for them in time",
         ).add,
+        _InstrumentName.DELAYED_JOBS: meter.create_histogram(
+            _InstrumentName.DELAYED_JOBS.value,
+            "1",
+            "jobs that a pool without enough room delays, once a second",
+        ).record,
         _InstrumentName.RETURN_SECONDS: meter.create_histogram(
             _InstrumentName.RETURN_SECONDS.value,
             "s",
--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -47,6 +47,7 @@
             rows = rows_by_pool.setdefault(row.job.pool, [])
             if row.needs_preassignment or row.has_waiting:
                 rows.append(row)
+    tables.shortages.clear()
     for pool, rows in rows_by_pool.items():
         room = PoolRoom(usable[pool])
         for row in serve_order(tables, pool, rows, usable[pool], now):
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -11,7 +11,7 @@
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
 from hickoryplank.jobs.limits import TeamRateLimiter, TeamUsage
 from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
-from hickoryplank.jobs.shortage import ShortageOrder
+from hickoryplank.jobs.shortage import PoolShortage, ShortageOrder
 from hickoryplank.jobs.table import (
     JobRow,
     JobState,
@@ -84,6 +84,8 @@
     ):
         self.configuration = configuration
         self.shortage_order = shortage_order
+        #: Pools that lacked room in the last tick, written by the order of service.
+        self.shortages: dict[PoolId, PoolShortage] = {}
         #: Written by whoever follows the VM list; none before its first reading.
         self.vm_supply: VmSupply | None = None
         self.timing = timing
--- a/hickoryplank/jobs/service_order.py
+++ b/hickoryplank/jobs/service_order.py
@@ -19,6 +19,7 @@
     worth_serving,
 )
 from hickoryplank.jobs.shortage import (
+    PoolShortage,
     PoolSupply,
     ServicePlan,
     ShortageOrder,
@@ -67,8 +68,12 @@
         return rows
     supply = pool_supply(tables, pool, endpoints)
     plan = pool_plan(tables, planned, endpoints, supply, now)
-    if plan.in_time == len(planned):
+    delayed = len(planned) - plan.in_time
+    if not delayed:
         return rows
+    tables.shortages[pool] = PoolShortage(
+        len(planned), delayed, max(plan.end_s.values())
+    )
     by_id = {row.job.id: row for row in planned}
     first = [row for row in rows if row.lasting]
     last = [row for row in rows if not row.lasting and row.job.id not in by_id]
--- a/hickoryplank/jobs/shortage.py
+++ b/hickoryplank/jobs/shortage.py
@@ -22,7 +22,14 @@
 
 from hickoryplank.jobs.sizes import Size
 
-__all__ = ["PoolSupply", "ServicePlan", "ShortageOrder", "WaitingJob", "plan_service"]
+__all__ = [
+    "PoolShortage",
+    "PoolSupply",
+    "ServicePlan",
+    "ShortageOrder",
+    "WaitingJob",
+    "plan_service",
+]
 
 T = TypeVar("T")
 
@@ -44,6 +51,19 @@
     LEAST_COST = "least-cost"
 
 
+class PoolShortage(msgspec.Struct, frozen=True):
+    """What was decided for a pool that lacked room in the last tick.
+
+    :param waiting: jobs with waiting tasks.
+    :param delayed: those of them that are expected to miss their objective.
+    :param drained_s: when the last of them is expected to end, in seconds.
+    """
+
+    waiting: int
+    delayed: int
+    drained_s: float
+
+
 class PoolSupply(msgspec.Struct, frozen=True):
     """Room of a pool for jobs that end by themselves.
 
--- /dev/null
+++ b/tests/test_entry_settings.py
@@ -0,0 +1,62 @@
+"""Tests of the settings file of an entry on the users' platform."""
+
+import pytest
+from result import Err, Ok
+
+from hickoryplank.entry_settings import load_entry_settings
+from hickoryplank.jobs.shortage import ShortageOrder
+
+REQUIRED = """
+[node]
+name = edge-1
+[listen]
+callers = 127.0.0.1:1
+readiness = 127.0.0.1:2
+peers = 127.0.0.1:3
+metrics = 127.0.0.1:4
+[platform]
+store = 127.0.0.1:5
+vms = 127.0.0.1:6
+[bounds]
+grace_s = 6
+lease_max_ms = 6000
+move_s = 1.5
+maintenance_s = 2
+orders_apart_ms = 3000
+"""
+
+
+@pytest.mark.parametrize(
+    "section, order",
+    [
+        ("", ShortageOrder.DEADLINE),
+        ("[scheduling]\n\n", ShortageOrder.DEADLINE),
+        ("[scheduling]\nshortage_order = deadline\n", ShortageOrder.DEADLINE),
+        ("[scheduling]\nshortage_order = least-cost\n", ShortageOrder.LEAST_COST),
+    ],
+)
+def test_the_order_in_a_shortage_is_set_by_its_section(tmp_path, section, order):
+    path = tmp_path / "entry.ini"
+    path.write_text(REQUIRED + section)
+    match load_entry_settings(path):
+        case Ok(cfg):
+            assert cfg.shortage_order is order
+        case Err(detail):
+            pytest.fail(detail)
+
+
+@pytest.mark.parametrize(
+    "section, named",
+    [
+        ("[scheduling]\nshortage_order = cheapest\n", "shortage_order"),
+        ("[scheduling]\norder = deadline\n", "unknown key order in [scheduling]"),
+    ],
+)
+def test_what_is_wrong_is_named(tmp_path, section, named):
+    path = tmp_path / "entry.ini"
+    path.write_text(REQUIRED + section)
+    match load_entry_settings(path):
+        case Err(detail):
+            assert named in detail
+        case Ok(cfg):
+            pytest.fail(f"accepted as {cfg.shortage_order}")
