Tests: a port is reserved until the entry binds it

Cause: free_port() closed its socket before the entry bound the port, so that any other process could be given it meanwhile, with that entry ending on "Address in use".

Change: ReservedAddress keeps a socket bound that doesn't listen. Linux gives its port to no connection and to no bind to port 0, and lets a listener with SO_REUSEADDR bind it, as asyncio, aiohttp, hypercorn and pynng do. An entry of Fleet and of the soak keeps its addresses over restarts, so that a former incarnation's messages still reach the next one. The listener of test_http_client binds port 0 itself. The platform's address in test_entry_start is never called and is now a constant.

Ruled out: port 0 for these entries, as a restart would change the address, and fixing it after the first start would leave the race at each restart; a range below the ephemeral one with a lock file per port, which other programs of the machine don't heed and which outlives killed workers; SO_REUSEPORT, which the entry would have to set.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -18,6 +17,7 @@
 
 from hickoryplank.core.ownership import owner
 from hickoryplank.external.worker import WorkerStatus
+from tests.ports import ReservedAddress
 from tests.proxy import Proxy
 
 TOKEN = "operator-token-for-tests"
@@ -26,13 +26,6 @@
 DEFAULT_TIMEOUT_SECONDS = 20.0
 
 
-def free_port() -> int:
-    """Return a TCP port that is currently free on loopback."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def digest(secret: str) -> str:
     """Return the SHA-256 hex digest of a secret, as used in settings and objects."""
     return hashlib.sha256(secret.encode()).hexdigest()
@@ -114,6 +107,7 @@
     workers: list[Program] = field(default_factory=list)
     entries: list[Program] = field(default_factory=list)
     proxies: list[Proxy] = field(default_factory=list)
+    reserved: list[ReservedAddress] = field(default_factory=list)
     client: httpx.Client = field(default_factory=lambda: httpx.Client(timeout=60))
 
     def __enter__(self):
@@ -129,6 +123,13 @@
                 program.signal(signal.SIGCONT)
                 program.kill()
             program.process.stdout.close()
+        for reserved in self.reserved:
+            reserved.close()
+
+    def reserve_address(self) -> str:
+        """Return an address that entries can bind until the end of the deployment."""
+        self.reserved.append(ReservedAddress())
+        return self.reserved[-1].address
 
     def standin(self, kind: str, name: str, *args: str) -> Program:
         """Start a stand-in."""
@@ -165,7 +166,7 @@
     def add_entry(self, i: int) -> Program:
         """Start entry ``i`` with its own settings and a proxy to the log service."""
         name = f"entry-{i}"
-        address = f"127.0.0.1:{free_port()}"
+        address = self.reserve_address()
         self.proxies.append(Proxy(self.log.address))
         settings = self.root / f"{name}.ini"
         settings.write_text(self._settings(name, i, address))
@@ -184,7 +185,7 @@
 region = biobio
 zone = {self.zones[i % len(self.zones)]}
 api_bind = {address}
-peer_bind = 127.0.0.1:{free_port()}
+peer_bind = {self.reserve_address()}
 [platform]
 log_url = http://{self.proxies[i].address}
 vms_url = http://{self.vms.address}
--- a/tests/shell/test_peer_transport.py
+++ b/tests/shell/test_peer_transport.py
@@ -6,7 +6,7 @@
 from hickoryplank.core.ids import Incarnation
 from hickoryplank.core.messages import Heartbeat
 from hickoryplank.shell.peer_transport import PeerTransport
-from tests.fleet import free_port
+from tests.ports import ReservedAddress
 
 pytestmark = pytest.mark.anyio
 SECRET = b"secret"
@@ -17,10 +17,17 @@
     return "asyncio"
 
 
-async def test_message_that_a_handler_fails_on_does_not_end_the_transport(caplog):
-    address = f"127.0.0.1:{free_port()}"
+@pytest.fixture
+def address():
+    with ReservedAddress() as reserved:
+        yield reserved.address
+
+
+async def test_message_that_a_handler_fails_on_does_not_end_the_transport(
+    address, caplog
+):
     receiver = PeerTransport(address, SECRET, Incarnation(2))
-    sender = PeerTransport(f"127.0.0.1:{free_port()}", SECRET, Incarnation(1))
+    sender = PeerTransport(address, SECRET, Incarnation(1))
     received = []
 
     async def handle(envelope):
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -20,7 +20,7 @@
 from hickoryplank.jobs.records import Record
 from hickoryplank.jobs.sizes import Size
 from tests.coordinator.memory_platform import MemoryEndpoints, MemoryStore, MemoryVms
-from tests.fleet import free_port
+from tests.ports import ReservedAddress
 from tests.proxy import Proxy
 from tests.soak.checker import InvariantChecker, ObservedEndpoint
 from tests.soak.fault_plan import ENTRY_COUNT
@@ -69,6 +69,7 @@
 orders_apart_ms = 3000
 """
 
+_LISTENERS = ("callers", "readiness", "peers", "metrics")
 _NESTED = "[" * 20_000 + "]" * 20_000
 #: How a sound entry is edited, by the key of the odd one.
 _ODD_LISTINGS: dict[str, Callable[[str], str]] = {
@@ -93,11 +94,9 @@
     def __init__(self, root: Path, number: int, store: str, vms: str, code: str):
         self.name = f"entry-{number}"
         self.store_proxy = Proxy(store)
-        ports = [f"127.0.0.1:{free_port()}" for _ in range(4)]
-        self.callers, self.peers = ports[0], ports[2]
-        names = dict(
-            zip(("callers", "readiness", "peers", "metrics"), ports, strict=True)
-        )
+        self._reserved = {name: ReservedAddress() for name in _LISTENERS}
+        names = {name: one.address for name, one in self._reserved.items()}
+        self.callers, self.peers = names["callers"], names["peers"]
         text = _SETTINGS.format(
             name=self.name, store=self.store_proxy.address, vms=vms, **names
         )
@@ -147,9 +146,11 @@
             self.process.wait()
 
     def close(self) -> None:
-        """Kill the process and close its proxy."""
+        """Kill the process, close its proxy and give its ports back."""
         self.kill()
         self.store_proxy.close()
+        for reserved in self._reserved.values():
+            reserved.close()
 
 
 class Deployment:
--- a/tests/test_entry_start.py
+++ b/tests/test_entry_start.py
@@ -7,19 +7,20 @@
 
 import pytest
 
-from tests.fleet import free_port, wait_until
+from tests.fleet import wait_until
+from tests.ports import ReservedAddress
 
 SETTINGS = """
 [node]
 name = entry-1
 [listen]
 callers = {callers}
-readiness = 127.0.0.1:{ports[0]}
-peers = 127.0.0.1:{ports[1]}
-metrics = 127.0.0.1:{ports[2]}
+readiness = 127.0.0.1:0
+peers = 127.0.0.1:0
+metrics = 127.0.0.1:0
 [platform]
-store = 127.0.0.1:{ports[3]}
-vms = 127.0.0.1:{ports[3]}
+store = 127.0.0.1:9
+vms = 127.0.0.1:9
 [bounds]
 grace_s = 2
 lease_max_ms = 10000
@@ -31,10 +32,15 @@
 SLOW_IMPORT_SECONDS = 3.0
 
 
+@pytest.fixture
+def reserved():
+    with ReservedAddress() as reserved:
+        yield reserved.address
+
+
 def write_settings(tmp_path, callers: str):
     path = tmp_path / "entry.ini"
-    ports = [free_port() for _ in range(4)]
-    path.write_text(SETTINGS.format(callers=callers, ports=ports))
+    path.write_text(SETTINGS.format(callers=callers))
     return path
 
 
@@ -47,18 +53,17 @@
     return True
 
 
-def test_callers_can_connect_before_the_libraries_are_loaded(tmp_path):
-    address = f"127.0.0.1:{free_port()}"
+def test_callers_can_connect_before_the_libraries_are_loaded(tmp_path, reserved):
     slow = tmp_path / "aiohttp.py"
     slow.write_text(f"import time\ntime.sleep({SLOW_IMPORT_SECONDS})\nraise SystemExit")
     command = [sys.executable, "-m", "hickoryplank", "entry"]
     started_at = time.monotonic()
     process = subprocess.Popen(
-        [*command, str(write_settings(tmp_path, address))],
+        [*command, str(write_settings(tmp_path, reserved))],
         env={"PYTHONPATH": str(tmp_path)},
     )
     try:
-        wait_until(lambda: can_connect(address), SLOW_IMPORT_SECONDS)
+        wait_until(lambda: can_connect(reserved), SLOW_IMPORT_SECONDS)
         assert process.poll() is None
         assert process.wait(SLOW_IMPORT_SECONDS * 3) == 0
         assert time.monotonic() - started_at >= SLOW_IMPORT_SECONDS
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,7 +5,6 @@
 from result import Err
 
 from hickoryplank.http_client import HttpClient
-from tests.fleet import free_port
 
 
 # Guards against errors of the HTTP library that end the task of a caller (review case
@@ -21,7 +20,7 @@
     ],
 )
 def test_a_request_that_cannot_be_sent_gives_a_result(host, header):
-    async def call():
+    async def call(port):
         client = HttpClient()
         try:
             return await client.call(
@@ -31,14 +30,12 @@
             await client.close()
 
     async def serve_and_call():
-        listener = await anyio.create_tcp_listener(
-            local_host="127.0.0.1", local_port=port
-        )
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
         async with listener, anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, lambda stream: stream.aclose())
-            result = await call()
+            result = await call(port)
             tasks.cancel_scope.cancel()
             return result
 
-    port = free_port()
     assert isinstance(anyio.run(serve_and_call), Err)
