Tests: waiting for a process that has exited ends at once, with its log

Cause: wait_until only knew that a condition wasn't met, so that the test of an entry that had ended at its start failed after 20 s, without the reason.

Change: wait_until takes the process that it waits for, and fails with its exit code and the last 20 lines of its log once it has exited; a condition not met in time shows them too. Fleet.wait_entry_ready is used wherever an entry's readiness is waited for. A stand-in that exits before it says its address is reported likewise. The two waits for the soak's first coordinator, of run.py and test_entry_stop, become Deployment.wait_until_coordinated, with the same 15 s, which fails at once if one of the entries, which are all to run then, has exited.

Ruled out: checking all processes of the deployment in each wait, as fault tests leave killed entries away on purpose; checking the process before the condition, as one that is met counts though its process ended since.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -102,8 +102,7 @@
         ]
         fault()
         states = [future.result() for future in running]
-    for entry in fleet.entries:
-        wait_until(lambda e=entry: fleet.is_ready(e), what=entry.name)
+    fleet.wait_ready()
     effects = fleet.effects()
     for caller in callers:
         caller.check_answers(effects[caller.name])
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -18,6 +18,7 @@
 from hickoryplank.core.ownership import owner
 from hickoryplank.external.worker import WorkerStatus
 from tests.ports import ReservedAddress
+from tests.processes import log_tail, require_running
 from tests.proxy import Proxy
 
 TOKEN = "operator-token-for-tests"
@@ -32,21 +33,29 @@
 
 
 def wait_until(
-    check, seconds: float = DEFAULT_TIMEOUT_SECONDS, what: str = "wait_until"
+    check,
+    seconds: float = DEFAULT_TIMEOUT_SECONDS,
+    what: str = "wait_until",
+    program: "Program | None" = None,
 ):
     """Poll ``check`` until it returns a true value, and return that value.
 
     :param seconds: time-out.
     :param what: name of the condition in the error message.
-    :raises AssertionError: if ``check`` returns no true value in time.
+    :param program: the process that is waited for, if any.
+    :raises AssertionError: if ``check`` returns no true value in time, or once
+        ``program`` has exited; with the end of its log.
     """
     until = time.monotonic() + seconds
     while time.monotonic() < until:
         found = check()
         if found:
             return found
+        if program is not None:
+            require_running(program.name, program.process, program.log)
         time.sleep(0.05)
-    raise AssertionError(f"{what}: condition not met within {seconds} s")
+    log = "" if program is None else f"; {log_tail(program.log)}"
+    raise AssertionError(f"{what}: condition not met within {seconds} s{log}")
 
 
 @dataclass
@@ -72,6 +81,9 @@
             )
         if not self.address:
             line = self.process.stdout.readline()
+            if not line:
+                self.process.wait()
+                require_running(self.name, self.process, self.log)
             self.address = json.loads(line)["address"]
 
     def signal(self, number: int) -> None:
@@ -197,7 +209,14 @@
     def wait_ready(self) -> None:
         """Wait until every entry is ready."""
         for entry in self.entries:
-            wait_until(lambda e=entry: self.is_ready(e), what=f"{entry.name} ready")
+            self.wait_entry_ready(entry)
+
+    def wait_entry_ready(
+        self, entry: Program, seconds: float = DEFAULT_TIMEOUT_SECONDS
+    ) -> None:
+        """Wait until ``entry`` is ready."""
+        what = f"{entry.name} ready"
+        wait_until(lambda: self.is_ready(entry), seconds, what, entry)
 
     def is_ready(self, entry: Program) -> bool:
         """Return whether the readiness check of ``entry`` succeeds."""
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -21,6 +21,7 @@
 from hickoryplank.jobs.sizes import Size
 from tests.coordinator.memory_platform import MemoryEndpoints, MemoryStore, MemoryVms
 from tests.ports import ReservedAddress
+from tests.processes import require_running
 from tests.proxy import Proxy
 from tests.soak.checker import InvariantChecker, ObservedEndpoint
 from tests.soak.fault_plan import ENTRY_COUNT
@@ -41,6 +42,8 @@
 ZONES = ("talcahuano", "concepcion", "coronel")
 #: Time for which an order takes a VM out of service, in seconds.
 OUTAGE_SECONDS = 0.5
+#: Longest time until an entry is coordinator after the start, in seconds.
+READY_SECONDS = 15.0
 #: Grace period from SIGTERM until a process is killed, in seconds.
 GRACE_SECONDS = 6.0
 #: Readings of the clock of an endpoint at its start, in milliseconds.
@@ -118,6 +121,13 @@
                 cwd=self._code,
             )
 
+    def require_running(self) -> None:
+        """Check that the process is running.
+
+        :raises AssertionError: if it has exited, with the end of its log.
+        """
+        require_running(self.name, self.process, self._log)
+
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it is running."""
         if self.process is not None and self.process.poll() is None:
@@ -199,6 +209,21 @@
             self.entries.append(entry)
             entry.start()
 
+    async def wait_until_coordinated(self) -> None:
+        """Wait until an entry is coordinator, while all are to run.
+
+        :raises AssertionError: if none is in time, or an entry has exited.
+        """
+        until = time.monotonic() + READY_SECONDS
+        while self.store.partition(Topic.JOBS).epoch <= 0:
+            for entry in self.entries:
+                entry.require_running()
+            if time.monotonic() > until:
+                raise AssertionError(
+                    f"no entry became coordinator within {READY_SECONDS} s"
+                )
+            await asyncio.sleep(0.05)
+
     async def close(self) -> None:
         """Stop everything that was started."""
         for entry in self.entries:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,7 +29,6 @@
 #: time until entries are connected again, and the bound that users require.
 FINISH_SECONDS = 3.0 + 14.0
 #: Longest wait until an entry is coordinator, in seconds.
-READY_SECONDS = 15.0
 #: Time after an outage of the store until lapsed entries are back, in seconds. The
 #: platform states it.
 RELIST_SECONDS = 2.0
@@ -236,14 +235,6 @@
         entry.start()
 
 
-async def _wait_until_ready(deployment: Deployment) -> None:
-    until = time.monotonic() + READY_SECONDS
-    while not deployment.store.partition(Topic.JOBS).epoch > 0:
-        if time.monotonic() > until:
-            raise RuntimeError("no entry became coordinator before the timeout")
-        await asyncio.sleep(0.05)
-
-
 def _unfinished(deployment: Deployment) -> list[str]:
     """Return descriptions of accepted jobs that are not finished or not running."""
     unfinished = []
@@ -282,7 +273,7 @@
     faults = draw_restarts(seed) if restarts else draw_faults(seed, length_s)
     try:
         await deployment.start()
-        await _wait_until_ready(deployment)
+        await deployment.wait_until_coordinated()
         started_at = time.monotonic()
         submissions = asyncio.create_task(callers.run(length_s))
         injector = _Injector(deployment)
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -67,7 +67,7 @@
         entry.start()
         fleet.programs.append(entry)
         fleet.entries[0] = entry
-        wait_until(lambda: fleet.is_ready(entry), 60, "the binary")
+        fleet.wait_entry_ready(entry, 60)
         pid = entry.process.pid
         assert child_pids(pid) == ""
         wait_until(lambda: fleet.submit(0, "rondas", b"x", KEY).status_code == 200)
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -5,10 +5,8 @@
 import socket
 import time
 
-from hickoryplank.coordinator.ports import Topic
 from tests.soak.deployment import GRACE_SECONDS, Deployment
 
-READY_SECONDS = 15.0
 #: Request whose body is never sent.
 INCOMPLETE_REQUEST = (
     b"POST /norte/00000000000000aa HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
@@ -19,10 +17,7 @@
     deployment = Deployment(root, seed=1, code=".")
     try:
         await deployment.start()
-        until = time.monotonic() + READY_SECONDS
-        while deployment.store.partition(Topic.JOBS).epoch <= 0:
-            assert time.monotonic() < until
-            await asyncio.sleep(0.05)
+        await deployment.wait_until_coordinated()
         entry = deployment.lease_holder()
         host, port = entry.callers.split(":")
         with socket.create_connection((host, int(port))) as conn:
--- a/tests/test_fault_promises.py
+++ b/tests/test_fault_promises.py
@@ -110,7 +110,7 @@
         fleet.replace(i)
     seen = set()
     for i, entry in enumerate(fleet.entries):
-        wait_until(lambda e=entry: fleet.is_ready(e), what=entry.name)
+        fleet.wait_entry_ready(entry)
         seen.add(fleet.submit(i, "rondas", b"x", secret).status_code)
     assert seen == {401}
 
