serve binds its addresses first, also port 0, and names them

Cause: a node joined the table of nodes and bound its addresses afterwards, the peers' by pynng within the transport's task. Port 0 was refused, as the address has to be in the record with which the node joins; an address in use ended the process in a traceback of task groups that names no address.

Change: open_listeners binds both before anything else. Port 0 takes a free port, which goes into the settings, the node's record and the log line "addresses bound" (fields api and peers). The callers' socket doesn't listen before the HTTP server serves, so connections are refused until then as before. A PeerListener that fails raises OSError with its address; run logs "cannot listen for ... on ..." and exits with 1. An advertised address still needs a port. PeerTransport takes its listener; PeerTransport.serve has no start to wait for any more, as it listens before.

Ruled out: binding twice (find a port, close, bind again), which is the race that the tests had; SO_REUSEPORT, with which two entries could share an address unnoticed. Peers that connect before the node receives are held by pynng, as their unsent messages were while nobody listened.

The test of the transport used a port that it had given back; its two listeners bind port 0. test_settings.py has a row more.

--- a/hickoryplank/settings.py
+++ b/hickoryplank/settings.py
@@ -61,8 +61,9 @@
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Identity and addresses of this node.
 
-    :param api_bind: listen address for callers and operators, as ``host:port``.
-    :param peer_bind: listen address for the other nodes, as ``host:port``.
+    :param api_bind: listen address for callers and operators, as ``host:port``;
+        port 0 takes a free one.
+    :param peer_bind: listen address for the other nodes, likewise.
     :param api_address: advertised address of the API; ``api_bind`` if empty.
     :param peer_address: advertised address for peers; ``peer_bind`` if empty.
     """
--- a/hickoryplank/settings_file.py
+++ b/hickoryplank/settings_file.py
@@ -31,6 +31,8 @@
 _OPERATOR_NAME = re.compile(r"[a-z0-9._-]{1,63}")
 _WILDCARD_BINDS = ("0.0.0.0:", "[::]:")
 _MAX_PORT = 65_535
+#: Port 0 is a free one of the listener's choice.
+_MIN_PORTS = {"api_bind": 0, "peer_bind": 0, "api_address": 1, "peer_address": 1}
 _OPERATOR_FORM_MESSAGE = (
     "must be operator.NAME = SHA-256 of the operator's token in 64 lower-case"
     " hexadecimal digits; NAME consists of lower-case letters, digits, '.', '_', '-'"
@@ -124,9 +126,9 @@
     return Err(tuple(found)) if found else Ok(value)
 
 
-def _is_address(text: str) -> bool:
+def _is_address(text: str, min_port: int) -> bool:
     match = _ADDRESS.fullmatch(text)
-    return match is not None and 0 < int(match[3]) <= _MAX_PORT
+    return match is not None and min_port <= int(match[3]) <= _MAX_PORT
 
 
 def _address_message(text: str) -> str:
@@ -137,9 +139,9 @@
     node: NodeSettings, file: str
 ) -> Result[NodeSettings, tuple[IniFault, ...]]:
     faults = []
-    for key in ("api_bind", "peer_bind", "api_address", "peer_address"):
+    for key, min_port in _MIN_PORTS.items():
         text = getattr(node, key)
-        if text and not _is_address(text):
+        if text and not _is_address(text, min_port):
             faults.append(IniFault(file, "node", key, _address_message(text)))
     for key, bind in (("api_address", node.api_bind), ("peer_address", node.peer_bind)):
         if not getattr(node, key) and bind.startswith(_WILDCARD_BINDS):
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -50,7 +50,7 @@
 from hickoryplank.shell.operator_history import OperatorHistory
 from hickoryplank.shell.operator_http import OperatorSecurity
 from hickoryplank.shell.operator_routes import operator_routes
-from hickoryplank.shell.peer_transport import PeerTransport
+from hickoryplank.shell.peer_transport import PeerListener, PeerTransport
 from hickoryplank.shell.replica import Replica, new_record_id
 from hickoryplank.shell.request_executor import RequestExecutor
 from hickoryplank.shell.request_router import RequestRouter
@@ -81,6 +81,7 @@
         cfg: Settings,
         platform: PlatformClients,
         replica: Replica,
+        peers: PeerListener,
         spawner: TaskSpawner,
         clock: Clock,
         metrics: Metrics,
@@ -92,7 +93,7 @@
         self._spawner = spawner
         self._clock = clock
         secret = cfg.security.cluster_secret.reveal()
-        self._transport = PeerTransport(cfg.node.peer_bind, secret, replica.incarnation)
+        self._transport = PeerTransport(peers, secret, replica.incarnation)
         self._membership = Membership(replica, self._transport, clock)
         self._freshness_exchange = FreshnessExchange(replica, self._transport, clock)
         self._workers = WorkerClients(platform.workers, clock)
@@ -205,7 +206,7 @@
 
         :param group: the task group of the process.
         """
-        await group.start(self._transport.serve, self._receive)
+        group.start_soon(self._transport.serve, self._receive)
         for task in (
             self._send_heartbeats,
             self._freshness_exchange.serve,
--- a/hickoryplank/shell/peer_transport.py
+++ b/hickoryplank/shell/peer_transport.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-import anyio
 import msgspec
 import pynng
 
@@ -11,7 +10,7 @@
 from hickoryplank.core.message_auth import MessageSigner, MessageVerifier
 from hickoryplank.core.messages import Envelope, Message
 
-__all__ = ["PeerTransport"]
+__all__ = ["PeerListener", "PeerTransport"]
 
 logger = logging.getLogger(__name__)
 
@@ -30,20 +29,47 @@
     socket: pynng.Push0
 
 
+class PeerListener:
+    """Socket that listens for the messages of peers.
+
+    :param address: IP address and port to listen on, as ``host:port``; port 0 takes
+        a free one.
+    :raises OSError: if the address cannot be bound.
+    :ivar port: the port that it listens on.
+    """
+
+    def __init__(self, address: str):
+        self._socket = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
+        try:
+            listener = self._socket.listen(f"tcp://{address}")
+        except pynng.NNGException as exc:
+            self._socket.close()
+            raise OSError(f"cannot listen for peers on {address}: {exc}") from exc
+        self.port = int(str(listener.local_address).rsplit(":", 1)[1])
+
+    async def receive(self) -> bytes:
+        """Return the next message."""
+        return await self._socket.arecv()
+
+    def close(self) -> None:
+        """Stop listening, and close the connections of peers."""
+        self._socket.close()
+
+
 class PeerTransport:
     """Sends messages to peers without blocking, and receives their messages.
 
     Any message may be lost. A sender that needs an answer has to retry or to time
     out.
 
-    :param listen: IP address and port to listen on, as ``host:port``.
+    :param listener: receives the messages of peers; ``serve`` closes it at its end.
     :param secret: authenticates messages between the nodes.
     :ivar dropped: the number of messages that could not be queued for sending.
     :ivar refused: the number of received messages that failed verification.
     """
 
-    def __init__(self, listen: str, secret: bytes, incarnation: Incarnation):
-        self._listen = listen
+    def __init__(self, listener: PeerListener, secret: bytes, incarnation: Incarnation):
+        self._listener = listener
         self._signer = MessageSigner(secret, incarnation)
         self._verifier = MessageVerifier(secret, incarnation)
         self._connections: dict[Incarnation, _Connection] = {}
@@ -82,18 +108,13 @@
         for peer in list(self._connections):
             self.send(peer, message)
 
-    async def serve(
-        self,
-        handler: MessageHandler,
-        *,
-        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
-    ) -> None:
+    async def serve(self, handler: MessageHandler) -> None:
         """Receive messages until cancelled; drop those that fail verification."""
-        with pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES) as socket:
-            socket.listen(f"tcp://{self._listen}")
-            task_status.started()
+        try:
             while True:
-                await self._receive(await socket.arecv(), handler)
+                await self._receive(await self._listener.receive(), handler)
+        finally:
+            self._listener.close()
 
     async def _receive(self, data: bytes, handler: MessageHandler) -> None:
         verified = self._verifier.verify(data)
--- a/hickoryplank/shell/serve.py
+++ b/hickoryplank/shell/serve.py
@@ -2,9 +2,12 @@
 
 import logging
 import signal
+import socket
+import sys
 from urllib.parse import urlsplit
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 from hypercorn.asyncio import serve as serve_http
 from hypercorn.config import Config
@@ -19,6 +22,7 @@
 from hickoryplank.external.worker_http import HttpWorkerDirectory
 from hickoryplank.settings import PlatformSettings, Settings
 from hickoryplank.shell.clock import MonotonicClock
+from hickoryplank.shell.listeners import Listeners, open_listeners
 from hickoryplank.shell.logs import configure_logs
 from hickoryplank.shell.metrics import Metrics
 from hickoryplank.shell.node import Node, PlatformClients
@@ -46,10 +50,18 @@
 def run(cfg: Settings) -> None:
     """Run a node with these settings until SIGTERM or SIGINT."""
     configure_logs(cfg.log.level.value, cfg.node.name)
-    anyio.run(_serve, cfg)
+    try:
+        listeners = open_listeners(cfg.node)
+    except OSError as exc:
+        logger.error("%s", exc)
+        sys.exit(1)
+    cfg = msgspec.structs.replace(cfg, node=listeners.with_bound_ports(cfg.node))
+    bound = {"api": cfg.node.api_bind, "peers": cfg.node.peer_bind}
+    logger.info("addresses bound", extra=bound)
+    anyio.run(_serve, cfg, listeners)
 
 
-async def _serve(cfg: Settings) -> None:
+async def _serve(cfg: Settings, listeners: Listeners) -> None:
     clock = MonotonicClock()
     platform = connect_platform(cfg.platform)
     metrics = Metrics(cfg.node.name)
@@ -64,13 +76,20 @@
         group.start_soon(snapshots.recover)
         await _join(replica, cfg)
         node = Node(
-            cfg, platform, replica, TaskSpawner(group), clock, metrics, telemetry
+            cfg,
+            platform,
+            replica,
+            listeners.peers,
+            TaskSpawner(group),
+            clock,
+            metrics,
+            telemetry,
         )
         await node.start(group)
         group.start_soon(snapshots.serve)
         stop = anyio.Event()
         stopped = anyio.Event()
-        group.start_soon(_run_http_server, node, cfg, stop, stopped)
+        group.start_soon(_run_http_server, node, cfg, listeners.api, stop, stopped)
         await _wait_for_stop(node, group)
         await _leave(node, replica, stop, stopped)
         group.cancel_scope.cancel()
@@ -115,10 +134,14 @@
 
 
 async def _run_http_server(
-    node: Node, cfg: Settings, stop: anyio.Event, stopped: anyio.Event
+    node: Node,
+    cfg: Settings,
+    sock: socket.socket,
+    stop: anyio.Event,
+    stopped: anyio.Event,
 ) -> None:
     config = Config()
-    config.bind = [cfg.node.api_bind]
+    config.bind = [f"fd://{sock.detach()}"]
     config.certfile = cfg.security.tls_cert_file
     config.keyfile = cfg.security.tls_key_file
     config.ca_certs = cfg.security.tls_ca_file
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -175,13 +175,17 @@
             self.add_entry(i)
         self.wait_ready()
 
-    def add_entry(self, i: int) -> Program:
-        """Start entry ``i`` with its own settings and a proxy to the log service."""
+    def add_entry(self, i: int, api_bind: str = "", peer_bind: str = "") -> Program:
+        """Start entry ``i`` with its own settings and a proxy to the log service.
+
+        :param api_bind: a reserved address by default, like ``peer_bind``.
+        """
         name = f"entry-{i}"
-        address = self.reserve_address()
+        address = api_bind or self.reserve_address()
+        peers = peer_bind or self.reserve_address()
         self.proxies.append(Proxy(self.log.address))
         settings = self.root / f"{name}.ini"
-        settings.write_text(self._settings(name, i, address))
+        settings.write_text(self._settings(name, i, address, peers))
         command = [sys.executable, "-m", "hickoryplank", "serve", str(settings)]
         log = self.root / f"{name}.log"
         entry = Program(name, command, address, log=log)
@@ -190,14 +194,14 @@
         self.entries.append(entry)
         return entry
 
-    def _settings(self, name: str, i: int, address: str) -> str:
+    def _settings(self, name: str, i: int, address: str, peers: str) -> str:
         return f"""
 [node]
 name = {name}
 region = biobio
 zone = {self.zones[i % len(self.zones)]}
 api_bind = {address}
-peer_bind = {self.reserve_address()}
+peer_bind = {peers}
 [platform]
 log_url = http://{self.proxies[i].address}
 vms_url = http://{self.vms.address}
--- a/tests/shell/test_peer_transport.py
+++ b/tests/shell/test_peer_transport.py
@@ -5,8 +5,7 @@
 
 from hickoryplank.core.ids import Incarnation
 from hickoryplank.core.messages import Heartbeat
-from hickoryplank.shell.peer_transport import PeerTransport
-from tests.ports import ReservedAddress
+from hickoryplank.shell.peer_transport import PeerListener, PeerTransport
 
 pytestmark = pytest.mark.anyio
 SECRET = b"secret"
@@ -17,17 +16,10 @@
     return "asyncio"
 
 
-@pytest.fixture
-def address():
-    with ReservedAddress() as reserved:
-        yield reserved.address
-
-
-async def test_message_that_a_handler_fails_on_does_not_end_the_transport(
-    address, caplog
-):
-    receiver = PeerTransport(address, SECRET, Incarnation(2))
-    sender = PeerTransport(address, SECRET, Incarnation(1))
+async def test_message_that_a_handler_fails_on_does_not_end_the_transport(caplog):
+    listeners = [PeerListener("127.0.0.1:0") for _ in range(2)]
+    receiver = PeerTransport(listeners[0], SECRET, Incarnation(2))
+    sender = PeerTransport(listeners[1], SECRET, Incarnation(1))
     received = []
 
     async def handle(envelope):
@@ -37,8 +29,8 @@
 
     with anyio.fail_after(5):
         async with anyio.create_task_group() as group:
-            await group.start(receiver.serve, handle)
-            sender.connect({Incarnation(2): address})
+            group.start_soon(receiver.serve, handle)
+            sender.connect({Incarnation(2): f"127.0.0.1:{listeners[0].port}"})
             for confirmed in range(3):
                 while not sender.send(Incarnation(2), Heartbeat(confirmed, False)):
                     await anyio.sleep(0.02)
@@ -49,3 +41,4 @@
     assert any("Heartbeat" in record.message for record in caplog.records)
     sender.close()
     receiver.close()
+    listeners[1].close()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -64,6 +64,11 @@
             "api_bind: must be an IP address and a port, such as 192.0.2.7",
         ),
         (":8080", ":99999", "api_bind: must be an IP address and a port"),
+        (
+            "[platform]",
+            "api_address = 192.0.2.7:0\n[platform]",
+            "api_address: must be an IP address and a port",
+        ),
         ("127.0.0.1:8081", "0.0.0.0:8081", "peer_address: is missing; others cannot"),
         ("http://127.0.0.1:9000", "x", "log_url: must start with http:// or"),
         (SECRET, "short", "cluster_secret: must contain at least 16 bytes"),
