entry: port 0 in [listen] takes a free port, which "started" names

Cause: an entry with port 0 bound free ports and told nobody; its lease named port 0 to the other entries.

Change: run_entry opens the four listeners (the callers' one is still open before the libraries are loaded), and puts the ports that were bound into the settings, from which the lease record and the fields callers, readiness, peers and metrics of the line "started" are made.

Ruled out: a line of its own before the libraries are loaded, as logs aren't set up then; entries of the soak with port 0, whose restarts would change their addresses.

Tests: the two new ones of test_entry_start.py fail on the commit before (no addresses in the line; the lease names 127.0.0.1:0).

--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -9,6 +9,7 @@
 
 import anyio
 import anyio.to_thread
+import msgspec
 from aiohttp import web
 
 from hickoryplank.coordinator.coordinator import Coordinator, CoordinatorContext
@@ -22,7 +23,7 @@
 from hickoryplank.entry_logs import configure_entry_logs
 from hickoryplank.entry_peers import PeerCallHandler
 from hickoryplank.entry_settings import EntrySettings
-from hickoryplank.entry_socket import LISTEN_BACKLOG, open_listener
+from hickoryplank.entry_socket import LISTEN_BACKLOG, bound_address, open_listener
 from hickoryplank.http_client import HttpClient
 from hickoryplank.jobs.engine import EngineTiming
 from hickoryplank.platform.advice import PlatformAdvice
@@ -85,12 +86,12 @@
     """One entry: its listeners, platform clients and terms as coordinator.
 
     :param cfg: the settings of the entry.
-    :param callers: the listening socket for callers.
+    :param listeners: the listening sockets, by the name of their setting.
     """
 
-    def __init__(self, cfg: EntrySettings, callers: socket.socket):
+    def __init__(self, cfg: EntrySettings, listeners: dict[str, socket.socket]):
         self._cfg = cfg
-        self._callers = callers
+        self._listeners = listeners
         self._clock = MonotonicClock()
         self._client = HttpClient()
         store = PlatformStore(self._client, cfg.store)
@@ -135,12 +136,15 @@
         """Serve until SIGTERM, then shut down within the grace period."""
         peer_calls = PeerCallHandler(self._forwarder.answer_locally)
         runners = [
-            await _serve(self._callers, self._ingress.handle, ends_with_caller=True),
-            await _listen(self._cfg.readiness, self._handle_readiness),
-            await _listen(self._cfg.peers, peer_calls.handle),
-            await _listen(self._cfg.metrics, self._handle_metrics),
+            await _serve(
+                self._listeners["callers"], self._ingress.handle, ends_with_caller=True
+            ),
+            await _serve(self._listeners["readiness"], self._handle_readiness),
+            await _serve(self._listeners["peers"], peer_calls.handle),
+            await _serve(self._listeners["metrics"], self._handle_metrics),
         ]
-        logger.info("started")
+        addresses = {name: getattr(self._cfg, name) for name in self._listeners}
+        logger.info("started", extra=addresses)
         async with anyio.create_task_group() as tasks:
             for name, run in self._tasks().items():
                 tasks.start_soon(keep_running, name, run)
@@ -239,10 +243,6 @@
     return Metrics(node)
 
 
-async def _listen(address: str, handler) -> web.ServerRunner:
-    return await _serve(open_listener(address), handler)
-
-
 async def _serve(
     sock: socket.socket, handler, *, ends_with_caller: bool = False
 ) -> web.ServerRunner:
@@ -266,4 +266,11 @@
     :param callers: the listening socket for callers.
     """
     configure_entry_logs(cfg.log_level, cfg.name)
-    anyio.run(Entry(cfg, callers).run)
+    listeners = {"callers": callers}
+    for name in ("readiness", "peers", "metrics"):
+        listeners[name] = open_listener(getattr(cfg, name))
+    bound = {
+        name: bound_address(getattr(cfg, name), sock)
+        for name, sock in listeners.items()
+    }
+    anyio.run(Entry(msgspec.structs.replace(cfg, **bound), listeners).run)
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -13,7 +13,8 @@
     """Settings of one entry.
 
     :param name: name of the entry, unique in the deployment.
-    :param callers: listen address for callers, as ``host:port``.
+    :param callers: listen address for callers, as ``host:port``; port 0 of this and
+        the other listen addresses takes a free one.
     :param readiness: listen address for readiness checks.
     :param peers: listen address for the other entries.
     :param metrics: listen address for the metrics page.
--- a/tests/test_entry_start.py
+++ b/tests/test_entry_start.py
@@ -1,14 +1,20 @@
 """Tests of the start of an entry."""
 
+import asyncio
+import json
 import socket
 import subprocess
 import sys
 import time
 
+import msgspec
 import pytest
 
+from hickoryplank.coordinator.lease import LeaseRecord
+from hickoryplank.coordinator.ports import Topic
 from tests.fleet import wait_until
 from tests.ports import ReservedAddress
+from tests.soak.deployment import Deployment
 
 SETTINGS = """
 [node]
@@ -89,6 +95,49 @@
     assert expected_message in ended.stderr
 
 
+def test_port_0_is_bound_by_the_entry_which_names_it(tmp_path):
+    command = [sys.executable, "-m", "hickoryplank", "entry"]
+    process = subprocess.Popen(
+        [*command, str(write_settings(tmp_path, "127.0.0.1:0"))],
+        stdout=subprocess.PIPE,
+    )
+    try:
+        started = next(
+            row
+            for row in map(json.loads, process.stdout)
+            if row["message"] == "started"
+        )
+        names = ("callers", "readiness", "peers", "metrics")
+        addresses = [started[name] for name in names]
+        assert len(set(addresses)) == len(names)
+        assert [address for address in addresses if not can_connect(address)] == []
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+
+def test_lease_names_the_address_that_was_bound_for_port_0(tmp_path):
+    async def address_in_lease():
+        deployment = Deployment(tmp_path, seed=1, code=".")
+        try:
+            await deployment.start()
+            for entry in deployment.entries:
+                entry.kill()
+                settings = tmp_path / f"{entry.name}.ini"
+                text = settings.read_text()
+                settings.write_text(text.replace(entry.peers, "127.0.0.1:0"))
+                entry.start()
+            await deployment.wait_until_coordinated()
+            record = deployment.store.partition(Topic.LEASE).records[-1]
+            address = msgspec.msgpack.decode(record.value, type=LeaseRecord).address
+            assert can_connect(address)
+        finally:
+            await deployment.close()
+
+    asyncio.run(address_in_lease())
+
+
 def test_address_in_use_is_reported(tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         address = "{}:{}".format(*taken.getsockname())
