--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -18,6 +17,8 @@
 
 from hickoryplank.core.ownership import owner
 from hickoryplank.external.worker import WorkerStatus
+from tests.ports import ReservedAddress
+from tests.processes import log_tail, require_running
 from tests.proxy import Proxy
 
 TOKEN = "operator-token-for-tests"
@@ -26,34 +27,35 @@
 DEFAULT_TIMEOUT_SECONDS = 20.0
 
 
-def free_port() -> int:
-    """Return a TCP port that is currently free on loopback."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def digest(secret: str) -> str:
     """Return the SHA-256 hex digest of a secret, as used in settings and objects."""
     return hashlib.sha256(secret.encode()).hexdigest()
 
 
 def wait_until(
-    check, seconds: float = DEFAULT_TIMEOUT_SECONDS, what: str = "wait_until"
+    check,
+    seconds: float = DEFAULT_TIMEOUT_SECONDS,
+    what: str = "wait_until",
+    program: "Program | None" = None,
 ):
     """Poll ``check`` until it returns a true value, and return that value.
 
     :param seconds: time-out.
     :param what: name of the condition in the error message.
-    :raises AssertionError: if ``check`` returns no true value in time.
+    :param program: the process that is waited for, if any.
+    :raises AssertionError: if ``check`` returns no true value in time, or once
+        ``program`` has exited; with the end of its log.
     """
     until = time.monotonic() + seconds
     while time.monotonic() < until:
         found = check()
         if found:
             return found
+        if program is not None:
+            require_running(program.name, program.process, program.log)
         time.sleep(0.05)
-    raise AssertionError(f"{what}: condition not met within {seconds} s")
+    log = "" if program is None else f"; {log_tail(program.log)}"
+    raise AssertionError(f"{what}: condition not met within {seconds} s{log}")
 
 
 @dataclass
@@ -79,6 +81,9 @@
             )
         if not self.address:
             line = self.process.stdout.readline()
+            if not line:
+                self.process.wait()
+                require_running(self.name, self.process, self.log)
             self.address = json.loads(line)["address"]
 
     def signal(self, number: int) -> None:
@@ -114,6 +119,7 @@
     workers: list[Program] = field(default_factory=list)
     entries: list[Program] = field(default_factory=list)
     proxies: list[Proxy] = field(default_factory=list)
+    reserved: list[ReservedAddress] = field(default_factory=list)
     client: httpx.Client = field(default_factory=lambda: httpx.Client(timeout=60))
 
     def __enter__(self):
@@ -129,6 +135,13 @@
                 program.signal(signal.SIGCONT)
                 program.kill()
             program.process.stdout.close()
+        for reserved in self.reserved:
+            reserved.close()
+
+    def reserve_address(self) -> str:
+        """Return an address that entries can bind until the end of the deployment."""
+        self.reserved.append(ReservedAddress())
+        return self.reserved[-1].address
 
     def standin(self, kind: str, name: str, *args: str) -> Program:
         """Start a stand-in."""
@@ -162,13 +175,17 @@
             self.add_entry(i)
         self.wait_ready()
 
-    def add_entry(self, i: int) -> Program:
-        """Start entry ``i`` with its own settings and a proxy to the log service."""
+    def add_entry(self, i: int, api_bind: str = "", peer_bind: str = "") -> Program:
+        """Start entry ``i`` with its own settings and a proxy to the log service.
+
+        :param api_bind: a reserved address by default, like ``peer_bind``.
+        """
         name = f"entry-{i}"
-        address = f"127.0.0.1:{free_port()}"
+        address = api_bind or self.reserve_address()
+        peers = peer_bind or self.reserve_address()
         self.proxies.append(Proxy(self.log.address))
         settings = self.root / f"{name}.ini"
-        settings.write_text(self._settings(name, i, address))
+        settings.write_text(self._settings(name, i, address, peers))
         command = [sys.executable, "-m", "hickoryplank", "serve", str(settings)]
         log = self.root / f"{name}.log"
         entry = Program(name, command, address, log=log)
@@ -177,14 +194,14 @@
         self.entries.append(entry)
         return entry
 
-    def _settings(self, name: str, i: int, address: str) -> str:
+    def _settings(self, name: str, i: int, address: str, peers: str) -> str:
         return f"""
 [node]
 name = {name}
 region = biobio
 zone = {self.zones[i % len(self.zones)]}
 api_bind = {address}
-peer_bind = 127.0.0.1:{free_port()}
+peer_bind = {peers}
 [platform]
 log_url = http://{self.proxies[i].address}
 vms_url = http://{self.vms.address}
@@ -196,7 +213,14 @@
     def wait_ready(self) -> None:
         """Wait until every entry is ready."""
         for entry in self.entries:
-            wait_until(lambda e=entry: self.is_ready(e), what=f"{entry.name} ready")
+            self.wait_entry_ready(entry)
+
+    def wait_entry_ready(
+        self, entry: Program, seconds: float = DEFAULT_TIMEOUT_SECONDS
+    ) -> None:
+        """Wait until ``entry`` is ready."""
+        what = f"{entry.name} ready"
+        wait_until(lambda: self.is_ready(entry), seconds, what, entry)
 
     def is_ready(self, entry: Program) -> bool:
         """Return whether the readiness check of ``entry`` succeeds."""
--- a/tests/shell/test_peer_transport.py
+++ b/tests/shell/test_peer_transport.py
@@ -5,8 +5,7 @@
 
 from hickoryplank.core.ids import Incarnation
 from hickoryplank.core.messages import Heartbeat
-from hickoryplank.shell.peer_transport import PeerTransport
-from tests.fleet import free_port
+from hickoryplank.shell.peer_transport import PeerListener, PeerTransport
 
 pytestmark = pytest.mark.anyio
 SECRET = b"secret"
@@ -18,9 +17,9 @@
 
 
 async def test_message_that_a_handler_fails_on_does_not_end_the_transport(caplog):
-    address = f"127.0.0.1:{free_port()}"
-    receiver = PeerTransport(address, SECRET, Incarnation(2))
-    sender = PeerTransport(f"127.0.0.1:{free_port()}", SECRET, Incarnation(1))
+    listeners = [PeerListener("127.0.0.1:0") for _ in range(2)]
+    receiver = PeerTransport(listeners[0], SECRET, Incarnation(2))
+    sender = PeerTransport(listeners[1], SECRET, Incarnation(1))
     received = []
 
     async def handle(envelope):
@@ -30,8 +29,8 @@
 
     with anyio.fail_after(5):
         async with anyio.create_task_group() as group:
-            await group.start(receiver.serve, handle)
-            sender.connect({Incarnation(2): address})
+            group.start_soon(receiver.serve, handle)
+            sender.connect({Incarnation(2): f"127.0.0.1:{listeners[0].port}"})
             for confirmed in range(3):
                 while not sender.send(Incarnation(2), Heartbeat(confirmed, False)):
                     await anyio.sleep(0.02)
@@ -42,3 +41,4 @@
     assert any("Heartbeat" in record.message for record in caplog.records)
     sender.close()
     receiver.close()
+    listeners[1].close()
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -20,7 +20,8 @@
 from hickoryplank.jobs.records import Record
 from hickoryplank.jobs.sizes import Size
 from tests.coordinator.memory_platform import MemoryEndpoints, MemoryStore, MemoryVms
-from tests.fleet import free_port
+from tests.ports import ReservedAddress
+from tests.processes import require_running
 from tests.proxy import Proxy
 from tests.soak.checker import InvariantChecker, ObservedEndpoint
 from tests.soak.fault_plan import ENTRY_COUNT
@@ -41,6 +42,8 @@
 ZONES = ("talcahuano", "concepcion", "coronel")
 #: Time for which an order takes a VM out of service, in seconds.
 OUTAGE_SECONDS = 0.5
+#: Longest time until an entry is coordinator after the start, in seconds.
+READY_SECONDS = 15.0
 #: Grace period from SIGTERM until a process is killed, in seconds.
 GRACE_SECONDS = 6.0
 #: Readings of the clock of an endpoint at its start, in milliseconds.
@@ -69,6 +72,7 @@
 orders_apart_ms = 3000
 """
 
+_LISTENERS = ("callers", "readiness", "peers", "metrics")
 _NESTED = "[" * 20_000 + "]" * 20_000
 #: How a sound entry is edited, by the key of the odd one.
 _ODD_LISTINGS: dict[str, Callable[[str], str]] = {
@@ -93,11 +97,9 @@
     def __init__(self, root: Path, number: int, store: str, vms: str, code: str):
         self.name = f"entry-{number}"
         self.store_proxy = Proxy(store)
-        ports = [f"127.0.0.1:{free_port()}" for _ in range(4)]
-        self.callers, self.peers = ports[0], ports[2]
-        names = dict(
-            zip(("callers", "readiness", "peers", "metrics"), ports, strict=True)
-        )
+        self._reserved = {name: ReservedAddress() for name in _LISTENERS}
+        names = {name: one.address for name, one in self._reserved.items()}
+        self.callers, self.peers = names["callers"], names["peers"]
         text = _SETTINGS.format(
             name=self.name, store=self.store_proxy.address, vms=vms, **names
         )
@@ -119,6 +121,13 @@
                 cwd=self._code,
             )
 
+    def require_running(self) -> None:
+        """Check that the process is running.
+
+        :raises AssertionError: if it has exited, with the end of its log.
+        """
+        require_running(self.name, self.process, self._log)
+
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it is running."""
         if self.process is not None and self.process.poll() is None:
@@ -147,9 +156,11 @@
             self.process.wait()
 
     def close(self) -> None:
-        """Kill the process and close its proxy."""
+        """Kill the process, close its proxy and give its ports back."""
         self.kill()
         self.store_proxy.close()
+        for reserved in self._reserved.values():
+            reserved.close()
 
 
 class Deployment:
@@ -198,6 +209,21 @@
             self.entries.append(entry)
             entry.start()
 
+    async def wait_until_coordinated(self) -> None:
+        """Wait until an entry is coordinator, while all are to run.
+
+        :raises AssertionError: if none is in time, or an entry has exited.
+        """
+        until = time.monotonic() + READY_SECONDS
+        while self.store.partition(Topic.JOBS).epoch <= 0:
+            for entry in self.entries:
+                entry.require_running()
+            if time.monotonic() > until:
+                raise AssertionError(
+                    f"no entry became coordinator within {READY_SECONDS} s"
+                )
+            await asyncio.sleep(0.05)
+
     async def close(self) -> None:
         """Stop everything that was started."""
         for entry in self.entries:
--- a/tests/test_entry_start.py
+++ b/tests/test_entry_start.py
@@ -1,25 +1,32 @@
 """Tests of the start of an entry."""
 
+import asyncio
+import json
 import socket
 import subprocess
 import sys
 import time
 
+import msgspec
 import pytest
 
-from tests.fleet import free_port, wait_until
+from hickoryplank.coordinator.lease import LeaseRecord
+from hickoryplank.coordinator.ports import Topic
+from tests.fleet import wait_until
+from tests.ports import ReservedAddress
+from tests.soak.deployment import Deployment
 
 SETTINGS = """
 [node]
 name = entry-1
 [listen]
 callers = {callers}
-readiness = 127.0.0.1:{ports[0]}
-peers = 127.0.0.1:{ports[1]}
-metrics = 127.0.0.1:{ports[2]}
+readiness = 127.0.0.1:0
+peers = 127.0.0.1:0
+metrics = 127.0.0.1:0
 [platform]
-store = 127.0.0.1:{ports[3]}
-vms = 127.0.0.1:{ports[3]}
+store = 127.0.0.1:9
+vms = 127.0.0.1:9
 [bounds]
 grace_s = 2
 lease_max_ms = 10000
@@ -31,10 +38,15 @@
 SLOW_IMPORT_SECONDS = 3.0
 
 
+@pytest.fixture
+def reserved():
+    with ReservedAddress() as reserved:
+        yield reserved.address
+
+
 def write_settings(tmp_path, callers: str):
     path = tmp_path / "entry.ini"
-    ports = [free_port() for _ in range(4)]
-    path.write_text(SETTINGS.format(callers=callers, ports=ports))
+    path.write_text(SETTINGS.format(callers=callers))
     return path
 
 
@@ -47,18 +59,17 @@
     return True
 
 
-def test_callers_can_connect_before_the_libraries_are_loaded(tmp_path):
-    address = f"127.0.0.1:{free_port()}"
+def test_callers_can_connect_before_the_libraries_are_loaded(tmp_path, reserved):
     slow = tmp_path / "aiohttp.py"
     slow.write_text(f"import time\ntime.sleep({SLOW_IMPORT_SECONDS})\nraise SystemExit")
     command = [sys.executable, "-m", "hickoryplank", "entry"]
     started_at = time.monotonic()
     process = subprocess.Popen(
-        [*command, str(write_settings(tmp_path, address))],
+        [*command, str(write_settings(tmp_path, reserved))],
         env={"PYTHONPATH": str(tmp_path)},
     )
     try:
-        wait_until(lambda: can_connect(address), SLOW_IMPORT_SECONDS)
+        wait_until(lambda: can_connect(reserved), SLOW_IMPORT_SECONDS)
         assert process.poll() is None
         assert process.wait(SLOW_IMPORT_SECONDS * 3) == 0
         assert time.monotonic() - started_at >= SLOW_IMPORT_SECONDS
@@ -84,6 +95,49 @@
     assert expected_message in ended.stderr
 
 
+def test_port_0_is_bound_by_the_entry_which_names_it(tmp_path):
+    command = [sys.executable, "-m", "hickoryplank", "entry"]
+    process = subprocess.Popen(
+        [*command, str(write_settings(tmp_path, "127.0.0.1:0"))],
+        stdout=subprocess.PIPE,
+    )
+    try:
+        started = next(
+            row
+            for row in map(json.loads, process.stdout)
+            if row["message"] == "started"
+        )
+        names = ("callers", "readiness", "peers", "metrics")
+        addresses = [started[name] for name in names]
+        assert len(set(addresses)) == len(names)
+        assert [address for address in addresses if not can_connect(address)] == []
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+
+def test_lease_names_the_address_that_was_bound_for_port_0(tmp_path):
+    async def address_in_lease():
+        deployment = Deployment(tmp_path, seed=1, code=".")
+        try:
+            await deployment.start()
+            for entry in deployment.entries:
+                entry.kill()
+                settings = tmp_path / f"{entry.name}.ini"
+                text = settings.read_text()
+                settings.write_text(text.replace(entry.peers, "127.0.0.1:0"))
+                entry.start()
+            await deployment.wait_until_coordinated()
+            record = deployment.store.partition(Topic.LEASE).records[-1]
+            address = msgspec.msgpack.decode(record.value, type=LeaseRecord).address
+            assert can_connect(address)
+        finally:
+            await deployment.close()
+
+    asyncio.run(address_in_lease())
+
+
 def test_address_in_use_is_reported(tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         address = "{}:{}".format(*taken.getsockname())
