State over several records, and appends refused for good

Change: a state of more than 16 KB is a head `s:ID` and parts `t:ID:...` of 64 tasks each; a batch has only the parts with changed tasks. A smaller one stays the one record that it was, byte for byte. Order in a batch: head, parts, deletions; the head that first says that there are parts follows them, and until it is stored the parts are ignored. The record of a new job follows its state. The engine drops a new job that is refused (its caller gets 400), writes a known one anew as head and parts after growing pauses, sends no start of it and acknowledges no end of it meanwhile. A job over the bounds (record, id, 200,000 tasks) gets 400 with the bound before anything is sent. At most 2,000 waiting tasks of a step are pre-assigned.

The state machine of the engine plays half of its plays with states that are always split. The driver of the engine's tests reads states by apply_states, as recovery does, and deletes keys that it may lack.

Ruled out: a generation in head and parts, as the order above needs none; fewer parts for a job that has shrunk; refusing jobs by the size of a full state.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -15,6 +15,7 @@
     "maintenance",
     "moves",
     "capacity",
+    "large_jobs",
     "edge",
 )
 
--- a/hickoryplank/coordinator/call_handler.py
+++ b/hickoryplank/coordinator/call_handler.py
@@ -30,6 +30,7 @@
 from hickoryplank.core.ids import TeamId
 from hickoryplank.jobs.configuration import Queue
 from hickoryplank.jobs.model import Job, Step
+from hickoryplank.jobs.records import job_fault
 from hickoryplank.jobs.table import JobState
 from hickoryplank.shell.clock import wall_ms
 
@@ -167,7 +168,10 @@
             period_ms=submission.period_ms,
             terms=admitted.queue.terms,
         )
-        engine.submit(job, self._term.context.clock.now())
+        fault = job_fault(job, self._term.context.store_bounds)
+        if known is None and fault:
+            return Faulty(fault)
+        row = engine.submit(job, self._term.context.clock.now())
         stored = await self._term.wait_until_stored()
         logger.info(
             "job taken",
@@ -179,8 +183,10 @@
                 "steps": [_step_summary(step) for step in job.steps],
             },
         )
-        if stored:
+        if stored and row.recorded:
             return Accepted()
+        if row.refusals:
+            return Faulty("the store refuses the records of the job")
         return Unsettled("the job is not stored yet")
 
     async def _cancel(self, id, admitted: "_Admitted") -> Answer:
@@ -191,7 +197,7 @@
         if row.stored_state.final:
             return Cancelled()
         engine.cancel(row, self._term.context.clock.now())
-        if await self._term.wait_until_stored():
+        if await self._term.wait_until_stored() and row.stored_state.final:
             return Cancelled()
         return Unsettled("the cancellation is not stored yet")
 
--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -126,8 +126,15 @@
             await self._term.watcher.changed.wait()
             configuration = self._term.watcher.configuration
         now = self._term.context.clock.now()
-        engine = Engine(configuration, self._term.context.timing, now, wall_ms())
+        engine = Engine(
+            configuration,
+            self._term.context.timing,
+            now,
+            wall_ms(),
+            self._term.context.store_bounds,
+        )
         engine.restore(stored.rows)
+        engine.unowned_records = stored.unowned
         self._term.malformed_jobs = stored.malformed
         self._term.engine = engine
         await self._endpoint_poller.read_listings()
@@ -163,14 +170,17 @@
         stored = self._term.begin_storing()
         self._record_events(engine)
         self._request_sender.send_stops_and_pace_changes(engine)
+        refused: frozenset[str] = frozenset()
         if batch.records:
             started_at = self._term.context.clock.now()
-            await self._term.journal.append(batch.records)
+            refused = await self._term.journal.append(batch.records)
             self._term.context.metrics.append(
                 self._term.context.clock.now() - started_at
             )
+            if refused:
+                self._term.context.metrics.refused_records(len(refused))
         self._request_sender.send_starts(
-            engine.batch_stored(batch, self._term.context.clock.now())
+            engine.batch_stored(batch, self._term.context.clock.now(), refused)
         )
         stored.set()
 
--- a/hickoryplank/coordinator/journal.py
+++ b/hickoryplank/coordinator/journal.py
@@ -1,6 +1,7 @@
 """Fenced appends of the coordinator to the jobs topic."""
 
 import logging
+from itertools import groupby
 
 import anyio
 import msgspec
@@ -13,7 +14,7 @@
     StorePort,
     Topic,
 )
-from hickoryplank.jobs.records import Record
+from hickoryplank.jobs.records import Record, StoreBounds, group_of_key
 
 __all__ = ["Journal", "TermEnded"]
 
@@ -21,8 +22,11 @@
 
 #: Wait before a failed append is repeated, in seconds.
 RETRY_SECONDS = 0.05
-#: Largest total size of the values in one append, in bytes. The platform accepts 2 MiB.
+#: Largest total size of the records in one append, in bytes; less if the platform
+#: accepts less.
 MAX_APPEND_BYTES = 1_000_000
+#: Bytes of a record in addition to its key and value.
+RECORD_OVERHEAD_BYTES = 5
 #: One in this many failed attempts is logged, so that an outage does not flood the log.
 LOG_EVERY_ATTEMPTS = 20
 
@@ -35,11 +39,13 @@
     """Records that wait to be appended.
 
     :param done: the records have been appended, with others or alone.
+    :param refused: groups of records that the store refuses for good.
     :param error: why the append that they were part of did not succeed.
     """
 
     records: list[Record]
     done: bool = False
+    refused: frozenset[str] = frozenset()
     error: TermEnded | None = None
 
 
@@ -47,14 +53,19 @@
     """Appends records in order, and repeats each append until it succeeds.
 
     Records that wait while an append is in progress go together in the next one, so
-    that on a slow store nobody waits for more than two.
+    that on a slow store nobody waits for more than two. Records that the store refuses
+    for good are left out, with all that follow of the same job; others are appended.
 
     :param epoch: epoch of the term; a higher one fences off all appends.
+    :param bounds: bounds of the store.
     """
 
-    def __init__(self, store: StorePort, epoch: int):
+    def __init__(self, store: StorePort, epoch: int, bounds: StoreBounds | None = None):
         self._store = store
         self._epoch = epoch
+        self._max_bytes = MAX_APPEND_BYTES
+        if bounds is not None:
+            self._max_bytes = min(MAX_APPEND_BYTES, bounds.call_bytes)
         self._sequence = 0
         self._append_lock = anyio.Lock()
         self._waiting: list[_Waiting] = []
@@ -73,9 +84,11 @@
         """
         await self._append([])
 
-    async def append(self, records: list[Record]) -> None:
+    async def append(self, records: list[Record]) -> frozenset[str]:
         """Append records, in several appends if they are too large for one.
 
+        :return: keys of the records that the store refuses for good, and of the others
+            of the same jobs, of which some may have been appended.
         :raises TermEnded: if the store has seen a higher epoch.
         """
         own = _Waiting(records)
@@ -89,35 +102,66 @@
         finally:
             if own in self._waiting:
                 self._waiting.remove(own)
+        return frozenset(
+            one.key for one in records if group_of_key(one.key) in own.refused
+        )
 
     async def _append_waiting(self) -> None:
         group, self._waiting = self._waiting, []
         error = TermEnded("the task that appended the records was cancelled")
         try:
-            await self._append_chunks([one for each in group for one in each.records])
+            refused = await self._append_chunks(
+                [one for each in group for one in each.records]
+            )
         except TermEnded as exc:
             error = exc
             raise
         else:
             for each in group:
                 each.done = True
+                each.refused = refused
         finally:
             for each in group:
                 each.error = None if each.done else error
 
-    async def _append_chunks(self, records: list[Record]) -> None:
-        chunk: list[Record] = []
-        size = 0
-        for record in records:
-            if chunk and size + len(record.value) > MAX_APPEND_BYTES:
-                await self._append(chunk)
-                chunk, size = [], 0
-            chunk.append(record)
-            size += len(record.value)
-        if chunk:
-            await self._append(chunk)
-
-    async def _append(self, records: list[Record]) -> None:
+    async def _append_chunks(self, records: list[Record]) -> frozenset[str]:
+        refused: set[str] = set()
+        for chunk in _split_into_chunks(records, self._max_bytes):
+            rest = [one for one in chunk if group_of_key(one.key) not in refused]
+            if rest:
+                refused |= await self._append_accepted(rest)
+        return frozenset(refused)
+
+    async def _append_accepted(self, records: list[Record]) -> set[str]:
+        """Append records but for groups that are refused; return these groups.
+
+        The rest is appended in halves until the groups at fault are alone.
+        """
+        detail = await self._append(records)
+        if detail is None:
+            return set()
+        groups = list(dict.fromkeys(group_of_key(one.key) for one in records))
+        if len(groups) == 1:
+            largest = max(records, key=_record_bytes)
+            logger.error(
+                "records refused by the store",
+                extra={
+                    "key": largest.key,
+                    "bytes": _record_bytes(largest),
+                    "records": len(records),
+                    "detail": detail,
+                },
+            )
+            return set(groups)
+        first_groups = set(groups[: len(groups) // 2])
+        halves: tuple[list[Record], list[Record]] = ([], [])
+        for one in records:
+            halves[group_of_key(one.key) not in first_groups].append(one)
+        refused = await self._append_accepted(halves[0])
+        return refused | await self._append_accepted(halves[1])
+
+    async def _append(self, records: list[Record]) -> str | None:
+        """Append records at once; return why they are refused for good, if they are."""
         attempts = 0
         while True:
             fence = Fence(self._epoch, self._sequence)
@@ -125,9 +169,12 @@
                 case Ok(_):
                     self._sequence += 1
                     self.failing = False
-                    return
+                    return None
                 case Err(CallFault(CallFaultKind.FENCED, detail)):
                     raise TermEnded(detail)
+                case Err(CallFault(CallFaultKind.REFUSED, detail)) if records:
+                    self.failing = False
+                    return detail
                 case Err(fault):
                     self.failing = True
                     attempts += 1
@@ -137,3 +184,30 @@
                             extra={"tries": attempts, "detail": fault.detail},
                         )
                     await anyio.sleep(RETRY_SECONDS)
+
+
+def _record_bytes(record: Record) -> int:
+    """Return the size of a record in an append, in bytes."""
+    return RECORD_OVERHEAD_BYTES + len(record.key.encode()) + len(record.value)
+
+
+def _split_into_chunks(records: list[Record], max_bytes: int) -> list[list[Record]]:
+    """Return the records in chunks of one append each, in order.
+
+    Records of a job that follow each other stay together if one append can hold them.
+    """
+    chunks: list[list[Record]] = [[]]
+    size = 0
+    for _, members in groupby(records, key=lambda one: group_of_key(one.key)):
+        group = list(members)
+        if chunks[-1] and size + sum(map(_record_bytes, group)) > max_bytes:
+            chunks.append([])
+            size = 0
+        for one in group:
+            one_bytes = _record_bytes(one)
+            if chunks[-1] and size + one_bytes > max_bytes:
+                chunks.append([])
+                size = 0
+            chunks[-1].append(one)
+            size += one_bytes
+    return [chunk for chunk in chunks if chunk]
--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -442,6 +442,7 @@
                 CallFault(
                     CallFaultKind.CONDITION_FAILED
                     | CallFaultKind.UNKNOWN
+                    | CallFaultKind.REFUSED
                     | CallFaultKind.INVALID_ANSWER,
                     detail,
                 )
--- a/hickoryplank/coordinator/metrics.py
+++ b/hickoryplank/coordinator/metrics.py
@@ -28,6 +28,7 @@
     STARTS = "starts"
     DECISIONS = "decisions"
     APPEND_SECONDS = "append.seconds"
+    REFUSED_RECORDS = "records.refused"
 
 
 class _Measurement(msgspec.Struct, frozen=True):
@@ -87,6 +88,10 @@
         """
         self._record(_Measurement(_InstrumentName.APPEND_SECONDS, seconds, {}))
 
+    def refused_records(self, count: int) -> None:
+        """Count records of jobs that the store refuses for good."""
+        self._record(_Measurement(_InstrumentName.REFUSED_RECORDS, count, {}))
+
     def _record(self, measurement: _Measurement) -> None:
         if self._recorders is None:
             self._buffered.append(measurement)
@@ -120,4 +125,8 @@
             "s",
             "time until a batch of records was stored",
         ).record,
+        _InstrumentName.REFUSED_RECORDS: meter.create_counter(
+            _InstrumentName.REFUSED_RECORDS.value,
+            description="records of jobs that the store refuses for good",
+        ).add,
     }
--- a/hickoryplank/coordinator/ports.py
+++ b/hickoryplank/coordinator/ports.py
@@ -65,6 +65,8 @@
     TRIMMED = "trimmed"
     #: Another incarnation of the endpoint answers at the address.
     OTHER_INCARNATION = "other_life"
+    #: The receiver refuses the call, and would refuse it again.
+    REFUSED = "refused"
     #: The answer is malformed or has an unexpected status.
     INVALID_ANSWER = "unreadable"
 
--- a/hickoryplank/coordinator/recovery.py
+++ b/hickoryplank/coordinator/recovery.py
@@ -15,7 +15,7 @@
     RecordFault,
     VmOrder,
     WaveProgress,
-    apply_state,
+    apply_states,
     decode_job,
     decode_order,
     decode_wave,
@@ -55,10 +55,12 @@
     :param rows: jobs with their states.
     :param malformed: ids of jobs with a malformed record. They are neither run nor
         accepted again, as their tasks may be running or done.
+    :param unowned: records of states without a job, left by an interrupted append.
     """
 
     rows: list[JobRow]
     malformed: frozenset[JobId]
+    unowned: list[Record] = []
 
 
 async def read_jobs(
@@ -90,17 +92,17 @@
                     "malformed job record; the job is left as it is",
                     extra={"request": job_of_key(key), "detail": detail},
                 )
-    for record in states:
-        row = rows.get(job_of_key(record.key))
-        fault = apply_state(row, record) if row is not None else None
-        if fault is not None:
-            malformed.add(job_of_key(record.key))
-            logger.error(
-                "malformed job state record; the job is left as it is",
-                extra={"request": job_of_key(record.key), "detail": fault.detail},
-            )
+    faults, unowned = apply_states(rows, states)
+    # Those of a malformed job are left as they are, too.
+    unowned = [one for one in unowned if job_of_key(one.key) not in malformed]
+    for fault in faults:
+        malformed.add(job_of_key(fault.key))
+        logger.error(
+            "malformed job state record; the job is left as it is",
+            extra={"request": job_of_key(fault.key), "detail": fault.detail},
+        )
     kept = [row for id, row in rows.items() if id not in malformed]
-    return StoredJobs(kept, frozenset(malformed))
+    return StoredJobs(kept, frozenset(malformed), unowned)
 
 
 def _restore_vms(vm_controller: VmController, record: Record) -> None:
--- a/hickoryplank/coordinator/term_state.py
+++ b/hickoryplank/coordinator/term_state.py
@@ -19,6 +19,7 @@
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
 from hickoryplank.core.ids import JobId
 from hickoryplank.jobs.engine import Engine, EngineTiming
+from hickoryplank.jobs.records import StoreBounds
 from hickoryplank.shell.clock import Clock
 
 __all__ = ["MAX_RENEWAL_AGE_SECONDS", "CoordinatorContext", "Term"]
@@ -38,6 +39,7 @@
     :param timing: durations that bound the engine.
     :param vm_bounds: durations of operations on VMs.
     :param advice: external advice service, if one is configured.
+    :param store_bounds: bounds of the store on appends.
     """
 
     store: StorePort
@@ -50,6 +52,7 @@
     vm_bounds: VmOperationBounds
     metrics: EntryMetrics
     advice: AdvicePort | None = None
+    store_bounds: StoreBounds = StoreBounds()
 
 
 class Term:
@@ -70,7 +73,7 @@
         self.lease = lease
         self.watcher = watcher
         self.fencing_token = lease.epoch
-        self.journal = Journal(context.store, self.fencing_token)
+        self.journal = Journal(context.store, self.fencing_token, context.store_bounds)
         self.engine: Engine | None = None
         self.malformed_jobs: frozenset[JobId] = frozenset()
         self.tasks: TaskGroup | None = None
--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -275,9 +275,10 @@
     async def _record_waves(self, journal: Journal) -> None:
         unrecorded = [wave for wave in self._waves.values() if not wave.recorded]
         if unrecorded:
-            await journal.append([encode_wave(wave.progress()) for wave in unrecorded])
-        for wave in unrecorded:
-            wave.recorded = True
+            records = [encode_wave(wave.progress()) for wave in unrecorded]
+            refused = await journal.append(records)
+            for wave, record in zip(unrecorded, records, strict=True):
+                wave.recorded = record.key not in refused
 
     async def _run_operations(
         self, engine: Engine, journal: Journal, token: int
@@ -296,9 +297,13 @@
         if ready:
             # The next coordinator must not give orders for these VMs too soon.
             at_ms = wall_ms()
-            await journal.append(
-                [encode_order(VmOrder(operation.vm, at_ms)) for operation in ready]
-            )
+            records = [encode_order(VmOrder(one.vm, at_ms)) for one in ready]
+            refused = await journal.append(records)
+            ready = [
+                operation
+                for operation, record in zip(ready, records, strict=True)
+                if record.key not in refused
+            ]
         async with anyio.create_task_group() as tasks:
             for operation in ready:
                 tasks.start_soon(self._send_order, engine, journal, operation, token)
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -25,6 +25,7 @@
 from hickoryplank.entry_socket import LISTEN_BACKLOG, open_listener
 from hickoryplank.http_client import HttpClient
 from hickoryplank.jobs.engine import EngineTiming
+from hickoryplank.jobs.records import StoreBounds
 from hickoryplank.platform.advice import PlatformAdvice
 from hickoryplank.platform.endpoints import PlatformEndpoints
 from hickoryplank.platform.ingress import Ingress
@@ -123,6 +124,7 @@
             operator=operator,
             metrics=self._entry_metrics,
             advice=PlatformAdvice(self._client, cfg.advice) if cfg.advice else None,
+            store_bounds=_store_bounds(cfg),
             vm_bounds=VmOperationBounds(
                 cfg.move_s,
                 cfg.maintenance_s,
@@ -233,6 +235,14 @@
     return min(1.0, cores / COORDINATOR_CORES, cfg.link_mbps / COORDINATOR_LINK_MBPS)
 
 
+def _store_bounds(cfg: EntrySettings) -> StoreBounds:
+    """Return the bounds of the store; where none is set, those of the platform."""
+    given = {"record_bytes": cfg.record_bytes, "call_bytes": cfg.call_bytes}
+    return StoreBounds(
+        **{key: one for key, one in given.items() if isinstance(one, int)}
+    )
+
+
 def _create_metrics(node: str) -> "Metrics":
     from hickoryplank.meter import Metrics
 
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -33,6 +33,8 @@
     :param cpu_share: fraction of CPU time available to the VM, from 0 to 1.
     :param core_speed: speed of the VM's cores relative to the reference core.
     :param link_mbps: speed of the VM's network link, in Mbit/s.
+    :param record_bytes: largest record that the platform's store takes, in bytes.
+    :param call_bytes: largest total size of the records of one call to it, in bytes.
     :param advice: address of the platform's advice service; empty for none.
     :param log_level: least severe level that is logged.
     """
@@ -57,6 +59,8 @@
     link_mbps: float = 1000.0
     advice: str = ""
     log_level: str = "info"
+    record_bytes: int | msgspec.UnsetType = msgspec.UNSET
+    call_bytes: int | msgspec.UnsetType = msgspec.UNSET
 
 
 _SECTIONS = {
@@ -73,6 +77,8 @@
         "orders_apart_ms",
         "orders_per_s",
         "status_s",
+        "record_bytes",
+        "call_bytes",
     ),
     "log": ("log_level",),
 }
--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -1,6 +1,7 @@
 """Assigns waiting tasks to endpoints, job by job in the order of service."""
 
 from enum import Enum
+from itertools import islice
 
 from hickoryplank.core.ids import PoolId
 from hickoryplank.jobs.endpoints import Endpoint
@@ -12,7 +13,11 @@
     choose_gang,
     has_room_for,
 )
-from hickoryplank.jobs.preassignment import preassign_tasks, start_preassigned
+from hickoryplank.jobs.preassignment import (
+    MAX_PREASSIGNED_TASKS,
+    preassign_tasks,
+    start_preassigned,
+)
 from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task
 
 __all__ = ["AllowedStarts", "assign_tasks"]
@@ -43,7 +48,7 @@
     rows_by_pool: dict[PoolId, list[JobRow]] = {}
     for row in tables.open_jobs.values():
         row.open_due_occurrences(wall_ms)
-        if row.job.pool in usable:
+        if row.job.pool in usable and not row.refusals:
             rows = rows_by_pool.setdefault(row.job.pool, [])
             if row.needs_preassignment or row.has_waiting:
                 rows.append(row)
@@ -126,7 +131,9 @@
     starts: AllowedStarts,
 ) -> bool:
     """Assign the waiting tasks of a step; return false if any lacked room."""
-    for task in list(step.waiting.values()):
+    only_preassigned = starts is AllowedStarts.PREASSIGNED
+    limit = MAX_PREASSIGNED_TASKS if only_preassigned else None
+    for task in list(islice(step.waiting.values(), limit)):
         if task.not_before > now or task.run is not None:
             continue
         if not tables.team_usage.allows(
@@ -136,7 +143,7 @@
         may_use_preassignment = starts is not AllowedStarts.AFTER_RECORD
         if may_use_preassignment and start_preassigned(tables, row, step, task, now):
             continue
-        if starts is AllowedStarts.PREASSIGNED:
+        if only_preassigned:
             continue
         endpoint = choose_endpoint(endpoints, step, task.failed_on)
         if endpoint is None:
@@ -172,4 +179,4 @@
 ) -> None:
     reason = JobState.RUNNING.value
     tables.starts.append(tables.begin_run(row, task, endpoint, attempt, reason))
-    tables.mark_dirty(row)
+    tables.mark_dirty(row, task)
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -25,7 +25,8 @@
     Record,
     encode_deletion,
     encode_job,
-    encode_state,
+    encode_state_changes,
+    job_of_key,
 )
 from hickoryplank.jobs.table import JobRow, JobState
 
@@ -36,6 +37,9 @@
 #: Age up to which stored jobs count as arrivals in the next term, in seconds: several
 #: times the time over which rates are estimated. Older ones only delay a hand-over.
 RESTORED_ARRIVALS_SECONDS = 10.0
+#: Most batches that leave out a job whose state the store has refused, before it is
+#: sent again: half a minute at one batch per tick.
+MAX_SKIPPED_BATCHES = 256
 
 
 class Engine(EngineTables):
@@ -270,13 +274,15 @@
             self.ended_jobs
             and now - self.ended_jobs[0].at > self.timing.retention_seconds
         ):
-            row = self.jobs[self.ended_jobs.popleft().job]
+            row = self.jobs.get(self.ended_jobs.popleft().job)
+            if row is None:
+                continue
             settled = row.stored_state is row.state
             if not settled or any(task.run for task in row.all_tasks()):
                 self.ended_jobs.append(EndedJob(row.job.id, now))
                 continue
             del self.jobs[row.job.id]
-            self.expired_jobs.append(row.job.id)
+            self.expired_jobs.append(row)
 
     def _stop_on_draining(self, now: float) -> None:
         """Stop lasting tasks on endpoints whose listing says that they are draining.
@@ -300,15 +306,27 @@
         dirty, self.dirty = self.dirty, {}
         starts, self.starts = self.starts, []
         expired_jobs, self.expired_jobs = self.expired_jobs, []
-        records: list[Record] = [encode_job(row.job) for row in new]
-        records += [encode_state(row) for row in dirty.values()]
-        for job in expired_jobs:
-            records += encode_deletion(job)
-        self.storing_states = [(row, row.state) for row in dirty.values()]
+        unowned, self.unowned_records = self.unowned_records, []
+        records = [Record(record.key, b"") for record in unowned]
+        for row in expired_jobs:
+            records += encode_deletion(row)
+        self.storing_states = []
+        for row in new:
+            # A state without its job means nothing, a job without its state is new.
+            if dirty.pop(row.job.id, None) is not None:
+                records += self._encode_state(row)
+            records.append(encode_job(row.job))
+        for row in dirty.values():
+            if row.batches_to_skip:
+                row.batches_to_skip -= 1
+                self.dirty[row.job.id] = row
+            else:
+                records += self._encode_state(row)
         self.storing_preassignments, self.new_preassignments = (
             self.new_preassignments,
             [],
         )
+        self.storing_ends, self.unstored_ends = self.unstored_ends, {}
         ends = [
             StoredEnd(one.id, one.listing.born_ms, one.last_end_number)
             for one in self.endpoints.values()
@@ -316,22 +334,94 @@
         ]
         return Batch(records, starts, ends)
 
-    def batch_stored(self, batch: Batch, now: float) -> list[Run]:
-        """Mark a batch as stored; return the runs that may be started now."""
+    def batch_stored(
+        self, batch: Batch, now: float, refused: frozenset[str] = frozenset()
+    ) -> list[Run]:
+        """Mark a batch as stored; return the runs that may be started now.
+
+        :param refused: keys of the records that the store refuses for good. Nothing of
+            their jobs counts as stored: new ones are dropped, and of others all changes
+            are written again, after growing pauses. Other jobs are not concerned.
+        """
+        refused_jobs = {job_of_key(key) for key in refused}
         for row in self.storing_jobs:
-            row.recorded = True
+            if row.job.id in refused_jobs:
+                self._drop_refused_job(row)
+            else:
+                row.recorded = True
         self.storing_jobs = []
         for row, state in self.storing_states:
-            row.stored_state = state
+            if row.job.id in refused_jobs:
+                self._hold_refused_state(row)
+            else:
+                row.stored_state = state
+                row.stored.confirm()
+                row.refusals = 0
         self.storing_states = []
-        for preassignment in self.storing_preassignments:
-            preassignment.stored = True
+        for row, preassignment in self.storing_preassignments:
+            if row.job.id in self.dirty and row.refusals:
+                self.new_preassignments.append((row, preassignment))
+            else:
+                preassignment.stored = True
         self.storing_preassignments = []
+        self._keep_unstored_ends()
+        held_ends = [
+            ends
+            for job, ends in self.unstored_ends.items()
+            if job in self.jobs and self.jobs[job].refusals
+        ]
         for end in batch.ends:
             endpoint = self.endpoints.get(end.endpoint)
             if endpoint is not None and endpoint.listing.born_ms == end.born_ms:
-                endpoint.stored_end_number = max(endpoint.stored_end_number, end.number)
-        return [run for run in batch.starts if self._mark_sent(run, now)]
+                numbers = [ends[endpoint] - 1 for ends in held_ends if endpoint in ends]
+                endpoint.stored_end_number = max(
+                    endpoint.stored_end_number, min([end.number, *numbers])
+                )
+        return [run for run in batch.starts if self._may_start(run, now)]
+
+    def _encode_state(self, row: JobRow) -> list[Record]:
+        self.storing_states.append((row, row.state))
+        return encode_state_changes(row, self.bounds)
+
+    def _drop_refused_job(self, row: JobRow) -> None:
+        """Drop a new job that can't be stored; nothing of it has been started."""
+        row.refusals += 1
+        self.jobs.pop(row.job.id, None)
+        self.open_jobs.pop(row.job.id, None)
+        self.advice.discard_job(row.job.id)
+        self.dirty.pop(row.job.id, None)
+        for task in row.all_tasks():
+            if task.run is not None:
+                self.close_run(task.run)
+        # Parts of its state may have been stored.
+        self.expired_jobs.append(row)
+
+    def _hold_refused_state(self, row: JobRow) -> None:
+        if row.job.id not in self.jobs:
+            return
+        row.refusals += 1
+        row.batches_to_skip = min(2**row.refusals, MAX_SKIPPED_BATCHES) - 2
+        row.stored.refuse()
+        self.dirty[row.job.id] = row
+
+    def _keep_unstored_ends(self) -> None:
+        """Keep the ends of jobs whose state was not stored with this batch."""
+        for job, ends in self.storing_ends.items():
+            row = self.jobs.get(job)
+            if row is None or not row.refusals:
+                continue
+            for endpoint, number in ends.items():
+                kept = self.unstored_ends.setdefault(job, {})
+                kept[endpoint] = min(number, kept.get(endpoint, number))
+        self.storing_ends = {}
+
+    def _may_start(self, run: Run, now: float) -> bool:
+        """Mark a run of a stored batch as sent; return whether it may be started."""
+        row = self.jobs.get(run.key.job)
+        if row is not None and row.refusals:
+            self.give_up_run(run, "the store refuses the state of its job")
+            return False
+        return self._mark_sent(run, now)
 
     def _mark_sent(self, run: Run, now: float) -> bool:
         endpoint = run.endpoint
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -11,6 +11,7 @@
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
 from hickoryplank.jobs.limits import TeamRateLimiter, TeamUsage
 from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
+from hickoryplank.jobs.records import Record, StoreBounds
 from hickoryplank.jobs.table import (
     JobRow,
     JobState,
@@ -69,6 +70,7 @@
 
     :param now: start of this coordinator's term, by the local clock, in seconds.
     :param wall_ms: the same by the time of day, in Unix milliseconds.
+    :param bounds: bounds of the store.
     """
 
     def __init__(
@@ -77,7 +79,9 @@
         timing: EngineTiming,
         now: float,
         wall_ms: int,
+        bounds: StoreBounds | None = None,
     ):
+        self.bounds = bounds or StoreBounds()
         self.configuration = configuration
         self.timing = timing
         self.term_started_at = now
@@ -104,7 +108,9 @@
         #: Jobs that have ended, oldest first.
         self.ended_jobs: deque[EndedJob] = deque()
         #: Jobs that the next batch deletes from the store.
-        self.expired_jobs: list[JobId] = []
+        self.expired_jobs: list[JobRow] = []
+        #: Stored records that belong to no job, which the next batch deletes.
+        self.unowned_records: list[Record] = []
         #: Jobs whose state the next batch stores.
         self.dirty: dict[JobId, JobRow] = {}
         #: Runs that may be started once the next batch is stored.
@@ -112,8 +118,8 @@
         #: Runs begun on a stored pre-assignment, which need no other record.
         self.preassigned_starts: list[Run] = []
         #: Pre-assignments for the next batch, and those of the batch being stored.
-        self.new_preassignments: list[PreAssignment] = []
-        self.storing_preassignments: list[PreAssignment] = []
+        self.new_preassignments: list[tuple[JobRow, PreAssignment]] = []
+        self.storing_preassignments: list[tuple[JobRow, PreAssignment]] = []
         #: Round-robin counter, advanced with each step whose tasks are pre-assigned;
         #: spreads the pre-assignments over the endpoints.
         self.round_robin_counter = 0
@@ -126,6 +132,11 @@
         self.storing_jobs: list[JobRow] = []
         #: States in the batch that is being stored.
         self.storing_states: list[tuple[JobRow, JobState]] = []
+        #: First end of each endpoint that is not stored yet, by the job whose state is
+        #: to contain it.
+        self.unstored_ends: dict[JobId, dict[Endpoint, int]] = {}
+        #: The same of the batch that is being stored.
+        self.storing_ends: dict[JobId, dict[Endpoint, int]] = {}
 
     def age_s(self, listing: Listing, now: float) -> float:
         """Return the age of an incarnation by the time of day, in seconds."""
@@ -142,10 +153,18 @@
             self.team_usage.remove(row.job.team, row.step_of(task.key).step.size)
         return assignments
 
-    def mark_dirty(self, row: JobRow) -> None:
-        """Have the state of a job stored with the next batch."""
+    def mark_dirty(self, row: JobRow, *tasks: Task) -> None:
+        """Have the state of a job stored with the next batch.
+
+        :param tasks: the tasks that have changed.
+        """
+        row.note_change(*tasks)
         self.dirty[row.job.id] = row
 
+    def note_end(self, job: JobId, endpoint: Endpoint, number: int) -> None:
+        """Have an end acknowledged only once the state of its job is stored."""
+        self.unstored_ends.setdefault(job, {}).setdefault(endpoint, number)
+
     def add_event(self, kind: EngineEventKind, run: Run, reason: str) -> None:
         """Add an event about a run, for logs and metrics."""
         self.events.append(
@@ -167,6 +186,8 @@
         self.advice.discard_job(row.job.id)
         self.mark_dirty(row)
         for task in row.all_tasks():
+            if task.preassignment is not None:
+                row.note_change(task)
             if task.run is not None:
                 self.stop(task.run, now, state.value)
 
@@ -246,7 +267,7 @@
         task.working = False
         row.step_of(task.key).waiting[task.key.index] = task
         row.needs_preassignment = True
-        self.mark_dirty(row)
+        self.mark_dirty(row, task)
 
     def stop(self, run: Run, now: float, reason: str) -> None:
         """Stop a run; its task waits for another run once this one has ended."""
--- a/hickoryplank/jobs/preassignment.py
+++ b/hickoryplank/jobs/preassignment.py
@@ -11,14 +11,18 @@
 be started.
 """
 
-from itertools import cycle
+from itertools import cycle, islice
 
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.engine_tables import EngineTables
 from hickoryplank.jobs.placement import has_labels, has_room_for
 from hickoryplank.jobs.table import JobRow, PreAssignment, StepRow, Task
 
-__all__ = ["preassign_tasks", "start_preassigned"]
+__all__ = ["MAX_PREASSIGNED_TASKS", "preassign_tasks", "start_preassigned"]
+
+#: Most waiting tasks of a step that are pre-assigned, the first ones. It is what a
+#: coordinator starts in the time for which it may work without the store.
+MAX_PREASSIGNED_TASKS = 2000
 
 
 def preassign_tasks(
@@ -59,9 +63,12 @@
 def _preassign_step(
     tables: EngineTables, row: JobRow, step: StepRow, endpoints: list[Endpoint]
 ) -> None:
+    if len(step.waiting) > MAX_PREASSIGNED_TASKS:
+        # Others become the first ones as these are started.
+        row.needs_preassignment = True
     unassigned = [
         task
-        for task in step.waiting.values()
+        for task in islice(step.waiting.values(), MAX_PREASSIGNED_TASKS)
         if task.run is None
         and task.stored_assignment is None
         and not _is_current(tables, task.preassignment)
@@ -75,8 +82,8 @@
         unassigned, cycle(candidates[first:] + candidates[:first])
     ):
         task.preassignment = PreAssignment(endpoint)
-        tables.new_preassignments.append(task.preassignment)
-    tables.mark_dirty(row)
+        tables.new_preassignments.append((row, task.preassignment))
+    tables.mark_dirty(row, *unassigned)
 
 
 def _is_current(tables: EngineTables, preassignment: PreAssignment | None) -> bool:
@@ -102,5 +109,6 @@
     if not has_room_for(endpoint, step):
         return False
     run = tables.begin_run(row, task, endpoint, task.attempt + 1, "recorded ahead")
+    row.note_change(task)
     tables.preassigned_starts.append(run)
     return True
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -202,8 +202,9 @@
     task = tables.task_of(run)
     if task is None:
         return
-    if reported.checkpoint:
+    if reported.checkpoint and reported.checkpoint != task.checkpoint:
         task.checkpoint = reported.checkpoint
+        tables.jobs[run.key.job].note_change(task)
     if run.step.lasting:
         task.working = reported.percent >= 100 and run.state is RunState.STARTED
 
@@ -235,9 +236,11 @@
         tables.close_run(run)
     if row is None or task is None:
         return
+    tables.note_end(row.job.id, endpoint, end.number)
     tables.note_begun(row)
     if end.checkpoint and current:
         task.checkpoint = end.checkpoint
+        row.note_change(task)
     if end.kind is EndKind.DONE and not _is_lasting(row, end):
         endpoint.note_success()
         _task_done(tables, row, task, now)
@@ -260,7 +263,7 @@
         step.waiting.pop(one.key.index, None)
         if one.run is not None and not step.step.gang:
             tables.stop(one.run, now, "another run is done")
-    tables.mark_dirty(row)
+    tables.mark_dirty(row, *members)
     row.discard_occurrence_if_ended(task.key.occurrence)
     if not row.state.final and row.complete:
         tables.end_job(row, JobState.COMPLETED, now)
@@ -270,7 +273,7 @@
     tables: EngineTables, endpoint: Endpoint, row: JobRow, task: Task, now: float
 ) -> None:
     step = row.step_of(task.key)
-    tables.mark_dirty(row)
+    tables.mark_dirty(row, task)
     task.failures += 1
     task.failed_on |= {endpoint.id}
     endpoint.note_failure(row.job.id, now)
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -1,6 +1,7 @@
 """Jobs, steps and tasks, and their state."""
 
 from enum import Enum
+from typing import NamedTuple
 
 from hickoryplank.core.ids import EndpointId, JobId
 from hickoryplank.jobs.endpoints import Endpoint, Run
@@ -12,7 +13,9 @@
     "JobState",
     "StoredAssignment",
     "PreAssignment",
+    "StatePart",
     "StepRow",
+    "StoredState",
     "Task",
     "TaskState",
 ]
@@ -20,6 +23,9 @@
 #: Tasks of occurrences that have not begun, from which on no further one is opened. It
 #: bounds the memory and the work of a tick for a job that has many due occurrences.
 MAX_UNBEGUN_TASKS = 1000
+#: Tasks of a step whose states share a record, if the state of the job is split: with
+#: checkpoints some 3 KB, of which an end writes all again.
+TASKS_PER_PART = 64
 
 
 class JobState(Enum):
@@ -142,6 +148,76 @@
         return sum(1 for task in self.tasks if not task.working)
 
 
+class StatePart(NamedTuple):
+    """A block of tasks of one step, whose states share a record.
+
+    :param block: number of the block in the step, from 0.
+    """
+
+    occurrence: int
+    step: int
+    block: int
+
+
+class StoredState:
+    """What the store has of the state of a job, and what has changed since.
+
+    :param tasks_per_part: tasks of a step whose states share a record, once the state
+        is split.
+    :ivar split: the state is stored as a head and parts from the next record on.
+    :ivar split_in_store: the head in the store says so. Otherwise the store has all
+        tasks in one record, and parts mean nothing.
+    :ivar head: newest head that was sent; none if it has to be sent again.
+    :ivar parts: parts that the store may have.
+    :ivar changed: parts with changes that are in no record yet.
+    :ivar sending: parts in the batch that is being stored.
+    """
+
+    __slots__ = (
+        "changed",
+        "deleting",
+        "head",
+        "parts",
+        "sending",
+        "split",
+        "split_in_store",
+        "tasks_per_part",
+    )
+
+    def __init__(self, tasks_per_part: int = TASKS_PER_PART):
+        self.tasks_per_part = tasks_per_part
+        self.split = False
+        self.split_in_store = False
+        self.head: bytes | None = None
+        self.parts: set[StatePart] = set()
+        self.changed: set[StatePart] = set()
+        self.sending: set[StatePart] = set()
+        self.deleting: set[StatePart] = set()
+
+    def part_of(self, key: TaskKey) -> StatePart:
+        """Return the part with the state of a task."""
+        return StatePart(key.occurrence, key.step, key.index // self.tasks_per_part)
+
+    def confirm(self) -> None:
+        """Record that the newest records are stored."""
+        self.split_in_store = self.split
+        self.parts -= self.deleting
+        self.deleting.clear()
+        self.sending.clear()
+
+    def refuse(self) -> None:
+        """Record that the newest records are not stored, or not all of them.
+
+        Everything that they contained is written again, as a head and parts: these are
+        the smallest records there are.
+        """
+        self.split = True
+        self.head = None
+        self.changed |= self.sending | self.deleting
+        self.deleting.clear()
+        self.sending.clear()
+
+
 class JobRow:
     """A job and the state of its tasks.
 
@@ -154,6 +230,8 @@
         no runs; nothing else is kept of them.
     :param next_occurrence: all occurrences before this one are open or have ended.
     :param recorded: the job's record is stored.
+    :param refusals: number of times in a row that the store has refused its records.
+    :param batches_to_skip: number of batches before its records are sent again.
     :param begun: an endpoint has confirmed that it started some task.
     :param lasting: any task runs until the job is cancelled.
     :param needs_preassignment: tasks may have started to wait since the last
@@ -170,12 +248,19 @@
         self.ended_occurrences = OccurrenceSet()
         self.next_occurrence = 0
         self.recorded = False
+        self.stored = StoredState()
+        self.refusals = 0
+        self.batches_to_skip = 0
         self.begun = False
         self.needs_preassignment = True
         self.lasting = job.lasting
         #: Lengths of the critical path in milliseconds, by the steps that are done.
         self.path_ms: dict[frozenset[int], int] = {}
 
+    def note_change(self, *tasks: Task) -> None:
+        """Have the states of tasks stored with the next records of the job."""
+        self.stored.changed.update(self.stored.part_of(task.key) for task in tasks)
+
     def open_occurrence(self, occurrence: int) -> list[StepRow]:
         """Return the steps of an occurrence, creating them if necessary."""
         rows = self.steps.get(occurrence)
--- a/hickoryplank/platform/store.py
+++ b/hickoryplank/platform/store.py
@@ -50,6 +50,7 @@
 NEWEST_TIMEOUT_SECONDS = 1.5
 _LENGTH = struct.Struct(">I")
 _PAGE_HEADER = struct.Struct(">QQ")
+_REQUEST_TIMEOUT = 408
 _TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
 _CONFLICT = 409
@@ -114,6 +115,19 @@
     return CallFault(faults.get(response.status, CallFaultKind.INVALID_ANSWER), detail)
 
 
+def _append_fault(response: HttpResponse) -> CallFault:
+    """Return the fault of an append.
+
+    A client error without a meaning of its own would be met by each repeat.
+    """
+    fault = _call_fault(response)
+    if fault.kind not in (CallFaultKind.INVALID_ANSWER, CallFaultKind.TRIMMED):
+        return fault
+    if 400 <= response.status < 500 and response.status != _REQUEST_TIMEOUT:
+        return CallFault(CallFaultKind.REFUSED, fault.detail)
+    return fault
+
+
 def _decode_items(body: bytes) -> Result[tuple[_Items, list[Record]], str]:
     """Decode a page of newest records; return it with its records."""
     match decode_json(_items_decoder, body):
@@ -183,7 +197,7 @@
                     .map_err(lambda detail: CallFault(CallFaultKind.UNKNOWN, detail))
                 )
             case Ok(response):
-                return Err(_call_fault(response))
+                return Err(_append_fault(response))
             case Err(fault):
                 return Err(fault)
 
--- a/tests/coordinator/memory_platform.py
+++ b/tests/coordinator/memory_platform.py
@@ -50,21 +50,31 @@
 
 
 class MemoryStore(StorePort):
-    """Store of keyed partitions; all entries of a test share one."""
+    """Store of keyed partitions; all entries of a test share one.
 
-    def __init__(self) -> None:
+    :param record_bytes: largest record, in bytes; none for no bound.
+    """
+
+    def __init__(self, record_bytes: int | None = None) -> None:
         self.partitions: dict[Topic, _Partition] = {}
+        self.record_bytes = record_bytes
 
     def partition(self, topic: Topic) -> _Partition:
         """Return the partition of a topic; create it if necessary."""
         return self.partitions.setdefault(topic, _Partition())
 
+    def _is_too_large(self, records: list[Record]) -> bool:
+        bound = self.record_bytes
+        return bound is not None and any(_record_bytes(one) > bound for one in records)
+
     async def append(
         self, topic: Topic, records: list[Record], guard: Condition | Fence | None
     ) -> Result[Appended, CallFault]:
         """Append records atomically."""
         await anyio.lowlevel.checkpoint()
         partition = self.partition(topic)
+        if self._is_too_large(records):
+            return Err(CallFault(CallFaultKind.REFUSED, "a record is too large"))
         match guard:
             case Condition(end) if end != len(partition.records):
                 return Err(
@@ -120,6 +130,10 @@
         partition.first_offset = len(partition.records)
 
 
+def _record_bytes(record: Record) -> int:
+    return 1 + len(record.key.encode()) + len(record.value)
+
+
 class FaultyStore(StorePort):
     """The connection of one entry to the store, with fault injection.
 
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -14,10 +14,9 @@
 from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.records import (
     Record,
-    apply_state,
+    apply_states,
     decode_job,
     is_job_key,
-    job_of_key,
 )
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.table import JobRow
@@ -84,9 +83,13 @@
     :param work_ms: function of the key of a task that returns its run time in
         milliseconds, or none for a lasting task.
     :param cfg: the configuration.
+    :param bounds: bounds of the store.
     """
 
-    def __init__(self, count: int = 2, work_ms=lambda key: 500.0, cfg=None):
+    def __init__(
+        self, count: int = 2, work_ms=lambda key: 500.0, cfg=None, bounds=None
+    ):
+        self.bounds = bounds
         self.now = 100.0
         self.cfg = cfg or configuration()
         self.work_ms = work_ms
@@ -114,7 +117,7 @@
         return FakeEndpoint(born_ms, self.work_ms)
 
     def _fresh_engine(self) -> Engine:
-        engine = Engine(self.cfg, TIMING, self.now, self.wall_ms)
+        engine = Engine(self.cfg, TIMING, self.now, self.wall_ms, self.bounds)
         self._list_endpoints(engine)
         return engine
 
@@ -133,15 +136,15 @@
         self.token += 1
         self.tries.clear()
         self.pending_batch = None
-        self.engine = Engine(self.cfg, TIMING, self.now, self.wall_ms)
+        self.engine = Engine(self.cfg, TIMING, self.now, self.wall_ms, self.bounds)
         rows: dict[str, JobRow] = {}
         for record in self.records():
             if is_job_key(record.key):
                 decoded = decode_job(record)
                 rows[decoded.id] = JobRow(decoded, self.now)
-        for record in self.records():
-            if not is_job_key(record.key):
-                assert apply_state(rows[job_of_key(record.key)], record) is None
+        states = [one for one in self.records() if not is_job_key(one.key)]
+        faults, self.engine.unowned_records = apply_states(rows, states)
+        assert faults == []
         self.engine.restore(rows.values())
         self._list_endpoints(self.engine)
 
@@ -213,7 +216,7 @@
             if record.value:
                 self.store[record.key] = record.value
             else:
-                del self.store[record.key]
+                self.store.pop(record.key, None)
 
     def _send_start(self, run: Run) -> None:
         if not self.engine.is_start_due(run, self.tries.get(run, 0), self.now):
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -15,6 +15,7 @@
 from hickoryplank.jobs.configuration import AdviceTiming
 from hickoryplank.jobs.evacuation import continue_evacuation
 from hickoryplank.jobs.model import Job, Step, TaskKey
+from hickoryplank.jobs.records import StoreBounds
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
 from hickoryplank.jobs.vms import OperationPhase, VmOperation
@@ -83,11 +84,17 @@
         slow=st.booleans(),
         advised=st.booleans(),
         ends_per_report=st.sampled_from([1, 2, 500]),
+        split=st.booleans(),
     )
-    def begin(self, slow: bool, advised: bool, ends_per_report: int) -> None:
+    def begin(
+        self, slow: bool, advised: bool, ends_per_report: int, split: bool
+    ) -> None:
         self.ledger = Ledger()
         self.cfg = configuration(TEAM_LIMIT, ATTEMPTS, ADVICE if advised else None)
         self.driver = LedgerDriver(self.ledger, len(ENDPOINTS), run_ms, self.cfg)
+        if split:
+            # No state fits into one record.
+            self.driver.bounds = self.driver.engine.bounds = StoreBounds(1)
         self.driver.permits = permits if advised else None
         self.driver.clock_rate = SLOW_CLOCK if slow else 1.0
         self.driver.ends_per_report = ends_per_report
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -143,6 +143,30 @@
     await platform.close()
 
 
+@pytest.mark.parametrize(
+    ("status", "fault"),
+    [
+        (400, CallFaultKind.REFUSED),
+        (403, CallFaultKind.REFUSED),
+        (413, CallFaultKind.REFUSED),
+        (408, CallFaultKind.INVALID_ANSWER),
+        (412, CallFaultKind.CONDITION_FAILED),
+        (429, CallFaultKind.NOT_DONE),
+        (500, CallFaultKind.INVALID_ANSWER),
+        (503, CallFaultKind.NOT_DONE),
+    ],
+)
+async def test_an_append_refused_for_good_is_told_from_one_to_repeat(status, fault):
+    platform = FakePlatform(MemoryStore())
+    platform.store_status = status
+    client = HttpClient()
+    store = PlatformStore(client, await platform.serve(platform.handle_store))
+    answer = await store.append(Topic.JOBS, [A], Fence(1, 0))
+    assert answer.unwrap_err().kind is fault
+    await client.close()
+    await platform.close()
+
+
 async def test_no_listener_is_not_done_and_no_answer_is_unknown():
     client = HttpClient()
     store = PlatformStore(client, "127.0.0.1:9")
