--- a/tests/jobs/test_records.py
+++ b/tests/jobs/test_records.py
@@ -294,6 +294,20 @@
     assert encode_state(restored(driver)) == encode_state(driver.engine.jobs[A])
 
 
+def test_the_form_of_a_split_state_is_kept():
+    driver = Driver(count=1)
+    row = submit(driver, Step(3, TASK))
+    row.stored.tasks_per_part = 2
+    row.stored.split = True
+    driver.engine.tick(driver.now, driver.wall_ms)
+    records = driver.engine.take_batch().records
+    assert [(one.key, one.value.hex()) for one in records[:-1]] == [
+        ("t:a:0.0.0", "929a000000010100a2653001a0c29a000001010100a2653001a0c2"),
+        ("t:a:0.0.1", "919a000002010100a2653001a0c2"),
+        ("s:a", "92a671756575656402"),
+    ]
+
+
 class _FormerState(msgspec.Struct, array_like=True):
     state: JobState
     tasks: list[_TaskRecord]
