Parts of an interrupted split are deleted before the head that gives them a meaning

A split of a state that was interrupted leaves parts. The next split deleted those that it doesn't replace after its head: a successor between the two appends would have read them. Found by taking the mends out by hand; the new test was red before.

--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -242,8 +242,9 @@
     it remains split. A successor may find any first few of the records. The head goes
     first, as none of its states needs the parts: that of a failed job would be lost if
     only the failures were stored. The head that first says that there are parts follows
-    them, as it replaces the states of all tasks; until then the parts are ignored.
-    Parts are deleted after the head that says that their occurrence has ended.
+    them, as it replaces the states of all tasks; until then the parts are ignored, and
+    those that an interrupted split has left are deleted. Later, parts are deleted after
+    the head that says that their occurrence has ended.
     """
     stored = row.stored
     changed, stored.changed = stored.changed, set()
@@ -276,7 +277,7 @@
     stored.head = value
     if stored.split_in_store:
         return heads + written + deleted
-    return written + heads + deleted
+    return written + deleted + heads
 
 
 def _open_parts(row: JobRow) -> set[StatePart]:
--- a/tests/jobs/test_records.py
+++ b/tests/jobs/test_records.py
@@ -25,6 +25,8 @@
 SMALL = Size(50, 50, 0)
 BOUNDS = StoreBounds()
 A = JobId("a")
+#: Runs of a task that may fail, by the configuration of the driver.
+ATTEMPTS = 3
 
 
 class CountingDriver(Driver):
@@ -210,6 +212,82 @@
     assert not again.stored.split_in_store
 
 
+class PrefixDriver(Driver):
+    """A driver that looks at what a successor finds after any first few records."""
+
+    def __init__(self, check, **options):
+        super().__init__(**options)
+        self.check = check
+        self.cuts = 0
+
+    def _write(self, batch: Batch) -> None:
+        before = dict(self.store)
+        for record in batch.records:
+            super()._write(Batch([record], [], []))
+            if "j:a" in self.store and "s:a" in self.store:
+                self.check(restored(self))
+                self.cuts += 1
+        self.store = before
+        super()._write(batch)
+
+
+def play_split(driver: Driver, *steps: Step) -> JobRow:
+    """Play a job with small parts to its end; return its row."""
+    row = submit(driver, *steps)
+    row.stored.tasks_per_part = 4
+    row.stored.split = True
+    for _ in range(200):
+        driver.step()
+        if row.stored_state.final:
+            break
+    return row
+
+
+def test_a_successor_finds_no_failed_tasks_without_their_failed_job():
+    def check(row: JobRow) -> None:
+        failed = any(task.failures >= ATTEMPTS for task in row.all_tasks())
+        assert not failed or row.state is JobState.FAILED
+
+    driver = PrefixDriver(check)
+    for fake in driver.endpoints.values():
+        fake.failing = True
+    assert play_split(driver, Step(20, SMALL)).state is JobState.FAILED
+    assert driver.cuts > 10
+
+
+def test_a_successor_finds_a_gang_done_as_a_whole_or_not_at_all():
+    def check(row: JobRow) -> None:
+        assert all(step.remaining in (0, 20) for step in row.steps[0])
+
+    driver = PrefixDriver(check)
+    steps = (Step(20, SMALL, gang=True), Step(20, SMALL, gang=True, after=(0,)))
+    assert play_split(driver, *steps).state is JobState.COMPLETED
+    assert driver.cuts > 10
+
+
+def test_parts_of_an_interrupted_split_are_deleted_before_they_mean_anything():
+    def check(row: JobRow) -> None:
+        assert row.open_occurrence(0)[0].tasks[4999].attempt == 0
+
+    driver = PrefixDriver(check)
+    submit(driver, Step(5000, SMALL))
+    driver.step()
+    parts = [key for key in driver.store if key.startswith("t:")]
+    assert "t:a:0.0.78" not in parts
+    stale = msgspec.msgpack.encode([[0, 0, 4999, 2, 1, 0]])
+    driver.store = {
+        "j:a": driver.store["j:a"],
+        "s:a": msgspec.msgpack.encode(["queued", []]),
+        "t:a:0.0.78": stale,
+    }
+    driver.take_over()
+    driver.cuts = 0
+    for _ in range(3):
+        driver.step()
+    assert driver.cuts > 10
+    assert "t:a:0.0.78" not in driver.store
+
+
 def test_a_cancelled_job_forgets_what_was_recorded_ahead():
     driver = Driver()
     row = driver.engine.submit(job("a", Step(1500, SMALL)), driver.now)
@@ -395,6 +473,23 @@
     assert sorted(driver.store) == ["j:b", "s:b"]
 
 
+def test_a_start_is_not_sent_if_the_state_with_its_assignment_is_refused():
+    driver = Driver(count=1, work_ms=lambda key: None)
+    row = driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.commit()
+    driver.poll_endpoints()
+    driver.engine.tick(driver.now, driver.wall_ms)
+    batch, refused = refuse(driver, "a")
+    assert batch.starts
+    assert refused
+    fake = driver.endpoints[EndpointId("e0")]
+    assert not fake.started
+    assert row.recorded
+    for _ in range(20):
+        driver.step()
+    assert len(fake.started) == 1
+
+
 def test_a_refused_state_is_written_again_and_its_ends_are_not_acknowledged():
     driver = Driver(count=1, work_ms=lambda key: 150.0)
     for id in "ab":
