--- a/hickoryplank/coordinator/call_handler.py
+++ b/hickoryplank/coordinator/call_handler.py
@@ -31,6 +31,7 @@
 from hickoryplank.jobs.admission import Refusal
 from hickoryplank.jobs.configuration import Queue
 from hickoryplank.jobs.model import Job, Step
+from hickoryplank.jobs.records import job_fault
 from hickoryplank.jobs.table import JobState
 from hickoryplank.shell.clock import wall_ms
 
@@ -168,6 +169,9 @@
             period_ms=submission.period_ms,
             terms=admitted.queue.terms,
         )
+        fault = job_fault(job, self._term.context.store_bounds)
+        if known is None and fault:
+            return Faulty(fault)
         now = self._term.context.clock.now()
         refusal = engine.refusal(job, now) if known is None else None
         if refusal is not None:
@@ -187,8 +191,10 @@
                 "steps": [_step_summary(step) for step in job.steps],
             },
         )
-        if stored:
+        if stored and row.recorded:
             return Accepted()
+        if row.refusals:
+            return Faulty("the store refuses the records of the job")
         return Unsettled("the job is not stored yet")
 
     def _note_refusal(self, job: Job, refusal: Refusal) -> None:
@@ -214,7 +220,7 @@
         if row.stored_state.final:
             return Cancelled()
         engine.cancel(row, self._term.context.clock.now())
-        if await self._term.wait_until_stored():
+        if await self._term.wait_until_stored() and row.stored_state.final:
             return Cancelled()
         return Unsettled("the cancellation is not stored yet")
 
--- a/hickoryplank/coordinator/metrics.py
+++ b/hickoryplank/coordinator/metrics.py
@@ -31,6 +31,7 @@
     ADMISSIONS = "admissions"
     RETURN_SECONDS = "admission.return.seconds"
     DELAYED_JOBS = "shortage.delayed.jobs"
+    REFUSED_RECORDS = "records.refused"
 
 
 class _Measurement(msgspec.Struct, frozen=True):
@@ -112,6 +113,10 @@
         """
         self._record(_Measurement(_InstrumentName.APPEND_SECONDS, seconds, {}))
 
+    def refused_records(self, count: int) -> None:
+        """Count records of jobs that the store refuses for good."""
+        self._record(_Measurement(_InstrumentName.REFUSED_RECORDS, count, {}))
+
     def _record(self, measurement: _Measurement) -> None:
         if self._recorders is None:
             self._buffered.append(measurement)
@@ -159,4 +164,8 @@
             "s",
             "time after which callers of refused jobs were told to return",
         ).record,
+        _InstrumentName.REFUSED_RECORDS: meter.create_counter(
+            _InstrumentName.REFUSED_RECORDS.value,
+            description="records of jobs that the store refuses for good",
+        ).add,
     }
--- a/hickoryplank/coordinator/term_state.py
+++ b/hickoryplank/coordinator/term_state.py
@@ -19,6 +19,7 @@
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
 from hickoryplank.core.ids import JobId
 from hickoryplank.jobs.engine import Engine, EngineTiming
+from hickoryplank.jobs.records import StoreBounds
 from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.shell.clock import Clock
 
@@ -40,6 +41,7 @@
     :param vm_bounds: durations of operations on VMs.
     :param advice: external advice service, if one is configured.
     :param shortage_order: order of service while a pool has too little room.
+    :param store_bounds: bounds of the store on appends.
     """
 
     store: StorePort
@@ -53,6 +55,7 @@
     metrics: EntryMetrics
     advice: AdvicePort | None = None
     shortage_order: ShortageOrder = ShortageOrder.DEADLINE
+    store_bounds: StoreBounds = StoreBounds()
 
 
 class Term:
@@ -73,7 +76,7 @@
         self.lease = lease
         self.watcher = watcher
         self.fencing_token = lease.epoch
-        self.journal = Journal(context.store, self.fencing_token)
+        self.journal = Journal(context.store, self.fencing_token, context.store_bounds)
         self.engine: Engine | None = None
         self.malformed_jobs: frozenset[JobId] = frozenset()
         self.tasks: TaskGroup | None = None
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -26,6 +26,8 @@
 from hickoryplank.entry_socket import LISTEN_BACKLOG, bound_address, open_listener
 from hickoryplank.http_client import HttpClient
 from hickoryplank.jobs.engine import EngineTiming
+from hickoryplank.jobs.records import StoreBounds
+from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.platform.advice import PlatformAdvice
 from hickoryplank.platform.endpoints import PlatformEndpoints
 from hickoryplank.platform.ingress import Ingress
@@ -124,7 +126,8 @@
             operator=operator,
             metrics=self._entry_metrics,
             advice=PlatformAdvice(self._client, cfg.advice) if cfg.advice else None,
-            shortage_order=cfg.shortage_order,
+            shortage_order=_shortage_order(cfg),
+            store_bounds=_store_bounds(cfg),
             vm_bounds=VmOperationBounds(
                 cfg.move_s,
                 cfg.maintenance_s,
@@ -238,6 +241,20 @@
     return min(1.0, cores / COORDINATOR_CORES, cfg.link_mbps / COORDINATOR_LINK_MBPS)
 
 
+def _shortage_order(cfg: EntrySettings) -> ShortageOrder:
+    """Return the order of service in a shortage; by deadline where none is set."""
+    order = cfg.shortage_order
+    return order if isinstance(order, ShortageOrder) else ShortageOrder.DEADLINE
+
+
+def _store_bounds(cfg: EntrySettings) -> StoreBounds:
+    """Return the bounds of the store; where none is set, those of the platform."""
+    given = {"record_bytes": cfg.record_bytes, "call_bytes": cfg.call_bytes}
+    return StoreBounds(
+        **{key: one for key, one in given.items() if isinstance(one, int)}
+    )
+
+
 def _create_metrics(node: str) -> "Metrics":
     from hickoryplank.meter import Metrics
 
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -36,9 +36,11 @@
     :param cpu_share: fraction of CPU time available to the VM, from 0 to 1.
     :param core_speed: speed of the VM's cores relative to the reference core.
     :param link_mbps: speed of the VM's network link, in Mbit/s.
+    :param record_bytes: largest record that the platform's store takes, in bytes.
+    :param call_bytes: largest total size of the records of one call to it, in bytes.
     :param advice: address of the platform's advice service; empty for none.
     :param shortage_order: order of service while a pool has too little room:
-        ``deadline`` or ``least-cost``.
+        ``deadline``, which holds if it isn't set, or ``least-cost``.
     :param log_level: least severe level that is logged.
     """
 
@@ -61,8 +63,10 @@
     core_speed: float = 1.0
     link_mbps: float = 1000.0
     advice: str = ""
-    shortage_order: ShortageOrder = ShortageOrder.DEADLINE
+    shortage_order: ShortageOrder | msgspec.UnsetType = msgspec.UNSET
     log_level: str = "info"
+    record_bytes: int | msgspec.UnsetType = msgspec.UNSET
+    call_bytes: int | msgspec.UnsetType = msgspec.UNSET
 
 
 _SECTIONS = {
@@ -79,6 +83,8 @@
         "orders_apart_ms",
         "orders_per_s",
         "status_s",
+        "record_bytes",
+        "call_bytes",
     ),
     "scheduling": ("shortage_order",),
     "log": ("log_level",),
--- a/tests/test_entry_settings.py
+++ b/tests/test_entry_settings.py
@@ -3,7 +3,9 @@
 import pytest
 from result import Err, Ok
 
+from hickoryplank.entry import _shortage_order, _store_bounds
 from hickoryplank.entry_settings import load_entry_settings
+from hickoryplank.jobs.records import StoreBounds
 from hickoryplank.jobs.shortage import ShortageOrder
 
 REQUIRED = """
@@ -40,7 +42,7 @@
     path.write_text(REQUIRED + section)
     match load_entry_settings(path):
         case Ok(cfg):
-            assert cfg.shortage_order is order
+            assert _shortage_order(cfg) is order
         case Err(detail):
             pytest.fail(detail)
 
@@ -60,3 +62,25 @@
             assert named in detail
         case Ok(cfg):
             pytest.fail(f"accepted as {cfg.shortage_order}")
+
+
+@pytest.mark.parametrize(
+    ("lines", "bounds"),
+    [
+        ("", StoreBounds(262_144, 2_097_152)),
+        ("record_bytes = 1000", StoreBounds(1000, 2_097_152)),
+        ("call_bytes = 5000\nrecord_bytes = 1000", StoreBounds(1000, 5000)),
+    ],
+)
+def test_bounds_of_the_store_are_those_of_the_platform_unless_set(
+    tmp_path, lines, bounds
+):
+    path = tmp_path / "entry.ini"
+    path.write_text(REQUIRED + lines + "\n")
+    assert _store_bounds(load_entry_settings(path).unwrap()) == bounds
+
+
+def test_a_bound_that_is_no_number_is_an_error(tmp_path):
+    path = tmp_path / "entry.ini"
+    path.write_text(REQUIRED + "record_bytes = many\n")
+    assert "record_bytes" in load_entry_settings(path).unwrap_err()
