--- a/hickoryplank/jobs/service_order.py
+++ b/hickoryplank/jobs/service_order.py
@@ -60,23 +60,24 @@
     :param rows: jobs with waiting tasks.
     :param endpoints: usable endpoints of the pool.
     """
-    rows = sort_jobs(rows, tables.configuration, now)
     if tables.shortage_order is not ShortageOrder.LEAST_COST:
-        return rows
+        return sort_jobs(rows, tables.configuration, now)
     planned = [row for row in rows if is_planned(tables, row, now)]
     if not _lacks_room(planned, endpoints):
-        return rows
+        return sort_jobs(rows, tables.configuration, now)
     supply = pool_supply(tables, pool, endpoints)
     plan = pool_plan(tables, planned, endpoints, supply, now)
     delayed = len(planned) - plan.in_time
     if not delayed:
-        return rows
+        return sort_jobs(rows, tables.configuration, now)
     tables.shortages[pool] = PoolShortage(
         len(planned), delayed, max(plan.end_s.values())
     )
     by_id = {row.job.id: row for row in planned}
-    first = [row for row in rows if row.lasting]
-    last = [row for row in rows if not row.lasting and row.job.id not in by_id]
+    others = [row for row in rows if row.job.id not in by_id]
+    others = sort_jobs(others, tables.configuration, now)
+    first = [row for row in others if row.lasting]
+    last = [row for row in others if not row.lasting]
     return first + [by_id[id] for id in plan.order] + last
 
 
@@ -113,13 +114,16 @@
 
 def waiting_work(row: JobRow) -> Size:
     """Return the resources of the waiting tasks, times their run times in ms."""
-    work = ZERO
+    cpu = mem_mb = gpu = 0
     for steps in row.steps.values():
         for step in steps:
             if step.waiting:
                 run_ms = len(step.waiting) * task_ms(step.step)
-                work = work.plus(step.step.counted_size.times(run_ms))
-    return work
+                size = step.step.counted_size
+                cpu += size.cpu * run_ms
+                mem_mb += size.mem_mb * run_ms
+                gpu += size.gpu * run_ms
+    return Size(cpu, mem_mb, gpu)
 
 
 def is_planned(tables: EngineTables, row: JobRow, now: float) -> bool:
@@ -141,7 +145,9 @@
             for step in row.ready_steps(occurrence):
                 size = step.step.counted_size.times(len(step.waiting))
                 wanted = wanted.plus(size)
-    return not wanted.fits(free)
+        if not wanted.fits(free):
+            return True
+    return False
 
 
 def remaining_work(run: Run) -> Size:
