Read requests to evacuate an availability zone

Cause: operators store a request under evacuate/ZONE, which entries ignored. Change: a decoded record type for it and its removal; the watcher keeps the set of zones. A read of the newest records replaces the set, as the removal leaves no trace once the history is deleted; increments apply in order. An answer to a read that ends before records already applied changes nothing: a term that begins reads beside the long poll, and a late answer would take a zone back, or evacuate it again. A request with an odd value is logged and applied, as its key alone makes it. Ruled out: ignoring odd values (the zone would differ between an increment, which keeps it, and a read of the newest records, which drops it).

--- a/hickoryplank/coordinator/operator_watcher.py
+++ b/hickoryplank/coordinator/operator_watcher.py
@@ -1,4 +1,4 @@
-"""Follows the configuration and the maintenance waves that operators store."""
+"""Follows what operators store: configuration, waves and evacuated zones."""
 
 import logging
 
@@ -8,12 +8,16 @@
 from hickoryplank.coordinator.ports import (
     CallFault,
     CallFaultKind,
+    Newest,
+    OperatorRecord,
     OperatorRecordCodec,
+    Page,
     StorePort,
     Topic,
     WaveOrder,
+    ZoneEvacuation,
 )
-from hickoryplank.core.ids import WaveId
+from hickoryplank.core.ids import WaveId, Zone
 from hickoryplank.jobs.configuration import Configuration
 from hickoryplank.jobs.records import Record
 from hickoryplank.shell.clock import Clock
@@ -31,10 +35,13 @@
 
 
 class OperatorWatcher:
-    """Keeps the newest configuration and waves, and tracks their staleness.
+    """Keeps what operators have stored last, and tracks its staleness.
+
+    While the store can't be read, all of it stays as it was last read.
 
     :ivar waves: the requested waves by id.
     :ivar wave_seen_at: when each wave was first read, by the clock.
+    :ivar evacuated_zones: zones in which nothing may be started.
     :ivar changed: set at the next change, and then replaced by a new event.
     """
 
@@ -48,6 +55,7 @@
         self.configuration: Configuration | None = None
         self.waves: dict[WaveId, WaveOrder] = {}
         self.wave_seen_at: dict[WaveId, float] = {}
+        self.evacuated_zones: frozenset[Zone] = frozenset()
         self.changed = anyio.Event()
 
     def staleness(self) -> float:
@@ -80,8 +88,7 @@
         sent_at = self._clock.now()
         match await self._store.read(Topic.OPERATOR, self._next_offset, wait_ms):
             case Ok(page):
-                self._apply_records(page.records)
-                self._next_offset = max(self._next_offset, page.next)
+                self._apply_page(page)
                 if page.next >= page.end:
                     self._mark_fresh(sent_at)
                 return True
@@ -96,8 +103,7 @@
         sent_at = self._clock.now()
         match await self._store.newest(Topic.OPERATOR):
             case Ok(newest):
-                self._apply_records(newest.records)
-                self._next_offset = max(self._next_offset or 0, newest.end)
+                self._apply_newest(newest)
                 self._mark_fresh(sent_at)
                 return True
             case Err(fault):
@@ -109,9 +115,52 @@
         self._availability.note_answer()
         self._fresh_since = max(self._fresh_since or 0.0, sent_at)
 
-    def _apply_records(self, records: tuple[Record, ...]) -> None:
-        for record in records:
-            match self._codec.decode(record):
+    def _apply_page(self, page: Page) -> None:
+        decoded = self._decode(page.records)
+        self._apply_configuration_and_waves(decoded)
+        if self._is_outdated(page.next):
+            return
+        self._next_offset = page.next
+        zones = set(self.evacuated_zones)
+        for one in decoded:
+            if isinstance(one, ZoneEvacuation):
+                zones.add(one.zone) if one.requested else zones.discard(one.zone)
+        self._set_evacuated_zones(frozenset(zones))
+
+    def _apply_newest(self, newest: Newest) -> None:
+        """Apply the newest record of each key; a zone without one isn't evacuated.
+
+        The removal of a request leaves no trace once the history has been deleted.
+        """
+        decoded = self._decode(newest.records)
+        self._apply_configuration_and_waves(decoded)
+        if self._is_outdated(newest.end):
+            return
+        self._next_offset = newest.end
+        self._set_evacuated_zones(
+            frozenset(
+                one.zone
+                for one in decoded
+                if isinstance(one, ZoneEvacuation) and one.requested
+            )
+        )
+
+    def _is_outdated(self, end: int) -> bool:
+        """Return whether records after ``end`` have been applied already.
+
+        A term that begins reads while the long poll of ``run`` is under way, and their
+        answers may arrive in either order. Versions and waves only ever grow; a request
+        to evacuate a zone comes and goes.
+        """
+        return self._next_offset is not None and end < self._next_offset
+
+    def _decode(self, records: tuple[Record, ...]) -> list[OperatorRecord]:
+        decoded = map(self._codec.decode, records)
+        return [one for one in decoded if one is not None]
+
+    def _apply_configuration_and_waves(self, decoded: list[OperatorRecord]) -> None:
+        for one in decoded:
+            match one:
                 case Configuration() as configuration if (
                     configuration.version > self.version
                 ):
@@ -121,6 +170,22 @@
                     self.wave_seen_at.setdefault(wave.id, self._clock.now())
                     self._notify()
 
+    def _set_evacuated_zones(self, zones: frozenset[Zone]) -> None:
+        for zone in sorted(zones ^ self.evacuated_zones):
+            logger.info(
+                "zone evacuated" if zone in zones else "zone taken back",
+                extra={
+                    "zone": zone,
+                    "evacuated": sorted(zones),
+                    "unread_s": round(self.staleness(), 3)
+                    if self._fresh_since is not None
+                    else None,
+                },
+            )
+        if zones != self.evacuated_zones:
+            self.evacuated_zones = zones
+            self._notify()
+
     def _set_configuration(self, configuration: Configuration) -> None:
         logger.info(
             "configuration in force",
--- a/hickoryplank/coordinator/ports.py
+++ b/hickoryplank/coordinator/ports.py
@@ -31,6 +31,7 @@
     "ListedVm",
     "ListingDecoder",
     "Newest",
+    "OperatorRecord",
     "OperatorRecordCodec",
     "OrderOutcome",
     "Page",
@@ -41,6 +42,7 @@
     "VmPort",
     "VmState",
     "WaveOrder",
+    "ZoneEvacuation",
 ]
 
 
@@ -186,11 +188,25 @@
     max_concurrent: int
 
 
+class ZoneEvacuation(msgspec.Struct, frozen=True):
+    """Request of an operator to start nothing in an availability zone, or its removal.
+
+    :param requested: false if the request has been removed.
+    """
+
+    zone: Zone
+    requested: bool
+
+
+#: What an operator has stored under one key.
+OperatorRecord = Configuration | WaveOrder | ZoneEvacuation
+
+
 class OperatorRecordCodec(ABC):
     """Decodes the records of operators, and encodes those for them."""
 
     @abstractmethod
-    def decode(self, record: Record) -> Configuration | WaveOrder | None:
+    def decode(self, record: Record) -> OperatorRecord | None:
         """Return the decoded record, or none if it is malformed or of another kind."""
 
     @abstractmethod
--- a/hickoryplank/platform/records.py
+++ b/hickoryplank/platform/records.py
@@ -9,8 +9,10 @@
 
 from hickoryplank.coordinator.ports import (
     ListingDecoder,
+    OperatorRecord,
     OperatorRecordCodec,
     WaveOrder,
+    ZoneEvacuation,
 )
 from hickoryplank.core.ids import (
     EndpointId,
@@ -39,6 +41,7 @@
 
 _CONFIG_KEY = "config"
 _WAVE_PREFIX = "wave/"
+_EVACUATION_PREFIX = "evacuate/"
 
 
 class _Size(msgspec.Struct, frozen=True):
@@ -100,6 +103,10 @@
     cap: int = 1
 
 
+class _Evacuation(msgspec.Struct):
+    """The request has no fields; its key names the zone."""
+
+
 class _Server(msgspec.Struct):
     service: str
     address: str
@@ -118,6 +125,7 @@
 
 _config_decoder = msgspec.json.Decoder(_Config)
 _wave_decoder = msgspec.json.Decoder(_Wave)
+_evacuation_decoder = msgspec.json.Decoder(_Evacuation)
 _server_decoder = msgspec.json.Decoder(_Server)
 _LISTED_STATES = ("ready", "draining")
 #: Ids of executors are sent in a header.
@@ -186,15 +194,17 @@
 class PlatformOperatorRecordCodec(OperatorRecordCodec):
     """Decodes and encodes records of the topics ``keyed.op`` and ``keyed.status``."""
 
-    def decode(self, record: Record) -> Configuration | WaveOrder | None:
+    def decode(self, record: Record) -> OperatorRecord | None:
         """Return the decoded record, or none if it is malformed or of another kind."""
-        decoded: Result[Configuration | WaveOrder, str]
+        decoded: Result[OperatorRecord, str]
         if record.key == _CONFIG_KEY:
             decoded = decode_json(_config_decoder, record.value).map(_configuration)
         elif record.key.startswith(_WAVE_PREFIX):
             decoded = decode_json(_wave_decoder, record.value).map(
                 lambda wave: _wave_order(record, wave)
             )
+        elif record.key.startswith(_EVACUATION_PREFIX):
+            decoded = _zone_evacuation(record)
         else:
             return None
         match decoded:
@@ -222,6 +232,26 @@
     )
 
 
+def _zone_evacuation(record: Record) -> Result[OperatorRecord, str]:
+    """Return the request to evacuate a zone, or its removal.
+
+    The key alone makes the request. One with an odd value is logged and applied: it
+    would else be missing after a read of the newest records, as if it was removed.
+    """
+    zone = Zone(record.key[len(_EVACUATION_PREFIX) :])
+    if not zone:
+        return Err("key names no zone, expected one after the prefix")
+    if not record.value:
+        return Ok(ZoneEvacuation(zone, requested=False))
+    match decode_json(_evacuation_decoder, record.value):
+        case Err(detail):
+            logger.error(
+                "odd value of a request to evacuate a zone, expected {}; applied",
+                extra={"key": record.key, "detail": detail},
+            )
+    return Ok(ZoneEvacuation(zone, requested=True))
+
+
 def _configuration(config: _Config) -> Configuration:
     return Configuration.build(
         config.version,
--- a/tests/coordinator/memory_platform.py
+++ b/tests/coordinator/memory_platform.py
@@ -17,6 +17,7 @@
     ListedVm,
     ListingDecoder,
     Newest,
+    OperatorRecord,
     OperatorRecordCodec,
     OrderOutcome,
     Page,
@@ -26,10 +27,9 @@
     Topic,
     VmPort,
     VmState,
-    WaveOrder,
+    ZoneEvacuation,
 )
-from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId
-from hickoryplank.jobs.configuration import Configuration
+from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId, Zone
 from hickoryplank.jobs.endpoints import Listing, Run
 from hickoryplank.jobs.messages import PollReport, PollRequest, StartOutcome
 from hickoryplank.jobs.records import Record
@@ -233,16 +233,26 @@
     """Decodes the records of operators by a table from the value of the record."""
 
     def __init__(self) -> None:
-        self.objects: dict[bytes, Configuration | WaveOrder] = {}
+        self.objects: dict[bytes, OperatorRecord] = {}
 
-    def encode(self, key: str, item: Configuration | WaveOrder) -> Record:
+    def encode(self, key: str, item: OperatorRecord) -> Record:
         """Return a record that decodes to ``item``."""
         value = f"{key}-{len(self.objects)}".encode()
         self.objects[value] = item
         return Record(key, value)
 
-    def decode(self, record: Record) -> Configuration | WaveOrder | None:
+    def encode_evacuation(self, zone: Zone, *, requested: bool) -> Record:
+        """Return the record that requests to evacuate a zone, or that removes it."""
+        key = f"evacuate/{zone}"
+        if not requested:
+            return Record(key, b"")
+        return self.encode(key, ZoneEvacuation(zone, requested=True))
+
+    def decode(self, record: Record) -> OperatorRecord | None:
         """Return the object that was encoded, or none for any other record."""
+        prefix, _, zone = record.key.partition("/")
+        if prefix == "evacuate" and not record.value:
+            return ZoneEvacuation(Zone(zone), requested=False)
         return self.objects.get(record.value)
 
     def encode_wave_status(self, wave: WaveId, *, completed: bool) -> Record:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -1,10 +1,12 @@
 """Tests of records of operators and executors: valid, partial and malformed."""
 
 import json
+import logging
 
 import pytest
 
-from hickoryplank.coordinator.ports import WaveOrder
+from hickoryplank.coordinator.ports import WaveOrder, ZoneEvacuation
+from hickoryplank.core.ids import Zone
 from hickoryplank.jobs.configuration import Configuration
 from hickoryplank.jobs.records import Record
 from hickoryplank.jobs.sizes import Size
@@ -184,9 +186,50 @@
     assert wave == WaveOrder("1", ("m-1", "m-2"), 20.0, 1)
 
 
+@pytest.mark.parametrize(
+    ("key", "value", "zone", "requested"),
+    [
+        ("evacuate/coronel", b"{}", "coronel", True),
+        ("evacuate/coronel", b' {"since": 3} ', "coronel", True),
+        ("evacuate/coronel", b"", "coronel", False),
+        ("evacuate/bio/bio \u00e9", b"{}", "bio/bio \u00e9", True),
+    ],
+)
+def test_request_to_evacuate_a_zone_and_its_removal_are_decoded(
+    key, value, zone, requested, caplog
+):
+    decoded = PlatformOperatorRecordCodec().decode(Record(key, value))
+    assert decoded == ZoneEvacuation(Zone(zone), requested)
+    assert not caplog.records
+
+
+@pytest.mark.parametrize(
+    "value", [b"[]", b"null", b"true", b"\xff", b"{", b" ", NESTED.encode()]
+)
+def test_request_with_an_odd_value_is_logged_and_applied(value, caplog):
+    """Guards against a set that differs between increments and a read of all keys."""
+    decoded = PlatformOperatorRecordCodec().decode(Record("evacuate/coronel", value))
+    assert decoded == ZoneEvacuation(Zone("coronel"), True)
+    (line,) = caplog.records
+    assert (line.levelno, line.key) == (logging.ERROR, "evacuate/coronel")
+
+
+@pytest.mark.parametrize("value", [b"{}", b""])
+def test_request_without_a_zone_is_logged_and_ignored(value, caplog):
+    assert PlatformOperatorRecordCodec().decode(Record("evacuate/", value)) is None
+    (line,) = caplog.records
+    assert (line.levelno, line.key) == (logging.ERROR, "evacuate/")
+
+
 @pytest.mark.parametrize(
     ("key", "value"),
-    [("config", b"{}"), ("config", b"\xff"), ("wave/1", b"[]"), ("other", b"{}")],
+    [
+        ("config", b"{}"),
+        ("config", b"\xff"),
+        ("wave/1", b"[]"),
+        ("other", b"{}"),
+        ("evacuate", b"{}"),
+    ],
 )
 def test_malformed_and_other_operator_records_are_ignored(key, value):
     assert PlatformOperatorRecordCodec().decode(Record(key, value)) is None
