Start nothing in evacuated availability zones

Cause: starts, pre-assignments and VMs went into zones that operators had evacuated. Change: jobs/evacuated_zones.py is a table with one writer, to which every endpoint holds a reference, so that endpoints listed later and new incarnations are covered. Endpoint.takes_starts, and with it usable, are false there. Lasting tasks leave within may_miss, each only if an endpoint has room beside those that other leaving tasks may take. Idle endpoints of a zone that is taken back run at most WARM_UP_RUNS_PER_ENDPOINT tasks at once for WARM_UP_SECONDS. Rebalancing counts VMs there as no supply, moves none of them into a pool, cancels such moves that are not ordered, and sends idle ones to standby once the demand of the pool is known. Ruled out: a flag on each endpoint, copied at each listing; making VMs count as cordoned, as uncordon of an ended VM operation would lift it. evacuate takes EngineTables, so that the engine's tick can call it; it counts the endpoints with room in place of choosing one, which is the same where none is reserved. Tests: tables in tests/jobs/test_evacuated_zones.py; the engine's state machine draws evacuations and checks that no start is sent there, and the budgets of what leaves.

--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hickoryplank.core.ids import EndpointId, JobId, PoolId, Zone
+from hickoryplank.jobs.evacuated_zones import EvacuatedZones
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import ZERO, Size
 
@@ -164,10 +165,19 @@
     """One incarnation of an endpoint.
 
     :param now: time by the local clock, in seconds.
+    :param evacuated_zones: the table of the engine; by default one without zones.
     """
 
-    def __init__(self, listing: Listing, now: float):
+    def __init__(
+        self,
+        listing: Listing,
+        now: float,
+        evacuated_zones: EvacuatedZones | None = None,
+    ):
         self.listing = listing
+        if evacuated_zones is None:
+            evacuated_zones = EvacuatedZones()
+        self._evacuated_zones = evacuated_zones
         self.id = listing.id
         self.listed = True
         self.listed_at = now
@@ -244,10 +254,27 @@
         self.listed = True
         self.free = listing.capacity.minus(self.used)
 
+    @property
+    def in_evacuated_zone(self) -> bool:
+        """Whether operators have evacuated its availability zone."""
+        return self.listing.zone in self._evacuated_zones
+
+    def admits_run(self, placed_count: int = 0) -> bool:
+        """Return whether one more run is within the limit while it warms up.
+
+        :param placed_count: runs that have been placed here, but are not added yet.
+        """
+        return self._evacuated_zones.admits_run(self.id, len(self.runs) + placed_count)
+
     @property
     def takes_starts(self) -> bool:
         """Whether starts may be sent to it, for the first time or again."""
-        return not self.draining and not self.cordoned and not self.vm_down
+        return (
+            not self.draining
+            and not self.cordoned
+            and not self.vm_down
+            and not self.in_evacuated_zone
+        )
 
     def usable(self, now: float) -> bool:
         """Return whether new runs may be assigned here."""
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -7,11 +7,12 @@
 
 from collections.abc import Iterable
 
-from hickoryplank.core.ids import EndpointId, QueueId
+from hickoryplank.core.ids import EndpointId, QueueId, Zone
 from hickoryplank.jobs import incarnations, reports
 from hickoryplank.jobs.assignment import AllowedStarts, assign_tasks
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
 from hickoryplank.jobs.engine_tables import EndedJob, EngineTables, EngineTiming
+from hickoryplank.jobs.evacuation import evacuate_zones
 from hickoryplank.jobs.messages import (
     Batch,
     PollReport,
@@ -146,6 +147,20 @@
             if endpoint is not None:
                 endpoint.cordoned = True
 
+    def set_evacuated_zones(self, zones: frozenset[Zone], now: float) -> None:
+        """Start nothing in these zones, in place of those of the last call.
+
+        Runs there go on, but for lasting tasks, which move to other zones. Endpoints
+        that have been idle in a zone that is taken back get work gently.
+        """
+        taken_back = self.evacuated_zones.zones - zones
+        idle = [
+            one.id
+            for one in self.endpoints.values()
+            if one.listing.zone in taken_back and not one.runs
+        ]
+        self.evacuated_zones.replace(zones, idle, now)
+
     def end_incarnation(self, endpoint: Endpoint, now: float) -> None:
         """End an incarnation of an endpoint, and all runs on it."""
         incarnations.end_incarnation(self, endpoint, now)
@@ -233,11 +248,13 @@
         """
         self._expire_leases(now)
         self._stop_on_draining(now)
+        self.evacuated_zones.end_warm_ups(now)
         self._drop_expired_jobs(now)
         assign_tasks(self, now, wall_ms, starts)
         for endpoint in self.endpoints.values():
             if endpoint.token_confirmed and endpoint.silent_since is None:
                 self.pace_changes += adjust_pace(endpoint, now)
+        evacuate_zones(self, now)
         for run, due in list(self.stop_repeat_at.items()):
             if due <= now:
                 self.stop_repeat_at[run] = now + STOP_REPEAT_SECONDS
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -9,6 +9,7 @@
 from hickoryplank.jobs.arrivals import ArrivalRates
 from hickoryplank.jobs.configuration import Configuration
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
+from hickoryplank.jobs.evacuated_zones import EvacuatedZones
 from hickoryplank.jobs.limits import TeamRateLimiter, TeamUsage
 from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
 from hickoryplank.jobs.table import (
@@ -88,6 +89,7 @@
         self.endpoints: dict[EndpointId, Endpoint] = {}
         #: Endpoints that are to be cordoned whenever they are listed.
         self.leaving: frozenset[EndpointId] = frozenset()
+        self.evacuated_zones = EvacuatedZones()
         self.team_usage = TeamUsage()
         self.rate_limiter = TeamRateLimiter()
         #: Time of the first job other than a lasting one, by pool.
--- a/hickoryplank/jobs/placement.py
+++ b/hickoryplank/jobs/placement.py
@@ -74,10 +74,12 @@
 
 
 def _permits(endpoint: Endpoint, row: StepRow, placed_count: int = 0) -> bool:
-    """Return whether a step permits one more of its tasks on an endpoint."""
+    """Return whether one more task of a step is permitted on an endpoint."""
     step = row.step
     if step.required_label and step.required_label not in endpoint.listing.labels:
         return False
+    if not endpoint.admits_run(placed_count):
+        return False
     if not step.max_per_endpoint:
         return True
     return count_runs_of_step(endpoint, row) + placed_count < step.max_per_endpoint
--- a/hickoryplank/jobs/rebalancing.py
+++ b/hickoryplank/jobs/rebalancing.py
@@ -6,6 +6,9 @@
 capacity for a while. VMs that no pool needs go to standby, where they cost nothing. As
 a VM takes some seconds to join a pool, the demand of a pool includes the rate of
 arriving work, before any of that work has to wait.
+
+VMs in an evacuated availability zone are no supply: their pools draw others, none of
+them joins a pool, and those without runs go to standby.
 """
 
 from collections import deque
@@ -71,13 +74,16 @@
     """Supply and demand of a pool, as numbers of VMs.
 
     :param vm_count: VMs in the pool, including VMs that are moving to it, without those
-        that are leaving it.
+        that are leaving it or are in an evacuated zone.
     :param backlog: demand of the tasks that run or are ready to run.
     :param wanted: current demand, including that of the jobs that are about to arrive.
     :param max_recent: largest recent demand; VMs beyond it may go to other pools.
     :param retained: VMs beyond this number go to standby. A pool keeps all its VMs
         until it has had work other than lasting tasks for ``IDLE_SECONDS``, as its
         demand is not known before.
+    :param rows: VMs that the last list shows in the pool, without those in an evacuated
+        zone.
+    :param unusable_rows: VMs of the pool in an evacuated zone that may go to standby.
     :param movable: VMs that may leave, the least loaded last; none until it is needed.
     """
 
@@ -88,6 +94,7 @@
     max_recent: int
     retained: int
     rows: list[VmRow]
+    unusable_rows: list[VmRow]
     movable: list[VmRow] | None = None
 
 
@@ -104,11 +111,11 @@
     :param standby: id of the standby pool.
     :param max_moves: most moves to begin, as the platform limits the rate of orders.
     """
+    _cancel_moves_in_evacuated_zones(engine, vms, standby)
     needs = _needs(engine, vms, demand, now, standby)
     engine.pools_lacking_room.clear()
     _cancel_standby_moves(engine, vms, needs, standby)
-    standby_vms = [row for row in vms.pool_rows(standby) if _is_movable(row)]
-    standby_vms.sort(key=lambda row: row.maintenance_due is MaintenanceDue.NONE)
+    standby_vms = _standby_vms(engine, vms, standby)
     begun: list[VmOperation] = []
     for need in sorted(needs, key=lambda one: one.vm_count - one.wanted):
         while need.vm_count < need.wanted and len(begun) < max_moves:
@@ -123,6 +130,24 @@
                 break
             begun.append(_begin_move(row, need.pool, now))
             need.vm_count += 1
+    return begun + _release_vms(engine, needs, standby, now, max_moves - len(begun))
+
+
+def _standby_vms(engine: Engine, vms: VmTable, standby: PoolId) -> list[VmRow]:
+    """Return the VMs that may leave standby, those due for maintenance first."""
+    rows = [
+        row
+        for row in vms.pool_rows(standby)
+        if _is_movable(row) and not _is_evacuated(engine, row)
+    ]
+    return sorted(rows, key=lambda row: row.maintenance_due is MaintenanceDue.NONE)
+
+
+def _release_vms(
+    engine: Engine, needs: list[_PoolNeed], standby: PoolId, now: float, max_moves: int
+) -> list[VmOperation]:
+    """Begin moves to standby of VMs that their pools do not need, or cannot use."""
+    begun: list[VmOperation] = []
     for need in needs:
         while need.vm_count > need.retained and len(begun) < max_moves:
             row = _pop_least_loaded(engine, need)
@@ -130,9 +155,46 @@
                 break
             begun.append(_begin_move(row, standby, now))
             need.vm_count -= 1
+    for need in needs:
+        idle = [row for row in need.unusable_rows if _is_idle(engine, row)]
+        for row in idle[: max(0, max_moves - len(begun))]:
+            begun.append(_begin_move(row, standby, now))
     return begun
 
 
+def _is_evacuated(engine: Engine, row: VmRow) -> bool:
+    """Return whether a VM is in an evacuated availability zone."""
+    return row.listing.zone in engine.evacuated_zones
+
+
+def _is_idle(engine: Engine, row: VmRow) -> bool:
+    """Return whether a VM may move, and its endpoint is known to have no runs."""
+    endpoint = engine.endpoint_of(row.listing.endpoint)
+    return (
+        _is_movable(row)
+        and endpoint is not None
+        and endpoint.token_confirmed
+        and endpoint.silent_since is None
+        and not endpoint.runs
+    )
+
+
+def _cancel_moves_in_evacuated_zones(
+    engine: Engine, vms: VmTable, standby: PoolId
+) -> None:
+    """Cancel moves into pools of VMs that could not be used there.
+
+    An order that was sent may be carried out, and is left to go on.
+    """
+    for row in vms.rows.values():
+        operation = row.operation
+        if operation is None or operation.pool in (None, standby):
+            continue
+        if operation.phase is OperationPhase.EVACUATING and _is_evacuated(engine, row):
+            row.operation = None
+            uncordon(engine, row)
+
+
 def _is_movable(row: VmRow) -> bool:
     return (
         row.listing.up
@@ -154,7 +216,8 @@
     wanted = _wanted_sizes(engine, now)
     needs = []
     for pool in engine.configuration.pools:
-        rows = vms.pool_rows(pool)
+        all_rows = vms.pool_rows(pool)
+        rows = [row for row in all_rows if not _is_evacuated(engine, row)]
         if pool == standby:
             continue
         arriving = sum(
@@ -163,6 +226,7 @@
             if row.operation is not None
             and row.operation.pool == pool
             and row.listing.pool != pool
+            and not _is_evacuated(engine, row)
         )
         leaving = sum(
             1
@@ -176,18 +240,31 @@
         expected = engine.arrivals.expected_load(
             pool, present.minus(lasting), now, JOIN_SECONDS
         ).plus(lasting)
-        backlog = max(MIN_POOL_VMS, _vms_for(present, rows, vms))
+        backlog = max(MIN_POOL_VMS, _vms_for(present, all_rows, vms))
         vm_count = len(rows) - leaving + arriving
         if pool in engine.pools_lacking_room and not arriving:
             backlog = max(backlog, vm_count + 1)
-        count = max(backlog, _vms_for(expected, rows, vms))
+        count = max(backlog, _vms_for(expected, all_rows, vms))
         demand.add_sample(pool, count, now)
         max_recent = demand.maximum(pool)
         first_job_at = engine.first_job_at.get(pool)
         demand_known = first_job_at is not None and now - first_job_at > IDLE_SECONDS
         retained = max_recent if demand_known else vm_count
+        if not demand_known and engine.evacuated_zones.zones:
+            # What is drawn in place of an evacuated zone is not to be released at once.
+            retained = max(retained, count)
+        unusable_rows = [row for row in all_rows if _is_evacuated(engine, row)]
         needs.append(
-            _PoolNeed(pool, vm_count, backlog, count, max_recent, retained, rows)
+            _PoolNeed(
+                pool,
+                vm_count,
+                backlog,
+                count,
+                max_recent,
+                retained,
+                rows,
+                unusable_rows if demand_known else [],
+            )
         )
     return needs
 
--- a/hickoryplank/jobs/vms.py
+++ b/hickoryplank/jobs/vms.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId
+from hickoryplank.core.ids import EndpointId, PoolId, VmId, WaveId, Zone
 from hickoryplank.jobs.sizes import Size
 
 __all__ = [
@@ -22,6 +22,7 @@
 
     :param up: the VM is in service, and can be moved or maintained.
     :param in_maintenance: the VM is down for maintenance.
+    :param zone: availability zone.
     """
 
     id: VmId
@@ -30,6 +31,7 @@
     endpoint: EndpointId | None
     capacity: Size = Size()
     in_maintenance: bool = False
+    zone: Zone = Zone("")
 
 
 class MaintenanceDue(Enum):
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -1,5 +1,7 @@
 """Drives an engine against fake endpoints and a fake store, with injected faults."""
 
+import msgspec
+
 from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId, TeamId, Zone
 from hickoryplank.jobs.configuration import (
     AdviceTiming,
@@ -26,6 +28,7 @@
 POOL = PoolId("routes")
 QUEUE = QueueId("plan")
 TEAM = TeamId("norte")
+ZONE = Zone("z")
 CAPACITY = Size(4000, 8000, 0)
 TASK = Size(1000, 1000, 0)
 LEASE_MS = 4000
@@ -94,6 +97,10 @@
         self.store: dict[str, bytes] = {}
         #: Batch of an append that the store has not answered yet.
         self.pending_batch: Batch | None = None
+        #: Availability zones of endpoints; ``ZONE`` for all others.
+        self.zones: dict[EndpointId, Zone] = {}
+        #: Zones that the operators' records say are evacuated.
+        self.evacuated: frozenset[Zone] = frozenset()
         self.endpoints = {
             id: self.build_endpoint(id, 1)
             for id in (EndpointId(f"e{number}") for number in range(count))
@@ -121,7 +128,24 @@
     def _list_endpoints(self, engine: Engine) -> None:
         for id, one in self.endpoints.items():
             if id not in self.unlisted:
-                engine.update_listing(listing(id, one.born_ms), self.now)
+                engine.update_listing(self.listing_of(id, one.born_ms), self.now)
+
+    def listing_of(
+        self, id: EndpointId, born_ms: int, draining: bool = False
+    ) -> Listing:
+        """Return the listing of an incarnation of an endpoint, with its zone."""
+        zone = self.zones.get(id, ZONE)
+        return msgspec.structs.replace(listing(id, born_ms, draining), zone=zone)
+
+    def assign_zones(self, zones: dict[EndpointId, Zone]) -> None:
+        """Put endpoints into availability zones, and list them there."""
+        self.zones = zones
+        self._list_endpoints(self.engine)
+
+    def evacuate_zones(self, *zones: Zone) -> None:
+        """Evacuate these zones and no others, in this term and later ones."""
+        self.evacuated = frozenset(zones)
+        self.engine.set_evacuated_zones(self.evacuated, self.now)
 
     def take_over(self, applied: bool = False) -> None:
         """Begin the term of another coordinator from the stored records.
@@ -134,6 +158,7 @@
         self.tries.clear()
         self.pending_batch = None
         self.engine = Engine(self.cfg, TIMING, self.now, self.wall_ms)
+        self.engine.set_evacuated_zones(self.evacuated, self.now)
         rows: dict[str, JobRow] = {}
         for record in self.records():
             if is_job_key(record.key):
@@ -220,6 +245,7 @@
             self.tries.pop(run, None)
             return
         self.tries[run] = self.tries.get(run, 0) + 1
+        self.note_start_sent(run)
         fake = self.endpoints[run.endpoint.id]
         outcome = StartOutcome.UNKNOWN
         clock_ms = 0
@@ -237,6 +263,9 @@
         if not again:
             self.tries.pop(run, None)
 
+    def note_start_sent(self, run: Run) -> None:
+        """Note that a start is sent, for the first time or again."""
+
     def accepts_ticket(self, run: Run) -> bool:
         """Return whether an endpoint accepts the ticket of a start."""
         return True
@@ -271,7 +300,8 @@
         before = self.endpoints[id]
         self.endpoints[id] = self.build_endpoint(id, before.born_ms + 1)
         if id not in self.unlisted:
-            self.engine.update_listing(listing(id, before.born_ms + 1), self.now)
+            fresh = self.listing_of(id, before.born_ms + 1)
+            self.engine.update_listing(fresh, self.now)
 
     def run_count(self, key: TaskKey) -> int:
         """Return the number of endpoints on which a task is running."""
@@ -285,6 +315,4 @@
 
 def listing(id: EndpointId, born_ms: int, draining: bool = False) -> Listing:
     """Return the listing of an endpoint."""
-    return Listing(
-        id, born_ms, f"{id}:1", POOL, Zone("z"), CAPACITY, ("a", "r1"), draining
-    )
+    return Listing(id, born_ms, f"{id}:1", POOL, ZONE, CAPACITY, ("a", "r1"), draining)
--- a/tests/jobs/ledger.py
+++ b/tests/jobs/ledger.py
@@ -9,6 +9,7 @@
     AdviceAnswer,
     End,
     EndKind,
+    EngineEventKind,
     Permit,
     PollReport,
     StartOutcome,
@@ -17,7 +18,7 @@
 from hickoryplank.jobs.placement import has_room_for
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.table import JobRow, JobState
-from tests.jobs.driver import CAPACITY, Driver, listing
+from tests.jobs.driver import CAPACITY, ZONE, Driver
 from tests.jobs.fake_endpoint import FakeEndpoint
 
 __all__ = ["Ledger", "LedgerDriver", "LedgerEndpoint", "task_keys"]
@@ -260,7 +261,8 @@
             fake.draining_since_ms = None
         elif fake.draining_since_ms is None:
             fake.draining_since_ms = self.ledger.wall_ms
-        self.engine.update_listing(listing(id, fake.born_ms, draining), self.now)
+        fresh = self.listing_of(id, fake.born_ms, draining)
+        self.engine.update_listing(fresh, self.now)
 
     def _list_endpoints(self, engine: Engine) -> None:
         """List the endpoints, none of which is draining."""
@@ -269,6 +271,32 @@
                 fake.draining_since_ms = None
         super()._list_endpoints(engine)
 
+    def note_start_sent(self, run: Run) -> None:
+        """Check that no start is sent into an evacuated zone, also not again."""
+        zone = self.zones.get(run.endpoint.id, ZONE)
+        assert zone not in self.evacuated, f"{run.key} is sent to evacuated {zone}"
+
+    def _send_stops(self) -> None:
+        """Check the budgets of the tasks that leave evacuated zones."""
+        events, self.engine.events = self.engine.events, []
+        leaving = {
+            event.key: event.endpoint
+            for event in events
+            if event.kind is EngineEventKind.STOPPED
+            and event.reason == "its zone is evacuated"
+        }
+        for key in leaving:
+            step = self.engine.jobs[key.job].step_of(key)
+            assert step.unavailable_count() <= max(1, step.step.may_miss)
+        ended = {
+            key
+            for key, id in leaving.items()
+            if id not in self.unreachable and key in self.endpoints[id].in_operation()
+        }
+        self.ledger.check_budgets(ended)
+        self.ledger.stopped |= set(leaving)
+        super()._send_stops()
+
     def accepts_ticket(self, run: Run) -> bool:
         id = run.endpoint.id
         born_ms = self.endpoints[id].born_ms
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -11,7 +11,7 @@
     rule,
 )
 
-from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId
+from hickoryplank.core.ids import EndpointId, JobId, VmId, WaveId, Zone
 from hickoryplank.jobs.configuration import AdviceTiming
 from hickoryplank.jobs.evacuation import continue_evacuation
 from hickoryplank.jobs.model import Job, Step, TaskKey
@@ -22,6 +22,8 @@
 from tests.jobs.ledger import Ledger, LedgerDriver, task_keys
 
 ENDPOINTS = [EndpointId(f"e{number}") for number in range(3)]
+#: Availability zones, of which the second has two endpoints.
+ZONES = [Zone("z0"), Zone("z1")]
 TEAM_LIMIT = Size(9000, 0, 0)
 #: Runs of a task, or gang, that may fail.
 ATTEMPTS = 3
@@ -58,6 +60,7 @@
 SUBSETS = st.sets(st.sampled_from(ENDPOINTS))
 #: Subsets that are not empty.
 SOME_ENDPOINTS = st.sets(st.sampled_from(ENDPOINTS), min_size=1)
+SOME_ZONES = st.sets(st.sampled_from(ZONES), min_size=1)
 
 
 def run_ms(key) -> float | None:
@@ -88,6 +91,8 @@
         self.ledger = Ledger()
         self.cfg = configuration(TEAM_LIMIT, ATTEMPTS, ADVICE if advised else None)
         self.driver = LedgerDriver(self.ledger, len(ENDPOINTS), run_ms, self.cfg)
+        zones = [ZONES[0], ZONES[1], ZONES[1]]
+        self.driver.assign_zones(dict(zip(ENDPOINTS, zones, strict=True)))
         self.driver.permits = permits if advised else None
         self.driver.clock_rate = SLOW_CLOCK if slow else 1.0
         self.driver.ends_per_report = ends_per_report
@@ -197,6 +202,38 @@
     def drain_endpoint(self, id: EndpointId, draining: bool) -> None:
         self.driver.list_endpoint(id, draining)
 
+    @rule(zones=SOME_ZONES)
+    def evacuate_zones(self, zones: set[Zone]) -> None:
+        """Evacuate zones, and take back all others."""
+        self.driver.evacuate_zones(*zones)
+
+    @rule()
+    def take_zones_back(self) -> None:
+        self.driver.evacuate_zones()
+
+    @precondition(lambda self: len(self.ledger.jobs) < MAX_JOBS)
+    @rule(
+        zones=SOME_ZONES, step=PLAIN, count=st.integers(0, 6), taken_over=st.booleans()
+    )
+    def evacuate_zones_as_work_begins(
+        self, zones: set[Zone], step: Step, count: int, taken_over: bool
+    ) -> None:
+        """Evacuate zones while starts are decided, stored or sent."""
+        self.submit_plain([step, step], chained=True)
+        self.step(count, 50)
+        self.evacuate_zones(zones)
+        if taken_over:
+            self.driver.take_over()
+        self.step(12, 100)
+
+    @precondition(lambda self: len(self.ledger.jobs) < MAX_JOBS)
+    @rule(zone=st.sampled_from(ZONES), step=LASTING)
+    def evacuate_a_zone_with_lasting_tasks(self, zone: Zone, step: Step) -> None:
+        self.submit_lasting(step)
+        self.step(8, 100)
+        self.evacuate_zones({zone})
+        self.step(12, 100)
+
     @rule(ids=SOME_ENDPOINTS)
     def begin_wave(self, ids: set[EndpointId]) -> None:
         """Begin to evacuate the VMs of endpoints."""
@@ -356,6 +393,7 @@
         assert max(waiting_steps.values(), default=0) < MAX_WAITING_STEPS
 
     def turn_well(self) -> None:
+        self.driver.evacuate_zones()
         self.operations.clear()
         self.ordered.clear()
         self.driver.engine.cordon(frozenset())
