Apply evacuated zones in each term before its first tick

Change: the coordinator passes the watcher's zones to the engine before it lists an endpoint, before each tick and at each change, and logs them with the age of the reading and what is left there. Two gauges, 0 on entries that aren't the coordinator. Zones that were read before an outage of the store stay in force. Ruled out: setting them only in the loop that follows the operators' records, as the first tick may come before it; starting nothing while the records are older than some seconds, which would end what is recorded ahead in an outage. Tests: request, removal and history loss over the store; a takeover with work waiting; an outage.

--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -16,6 +16,7 @@
 from hickoryplank.coordinator.vm_controller import VmController
 from hickoryplank.jobs.assignment import AllowedStarts
 from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.evacuation import evacuated_load
 from hickoryplank.shell.clock import wall_ms
 
 __all__ = ["Coordinator", "CoordinatorContext"]
@@ -79,7 +80,7 @@
                 tasks.start_soon(self._commit_loop)
                 tasks.start_soon(self._preassigned_loop)
                 tasks.start_soon(self._endpoint_poller.follow_listings)
-                tasks.start_soon(self._configuration_loop)
+                tasks.start_soon(self._operator_loop)
                 if term.context.advice is not None:
                     tasks.start_soon(
                         self._request_sender.run_advice, term.context.advice
@@ -96,6 +97,7 @@
                 extra={"number": term.fencing_token, "detail": _first_message(group)},
             )
         finally:
+            term.context.metrics.evacuated_zones(0, 0)
             term.end()
 
     async def _watch_lease(self) -> None:
@@ -129,6 +131,7 @@
         engine = Engine(configuration, self._term.context.timing, now, wall_ms())
         engine.restore(stored.rows)
         self._term.malformed_jobs = stored.malformed
+        self._apply_evacuated_zones(engine)
         self._term.engine = engine
         await self._endpoint_poller.read_listings()
         logger.info(
@@ -151,6 +154,7 @@
 
     async def _commit(self) -> None:
         engine = self._term.require_engine()
+        self._apply_evacuated_zones(engine)
         now = self._term.context.clock.now()
         starts = (
             AllowedStarts.ANY
@@ -199,7 +203,8 @@
                 }
             logger.info(event.kind.value, extra=extra)
 
-    async def _configuration_loop(self) -> None:
+    async def _operator_loop(self) -> None:
+        """Apply what operators have stored, as soon as it has been read."""
         while True:
             changed = self._term.watcher.changed
             configuration = self._term.watcher.configuration
@@ -207,8 +212,39 @@
             if configuration is not None and configuration is not engine.configuration:
                 engine.configuration = configuration
                 self._term.request_tick()
+            if self._apply_evacuated_zones(engine):
+                self._term.request_tick()
             await changed.wait()
 
+    def _apply_evacuated_zones(self, engine: Engine) -> bool:
+        """Pass the evacuated zones to the engine; return whether they have changed.
+
+        This also runs before each tick: the first one of a term may come before the
+        loop that follows the operators' records. Zones that were read before an outage
+        of the store stay in force.
+        """
+        zones = self._term.watcher.evacuated_zones
+        metrics = self._term.context.metrics
+        if zones == engine.evacuated_zones.zones:
+            if zones:
+                metrics.evacuated_zones(len(zones), evacuated_load(engine).runs)
+            return False
+        engine.set_evacuated_zones(zones, self._term.context.clock.now())
+        load = evacuated_load(engine)
+        metrics.evacuated_zones(len(zones), load.runs)
+        logger.info(
+            "evacuated zones applied",
+            extra={
+                "number": self._term.fencing_token,
+                "evacuated": sorted(zones),
+                "read_s_ago": round(self._term.watcher.staleness(), 3),
+                "endpoints": load.endpoints,
+                "runs": load.runs,
+                "lasting": load.lasting_runs,
+            },
+        )
+        return True
+
 
 def _first_message(exc: BaseException) -> str:
     """Return the message of the first exception in a possibly nested group."""
--- a/hickoryplank/coordinator/metrics.py
+++ b/hickoryplank/coordinator/metrics.py
@@ -28,6 +28,8 @@
     STARTS = "starts"
     DECISIONS = "decisions"
     APPEND_SECONDS = "append.seconds"
+    EVACUATED_ZONES = "evacuated.zones"
+    EVACUATED_ZONES_RUNS = "evacuated.zones.runs"
 
 
 class _Measurement(msgspec.Struct, frozen=True):
@@ -49,6 +51,7 @@
     def __init__(self) -> None:
         self._recorders: dict[_InstrumentName, _Recorder] | None = None
         self._buffered: deque[_Measurement] = deque(maxlen=MAX_BUFFERED_MEASUREMENTS)
+        self._evacuated = (0, 0)
 
     def attach(self, meter: "Meter") -> None:
         """Record on a meter from now on, starting with the buffered measurements."""
@@ -87,6 +90,17 @@
         """
         self._record(_Measurement(_InstrumentName.APPEND_SECONDS, seconds, {}))
 
+    def evacuated_zones(self, zones: int, runs: int) -> None:
+        """Record the number of evacuated zones, and of the runs still there.
+
+        Both are 0 while this entry is not the coordinator.
+        """
+        if (zones, runs) == self._evacuated:
+            return
+        self._evacuated = (zones, runs)
+        self._record(_Measurement(_InstrumentName.EVACUATED_ZONES, zones, {}))
+        self._record(_Measurement(_InstrumentName.EVACUATED_ZONES_RUNS, runs, {}))
+
     def _record(self, measurement: _Measurement) -> None:
         if self._recorders is None:
             self._buffered.append(measurement)
@@ -120,4 +134,12 @@
             "s",
             "time until a batch of records was stored",
         ).record,
+        _InstrumentName.EVACUATED_ZONES: meter.create_gauge(
+            _InstrumentName.EVACUATED_ZONES.value,
+            description="availability zones that the coordinator keeps evacuated",
+        ).set,
+        _InstrumentName.EVACUATED_ZONES_RUNS: meter.create_gauge(
+            _InstrumentName.EVACUATED_ZONES_RUNS.value,
+            description="runs on endpoints in evacuated zones",
+        ).set,
     }
--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -431,4 +431,5 @@
         endpoint=one.endpoint,
         capacity=one.capacity,
         in_maintenance=one.state is VmState.MAINTENANCE,
+        zone=one.zone,
     )
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -112,6 +112,11 @@
         record = self.operator.encode("config", cfg)
         await self.store.append(Topic.OPERATOR, [record], None)
 
+    async def evacuate(self, zone: Zone, requested: bool = True) -> None:
+        """Request to evacuate a zone, or remove the request."""
+        record = self.operator.encode_evacuation(zone, requested=requested)
+        await self.store.append(Topic.OPERATOR, [record], None)
+
     async def request_wave(
         self, within_s: float = 5.0, max_concurrent: int = 2
     ) -> None:
@@ -785,3 +790,82 @@
         await wait_until(lambda: len(platform.vms.orders) == 2)
         await wait_for_state(entry, "j", JobState.COMPLETED)
     assert _started(platform) == 2
+
+
+def put_into_zones(platform: Platform, *zones: str) -> None:
+    """Put each endpoint into an availability zone."""
+    listings = platform.listings.listings
+    for id, zone in zip(platform.fake_endpoints, zones, strict=True):
+        listings[id] = msgspec.structs.replace(listings[id], zone=Zone(zone))
+
+
+def starts_by_endpoint(platform: Platform) -> list[int]:
+    sent = [run.endpoint.id for run in platform.endpoints.starts_sent]
+    return [sent.count(id) for id in platform.fake_endpoints]
+
+
+@pytest.mark.parametrize("trimmed", [False, True])
+async def test_nothing_starts_in_an_evacuated_zone_until_it_is_taken_back(trimmed):
+    platform = Platform()
+    put_into_zones(platform, "north", "south")
+    await platform.open()
+    entry = Entry(platform, "a")
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        coordinator = entry.local_coordinator
+        await platform.evacuate(Zone("north"))
+        zones = coordinator.engine.evacuated_zones
+        await wait_until(lambda: zones.zones == {"north"})
+        for number in range(3):
+            await coordinator.answer(submit(f"j{number}", Step(4, TASK)))
+            await wait_for_state(entry, f"j{number}", JobState.COMPLETED)
+        assert starts_by_endpoint(platform) == [0, 12]
+        await platform.evacuate(Zone("north"), requested=False)
+        if trimmed:
+            platform.store.trim(Topic.OPERATOR)
+        await wait_until(lambda: not zones.zones)
+        await coordinator.answer(submit("k", Step(6, TASK)))
+        await wait_for_state(entry, "k", JobState.COMPLETED)
+        assert starts_by_endpoint(platform)[0] > 0
+
+
+async def test_first_tick_of_a_new_term_starts_nothing_in_an_evacuated_zone():
+    """The zone was evacuated while no entry was coordinator, with work waiting."""
+    platform = Platform(work_ms=lambda key: 400.0)
+    put_into_zones(platform, "north", "south")
+    await platform.open()
+    before = Entry(platform, "a")
+    async with running(before):
+        await wait_until(lambda: before.serving)
+        for number in range(3):
+            call = submit(f"j{number}", Step(4, TASK), Step(4, TASK, after=(0,)))
+            assert await before.local_coordinator.answer(call) == Accepted()
+        await wait_until(lambda: len(platform.endpoints.starts_sent) >= 8)
+    await platform.evacuate(Zone("north"))
+    platform.endpoints.starts_sent.clear()
+    after = Entry(platform, "b")
+    async with running(after):
+        await wait_until(lambda: after.serving)
+        for number in range(3):
+            await wait_for_state(after, f"j{number}", JobState.COMPLETED)
+    north, south = starts_by_endpoint(platform)
+    assert (north, south > 0) == (0, True)
+
+
+async def test_zones_stay_evacuated_while_the_store_is_unavailable():
+    platform = Platform(work_ms=lambda key: 150.0)
+    put_into_zones(platform, "north", "south")
+    await platform.open()
+    entry = Entry(platform, "a")
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        engine = entry.local_coordinator.engine
+        await platform.evacuate(Zone("north"))
+        await wait_until(lambda: engine.evacuated_zones.zones == {"north"})
+        chain = [Step(4, TASK)] + [Step(4, TASK, after=(n,)) for n in range(3)]
+        assert await entry.local_coordinator.answer(submit("j", *chain)) == Accepted()
+        await wait_until(lambda: starts_by_endpoint(platform)[1] >= 4)
+        entry.store.unavailable = True
+        await wait_until(lambda: starts_by_endpoint(platform)[1] >= 8)
+        assert starts_by_endpoint(platform)[0] == 0
+        assert engine.evacuated_zones.zones == {"north"}
--- a/tests/coordinator/test_metrics.py
+++ b/tests/coordinator/test_metrics.py
@@ -47,6 +47,19 @@
     )
 
 
+@pytest.mark.parametrize("attached_first", [False, True])
+def test_gauges_of_evacuated_zones_show_the_last_values(attached_first):
+    entry_metrics, metrics = EntryMetrics(), Metrics("entry-1")
+    if attached_first:
+        entry_metrics.attach(metrics.meter)
+    for zones, runs in [(1, 7), (1, 7), (2, 3)]:
+        entry_metrics.evacuated_zones(zones, runs)
+    if not attached_first:
+        entry_metrics.attach(metrics.meter)
+    assert metric_total(metrics, "hickoryplank_evacuated_zones ") == 2
+    assert metric_total(metrics, "hickoryplank_evacuated_zones_runs") == 3
+
+
 def test_entry_module_does_not_import_the_meter_library():
     code = (
         "import sys, hickoryplank.entry;"
--- a/tests/coordinator/test_vm_controller.py
+++ b/tests/coordinator/test_vm_controller.py
@@ -25,3 +25,4 @@
     assert (listing.id, listing.pool, listing.endpoint) == (id, pool, endpoint)
     assert (listing.up, listing.in_maintenance) == (up, in_maintenance)
     assert listing.capacity == CAPACITY
+    assert listing.zone == "z"
