Soak: evacuate zones beside takeovers

Change: most seeds evacuate a zone and kill the coordinator within 1.5 s; drawn last, so that the other faults of a seed stay the same. A start there is a violation if its sender's epoch is later than that of the request, as such a coordinator has read it before it began, or after 9.5 s by any sender.

Shown for the engine's state machine, on scratch copies and without shrinking: with the check of the zone taken out of takes_starts (and so of usable) it fails with "is sent to evacuated z0"; with that in is_start_due taken out, likewise; with the budget taken out for zones, its check of budgets fails. The takeover test of the coordinator fails with the zones not applied (8 starts there in place of none).

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -3,13 +3,19 @@
 import time
 from dataclasses import dataclass, field
 
-from hickoryplank.core.ids import EndpointId, JobId, TeamId
+from hickoryplank.core.ids import EndpointId, JobId, TeamId, Zone
 from hickoryplank.jobs.messages import EndKind
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import ZERO, Size
 from tests.jobs.fake_endpoint import FakeEndpoint
 
-__all__ = ["InvariantChecker", "ObservedEndpoint", "ObservedJob", "Timing"]
+__all__ = [
+    "Evacuation",
+    "InvariantChecker",
+    "ObservedEndpoint",
+    "ObservedJob",
+    "Timing",
+]
 
 #: Time after the answer to a cancellation from which no task of the job may start, in
 #: seconds: the bound that users require, and the longest time that a fault delays a
@@ -18,9 +24,15 @@
 #: Time after the withdrawal of a key from which it must not work, in seconds: the
 #: bound that users require.
 REVOKE_GRACE_SECONDS = 5.0
+#: Time after the request to evacuate a zone from which nothing may start there, in
+#: seconds: the bound that users require, and the longest time that a fault delays a
+#: start.
+EVACUATION_GRACE_SECONDS = 5.0 + 4.5
 #: Time by which a task may start before it is due, in milliseconds: the bound of the
 #: users.
 EARLY_MS = 250
+#: Zone of an endpoint for which no zone matters.
+NO_ZONE = Zone("")
 #: Multiple of its limit up to which a team may have tasks running.
 LIMIT_TOLERANCE_FACTOR = 1.1
 
@@ -108,11 +120,24 @@
     starts: list[EndpointId] = field(default_factory=list)
 
 
+@dataclass(frozen=True)
+class Evacuation:
+    """A request to evacuate an availability zone, which is in force.
+
+    :param at: when the store had acknowledged it, by the monotonic clock.
+    :param epoch: highest epoch of a coordinator then.
+    """
+
+    at: float
+    epoch: int
+
+
 class InvariantChecker:
     """Collects observations and the violations of invariants that they show.
 
     :param limits: limit of each team.
     :ivar withdrawn_at: when each withdrawn key was withdrawn.
+    :ivar evacuations: requests in force, by zone.
     :ivar running: endpoints on which each task runs.
     :ivar acknowledged_done: tasks whose end ``done`` has been acknowledged.
     :ivar unacknowledged_ends: ends that are not acknowledged, by endpoint and number.
@@ -122,6 +147,7 @@
         self.jobs: dict[JobId, ObservedJob] = {}
         self.limits = limits
         self.withdrawn_at: dict[str, float] = {}
+        self.evacuations: dict[Zone, Evacuation] = {}
         self.running: dict[TaskKey, set[ObservedEndpoint]] = {}
         self.acknowledged_done: set[TaskKey] = set()
         self.unacknowledged_ends: dict[
@@ -164,6 +190,24 @@
         self._check_job(job, key, endpoint)
         self._check_capacity_and_limit(job, key, endpoint)
 
+    def check_zone(self, endpoint: "ObservedEndpoint", key: TaskKey, token: int):
+        """Check that a start is not in a zone which its sender knew as evacuated.
+
+        A coordinator of a later epoch has read the request before it began.
+
+        :param token: fencing token of the start, which is the epoch of its sender.
+        """
+        evacuation = self.evacuations.get(endpoint.zone)
+        if evacuation is None:
+            return
+        age_s = time.monotonic() - evacuation.at
+        if token > evacuation.epoch or age_s > EVACUATION_GRACE_SECONDS:
+            self.report_violation(
+                "evacuated",
+                f"{key} on {endpoint.id} in {endpoint.zone}, {age_s:.2f} s after the"
+                f" request, by epoch {token}; the request came in {evacuation.epoch}",
+            )
+
     def _check_job(self, job: ObservedJob, key: TaskKey, endpoint: "ObservedEndpoint"):
         step = job.steps[key.step]
         if job.timing is not None:
@@ -297,6 +341,7 @@
     """A fake endpoint that reports what it observes to the checker.
 
     :param rate: rate of its clock, relative to true time.
+    :param zone: availability zone.
     """
 
     def __init__(
@@ -307,8 +352,10 @@
         capacity: Size,
         rate: float,
         checker: InvariantChecker,
+        zone: Zone = NO_ZONE,
     ):
         super().__init__(born_ms, work_ms)
+        self.zone = zone
         self.id = id
         self.capacity = capacity
         self._rate = rate
@@ -319,6 +366,7 @@
         outcome = super().start(key, attempt, payload, until_ms, token)
         if len(self.started) > before:
             self._checker.note_start(self, key, payload)
+            self._checker.check_zone(self, key, token)
         return outcome
 
     def poll(self, token, last_seen, until_ms):
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -22,7 +22,7 @@
 from tests.coordinator.memory_platform import MemoryEndpoints, MemoryStore, MemoryVms
 from tests.fleet import free_port
 from tests.proxy import Proxy
-from tests.soak.checker import InvariantChecker, ObservedEndpoint
+from tests.soak.checker import Evacuation, InvariantChecker, ObservedEndpoint
 from tests.soak.fault_plan import ENTRY_COUNT
 from tests.standins.fake_platform import FakePlatform
 
@@ -38,7 +38,7 @@
 #: VMs of one maintenance wave.
 WAVE_VMS = 4
 LIMITS = {TeamId("rutas"): Size(9000), TeamId("pagos"): Size(6000)}
-ZONES = ("talcahuano", "concepcion", "coronel")
+ZONES = (Zone("talcahuano"), Zone("concepcion"), Zone("coronel"))
 #: Time for which an order takes a VM out of service, in seconds.
 OUTAGE_SECONDS = 0.5
 #: Grace period from SIGTERM until a process is killed, in seconds.
@@ -307,6 +307,17 @@
         wave = {"wave": number, "machines": machines, "deadline_s": 20, "cap": 2}
         await self._write(Topic.OPERATOR, f"wave/{number}", wave)
 
+    async def evacuate_zone(self, zone: Zone) -> None:
+        """Request to evacuate an availability zone."""
+        await self._append(Topic.OPERATOR, Record(f"evacuate/{zone}", b"{}"))
+        epoch = self._lease_epoch()
+        self.checker.evacuations[zone] = Evacuation(time.monotonic(), epoch)
+
+    async def take_zone_back(self, zone: Zone) -> None:
+        """Remove the request to evacuate an availability zone."""
+        self.checker.evacuations.pop(zone, None)
+        await self._append(Topic.OPERATOR, Record(f"evacuate/{zone}", b""))
+
     async def write_odd_listings(self) -> None:
         """Write entries to the list of endpoints that name none to use, for good."""
         sound = json.dumps(self._listing(next(iter(self.vms.vms.values())), 1))
@@ -316,14 +327,18 @@
         (await self.store.append(Topic.LISTINGS, records, None)).unwrap()
 
     async def _write(self, topic: Topic, key: str, body) -> None:
-        record = Record(key, json.dumps(body).encode() if body else b"")
+        await self._append(
+            topic, Record(key, json.dumps(body).encode() if body else b"")
+        )
+
+    async def _append(self, topic: Topic, record: Record) -> None:
         (await self.store.append(topic, [record], None)).unwrap()
 
     # VMs and their endpoints
 
     async def _add_vm(self, vm: VmId, pool: PoolId, number: int) -> None:
         self.proxies[vm] = Proxy(self._endpoint_address)
-        zone = Zone(ZONES[number % len(ZONES)])
+        zone = ZONES[number % len(ZONES)]
         labels = ("a", f"r-{number % 2}")
         self.vms.vms[vm] = ListedVm(
             vm, pool, VmState.UP, zone, labels, CAPACITY, EndpointId("")
@@ -410,6 +425,7 @@
             CAPACITY,
             self._rng.uniform(0.98, 1.0),
             self.checker,
+            vm.zone,
         )
         incarnation.clock_ms = self._clock_rng.choice(FIRST_CLOCKS_MS)
         self.endpoints.endpoints[vm.endpoint] = incarnation
@@ -442,6 +458,13 @@
             return self.task_ms
         return random.Random(f"{key.job}{key.step}{key.index}").uniform(60, 900)
 
+    def _lease_epoch(self) -> int:
+        """Return the highest stored epoch of a coordinator; 0 before the first."""
+        records = self.store.partition(Topic.LEASE).records
+        if not records:
+            return 0
+        return msgspec.msgpack.decode(records[-1].value, type=LeaseRecord).epoch
+
     def lease_holder(self) -> Entry:
         """Return the entry that holds the lease by the store; by default the first."""
         records = self.store.partition(Topic.LEASE).records
--- a/tests/soak/fault_plan.py
+++ b/tests/soak/fault_plan.py
@@ -35,6 +35,12 @@
 RESTART_PLAY_SECONDS = 4.0 + RESTART_ROUNDS * RESTART_INTERVAL_SECONDS
 #: Fraction of these rounds in which the coordinator is killed before the cut.
 RESTART_KILL_FRACTION = 0.4
+#: Fraction of the seeds in which a zone is evacuated and the coordinator killed then.
+ZONE_EVACUATED_FRACTION = 0.6
+#: Longest time from the evacuation until the coordinator is killed, in seconds.
+EVACUATION_KILL_SECONDS = 1.5
+#: Shortest and longest time for which a zone is evacuated, in seconds.
+EVACUATION_SECONDS = (4.0, 9.0)
 #: Duration of the outage of the store in which entries lapse, in seconds. It is longer
 #: than another entry needs to take over.
 LAPSE_OUTAGE_SECONDS = 2.5
@@ -70,6 +76,7 @@
     WAVE = "maintenance wave"
     LISTINGS_LAPSED = "wave, and an outage of the store in which entries lapse"
     ENDPOINTS_RESTARTED_AND_CUT = "endpoints restarted under their ids, and then cut"
+    ZONE_EVACUATED = "availability zone evacuated and taken back"
     ODD_LISTINGS = "odd entries of another writer in the list of endpoints"
 
 
@@ -79,6 +86,7 @@
     FaultKind.ODD_LISTINGS,
     FaultKind.LISTINGS_LAPSED,
     FaultKind.ENDPOINTS_RESTARTED_AND_CUT,
+    FaultKind.ZONE_EVACUATED,
 )
 #: Weights of kinds in the random choice; 1 for all others.
 _WEIGHTS = {
@@ -132,6 +140,8 @@
         faults.append(
             Fault(at, dark_s, FaultKind.ENDPOINTS_RESTARTED_AND_CUT, rng.randrange(64))
         )
+    if rng.random() < ZONE_EVACUATED_FRACTION:
+        faults += _evacuate_before_take_over(rng, length_s)
     return sorted(faults, key=lambda one: one.at)
 
 
@@ -151,6 +161,17 @@
     return faults
 
 
+def _evacuate_before_take_over(rng: random.Random, length_s: float) -> list[Fault]:
+    """Return the faults of a take-over while a zone is evacuated."""
+    at = round(rng.uniform(0.5, length_s / 2), 2)
+    for_s = round(rng.uniform(*EVACUATION_SECONDS), 2)
+    killed_at = round(at + rng.uniform(0.0, EVACUATION_KILL_SECONDS), 2)
+    return [
+        Fault(at, for_s, FaultKind.ZONE_EVACUATED, rng.randrange(64)),
+        Fault(killed_at, 1.0, FaultKind.KILL_COORDINATOR, 0),
+    ]
+
+
 def _lapse_during_take_over(rng: random.Random, length_s: float) -> list[Fault]:
     """Return the faults of a take-over while entries of endpoints are missing."""
     at = round(rng.uniform(2.0, length_s), 2)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,7 +14,7 @@
 from hickoryplank.jobs.sizes import Size
 from tests.proxy import Direction, Proxy
 from tests.soak.callers import Callers
-from tests.soak.deployment import POOLS, WAVE_VMS, Deployment, Entry
+from tests.soak.deployment import POOLS, WAVE_VMS, ZONES, Deployment, Entry
 from tests.soak.fault_plan import (
     INJECTION_SECONDS,
     Fault,
@@ -119,11 +119,19 @@
         self._deployment.relist(vms)
 
     async def _inject_platform_fault(self, fault: Fault) -> None:
-        if fault.kind.name.startswith("STORE"):
+        if fault.kind is FaultKind.ZONE_EVACUATED:
+            await self._evacuate_zone(fault)
+        elif fault.kind.name.startswith("STORE"):
             await self._inject_store_fault(fault)
         else:
             await self._inject_endpoint_fault(fault)
 
+    async def _evacuate_zone(self, fault: Fault) -> None:
+        zone = ZONES[fault.target % len(ZONES)]
+        await self._deployment.evacuate_zone(zone)
+        await asyncio.sleep(fault.for_s)
+        await self._deployment.take_zone_back(zone)
+
     async def _inject_store_fault(self, fault: Fault) -> None:
         proxy = self._entry(fault).store_proxy
         match fault.kind:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,11 +4,18 @@
 
 import pytest
 
-from hickoryplank.core.ids import EndpointId, JobId, TeamId
+from hickoryplank.core.ids import EndpointId, JobId, TeamId, Zone
 from hickoryplank.jobs.messages import StartOutcome
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import Size
-from tests.soak.checker import InvariantChecker, ObservedEndpoint, ObservedJob, Timing
+from tests.soak.checker import (
+    EVACUATION_GRACE_SECONDS,
+    Evacuation,
+    InvariantChecker,
+    ObservedEndpoint,
+    ObservedJob,
+    Timing,
+)
 from tests.soak.fault_plan import (
     RESTART_PLAY_SECONDS,
     FaultKind,
@@ -68,6 +75,26 @@
     assert drawn == set(FaultKind)
 
 
+@pytest.mark.parametrize(
+    ("zone", "token", "age_s", "found"),
+    [
+        ("north", 3, 0.0, False),
+        ("north", 3, EVACUATION_GRACE_SECONDS + 1, True),
+        ("north", 4, 0.0, True),
+        ("south", 4, EVACUATION_GRACE_SECONDS + 1, False),
+    ],
+)
+def test_starts_in_an_evacuated_zone_are_found(zone, token, age_s, found):
+    checker, _ = new_checker()
+    evacuation = Evacuation(time.monotonic() - age_s, epoch=3)
+    checker.evacuations[Zone("north")] = evacuation
+    endpoint = ObservedEndpoint(
+        EndpointId("i"), 1, lambda key: 1.0, Size(4000, 8000), 1.0, checker, Zone(zone)
+    )
+    endpoint.start(TaskKey(JOB, 0, 0, 0), 1, "payload", 60_000, token)
+    assert [one.split(":")[0] for one in checker.violations] == ["evacuated"] * found
+
+
 def new_checker(limit: int = 9000) -> tuple[InvariantChecker, list[ObservedEndpoint]]:
     checker = InvariantChecker({TEAM: Size(limit)})
     steps = (
