Merge: evacuated availability zones

Conflicts were additions side by side. pytest -n 4 tests/jobs tests/coordinator tests/platform tests/test_entry_settings.py tests/test_encodings.py on the merge: all passed.

--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -17,6 +17,7 @@
 from hickoryplank.coordinator.vm_controller import VmController
 from hickoryplank.jobs.assignment import AllowedStarts
 from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.evacuation import evacuated_load
 from hickoryplank.shell.clock import wall_ms
 
 __all__ = ["Coordinator", "CoordinatorContext"]
@@ -81,7 +82,7 @@
                 tasks.start_soon(self._commit_loop)
                 tasks.start_soon(self._preassigned_loop)
                 tasks.start_soon(self._endpoint_poller.follow_listings)
-                tasks.start_soon(self._configuration_loop)
+                tasks.start_soon(self._operator_loop)
                 if term.context.advice is not None:
                     tasks.start_soon(
                         self._request_sender.run_advice, term.context.advice
@@ -98,6 +99,7 @@
                 extra={"number": term.fencing_token, "detail": _first_message(group)},
             )
         finally:
+            term.context.metrics.evacuated_zones(0, 0)
             term.end()
 
     async def _watch_lease(self) -> None:
@@ -139,6 +141,7 @@
         engine.restore(stored.rows)
         engine.unowned_records = stored.unowned
         self._term.malformed_jobs = stored.malformed
+        self._apply_evacuated_zones(engine)
         self._term.engine = engine
         await self._endpoint_poller.read_listings()
         logger.info(
@@ -161,6 +164,7 @@
 
     async def _commit(self) -> None:
         engine = self._term.require_engine()
+        self._apply_evacuated_zones(engine)
         now = self._term.context.clock.now()
         starts = (
             AllowedStarts.ANY
@@ -213,7 +217,8 @@
                 }
             logger.info(event.kind.value, extra=extra)
 
-    async def _configuration_loop(self) -> None:
+    async def _operator_loop(self) -> None:
+        """Apply what operators have stored, as soon as it has been read."""
         while True:
             changed = self._term.watcher.changed
             configuration = self._term.watcher.configuration
@@ -221,8 +226,39 @@
             if configuration is not None and configuration is not engine.configuration:
                 engine.configuration = configuration
                 self._term.request_tick()
+            if self._apply_evacuated_zones(engine):
+                self._term.request_tick()
             await changed.wait()
 
+    def _apply_evacuated_zones(self, engine: Engine) -> bool:
+        """Pass the evacuated zones to the engine; return whether they have changed.
+
+        This also runs before each tick: the first one of a term may come before the
+        loop that follows the operators' records. Zones that were read before an outage
+        of the store stay in force.
+        """
+        zones = self._term.watcher.evacuated_zones
+        metrics = self._term.context.metrics
+        if zones == engine.evacuated_zones.zones:
+            if zones:
+                metrics.evacuated_zones(len(zones), evacuated_load(engine).runs)
+            return False
+        engine.set_evacuated_zones(zones, self._term.context.clock.now())
+        load = evacuated_load(engine)
+        metrics.evacuated_zones(len(zones), load.runs)
+        logger.info(
+            "evacuated zones applied",
+            extra={
+                "number": self._term.fencing_token,
+                "evacuated": sorted(zones),
+                "read_s_ago": round(self._term.watcher.staleness(), 3),
+                "endpoints": load.endpoints,
+                "runs": load.runs,
+                "lasting": load.lasting_runs,
+            },
+        )
+        return True
+
 
 def _first_message(exc: BaseException) -> str:
     """Return the message of the first exception in a possibly nested group."""
