--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -134,7 +134,7 @@
             if await self._refresh_vm_list(engine, now) and self._lease.valid():
                 self._plan_operations(engine, now)
                 engine.cordon(self._table.leaving_endpoints())
-                engine.vm_supply = read_supply(self._table)
+                engine.vm_supply = read_supply(self._table, engine.evacuated_zones)
                 if not journal.failing:
                     await self._run_operations(engine, journal, token)
 
--- a/hickoryplank/jobs/vm_supply.py
+++ b/hickoryplank/jobs/vm_supply.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from hickoryplank.core.ids import PoolId
+from hickoryplank.jobs.evacuated_zones import EvacuatedZones
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.vms import VmRow, VmTable
 
@@ -24,11 +25,16 @@
         return self.joining.get(pool, ZERO)
 
 
-def read_supply(vms: VmTable) -> VmSupply:
-    """Return the supply according to the last list and the present operations."""
+def read_supply(vms: VmTable, evacuated: EvacuatedZones) -> VmSupply:
+    """Return the supply according to the last list and the present operations.
+
+    :param evacuated: zones whose VMs take no work.
+    """
     joining: dict[PoolId, Size] = {}
     total = ZERO
     for row in vms.rows.values():
+        if row.listing.zone in evacuated:
+            continue
         pool = _target_pool(row)
         if pool is not None:
             joining[pool] = joining.get(pool, ZERO).plus(row.listing.capacity)
--- a/tests/jobs/fleet_play.py
+++ b/tests/jobs/fleet_play.py
@@ -160,7 +160,7 @@
         rebalance_pools(
             self.engine, self.table, self.demand, self.now, STANDBY, self.max_moves
         )
-        self.engine.vm_supply = read_supply(self.table)
+        self.engine.vm_supply = read_supply(self.table, self.engine.evacuated_zones)
         by_id = {vm.id: vm for vm in self.vms}
         for operation in self.table.operations():
             if operation.phase is OperationPhase.EVACUATING:
