Own interface: records that evacuate and restore an availability zone

Cause: operators could only drain single VMs, each within its pool's budget; a zone as a whole could not be taken out of use.

Change: ZoneEvacuated and ZoneRestored in the control stream, folded into Tables.evacuated_zones. VMs of an evacuated zone don't count as available, as failed ones don't: others leave only within what is left of the budget, while waves maintain the evacuated ones at once and don't call them back. No record moves such a VM to another pool, and the planner of moves neither counts nor picks it.

Checked: tests/core and tests/test_encodings.py pass. Each of eleven changed conditions, put back one at a time, fails a new test; the one in waves.py did so only after the test was made to count refused records.

--- a/hickoryplank/core/edits.py
+++ b/hickoryplank/core/edits.py
@@ -216,6 +216,8 @@
     tables.objects[ref.kind][ref.name] = ObjectRow(obj, revision)
     if isinstance(obj, Endpoint) and obj.name not in tables.vms:
         tables.add_vm(_new_vm(obj, revision))
+    elif isinstance(obj, Endpoint) and tables.evacuated_zones:
+        tables.vm_index.mark_changed(obj.pool, tables.sequence)
     if isinstance(obj, Pool):
         tables.vm_index.mark_changed(obj.name, tables.sequence)
 
--- a/hickoryplank/core/fold.py
+++ b/hickoryplank/core/fold.py
@@ -35,10 +35,13 @@
     VmReport,
     VmStep,
     WaveChange,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from hickoryplank.core.tables import Tables
 from hickoryplank.core.units import apply_moved, apply_returned, apply_taken
 from hickoryplank.core.vms import apply_move, apply_report, apply_step, apply_wave
+from hickoryplank.core.zones import apply_evacuated, apply_restored
 
 __all__ = ["RECENT_RECORDS", "FoldResult", "fold", "fold_batch"]
 
@@ -97,6 +100,10 @@
             return _apply_units_record(tables, record)
         case VmStep() | VmMoved() | VmReport() | WaveChange():
             return _apply_vm_record(tables, record, revision)
+        case ZoneEvacuated():
+            return apply_evacuated(tables, record, revision)
+        case ZoneRestored():
+            return apply_restored(tables, record)
         case _:
             return _apply_node_record(tables, record, Incarnation(revision))
 
--- a/hickoryplank/core/maintenance.py
+++ b/hickoryplank/core/maintenance.py
@@ -232,6 +232,8 @@
         for row in tables.vm_index.inactive.values():
             if not _can_return(row) or self._outstanding.is_pending(row):
                 continue
+            if tables.is_evacuated(row.vm):
+                continue
             if row.pool not in shortfall:
                 budget = budget_of(tables, row.pool)
                 shortfall[row.pool] = budget - in_service(tables, row.pool)
--- a/hickoryplank/core/moves.py
+++ b/hickoryplank/core/moves.py
@@ -134,7 +134,7 @@
                 incoming[pool] = incoming.get(pool, 0) + 1
         for vm, row in tables.vm_index.inactive.items():
             is_moving = row.target not in (None, row.pool) and vm not in self._targets
-            if is_moving and row.healthy:
+            if is_moving and row.healthy and not tables.is_evacuated(vm):
                 incoming[row.target] = incoming.get(row.target, 0) + 1
         return incoming
 
@@ -147,11 +147,12 @@
         required = math.ceil((pool_demand.slots + pool_demand.backlog) / slots)
         retained = math.ceil(pool_demand.peak / slots)
         spare = tables.objects[Kind.POOL][pool_demand.pool].obj.spare
-        joining = 0 if spare else sum(self._is_joining(row) for row in rows)
+        joining = 0 if spare else sum(self._is_joining(tables, row) for row in rows)
         return _PoolSize(
             pool=pool_demand.pool,
             actual=sum(
-                row.in_service and not self._outstanding.is_pending(row) for row in rows
+                tables.takes_work(row) and not self._outstanding.is_pending(row)
+                for row in rows
             )
             + joining
             + incoming,
@@ -160,13 +161,14 @@
             wait=pool_demand.wait,
         )
 
-    def _is_joining(self, row: VmRow) -> bool:
+    def _is_joining(self, tables: Tables, row: VmRow) -> bool:
         """Return whether a VM is in its target pool and about to enter service."""
         drained = row.state is VmState.DRAINED and row.target == row.pool
         return (
             drained
             and row.healthy
             and not row.wave
+            and not tables.is_evacuated(row.vm)
             and not self._outstanding.is_pending(row)
         )
 
@@ -175,7 +177,11 @@
 
     def _buffer_rows(self, tables: Tables, spare: PoolId) -> list[VmRow]:
         rows = sorted(tables.members(spare), key=lambda row: row.vm)
-        return [row for row in rows if row.healthy and self._is_buffer(row)]
+        return [
+            row
+            for row in rows
+            if row.healthy and self._is_buffer(row) and not tables.is_evacuated(row.vm)
+        ]
 
     def _grow_pool(
         self,
@@ -209,6 +215,7 @@
             if row.state is VmState.LEAVING
             and row.target not in (None, size.pool)
             and not self._outstanding.is_pending(row)
+            and not tables.is_evacuated(row.vm)
         ]
 
     def _may_leave(self, tables: Tables, row: VmRow, pool: PoolId) -> bool:
@@ -255,7 +262,7 @@
         rows = [
             row
             for row in tables.members(pool)
-            if row.in_service and not self._outstanding.is_pending(row)
+            if tables.takes_work(row) and not self._outstanding.is_pending(row)
         ]
         if len(rows) <= budget_of(tables, pool):
             return None
@@ -267,7 +274,9 @@
     ) -> Iterator[VmStep]:
         buffer = self._buffer_rows(tables, spare)
         joining = sum(
-            row.target == spare and row.state is VmState.LEAVING
+            row.target == spare
+            and row.state is VmState.LEAVING
+            and not tables.is_evacuated(row.vm)
             for row in tables.vm_index.inactive.values()
         )
         buffer_shortfall = self._policy.buffer_vms - len(buffer) - joining
--- a/hickoryplank/core/records.py
+++ b/hickoryplank/core/records.py
@@ -47,6 +47,8 @@
     "VmStep",
     "WaveChange",
     "WaveState",
+    "ZoneEvacuated",
+    "ZoneRestored",
     "decode_batch",
     "encode_batch",
 ]
@@ -325,6 +327,18 @@
     pools: tuple[PoolId, ...] = ()
 
 
+class ZoneEvacuated(LogRecord, frozen=True, tag="zone_evacuated", kw_only=True):
+    """An operator evacuates an availability zone: its VMs take no new work."""
+
+    zone: Zone
+
+
+class ZoneRestored(LogRecord, frozen=True, tag="zone_restored", kw_only=True):
+    """An operator takes the evacuation of an availability zone back."""
+
+    zone: Zone
+
+
 Record = (
     EditSet
     | NodeJoined
@@ -342,6 +356,8 @@
     | VmMoved
     | VmReport
     | WaveChange
+    | ZoneEvacuated
+    | ZoneRestored
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/hickoryplank/core/tables.py
+++ b/hickoryplank/core/tables.py
@@ -84,7 +84,7 @@
 
     @property
     def in_service(self) -> bool:
-        """Whether the VM counts towards the availability budget of its pool."""
+        """Whether the VM is healthy and not taken out of service."""
         return self.healthy and self.state is VmState.ACTIVE
 
 
@@ -130,6 +130,9 @@
     :param units: the units of each team that each incarnation holds.
     :param recent: sequence numbers of the records folded last, by id, oldest
         first.
+    :param evacuated_zones: the evacuated availability zones, each with the sequence
+        number of the record that evacuated it. ``UNSET`` while there is none, so that
+        the encoding and its digest are the same as before the field existed.
     """
 
     sequence: int = 0
@@ -144,6 +147,7 @@
     units: dict[TeamId, dict[Incarnation, int]] = msgspec.field(default_factory=dict)
     claims: dict[ClaimId, ClaimRow] = msgspec.field(default_factory=dict)
     recent: dict[RecordId, int] = msgspec.field(default_factory=dict)
+    evacuated_zones: dict[Zone, Revision] | msgspec.UnsetType = msgspec.UNSET
 
     def find(self, ref: Ref) -> ObjectRow | None:
         """Return the row of ``ref``, or ``None`` if there is no such object."""
@@ -159,6 +163,17 @@
         row = self.objects[Kind.ENDPOINT].get(vm)
         return row.obj if row and isinstance(row.obj, Endpoint) else None
 
+    def is_evacuated(self, vm: VmId) -> bool:
+        """Return whether the availability zone of ``vm`` is evacuated."""
+        if not self.evacuated_zones:
+            return False
+        endpoint = self.endpoint_of(vm)
+        return endpoint is not None and endpoint.zone in self.evacuated_zones
+
+    def takes_work(self, row: VmRow) -> bool:
+        """Return whether a VM is in service in a zone that is not evacuated."""
+        return row.in_service and not self.is_evacuated(row.vm)
+
     @property
     def vm_index(self) -> VmIndex:
         """The index of the VMs by pool, derived from ``vms`` and never encoded."""
--- a/hickoryplank/core/vms.py
+++ b/hickoryplank/core/vms.py
@@ -48,8 +48,11 @@
 
 
 def in_service(tables: Tables, pool: PoolId) -> int:
-    """Return how many VMs of ``pool`` are in service."""
-    return sum(row.in_service for row in tables.members(pool))
+    """Return how many VMs of ``pool`` are in service and take work.
+
+    VMs in an evacuated zone don't count, as failed ones don't.
+    """
+    return sum(tables.takes_work(row) for row in tables.members(pool))
 
 
 def apply_step(tables: Tables, record: VmStep, revision: Revision) -> list[Fault]:
@@ -109,9 +112,11 @@
     if record.target is not None and record.target not in tables.objects[Kind.POOL]:
         message = f"pool {record.target} does not exist"
         return [Fault(FaultCode.MISSING_REFERENCE, message)]
+    if record.target is not None and tables.is_evacuated(row.vm):
+        return [_evacuated_fault(tables, row)]
     available = in_service(tables, row.pool)
     budget = budget_of(tables, row.pool)
-    if row.in_service and available - 1 < budget:
+    if tables.takes_work(row) and available - 1 < budget:
         message = (
             f"pool {row.pool} has {available} VMs in service and needs {budget};"
             f" VM {row.vm} cannot leave now"
@@ -158,8 +163,11 @@
 def check_move(tables: Tables, row: VmRow, pool: PoolId) -> list[Fault]:
     """Return the faults of a move of a VM to ``pool``.
 
-    Both pools must still be able to drain a VM within their budgets afterwards.
+    Both pools must still be able to drain a VM within their budgets afterwards, and
+    no pool gets a VM in an evacuated zone, where it could not work.
     """
+    if tables.is_evacuated(row.vm):
+        return [_evacuated_fault(tables, row)]
     left = len(tables.members(row.pool)) - 1
     budget = budget_of(tables, row.pool)
     if left and left <= budget or left < budget:
@@ -173,6 +181,15 @@
     return []
 
 
+def _evacuated_fault(tables: Tables, row: VmRow) -> Fault:
+    zone = tables.endpoint_of(row.vm).zone
+    message = (
+        f"VM {row.vm} cannot move to another pool while its availability zone {zone}"
+        " is evacuated; restore the zone first"
+    )
+    return Fault(FaultCode.WRONG_STATE, message)
+
+
 def apply_report(tables: Tables, record: VmReport, revision: Revision) -> list[Fault]:
     """Record that a VM failed or recovered; failures count against the budget."""
     row = tables.vms.get(record.vm)
--- a/hickoryplank/core/waves.py
+++ b/hickoryplank/core/waves.py
@@ -82,12 +82,12 @@
         candidates = [
             row for row in remaining if _can_leave(row) and not is_pending(row)
         ]
-        available = sum(row.in_service and not is_pending(row) for row in rows)
+        available = sum(tables.takes_work(row) and not is_pending(row) for row in rows)
         headroom = available - budget_of(tables, pool)
         serving = _in_domain_order(
-            tables, [row for row in candidates if row.in_service]
+            tables, [row for row in candidates if tables.takes_work(row)]
         )
-        not_serving = [row for row in candidates if not row.in_service]
+        not_serving = [row for row in candidates if not tables.takes_work(row)]
         return not_serving + serving[: max(0, headroom)]
 
     def _waits_for(self, row: VmRow) -> bool:
--- a/tests/core/test_maintenance.py
+++ b/tests/core/test_maintenance.py
@@ -21,6 +21,8 @@
     VmStep,
     WaveChange,
     WaveState,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from hickoryplank.core.tables import VmRow
 from hickoryplank.core.vms import budget_of, in_service
@@ -265,3 +267,50 @@
     assert (row.pool, row.state) == ("farmdesk", VmState.ACTIVE)
     moved = VmMoved(id=new_id(), vm="vm-0", revision=row.revision, pool="ruteplan")
     assert fake.append(moved).is_err()
+
+
+@pytest.mark.parametrize(
+    ("zones", "done"),
+    [(("bergen-a",), ["vm-0", "vm-3"]), (("bergen-b", "bergen-c"), ["vm-6", "vm-9"])],
+)
+def test_wave_maintains_evacuated_zones_and_keeps_the_budget_elsewhere(zones, done):
+    fake = FakeVms(fleet(), Random(5), POLICY)
+    for zone in zones:
+        fake.append(ZoneEvacuated(id=new_id(), zone=zone)).unwrap()
+    fake.append(wave("w", WaveState.RUNNING, pools=("farmdesk",))).unwrap()
+    for _ in range(1000):
+        fake.step()
+        assert in_service(fake.tables, "farmdesk") == 2
+    assert sorted(fake.tables.waves["w"].done) == done
+    assert fake.tables.waves["w"].state is WaveState.RUNNING
+    assert fake.refused == 0
+    for zone in zones:
+        fake.append(ZoneRestored(id=new_id(), zone=zone)).unwrap()
+    run_until_done(fake, "w")
+    assert missing(fake, "w", ("farmdesk",)) == []
+    assert fake.cut_off == fake.over_budget == 0
+
+
+def test_vm_in_maintenance_is_not_called_back_into_an_evacuated_zone():
+    fake = FakeVms(fleet(budget=2), Random(5), POLICY)
+    fake.append(wave("w", WaveState.RUNNING, pools=("farmdesk",))).unwrap()
+    fake.step()
+    leaving = {vm for vm, row in fake.tables.vms.items() if row.wave == "w"}
+    assert leaving == {"vm-0", "vm-3"}
+    fake.append(ZoneEvacuated(id=new_id(), zone="bergen-a")).unwrap()
+    fake.append(VmReport(id=new_id(), vm="vm-6", healthy=False)).unwrap()
+    run(fake, 2)
+    assert all(
+        fake.tables.vms[vm].state is VmState.LEAVING and fake.tables.vms[vm].wave == "w"
+        for vm in leaving
+    )
+
+
+def test_vm_on_a_move_stays_in_its_pool_if_its_zone_is_evacuated():
+    fake = FakeVms(fleet(), Random(5), POLICY)
+    leave(fake, "vm-0", target="ruteplan")
+    fake.append(ZoneEvacuated(id=new_id(), zone="bergen-a")).unwrap()
+    run(fake, 1000)
+    row = fake.tables.vms["vm-0"]
+    assert (row.pool, row.state, row.target) == ("farmdesk", VmState.ACTIVE, None)
+    assert fake.refused == 0
--- a/tests/core/test_moves.py
+++ b/tests/core/test_moves.py
@@ -3,6 +3,7 @@
 from itertools import count
 from random import Random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -11,7 +12,15 @@
 from hickoryplank.core.maintenance import MaintenancePolicy
 from hickoryplank.core.moves import MovePlanner, MovePolicy
 from hickoryplank.core.objects import Kind
-from hickoryplank.core.records import VmMoved, VmReport, VmState, WaveChange, WaveState
+from hickoryplank.core.records import (
+    VmMoved,
+    VmReport,
+    VmState,
+    WaveChange,
+    WaveState,
+    ZoneEvacuated,
+    ZoneRestored,
+)
 from hickoryplank.core.vms import budget_of, in_service
 from tests.core.builders import new_id
 from tests.core.fake_vms import FakeVms
@@ -134,3 +143,27 @@
         demand = tracker.observe(slots, now)
         assert demand.peak == max(s for at, s in seen if at >= now - window)
         assert 0 <= demand.mean <= max(s for _, s in seen) + 1e-9
+
+
+@pytest.mark.parametrize(
+    ("zones", "usable"),
+    [((), 10), (("bergen-a",), 6), (("bergen-c",), 6), (("bergen-a", "bergen-c"), 2)],
+)
+def test_pool_grows_only_by_vms_outside_evacuated_zones(zones, usable):
+    """All VMs in the other zones join, but one that each other pool keeps."""
+    fake = FakeVms(fleet(budget=0), Random(1), MaintenancePolicy())
+    mover = planner(buffer_vms=2, hysteresis=0.0)
+    run(fake, mover, asked({"farmdesk": 3, "ruteplan": 3, SPARE: 1}), 30)
+    for zone in zones:
+        fake.append(ZoneEvacuated(id=new_id(), zone=zone)).unwrap()
+    before = {row.vm: row.pool for row in fake.tables.vms.values()}
+    refused = fake.refused
+    run(fake, mover, asked({"farmdesk": 12, "ruteplan": 0, SPARE: 0}), 400)
+    moved = {vm for vm, pool in before.items() if fake.tables.vms[vm].pool != pool}
+    assert not any(fake.tables.is_evacuated(vm) for vm in moved)
+    assert in_service(fake.tables, "farmdesk") == usable
+    assert fake.refused == refused
+    for zone in zones:
+        fake.append(ZoneRestored(id=new_id(), zone=zone)).unwrap()
+    run(fake, mover, asked({"farmdesk": 12, "ruteplan": 0, SPARE: 0}), 400)
+    assert in_service(fake.tables, "farmdesk") == 10
