Dispatcher: start no work on VMs of an evacuated zone

Cause: the dispatcher looked only at a VM's own state.

Change: an endpoint is in service if its VM takes work, which an evacuated zone excludes; the row is put again when that changes, so that a restored endpoint starts slowly like an undrained one. Running work isn't stopped for work that waits, since nothing could start in its place. The metric of VMs in service follows.

--- a/hickoryplank/shell/dispatcher.py
+++ b/hickoryplank/shell/dispatcher.py
@@ -268,6 +268,7 @@
             attempt
             for attempt in self._running_attempts.values()
             if attempt.execution.queue.pool == pool
+            and not self._replica.tables.is_evacuated(attempt.vm)
         ]
         running = self._all_running()
         free = sum(_free_capacity(row, now) for row in self.endpoints.members(pool))
@@ -429,7 +430,8 @@
 
     def _update_endpoint(self, tables: Tables, row: VmRow) -> None:
         endpoint = tables.endpoint_of(row.vm)
-        state = (row.revision, endpoint)
+        in_service = tables.takes_work(row)
+        state = (row.revision, endpoint, in_service)
         if endpoint is None or self._known_vms.get(row.vm) == state:
             return
         self._known_vms[row.vm] = state
@@ -440,7 +442,7 @@
                 zone=endpoint.zone,
                 rack=endpoint.rack,
                 slots=endpoint.slots,
-                in_service=row.in_service,
+                in_service=in_service,
             )
         )
 
--- a/hickoryplank/shell/metrics.py
+++ b/hickoryplank/shell/metrics.py
@@ -71,8 +71,9 @@
 
 def _vms(sources: MetricSources) -> Iterator[Observation]:
     for pool in _pools(sources):
-        rows = sources.replica.tables.members(pool)
-        in_service = sum(row.in_service for row in rows)
+        tables = sources.replica.tables
+        rows = tables.members(pool)
+        in_service = sum(tables.takes_work(row) for row in rows)
         yield Observation(in_service, {"pool": pool, "in_service": "yes"})
         yield Observation(len(rows) - in_service, {"pool": pool, "in_service": "no"})
 
