Operator API and command line: zone evacuate, zone restore, zone list

Cause: nothing let an operator publish the records of zones, or look at them.

Change: POST zones/{zone}/evacuate and /restore, GET zones; client functions; `hickoryplank zone`. An unknown zone gets 404, as an unknown VM does for drain. Each node counts the work that it runs itself, so the client adds up the answers of all entries named, and shows how many of the live nodes are counted. VMs of an evacuated zone are listed out of service in `status`.

Ruled out: the zones inside StatusAnswer, whose recorded encoding stays as it is; operator routes in docs/openapi.json, which describes the callers' API alone and is compared with its routes (tests/test_openapi.py).

Checked: tests/shell, test_cli.py, test_report.py, test_openapi.py and test_encodings.py pass.

--- a/hickoryplank/cli/fleet_commands.py
+++ b/hickoryplank/cli/fleet_commands.py
@@ -1,4 +1,4 @@
-"""Commands on the running fleet: status, report, VMs, waves and claims."""
+"""Commands on the running fleet: status, report, VMs, zones, waves and claims."""
 
 from argparse import Namespace
 from pathlib import Path
@@ -6,8 +6,13 @@
 from hickoryplank import client
 from hickoryplank.cli.edit_commands import published_result, with_session
 from hickoryplank.cli.output import CommandResult, ExitCode, query_result
-from hickoryplank.cli.tables import claim_tables, report_tables, status_tables
-from hickoryplank.core.ids import ClaimId, PoolId, VmId, WaveId
+from hickoryplank.cli.tables import (
+    claim_tables,
+    report_tables,
+    status_tables,
+    zone_tables,
+)
+from hickoryplank.core.ids import ClaimId, PoolId, VmId, WaveId, Zone
 from hickoryplank.core.records import OutcomeKind
 from hickoryplank.operator_api import SettleRequest, WaveAction
 from hickoryplank.operator_status import ClaimState
@@ -21,6 +26,9 @@
     "status",
     "undrain",
     "wave",
+    "zone_evacuate",
+    "zone_list",
+    "zone_restore",
 ]
 
 
@@ -74,6 +82,36 @@
     )
 
 
+def zone_list(args: Namespace) -> CommandResult:
+    """List availability zones with their VMs and running work."""
+    return with_session(
+        args,
+        lambda session: query_result(
+            client.get_zones(session), args.format, zone_tables
+        ),
+    )
+
+
+def zone_evacuate(args: Namespace) -> CommandResult:
+    """Evacuate an availability zone: its VMs finish their work and get no more."""
+    return with_session(
+        args,
+        lambda session: published_result(
+            args, session, client.evacuate_zone(session, Zone(args.zone))
+        ),
+    )
+
+
+def zone_restore(args: Namespace) -> CommandResult:
+    """Take the evacuation of an availability zone back."""
+    return with_session(
+        args,
+        lambda session: published_result(
+            args, session, client.restore_zone(session, Zone(args.zone))
+        ),
+    )
+
+
 def wave(args: Namespace) -> CommandResult:
     """Start, pause, resume or cancel a maintenance wave."""
     pools = tuple(PoolId(pool) for pool in getattr(args, "pools", ()))
--- a/hickoryplank/cli/parser.py
+++ b/hickoryplank/cli/parser.py
@@ -65,6 +65,7 @@
     _add_edit_commands(commands)
     _add_key_commands(commands)
     _add_vm_commands(commands)
+    _add_zone_commands(commands)
     _add_wave_commands(commands)
     _add_claim_commands(commands)
     _add_node_commands(commands)
@@ -182,6 +183,24 @@
     move.add_argument("pool")
 
 
+def _add_zone_commands(commands) -> None:
+    zones = _add_command_group(
+        commands, "zone", "evacuate, restore and list availability zones"
+    )
+    help_text = "give the VMs of an availability zone no new work"
+    evacuate = _add_publishing_command(
+        zones, "evacuate", fleet_commands.zone_evacuate, help_text
+    )
+    evacuate.add_argument("zone")
+    help_text = "take the evacuation of an availability zone back"
+    restore = _add_publishing_command(
+        zones, "restore", fleet_commands.zone_restore, help_text
+    )
+    restore.add_argument("zone")
+    help_text = "list availability zones with their VMs and running work"
+    _add_command(zones, "list", fleet_commands.zone_list, help_text)
+
+
 def _add_wave_commands(commands) -> None:
     waves = _add_command_group(commands, "wave", "control maintenance waves")
     for action in WaveAction:
--- a/hickoryplank/cli/tables.py
+++ b/hickoryplank/cli/tables.py
@@ -15,7 +15,12 @@
     PlanAnswer,
     Published,
 )
-from hickoryplank.operator_status import ClaimsAnswer, ReportAnswer, StatusAnswer
+from hickoryplank.operator_status import (
+    ClaimsAnswer,
+    ReportAnswer,
+    StatusAnswer,
+    ZonesAnswer,
+)
 
 __all__ = [
     "claim_tables",
@@ -26,6 +31,7 @@
     "published_tables",
     "report_tables",
     "status_tables",
+    "zone_tables",
 ]
 
 _DIGEST_DIGITS = 12
@@ -244,3 +250,21 @@
         Table(("WAVE", "STATE", "VMS DONE", "SECONDS"), waves),
         Table(("TEAM", "RUNNING", "FROM SHARE"), teams),
     ]
+
+
+def zone_tables(answer: ZonesAnswer) -> list[Table]:
+    """Return tables of the zones, and of the nodes whose running work is counted."""
+    zones = tuple(
+        (
+            view.zone,
+            str(view.vms),
+            str(view.running),
+            "evacuated" if view.evacuated else "",
+        )
+        for view in answer.zones
+    )
+    counted = (str(answer.counted), str(answer.nodes))
+    return [
+        Table(("ZONE", "VMS", "RUNNING", ""), zones),
+        Table(("RUNNING WORK COUNTED ON", "LIVE NODES"), (counted,)),
+    ]
--- a/hickoryplank/client.py
+++ b/hickoryplank/client.py
@@ -8,6 +8,7 @@
 import secrets
 import time
 from collections.abc import Callable, Mapping
+from typing import TypeVar
 from urllib.parse import quote
 
 import httpx
@@ -23,7 +24,16 @@
     post,
 )
 from hickoryplank.core.edits import base_for
-from hickoryplank.core.ids import ClaimId, KeyId, PoolId, Revision, TeamId, VmId, WaveId
+from hickoryplank.core.ids import (
+    ClaimId,
+    KeyId,
+    PoolId,
+    Revision,
+    TeamId,
+    VmId,
+    WaveId,
+    Zone,
+)
 from hickoryplank.core.objects import Key, Kind, Ref
 from hickoryplank.core.records import BaseRevision, Delete, Put
 from hickoryplank.core.tables import Tables
@@ -43,13 +53,16 @@
     VmRequest,
     WaveAction,
     WaveRequest,
+    ZoneRequest,
 )
 from hickoryplank.operator_status import (
     ClaimsAnswer,
     ClaimState,
     ReportAnswer,
     StatusAnswer,
+    ZonesAnswer,
     merge_reports,
+    merge_zones,
 )
 
 __all__ = [
@@ -62,20 +75,25 @@
     "change_wave",
     "create_key",
     "drain_vm",
+    "evacuate_zone",
     "get_claims",
     "get_history",
     "get_objects",
     "get_report",
     "get_status",
+    "get_zones",
     "move_vm",
     "empty_fleet_base",
     "plan_edits",
+    "restore_zone",
     "settle_claim",
     "undrain_vm",
     "wait_in_force",
     "withdraw_key",
 ]
 
+T = TypeVar("T")
+
 _WAIT_TIMEOUT_SECONDS = 10.0
 _POLL_INTERVAL_SECONDS = 0.1
 _KEY_BYTES = 32
@@ -201,16 +219,31 @@
 
     Return the last error if no entry returns a report.
     """
-    reports: list[ReportAnswer] = []
-    failed: Result[ReportAnswer, ClientError] = Err(_NO_ENTRY_CONFIGURED)
+    return _get_from_all(session, "report", ReportAnswer).map(merge_reports)
+
+
+def get_zones(session: Session) -> Result[ZonesAnswer, ClientError]:
+    """Return the availability zones, with the work that the responding entries run.
+
+    Return the last error if no entry responds.
+    """
+    return _get_from_all(session, "zones", ZonesAnswer).map(merge_zones)
+
+
+def _get_from_all(
+    session: Session, path: str, cls: type[T]
+) -> Result[list[T], ClientError]:
+    """Return the answers of the entries that respond, or the last error."""
+    answers: list[T] = []
+    failed: Result[list[T], ClientError] = Err(_NO_ENTRY_CONFIGURED)
     for entry in session.entries:
         one = msgspec.structs.replace(session, entries=(entry,))
-        match get(one, "report", ReportAnswer):
-            case Ok(report):
-                reports.append(report)
+        match get(one, path, cls):
+            case Ok(answer):
+                answers.append(answer)
             case Err() as failed:
                 pass
-    return Ok(merge_reports(reports)) if reports else failed
+    return Ok(answers) if answers else failed
 
 
 def drain_vm(session: Session, vm: VmId) -> Result[Published, ClientError]:
@@ -228,6 +261,16 @@
     return post(session, f"vms/{_quote(vm)}/move", MoveRequest(pool), Published)
 
 
+def evacuate_zone(session: Session, zone: Zone) -> Result[Published, ClientError]:
+    """Evacuate an availability zone: its VMs finish their work and get no more."""
+    return post(session, f"zones/{_quote(zone)}/evacuate", ZoneRequest(), Published)
+
+
+def restore_zone(session: Session, zone: Zone) -> Result[Published, ClientError]:
+    """Take the evacuation of an availability zone back."""
+    return post(session, f"zones/{_quote(zone)}/restore", ZoneRequest(), Published)
+
+
 def change_wave(
     session: Session, wave: WaveId, action: WaveAction, pools: tuple[PoolId, ...] = ()
 ) -> Result[Published, ClientError]:
--- a/hickoryplank/operator_api.py
+++ b/hickoryplank/operator_api.py
@@ -42,6 +42,7 @@
     "VmRequest",
     "WaveAction",
     "WaveRequest",
+    "ZoneRequest",
 ]
 
 PREFIX = "/operator/v1"
@@ -138,6 +139,10 @@
     pools: tuple[PoolId, ...] = ()
 
 
+class ZoneRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a request on an availability zone; it has no fields."""
+
+
 class SettleRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An operator's resolution of a claim whose outcome is unknown.
 
@@ -217,6 +222,7 @@
     VM = "vm"
     WAVE = "wave"
     SETTLE = "settle"
+    ZONE = "zone"
 
 
 class HistoryEntry(msgspec.Struct, frozen=True, kw_only=True):
--- a/hickoryplank/operator_status.py
+++ b/hickoryplank/operator_status.py
@@ -37,7 +37,10 @@
     "VmView",
     "WaveReport",
     "WaveView",
+    "ZoneView",
+    "ZonesAnswer",
     "merge_reports",
+    "merge_zones",
 ]
 
 
@@ -249,3 +252,52 @@
             for one in oldest.teams
         ),
     )
+
+
+class ZoneView(msgspec.Struct, frozen=True, kw_only=True):
+    """An availability zone.
+
+    :param vms: number of VMs in the zone.
+    :param running: number of tasks that the node runs on VMs of the zone.
+    """
+
+    zone: Zone
+    vms: int
+    running: int
+    evacuated: bool
+
+
+class ZonesAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Availability zones as one node has folded them.
+
+    :param offset: next log offset that the node will fold.
+    :param nodes: number of live nodes.
+    :param counted: number of nodes whose running tasks are counted.
+    """
+
+    offset: int
+    nodes: int
+    counted: int
+    zones: tuple[ZoneView, ...]
+
+
+def merge_zones(answers: Sequence[ZonesAnswer]) -> ZonesAnswer:
+    """Merge the answers of all nodes into one answer of the fleet.
+
+    Running tasks are summed, because each node counts only its own. All else is
+    taken from the node that has folded most of the log.
+
+    :param answers: at least one answer.
+    """
+    newest = max(answers, key=lambda answer: answer.offset)
+    running: Counter[Zone] = Counter()
+    for answer in answers:
+        running.update({view.zone: view.running for view in answer.zones})
+    return msgspec.structs.replace(
+        newest,
+        counted=sum(answer.counted for answer in answers),
+        zones=tuple(
+            msgspec.structs.replace(view, running=running[view.zone])
+            for view in newest.zones
+        ),
+    )
--- a/hickoryplank/shell/node.py
+++ b/hickoryplank/shell/node.py
@@ -192,7 +192,11 @@
             routes=[
                 *self._api.routes(),
                 *operator_routes(
-                    self._replica, self._history, security, statistics=self._statistics
+                    self._replica,
+                    self._history,
+                    security,
+                    statistics=self._statistics,
+                    tasks_by_vm=self._dispatcher.tasks_by_vm,
                 ),
                 Route("/health", self._health),
                 Route("/ready", self._ready),
--- a/hickoryplank/shell/operator_fleet.py
+++ b/hickoryplank/shell/operator_fleet.py
@@ -1,9 +1,11 @@
-"""Handlers of the operator API for VMs, waves, claims and the fleet's status."""
+"""Handlers of the operator API for VMs, zones, waves, claims and the fleet's status."""
+
+from collections.abc import Callable, Mapping
 
 from result import Err, Ok, Result
 
 from hickoryplank.core.checks import is_name
-from hickoryplank.core.ids import ClaimId, Revision, VmId, WaveId
+from hickoryplank.core.ids import ClaimId, Revision, VmId, WaveId, Zone
 from hickoryplank.core.records import (
     Outcome,
     OutcomeKind,
@@ -12,8 +14,11 @@
     VmStep,
     WaveChange,
     WaveState,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from hickoryplank.core.tables import VmRow
+from hickoryplank.core.zones import check_zone
 from hickoryplank.operator_api import (
     MoveRequest,
     Problem,
@@ -21,11 +26,12 @@
     VmRequest,
     WaveAction,
     WaveRequest,
+    ZoneRequest,
 )
 from hickoryplank.operator_status import ClaimsAnswer, ClaimState
 from hickoryplank.shell.operator_http import OperatorRequest, Reply, decode_body
 from hickoryplank.shell.operator_problems import bad_parameter, conflict, not_found
-from hickoryplank.shell.operator_views import claim_views, fleet_status
+from hickoryplank.shell.operator_views import claim_views, fleet_status, zone_views
 from hickoryplank.shell.publisher import Publisher
 
 __all__ = ["FleetHandlers"]
@@ -39,10 +45,16 @@
 
 
 class FleetHandlers:
-    """Handles requests on VMs, maintenance waves, claims and the fleet's status."""
+    """Handles requests on VMs, zones, waves, claims and the fleet's status.
+
+    :param tasks_by_vm: returns the number of tasks that this node runs, by VM.
+    """
 
-    def __init__(self, publisher: Publisher) -> None:
+    def __init__(
+        self, publisher: Publisher, tasks_by_vm: Callable[[], Mapping[VmId, int]]
+    ) -> None:
         self._publisher = publisher
+        self._tasks_by_vm = tasks_by_vm
 
     async def status(self, req: OperatorRequest) -> Reply:
         """Show nodes, pools, drains, waves, teams and records not yet in force."""
@@ -87,6 +99,31 @@
             return Err(not_found(f"VM {vm} does not exist"))
         return Ok(row)
 
+    async def zones(self, req: OperatorRequest) -> Reply:
+        """List availability zones with their VMs and running work."""
+        return Ok(zone_views(self._publisher.tables, self._tasks_by_vm()))
+
+    async def evacuate_zone(self, req: OperatorRequest) -> Reply:
+        """Give the VMs of an availability zone no new work."""
+        zone = Zone(req.path["zone"])
+        return await self._change_zone(req, ZoneEvacuated(id=req.record_id, zone=zone))
+
+    async def restore_zone(self, req: OperatorRequest) -> Reply:
+        """Take the evacuation of an availability zone back."""
+        zone = Zone(req.path["zone"])
+        return await self._change_zone(req, ZoneRestored(id=req.record_id, zone=zone))
+
+    async def _change_zone(
+        self, req: OperatorRequest, record: ZoneEvacuated | ZoneRestored
+    ) -> Reply:
+        match decode_body(req.body, ZoneRequest):
+            case Err(problem):
+                return Err(problem)
+        faults = check_zone(self._publisher.tables, record.zone)
+        if faults and not self._publisher.was_folded(record.id):
+            return Err(not_found(faults[0].message))
+        return await self._publisher.publish(record)
+
     async def wave(self, req: OperatorRequest) -> Reply:
         """Start, pause, resume or cancel a maintenance wave."""
         match decode_body(req.body, WaveRequest):
--- a/hickoryplank/shell/operator_history.py
+++ b/hickoryplank/shell/operator_history.py
@@ -16,6 +16,8 @@
     VmMoved,
     VmStep,
     WaveChange,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from hickoryplank.operator_api import Action, HistoryEntry
 
@@ -94,6 +96,8 @@
             return Action.WAVE
         case Outcome():
             return Action.SETTLE
+        case ZoneEvacuated() | ZoneRestored():
+            return Action.ZONE
         case _:
             return Action.VM
 
@@ -110,6 +114,10 @@
             return (f"wave {wave} {state.value}",)
         case Outcome(claim=claim, kind=kind):
             return (f"claim {claim} {kind.value}",)
+        case ZoneEvacuated(zone=zone):
+            return (f"zone {zone} evacuated",)
+        case ZoneRestored(zone=zone):
+            return (f"zone {zone} restored",)
         case _:
             return ()
 
--- a/hickoryplank/shell/operator_routes.py
+++ b/hickoryplank/shell/operator_routes.py
@@ -1,11 +1,12 @@
 """Routes of the operator HTTP API."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from result import Ok
 from starlette.routing import Route
 
+from hickoryplank.core.ids import VmId
 from hickoryplank.operator_api import PREFIX
 from hickoryplank.shell.fleet_statistics import FleetStatistics
 from hickoryplank.shell.operator_edits import EditHandlers
@@ -30,6 +31,7 @@
     security: OperatorSecurity,
     now: Callable[[], float] = time.time,
     statistics: FleetStatistics | None = None,
+    tasks_by_vm: Callable[[], Mapping[VmId, int]] = dict,
 ) -> list[Route]:
     """Return the routes under ``/operator/v1``.
 
@@ -37,10 +39,11 @@
     :param now: returns the time in seconds since the epoch.
     :param statistics: the statistics for ``report``; without them that route is
         left out.
+    :param tasks_by_vm: returns the number of tasks that this node runs, by VM.
     """
     publisher = Publisher(replicated_state, history)
     edits = EditHandlers(publisher, now)
-    fleet = FleetHandlers(publisher)
+    fleet = FleetHandlers(publisher, tasks_by_vm)
     routes = (
         ("edits", "POST", edits.edit),
         ("plan", "POST", edits.plan),
@@ -51,6 +54,9 @@
         ("vms/{vm}/drain", "POST", fleet.drain),
         ("vms/{vm}/undrain", "POST", fleet.undrain),
         ("vms/{vm}/move", "POST", fleet.move),
+        ("zones", "GET", fleet.zones),
+        ("zones/{zone}/evacuate", "POST", fleet.evacuate_zone),
+        ("zones/{zone}/restore", "POST", fleet.restore_zone),
         ("waves/{wave}", "POST", fleet.wave),
         ("claims", "GET", fleet.claims),
         ("claims/{claim:path}/settle", "POST", fleet.settle),
--- a/hickoryplank/shell/operator_views.py
+++ b/hickoryplank/shell/operator_views.py
@@ -1,13 +1,17 @@
-"""Operators' views of the tables: plans, objects, claims and status."""
+"""Operators' views of the tables: plans, objects, claims, zones and status."""
+
+from collections import Counter
+from collections.abc import Mapping
 
 from msgspec.structs import asdict
 
-from hickoryplank.core.ids import PoolId, TeamId
+from hickoryplank.core.ids import PoolId, TeamId, VmId, Zone
 from hickoryplank.core.objects import ConfigObject, Kind, Pool, Ref, Share, ref_of
 from hickoryplank.core.records import Delete, Put
 from hickoryplank.core.tables import ClaimRow, Tables, VmRow
 from hickoryplank.core.units import free_units
 from hickoryplank.core.vms import budget_of, in_service
+from hickoryplank.core.zones import known_zones
 from hickoryplank.ini_values import format_value
 from hickoryplank.operator_api import (
     Change,
@@ -25,9 +29,17 @@
     TeamView,
     VmView,
     WaveView,
+    ZonesAnswer,
+    ZoneView,
 )
 
-__all__ = ["claim_views", "object_views", "plan_changes", "fleet_status"]
+__all__ = [
+    "claim_views",
+    "fleet_status",
+    "object_views",
+    "plan_changes",
+    "zone_views",
+]
 
 
 def plan_changes(tables: Tables, edits: tuple[Put | Delete, ...]) -> tuple[Change, ...]:
@@ -124,7 +136,9 @@
         ),
         pools=tuple(_pool_view(tables, name) for name in tables.objects[Kind.POOL]),
         out_of_service=tuple(
-            _vm_view(tables, row) for row in tables.vms.values() if not row.in_service
+            _vm_view(tables, row)
+            for row in tables.vms.values()
+            if not tables.takes_work(row)
         ),
         waves=tuple(
             WaveView(row.wave, row.pools, row.state, len(row.done))
@@ -174,3 +188,31 @@
         held=sum(tables.units.get(team, {}).values()),
         free=free_units(tables, team),
     )
+
+
+def zone_views(tables: Tables, tasks_by_vm: Mapping[VmId, int]) -> ZonesAnswer:
+    """Return the availability zones, by name.
+
+    :param tasks_by_vm: number of tasks that this node runs, by VM.
+    """
+    vms: Counter[Zone] = Counter()
+    running: Counter[Zone] = Counter()
+    for vm in tables.vms:
+        endpoint = tables.endpoint_of(vm)
+        if endpoint is not None:
+            vms[endpoint.zone] += 1
+            running[endpoint.zone] += tasks_by_vm.get(vm, 0)
+    return ZonesAnswer(
+        offset=tables.next_offset,
+        nodes=len(tables.live_nodes()),
+        counted=1,
+        zones=tuple(
+            ZoneView(
+                zone=zone,
+                vms=vms[zone],
+                running=running[zone],
+                evacuated=zone in (tables.evacuated_zones or ()),
+            )
+            for zone in known_zones(tables)
+        ),
+    )
--- a/tests/shell/test_operators.py
+++ b/tests/shell/test_operators.py
@@ -23,6 +23,7 @@
 from hickoryplank.external.errors import LogError
 from hickoryplank.operator_api import PREFIX, EditRequest
 from hickoryplank.shell.operator_history import OperatorHistory, operator_record_id
+from hickoryplank.shell.operator_views import zone_views
 from tests.core.builders import join_node, new_id, small_fleet, tables_with
 from tests.operator_fakes import (
     ENTRY,
@@ -64,7 +65,14 @@
 
 
 @pytest.mark.parametrize(
-    ("method", "path"), [("GET", "status"), ("POST", "edits"), ("POST", "waves/w")]
+    ("method", "path"),
+    [
+        ("GET", "status"),
+        ("POST", "edits"),
+        ("POST", "waves/w"),
+        ("GET", "zones"),
+        ("POST", "zones/talcahuano/evacuate"),
+    ],
 )
 @pytest.mark.parametrize("token", ["", "other", TOKEN + "x", "ø"])
 async def test_only_operators_are_served(replicated_state, method, path, token):
@@ -175,6 +183,63 @@
     assert row.pool == "spare"
 
 
+@pytest.mark.parametrize(
+    ("path", "body", "status", "detail", "evacuated"),
+    [
+        ("talcahuano/evacuate", b"", 200, "", [True, True, False]),
+        ("talcahuano/restore", b"{}", 200, "", [True, False, False]),
+        (
+            "penco/evacuate",
+            b"",
+            404,
+            "availability zone 'penco' has no VM",
+            [False] * 3,
+        ),
+        ("penco/restore", b"", 404, "expected one of: talcahuano", [True] * 3),
+        ("talcahuano/evacuate", b'{"vm":"x"}', 400, "unknown field `vm`", [False] * 3),
+    ],
+)
+async def test_zone_is_evacuated_and_restored_repeatedly(
+    replicated_state, path, body, status, detail, evacuated
+):
+    """A request is sent twice, before or after one that does the opposite."""
+    paths = [path, path, "talcahuano/restore"]
+    if path.endswith("restore"):
+        paths.insert(0, "talcahuano/evacuate")
+    found = []
+    for each in paths[:3]:
+        res = await ask(replicated_state, "POST", f"zones/{each}", body)
+        if each == path:
+            assert (res.status_code, detail in res.text) == (status, True), res.text
+        (view,) = (await ask(replicated_state, "GET", "zones")).json()["zones"]
+        assert (view["zone"], view["vms"]) == ("talcahuano", 6)
+        found.append(view["evacuated"])
+    assert found == evacuated
+
+
+async def test_repeated_zone_request_takes_effect_once(replicated_state):
+    async def post(action, key):
+        path = f"zones/talcahuano/{action}"
+        return (await ask(replicated_state, "POST", path, key=key)).json()["revision"]
+
+    first = await post("evacuate", "k")
+    await post("restore", "other")
+    assert await post("evacuate", "k") == first
+    assert not replicated_state.tables.is_evacuated("vm-0")
+    history = (await ask(replicated_state, "GET", "history")).json()["entries"]
+    assert [(entry["action"], *entry["summary"]) for entry in history] == [
+        ("zone", "zone talcahuano evacuated"),
+        ("zone", "zone talcahuano restored"),
+    ]
+
+
+async def test_zones_show_the_tasks_that_the_node_runs(replicated_state):
+    tasks_by_vm = {"vm-0": 2, "vm-5": 1, "gone": 4}
+    answer = zone_views(replicated_state.tables, tasks_by_vm)
+    (view,) = answer.zones
+    assert (view.zone, view.vms, view.running) == ("talcahuano", 6, 3)
+
+
 async def test_wave_allows_only_valid_transitions(replicated_state):
     async def post(action, wave="june", **more):
         body = msgspec.json.encode({"action": action, **more})
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -66,7 +66,9 @@
     return Cli(tmp_path, capsys)
 
 
-@pytest.mark.parametrize("command", [[], ["apply"], ["key", "create"], ["claims"]])
+@pytest.mark.parametrize(
+    "command", [[], ["apply"], ["key", "create"], ["claims"], ["zone"]]
+)
 def test_help(cli, snapshot, command):
     assert cli.run(*command, "--help") == snapshot
 
@@ -81,6 +83,12 @@
         ["key", "list"],
         ["wave", "start", "june", "rondas-norte"],
         ["drain", "vm-0", "--format", "json"],
+        ["zone", "list"],
+        ["zone", "list", "--format", "json"],
+        ["zone", "evacuate", "talcahuano"],
+        ["zone", "restore", "talcahuano", "--format", "json"],
+        ["zone", "evacuate", "penco"],
+        ["zone", "evacuate"],
     ],
 )
 def test_answers(cli, snapshot, argv):
@@ -107,6 +115,18 @@
     assert cli.run("status") == snapshot
 
 
+def test_evacuated_zone_is_shown_until_it_is_restored(cli, snapshot):
+    for _ in range(2):
+        assert cli.run("zone", "evacuate", "talcahuano")[0] == ExitCode.OK
+    for argv in (["zone", "list"], ["status"], ["move", "vm-0", "spare"]):
+        assert cli.run(*argv) == snapshot
+    cli.replicated_state.confirmed = {"entry-2": 1}
+    assert cli.run("zone", "restore", "talcahuano")[0] == ExitCode.PUBLISHED
+    cli.entries = [UNREACHABLE_ENTRY, ENTRY]
+    for argv in (["zone", "list"], ["history"]):
+        assert cli.run(*argv) == snapshot
+
+
 def test_faults_name_file_section_and_key(cli, snapshot):
     bad = cli.write_file("[limit rutas]\nunits = many\nunit = 3\n[pol x]\n", "bad.ini")
     refused = cli.write_file("[limit nobody]\nunits = 3\n[queue q]\npool = no\n")
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -2,12 +2,15 @@
 
 from benchmarks.figure import Figure
 from benchmarks.plots import draw, frontier, points
-from hickoryplank.core.ids import PoolId, TeamId
+from hickoryplank.core.ids import PoolId, TeamId, Zone
 from hickoryplank.operator_status import (
     PoolReport,
     ReportAnswer,
     TeamReport,
+    ZonesAnswer,
+    ZoneView,
     merge_reports,
+    merge_zones,
 )
 
 
@@ -27,6 +30,21 @@
     )
 
 
+def zones(offset: int, *rows: tuple[str, int, bool], counted: int = 1) -> ZonesAnswer:
+    views = tuple(
+        ZoneView(zone=Zone(name), vms=5, running=running, evacuated=evacuated)
+        for name, running, evacuated in rows
+    )
+    return ZonesAnswer(offset=offset, nodes=3, counted=counted, zones=views)
+
+
+def test_running_work_of_zones_adds_up_and_the_newest_answer_tells_the_rest():
+    behind = zones(8, ("near", 2, False), ("gone", 1, False))
+    newest = zones(9, ("far", 0, False), ("near", 3, True))
+    merged = merge_zones([behind, newest, zones(7, ("far", 4, True))])
+    assert merged == zones(9, ("far", 4, False), ("near", 5, True), counted=3)
+
+
 def test_frontier_holds_the_settings_that_no_other_beats(tmp_path):
     measured = {"a": (1, 9), "b": (2, 5), "c": (3, 6), "d": (4, 1)}
     figures = [
