--- a/hickoryplank/jobs/rebalancing.py
+++ b/hickoryplank/jobs/rebalancing.py
@@ -19,6 +19,8 @@
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.evacuation import uncordon
 from hickoryplank.jobs.ordering import worth_serving
+from hickoryplank.jobs.service_order import waiting_priorities
+from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.vms import (
     MaintenanceDue,
@@ -117,7 +119,7 @@
     _cancel_standby_moves(engine, vms, needs, standby)
     standby_vms = _standby_vms(engine, vms, standby)
     begun: list[VmOperation] = []
-    for need in sorted(needs, key=lambda one: one.vm_count - one.wanted):
+    for need in _in_order_of_need(engine, needs, now):
         while need.vm_count < need.wanted and len(begun) < max_moves:
             row = _take_surplus_vm(engine, needs, need)
             if row is None and standby_vms:
@@ -133,6 +135,24 @@
     return begun + _release_vms(engine, needs, standby, now, max_moves - len(begun))
 
 
+def _in_order_of_need(
+    engine: Engine, needs: list[_PoolNeed], now: float
+) -> list[_PoolNeed]:
+    """Return the pools in the order in which they get VMs, the largest lack first.
+
+    If the settings ask for the least cost in a shortage, the pool with the more urgent
+    waiting jobs goes first.
+    """
+    priorities: dict[PoolId, int] = {}
+    if engine.shortage_order is ShortageOrder.LEAST_COST:
+        priorities = waiting_priorities(engine, now)
+    lowest = max(priorities.values(), default=0) + 1
+    return sorted(
+        needs,
+        key=lambda one: (priorities.get(one.pool, lowest), one.vm_count - one.wanted),
+    )
+
+
 def _standby_vms(engine: Engine, vms: VmTable, standby: PoolId) -> list[VmRow]:
     """Return the VMs that may leave standby, those due for maintenance first."""
     rows = [
--- a/hickoryplank/jobs/service_order.py
+++ b/hickoryplank/jobs/service_order.py
@@ -37,6 +37,7 @@
     "remaining_work",
     "serve_order",
     "waiting_job",
+    "waiting_priorities",
     "waiting_work",
 ]
 
@@ -112,6 +113,18 @@
     return plan_service([*jobs, *others], supply, supply.pool_seconds(busy))
 
 
+def waiting_priorities(tables: EngineTables, now: float) -> dict[PoolId, int]:
+    """Return the most urgent priority of the jobs that wait in each pool."""
+    priorities: dict[PoolId, int] = {}
+    for row in tables.open_jobs.values():
+        terms = row.job.terms_in(tables.configuration)
+        if terms is None or not row.has_waiting or not is_planned(tables, row, now):
+            continue
+        pool = row.job.pool
+        priorities[pool] = min(terms.priority, priorities.get(pool, terms.priority))
+    return priorities
+
+
 def waiting_work(row: JobRow) -> Size:
     """Return the resources of the waiting tasks, times their run times in ms."""
     cpu = mem_mb = gpu = 0
--- a/tests/jobs/test_service_order.py
+++ b/tests/jobs/test_service_order.py
@@ -3,14 +3,15 @@
 import msgspec
 import pytest
 
-from hickoryplank.core.ids import JobId, PoolId
+from hickoryplank.core.ids import JobId, PoolId, QueueId
+from hickoryplank.jobs.configuration import Configuration
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.service_order import serve_order
 from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobRow
 from tests.jobs.driver import POOL, TASK, Driver, configuration, job
-from tests.jobs.fleet_play import FleetPlay, Turn, play_turns
+from tests.jobs.fleet_play import TEAM, FleetPlay, Turn, play_turns
 
 NORTH, COAST = PoolId("north"), PoolId("coast")
 SEEDS = (1, 2, 3)
@@ -119,6 +120,34 @@
     assert order_of(driver) == ["c", "b", "a"]
 
 
+@pytest.mark.parametrize(
+    "order, first",
+    [(ShortageOrder.DEADLINE, NORTH), (ShortageOrder.LEAST_COST, COAST)],
+)
+def test_the_only_vm_in_standby_goes_to_the_more_urgent_queue(order, first):
+    """The less urgent queue lacks more VMs."""
+    fleet = FleetPlay({NORTH: 3, COAST: 3}, standby=1, max_moves=1, order=order)
+    cfg = fleet.engine.configuration
+    queues = [
+        msgspec.structs.replace(queue, priority=1 if queue.pool == NORTH else 0)
+        for queue in cfg.queues.values()
+    ]
+    fleet.engine.configuration = Configuration.build(
+        2, queues, list(cfg.pools.values()), list(cfg.teams.values())
+    )
+    fleet.step()
+    for pool, count in ((NORTH, 100), (COAST, 60)):
+        step = Step(count, Size(2000, 4000, 0), 5000)
+        new = msgspec.structs.replace(
+            job(pool, step), queue=QueueId(pool), pool=pool, team=TEAM
+        )
+        fleet.engine.submit(new, fleet.now)
+    while not fleet.table.operations():
+        fleet.step()
+    (operation,) = fleet.table.operations()
+    assert operation.pool == first
+
+
 def weighty_configuration():
     """Return a configuration whose team may submit several jobs at once."""
     cfg = configuration(limit=Size())
