--- a/hickoryplank/jobs/service_order.py
+++ b/hickoryplank/jobs/service_order.py
@@ -68,9 +68,9 @@
         return sort_jobs(rows, tables.configuration, now)
     supply = pool_supply(tables, pool, endpoints)
     plan = pool_plan(tables, planned, endpoints, supply, now)
-    delayed = len(planned) - plan.in_time
-    if not delayed:
+    if not plan.put_back:
         return sort_jobs(rows, tables.configuration, now)
+    delayed = len(planned) - plan.in_time
     tables.shortages[pool] = PoolShortage(
         len(planned), delayed, max(plan.end_s.values())
     )
--- a/hickoryplank/jobs/shortage.py
+++ b/hickoryplank/jobs/shortage.py
@@ -144,11 +144,13 @@
 
     :param order: all jobs; first those that are expected to meet their objective.
     :param in_time: number of these.
+    :param put_back: number of the others that could have met it with enough room.
     :param end_s: when each job is expected to end, in seconds from now.
     """
 
     order: list[T]
     in_time: int
+    put_back: int
     end_s: dict[T, float]
 
 
@@ -216,6 +218,7 @@
     by_objective = sorted(jobs, key=lambda job: job.latest_end_s)
     in_time: _InTime[T] = _InTime(_least_large(by_objective))
     delayed: list[WaitingJob[T]] = []
+    put_back = 0
     load = busy_seconds
     for job in by_objective:
         if job.path_s > job.latest_end_s:
@@ -227,9 +230,12 @@
             cheapest = in_time.pop_cheapest()
             load -= cheapest.pool_seconds
             delayed.append(cheapest)
+            put_back += 1
     position = {job.key: number for number, job in enumerate(jobs)}
     delayed.sort(key=lambda job: (job.delay_rank, position[job.key]))
-    return _with_ends(in_time.jobs(), delayed, supply, busy_seconds)
+    first = in_time.jobs()
+    ends = _ends(first + delayed, supply, busy_seconds)
+    return ServicePlan([*ends], len(first), put_back, ends)
 
 
 def _least_large(jobs: list[WaitingJob[T]]) -> float:
@@ -242,15 +248,13 @@
     return sizes[count - 1] if count else float("inf")
 
 
-def _with_ends(
-    first: list[WaitingJob[T]],
-    delayed: list[WaitingJob[T]],
-    supply: PoolSupply,
-    busy_seconds: float,
-) -> ServicePlan[T]:
+def _ends(
+    jobs: list[WaitingJob[T]], supply: PoolSupply, busy_seconds: float
+) -> dict[T, float]:
+    """Return when jobs that are served in this order end, in seconds from now."""
     load = busy_seconds
     end_s: dict[T, float] = {}
-    for job in first + delayed:
+    for job in jobs:
         load += job.pool_seconds
         end_s[job.key] = max(job.path_s, supply.ends_after_s(load))
-    return ServicePlan([job.key for job in first + delayed], len(first), end_s)
+    return end_s
