check finds entries that can never match, contradicting limits, and differences

Cause: `check` reported errors only. A set in which a limit lets no run start, a team has no queue or a second spare pool is never used was "58 objects" like any other, and what differs from the version in force had to be asked for by `plan`.

Both examples have no findings.

Ruled out: differences whenever an entry is named, as `check` has never asked one, also where a client file or alias names it (test_examples_are_consistent runs it so); keys missing from files as a finding, as they are created by command; a pool without endpoints where a spare pool is, as planned moves fill it; limits above all slots.

--- a/hickoryplank/cli/edit_commands.py
+++ b/hickoryplank/cli/edit_commands.py
@@ -1,4 +1,4 @@
-"""Commands on objects: check, plan, apply, get, history and key."""
+"""Commands on objects: plan, apply, get, history and key."""
 
 from argparse import Namespace
 from collections.abc import Callable
@@ -13,7 +13,6 @@
     ExitCode,
     OutputFormat,
     error_result,
-    fault_lines,
     invalid_input_result,
     query_result,
     render,
@@ -26,12 +25,9 @@
     published_tables,
 )
 from hickoryplank.client import ClientError, Session
-from hickoryplank.core.edits import check_edits
-from hickoryplank.core.errors import FaultCode
-from hickoryplank.core.ids import KeyId, OperatorId, RecordId, TeamId
+from hickoryplank.core.ids import KeyId, TeamId
 from hickoryplank.core.objects import Kind, ref_of
-from hickoryplank.core.records import EditSet, Put
-from hickoryplank.core.tables import Tables
+from hickoryplank.core.records import Put
 from hickoryplank.ini import (
     IniFault,
     ObjectFile,
@@ -43,7 +39,6 @@
 
 __all__ = [
     "apply",
-    "check",
     "get",
     "history",
     "key_create",
@@ -51,15 +46,10 @@
     "key_withdraw",
     "plan",
     "published_result",
+    "read_object_set",
     "with_session",
 ]
 
-_FLEET_STATE_FAULT_CODES = {
-    FaultCode.MISSING_REFERENCE,
-    FaultCode.CONFLICT,
-    FaultCode.BUDGET,
-}
-
 
 def with_session(
     args: Namespace, command: Callable[[Session], CommandResult]
@@ -100,7 +90,8 @@
     return ExitCode.OK if in_force else ExitCode.PUBLISHED
 
 
-def _read_object_set(paths: list[str]) -> Result[ObjectSet, tuple[IniFault, ...]]:
+def read_object_set(paths: list[str]) -> Result[ObjectSet, tuple[IniFault, ...]]:
+    """Parse object files into one set, or return the faults of all of them."""
     files, faults = [], []
     for path in paths:
         try:
@@ -111,37 +102,6 @@
     return Err((*faults, *(parsed.err() or ()))) if faults else parsed
 
 
-def check(args: Namespace) -> CommandResult:
-    """Validate object files without contacting an entry."""
-    match _read_object_set(args.files):
-        case Err(faults):
-            return invalid_input_result(faults)
-        case Ok(objects):
-            return _check_object_set(args, objects)
-
-
-def _check_object_set(args: Namespace, objects: ObjectSet) -> CommandResult:
-    edit_set = EditSet(
-        id=RecordId("check"),
-        operator=OperatorId("check"),
-        base=client.empty_fleet_base(objects.edits),
-        edits=objects.edits,
-    )
-    faults = check_edits(Tables(), edit_set)
-    uncertain_faults = [
-        f for f in faults if f.code in _FLEET_STATE_FAULT_CODES and not args.complete
-    ]
-    certain_faults = [fault for fault in faults if fault not in uncertain_faults]
-    notes = ""
-    if uncertain_faults:
-        notes = "depends on the objects in force (check with plan):\n"
-        notes += fault_lines(uncertain_faults, objects.files)
-    errors = fault_lines(certain_faults, objects.files) + notes
-    if certain_faults:
-        return CommandResult(ExitCode.REFUSED, errors=errors)
-    return CommandResult(ExitCode.OK, f"{len(objects.edits)} objects\n", errors)
-
-
 def plan(args: Namespace) -> CommandResult:
     """Show the changes that object files would make."""
     return _with_object_set(
@@ -176,7 +136,7 @@
 def _with_object_set(
     args: Namespace, command: Callable[[Session, ObjectSet], CommandResult]
 ) -> CommandResult:
-    match _read_object_set(args.files):
+    match read_object_set(args.files):
         case Err(faults):
             return invalid_input_result(faults)
         case Ok(objects):
--- a/hickoryplank/cli/output.py
+++ b/hickoryplank/cli/output.py
@@ -40,6 +40,7 @@
     PUBLISHED = 4
     UNKNOWN = 5
     NOT_OPERATOR = 6
+    FINDINGS = 7
     INTERRUPTED = 130
 
 
--- a/hickoryplank/cli/parser.py
+++ b/hickoryplank/cli/parser.py
@@ -4,7 +4,7 @@
 from argparse import ArgumentParser
 from collections.abc import Callable
 
-from hickoryplank.cli import edit_commands, fleet_commands, node_commands
+from hickoryplank.cli import check_command, edit_commands, fleet_commands, node_commands
 from hickoryplank.cli.output import CommandResult, OutputFormat
 from hickoryplank.core.objects import Kind
 from hickoryplank.operator_api import WaveAction
@@ -31,6 +31,7 @@
   4  published, but not yet in force on every node
   5  unknown outcome; check with 'history' before repeating the command
   6  the entry does not accept the operator's token
+  7  no errors, but 'check' has findings
 """
 
 CommandFunction = Callable[[argparse.Namespace], CommandResult]
@@ -123,14 +124,19 @@
 
 
 def _add_edit_commands(commands) -> None:
-    help_text = "validate object files without contacting an entry"
-    check = _add_command(commands, "check", edit_commands.check, help_text)
+    help_text = "check object files before they are sent"
+    check = _add_command(commands, "check", check_command.check, help_text)
     check.add_argument("files", nargs="+", metavar="FILE")
     check.add_argument(
         "--complete",
         action="store_true",
         help="treat the files as the whole configuration, ignoring objects in force",
     )
+    check.add_argument(
+        "--diff",
+        action="store_true",
+        help="ask an entry what differs from the objects in force",
+    )
     help_text = "show the changes that object files would make"
     plan = _add_command(commands, "plan", edit_commands.plan, help_text)
     plan.add_argument("files", nargs="+", metavar="FILE")
--- a/hickoryplank/cli/tables.py
+++ b/hickoryplank/cli/tables.py
@@ -1,7 +1,10 @@
 """Tables for the messages of the operator API."""
 
+from collections.abc import Iterable
 from datetime import UTC, datetime
 
+from msgspec import structs
+
 from hickoryplank.cli.output import Table
 from hickoryplank.core.objects import ref_of
 from hickoryplank.core.tables import NodeState
@@ -23,6 +26,7 @@
 )
 
 __all__ = [
+    "change_tables",
     "claim_tables",
     "history_tables",
     "key_tables",
@@ -30,6 +34,7 @@
     "plan_tables",
     "published_tables",
     "report_tables",
+    "shorten_digests",
     "status_tables",
     "zone_tables",
 ]
@@ -65,7 +70,12 @@
 
 def plan_tables(answer: PlanAnswer) -> list[Table]:
     """Return a table of planned changes, one row per field."""
-    rows = tuple(row for change in answer.changes for row in _change_rows(change))
+    return change_tables(answer.changes)
+
+
+def change_tables(changes: Iterable[Change]) -> list[Table]:
+    """Return a table of changes, one row per field."""
+    rows = tuple(row for change in changes for row in _change_rows(change))
     return [Table(("CHANGE", "OBJECT", "FIELD", "OLD", "NEW"), rows)]
 
 
@@ -84,6 +94,19 @@
     ]
 
 
+def shorten_digests(change: Change) -> Change:
+    """Return ``change`` with each digest cut to a distinguishing prefix."""
+    fields = tuple(
+        structs.replace(
+            each,
+            old=each.old and _shorten_digest(each.key, each.old),
+            new=each.new and _shorten_digest(each.key, each.new),
+        )
+        for each in change.fields
+    )
+    return structs.replace(change, fields=fields)
+
+
 def _shorten_digest(key: str, text: str | None) -> str:
     """Return the text of a field; a digest is cut to a distinguishing prefix."""
     return (text or "")[:_DIGEST_DIGITS] if key == "digest" else text or ""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -67,7 +67,7 @@
 
 
 @pytest.mark.parametrize(
-    "command", [[], ["apply"], ["key", "create"], ["claims"], ["zone"]]
+    "command", [[], ["apply"], ["key", "create"], ["claims"], ["zone"], ["check"]]
 )
 def test_help(cli, snapshot, command):
     assert cli.run(*command, "--help") == snapshot
@@ -136,6 +136,63 @@
     assert cli.run("plan", "no-such-file")[0] == ExitCode.USAGE
 
 
+FINDINGS = "[limit rutas]\nunits = 0\n[pool costa]\n[queue q]\npool = costa\n"
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        [],
+        ["--format", "json"],
+        ["--diff"],
+        ["--diff", "--format", "json"],
+        ["--complete"],
+    ],
+)
+def test_check_shows_findings(cli, snapshot, options):
+    assert cli.run("check", *options, cli.write_file(FINDINGS)) == snapshot
+    assert cli.replicated_state.offset == 1
+
+
+def test_check_shows_differences_without_digests(cli, snapshot):
+    digest = "123456789abc" + "d" * 52
+    text = f"[key rutas-1]\nteam = rutas\ndigest = {digest}\n[key b]\n"
+    text += f"team = rutas\ndigest = {'e' * 64}\n[delete pool spare]\n"
+    file = cli.write_file(text)
+    for output in ("table", "json"):
+        result = cli.run("check", "--diff", file, "--format", output)
+        assert result == snapshot
+        assert digest not in result[1] and "0" * 13 not in result[1]
+
+
+def test_check_of_a_whole_configuration_lists_what_the_files_leave_out(cli):
+    lines = cli.run("get", "--format", "ini")[1].split("\n\n")
+    whole = [part for part in lines if not part.startswith("[pool spare]")]
+    file = cli.write_file("\n\n".join(whole).replace("units = 8", "units = 30"))
+    code, out, err = cli.run("check", "--complete", "--diff", "--format", "json", file)
+    report = msgspec.json.decode(out)
+    assert (code, err, report["findings"]) == (ExitCode.OK, "", [])
+    assert report["only_in_force"] == [{"kind": "pool", "name": "spare"}]
+    assert [change["ref"]["name"] for change in report["changes"]] == ["rutas"]
+    file = cli.write_file("\n\n".join(whole))
+    code, out, err = cli.run("check", "--complete", file)
+    assert (code, err) == (ExitCode.FINDINGS, "")
+    assert "share_above_limit" in out
+
+
+def test_check_with_faults_refuses_and_needs_an_entry_only_for_differences(cli):
+    refused = cli.write_file(FINDINGS + "[limit nobody]\nunits = 3\n")
+    code, out, err = cli.run("check", "--diff", refused)
+    assert (code, out) == (ExitCode.REFUSED, "")
+    assert "DIR/edit.ini: [limit nobody] name: " in err
+    cli.entries = [UNREACHABLE_ENTRY]
+    assert cli.run("check", refused)[0] == ExitCode.FINDINGS
+    assert cli.run("check", "--diff", refused)[0] == ExitCode.UNREACHABLE
+    clean = cli.write_file("[pool costa]\n")
+    assert cli.run("check", clean) == (ExitCode.OK, "1 objects\n", "")
+    assert main(["check", "--diff", clean]) == ExitCode.USAGE
+
+
 @pytest.mark.parametrize("example", EXAMPLES)
 def test_examples_are_consistent(cli, example):
     assert cli.run("check", "--complete", example) == (ExitCode.OK, "58 objects\n", "")
