The plan no longer divides by zero for a pool without any room

Cause: with no present CPU, work of 0 s compared as done "before" VMs join, and was divided by the present fraction of 0. A job whose only steps fill counts for none, so a pool whose endpoints lasting jobs take up wholly, or one without endpoints, raised ZeroDivisionError in the tick, or in the answer to a submission. Change: the comparison is strict; at equality both sides give the same time. Ruled out: a special case for an empty pool, as one full of lasting work has it too. Test: test_a_pool_without_room_plans_jobs_without_work, both rows red on the old code.

--- a/hickoryplank/jobs/shortage.py
+++ b/hickoryplank/jobs/shortage.py
@@ -104,7 +104,7 @@
         total = self.total.cpu
         fraction = self.present.cpu / total if total > 0 else 0.0
         done_before = fraction * self.join_s
-        if pool_seconds <= done_before:
+        if pool_seconds < done_before:
             return pool_seconds / fraction
         return self.join_s + pool_seconds - done_before
 
--- a/tests/jobs/test_shortage.py
+++ b/tests/jobs/test_shortage.py
@@ -136,3 +136,9 @@
         if load > job.latest_end_s:
             return False
     return True
+
+
+@pytest.mark.parametrize("supply", [PoolSupply(Size(0)), PoolSupply(Size(0), Size(9))])
+def test_a_pool_without_room_plans_jobs_without_work(supply):
+    plan = plan_service([waiting("a", 2.0, 0.0)], supply, busy_seconds=0.0)
+    assert plan.order == ["a"]
