A job that its pool can never serve no longer disturbs the others' plan

Cause: a job that needs a resource of which the pool has none has infinite work. It put back every less urgent job, and the load was NaN once it was itself taken out, so that the plan held all later jobs for in time. Jobs after it in the order never ended, and the time to return was computed from that: each submission to the pool failed with ValueError or OverflowError while no endpoint had room, also if the fleet had no VM for the pool at all. Change: such a job is delayed and takes no room; one without an expected end is accepted and waits, as docs/design/admission.md says. Ruled out: refusing it with the longest time to return, as nothing says that there is room then.

--- a/hickoryplank/jobs/admission.py
+++ b/hickoryplank/jobs/admission.py
@@ -192,7 +192,8 @@
     others = [one for one in expected if one.key != own.key]
     plan = pool_plan(tables, rows, usable, supply, now, [*others, own])
     end_s = plan.end_s[own.key]
-    if end_s <= patience:
+    # Without an end there is no time to tell: the room that it needs isn't there at all.
+    if end_s <= patience or math.isinf(end_s):
         return None
     begin_s = end_s - max(own.path_s, own.pool_seconds)
     again_s = min(MAX_RETURN_SECONDS, max(1, math.ceil(begin_s)))
--- a/hickoryplank/jobs/shortage.py
+++ b/hickoryplank/jobs/shortage.py
@@ -14,6 +14,7 @@
 """
 
 import heapq
+import math
 from collections.abc import Iterable
 from enum import Enum
 from typing import Generic, TypeVar
@@ -116,7 +117,8 @@
     :param priority: 0 is delayed last.
     :param latest_end_s: time until its objective; negative if that has passed.
     :param path_s: length of its critical path from here.
-    :param pool_seconds: room that its waiting tasks need; see ``PoolSupply``.
+    :param pool_seconds: room that its waiting tasks need; see ``PoolSupply``. Infinite
+        if the pool has none of a resource.
     :param waited_s: time for which its caller has waited.
     :param objective_s: time within which its caller expects the end.
     """
@@ -129,6 +131,11 @@
     waited_s: float
     objective_s: float
 
+    @property
+    def is_servable(self) -> bool:
+        """Whether the pool has some of each resource that the job needs."""
+        return math.isfinite(self.pool_seconds)
+
     @property
     def delay_rank(self) -> tuple[int, float]:
         """Sort key of the jobs, those first whose delay costs callers most.
@@ -221,7 +228,7 @@
     put_back = 0
     load = busy_seconds
     for job in by_objective:
-        if job.path_s > job.latest_end_s:
+        if job.path_s > job.latest_end_s or not job.is_servable:
             delayed.append(job)
             continue
         in_time.add(job)
@@ -251,10 +258,16 @@
 def _ends(
     jobs: list[WaitingJob[T]], supply: PoolSupply, busy_seconds: float
 ) -> dict[T, float]:
-    """Return when jobs that are served in this order end, in seconds from now."""
+    """Return when jobs that are served in this order end, in seconds from now.
+
+    A job that the pool can't serve never ends, and takes no room from others.
+    """
     load = busy_seconds
     end_s: dict[T, float] = {}
     for job in jobs:
+        if not job.is_servable:
+            end_s[job.key] = math.inf
+            continue
         load += job.pool_seconds
         end_s[job.key] = max(job.path_s, supply.ends_after_s(load))
     return end_s
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -6,10 +6,12 @@
 import msgspec
 import pytest
 
-from hickoryplank.core.ids import EndpointId, JobId, PoolId
+from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId
 from hickoryplank.jobs.admission import MAX_RETURN_SECONDS, RETURN_TOLERANCE_SECONDS
+from hickoryplank.jobs.configuration import QueueTerms
 from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.shortage import ShortageOrder
+from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.vm_supply import VmSupply
 from tests.jobs.driver import CAPACITY, TASK, Driver, job
 from tests.jobs.fleet_play import FleetPlay, Turn, arrivals_of, play_turns
@@ -151,3 +153,42 @@
     assert refused
     assert all(JobId(id) in fleet.engine.jobs for id in refused)
     assert not fleet.engine.open_jobs
+
+
+WITH_GPU = Step(1, Size(1000, 1000, 1), 1000)
+
+
+def less_urgent(id: str, step: Step) -> Job:
+    return msgspec.structs.replace(
+        job(id, step), queue=QueueId("other"), terms=QueueTerms(priority=1)
+    )
+
+
+@pytest.mark.parametrize(
+    "backlog, refused",
+    [(Step(24, TASK, 1000), False), (HOPELESS_BACKLOG, True)],
+)
+def test_a_job_that_the_pool_can_never_serve_keeps_no_other_out(backlog, refused):
+    """Neither is a job refused for it, nor does the time to return depend on it."""
+    driver = loaded_driver(backlog)
+    driver.engine.submit(job("gpu", WITH_GPU), driver.now)
+    driver.step()
+    refusal = driver.engine.refusal(less_urgent("a", SMALL), driver.now)
+    assert (refusal is not None) is refused
+    if refusal is not None:
+        assert refusal.expected_s < 60
+        assert 1 <= refusal.again_s <= MAX_RETURN_SECONDS
+
+
+def test_a_job_that_the_pool_can_never_serve_waits_as_if_none_were_refused():
+    driver = loaded_driver()
+    assert driver.engine.refusal(job("gpu", WITH_GPU), driver.now) is None
+
+
+def test_a_job_is_accepted_while_the_fleet_has_no_vm_for_its_pool():
+    """When VMs come is unknown then, so that no time could be told."""
+    driver = Driver(count=0, cfg=weighty_configuration())
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    driver.engine.vm_supply = VmSupply({}, Size())
+    driver.step()
+    assert driver.engine.refusal(job("a", SMALL), driver.now) is None
--- a/tests/jobs/test_shortage.py
+++ b/tests/jobs/test_shortage.py
@@ -142,3 +142,18 @@
 def test_a_pool_without_room_plans_jobs_without_work(supply):
     plan = plan_service([waiting("a", 2.0, 0.0)], supply, busy_seconds=0.0)
     assert plan.order == ["a"]
+
+
+def test_a_job_that_the_pool_has_no_room_for_takes_none_from_others():
+    """Its priority is the highest, and others exceed the room without it."""
+    jobs = [
+        waiting("never", 1.0, float("inf")),
+        waiting("s1", 1.1, 0.5, priority=1),
+        waiting("s2", 1.2, 0.5, priority=1),
+        waiting("s3", 1.2, 0.5, priority=1),
+    ]
+    plan = plan_service(jobs, SUPPLY, busy_seconds=0.0)
+    assert plan.in_time == 2
+    assert plan.put_back == 1
+    assert plan.end_s["never"] == float("inf")
+    assert max(plan.end_s[key] for key in ("s1", "s2", "s3")) == pytest.approx(1.5)
