--- a/hickoryplank/jobs/admission.py
+++ b/hickoryplank/jobs/admission.py
@@ -192,7 +192,7 @@
     others = [one for one in expected if one.key != own.key]
     plan = pool_plan(tables, rows, usable, supply, now, [*others, own])
     end_s = plan.end_s[own.key]
-    # Without an end there is no time to tell: the room that it needs isn't there at all.
+    # Without an end there is no time to tell, as the pool hasn't got what it needs.
     if end_s <= patience or math.isinf(end_s):
         return None
     begin_s = end_s - max(own.path_s, own.pool_seconds)
