Large jobs are no longer spared at the cost of more urgent ones

Cause: the least share of the largest tenth was kept whatever their priority, so that a long job of the least urgent queue displaced look-ups of the most urgent one. Change: the share holds only against jobs that are no more urgent. Ruled out: a share for each priority, as the rule on sizes is for a kind of request, and those of a kind have one priority. Test: test_the_largest_jobs_are_not_spared_at_the_cost_of_more_urgent_ones, red on the old code (a job of 3 s of priority 1 before 18 of 1 s of priority 0).

--- a/hickoryplank/jobs/shortage.py
+++ b/hickoryplank/jobs/shortage.py
@@ -10,7 +10,7 @@
 time that its caller has waited (after Moore and Hodgson's rule for the least number of
 late jobs). Delayed jobs are served after the others, cheapest first. A job counts for
 less work the longer it waits, and the largest tenth has a least share of its own, so
-that large jobs are not put off for ever.
+that large jobs are not put off for ever by others that are no more urgent.
 """
 
 import heapq
@@ -165,7 +165,7 @@
     """Jobs taken up so far, from which the cheapest to delay is taken out again.
 
     The largest jobs would always be the cheapest to delay. They are passed over while
-    too small a part of them is left.
+    too small a part of them is left, but not for more urgent ones.
 
     :param large: least room that one of the largest jobs needs, in pool seconds.
     """
@@ -194,7 +194,7 @@
         large, others = self._heaps[True], self._heaps[False]
         if not large or not others:
             heap = large or others
-        elif self._spares_large():
+        elif large[0][0] >= others[0][0] and self._spares_large():
             heap = others
         else:
             heap = min(large, others, key=lambda one: one[0])
--- a/tests/jobs/test_service_order.py
+++ b/tests/jobs/test_service_order.py
@@ -4,9 +4,9 @@
 import pytest
 
 from hickoryplank.core.ids import JobId, PoolId, QueueId
-from hickoryplank.jobs.configuration import Configuration
-from hickoryplank.jobs.model import Step
-from hickoryplank.jobs.service_order import serve_order
+from hickoryplank.jobs.configuration import Configuration, QueueTerms
+from hickoryplank.jobs.model import Job, Step
+from hickoryplank.jobs.service_order import serve_order, waiting_priorities
 from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobRow
@@ -156,3 +156,24 @@
         for id, team in cfg.teams.items()
     }
     return msgspec.structs.replace(cfg, teams=teams)
+
+
+def less_urgent(id: str, step: Step) -> Job:
+    return msgspec.structs.replace(
+        job(id, step), queue=QueueId("other"), terms=QueueTerms(priority=1)
+    )
+
+
+def test_the_largest_jobs_are_not_spared_at_the_cost_of_more_urgent_ones():
+    driver = Driver(count=1, cfg=weighty_configuration())
+    driver.step()
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    terms = QueueTerms(priority=1, slack_ms=600)
+    for number in range(2):
+        large = less_urgent(f"large{number}", Step(3, TASK, 1000))
+        large = msgspec.structs.replace(large, terms=terms)
+        driver.engine.submit(large, driver.now)
+    urgent = [f"s{number}" for number in range(18)]
+    for id in urgent:
+        driver.engine.submit(job(id, Step(1, TASK, 1000)), driver.now)
+    assert order_of(driver)[: len(urgent)] == urgent
