Pools with waiting lasting jobs get VMs by the priority of these

Cause: only jobs of the plan counted towards the urgency of a pool, and lasting ones are served before the plan. A pool whose lasting tasks had no room came after every pool with some waiting job, however little urgent. Change: waiting lasting jobs count with their priority. Ruled out: putting them before every priority, as a least urgent service would then take the VMs of the most urgent queue. Test: test_pools_with_waiting_lasting_jobs_are_as_urgent_as_these, red on the old code.

--- a/hickoryplank/jobs/service_order.py
+++ b/hickoryplank/jobs/service_order.py
@@ -118,7 +118,9 @@
     priorities: dict[PoolId, int] = {}
     for row in tables.open_jobs.values():
         terms = row.job.terms_in(tables.configuration)
-        if terms is None or not row.has_waiting or not is_planned(tables, row, now):
+        if terms is None or not row.has_waiting:
+            continue
+        if not row.lasting and not is_planned(tables, row, now):
             continue
         pool = row.job.pool
         priorities[pool] = min(terms.priority, priorities.get(pool, terms.priority))
--- a/tests/jobs/test_service_order.py
+++ b/tests/jobs/test_service_order.py
@@ -177,3 +177,12 @@
     for id in urgent:
         driver.engine.submit(job(id, Step(1, TASK, 1000)), driver.now)
     assert order_of(driver)[: len(urgent)] == urgent
+
+
+def test_pools_with_waiting_lasting_jobs_are_as_urgent_as_these():
+    driver = Driver(count=1, cfg=weighty_configuration())
+    driver.step()
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    driver.engine.submit(job("l", Step(12, TASK, lasting=True)), driver.now)
+    driver.step()
+    assert waiting_priorities(driver.engine, driver.now) == {POOL: 0}
