Callers that come back when told to are served first also once they are late

Cause: a returned job only had the most urgent priority in the plan. Once it couldn't meet its objective it was behind all newcomers that could, whose load the plan counts without it, and where the plan put nobody back it was served as a newcomer. Change: returned jobs go after lasting ones and before all others, and the plan counts their work before that of the others. The special priority goes. Ruled out: only putting late ones first, as a newcomer could then go before a returned job that is still in time and make it late. Tests: test_a_caller_that_came_back_is_served_before_newcomers_also_once_it_is_late was red on the old code; test_callers_that_returned_are_planned_before_all_others is of the new parameter.

--- a/hickoryplank/jobs/service_order.py
+++ b/hickoryplank/jobs/service_order.py
@@ -3,7 +3,8 @@
 Lasting jobs come first, then the jobs of callers within the share of their team, then
 what teams hand in beyond their share, and last jobs for which no caller is likely to
 wait any more. ``ShortageOrder`` decides among the second while the pool has too little
-room.
+room. Of these, the jobs of callers that were refused and came back when told to are
+served before the others, also if they are late: a caller is put off only once.
 """
 
 from collections.abc import Iterable
@@ -44,9 +45,6 @@
 #: Time until a VM that is on its way into a pool takes work, in seconds: about the
 #: duration of a move.
 JOIN_SECONDS = 1.7
-#: Priority of a job whose caller came back at the time that it had been told; it goes
-#: before every priority of the configuration.
-RETURNED_PRIORITY = -1
 
 
 def serve_order(
@@ -63,6 +61,23 @@
     """
     if tables.shortage_order is not ShortageOrder.LEAST_COST:
         return sort_jobs(rows, tables.configuration, now)
+    rows = _least_cost_order(tables, pool, rows, endpoints, now)
+    returned = [row for row in rows if row.returned and is_planned(tables, row, now)]
+    if not returned:
+        return rows
+    lasting = [row for row in rows if row.lasting]
+    first = {row.job.id for row in lasting + returned}
+    return lasting + returned + [row for row in rows if row.job.id not in first]
+
+
+def _least_cost_order(
+    tables: EngineTables,
+    pool: PoolId,
+    rows: list[JobRow],
+    endpoints: list[Endpoint],
+    now: float,
+) -> list[JobRow]:
+    """Return the order by the plan if that puts a job back, else by the objectives."""
     planned = [row for row in rows if is_planned(tables, row, now)]
     if not _lacks_room(planned, endpoints):
         return sort_jobs(rows, tables.configuration, now)
@@ -186,12 +201,13 @@
     objective = objective_s(row, terms)
     return WaitingJob(
         key=row.job.id,
-        priority=RETURNED_PRIORITY if row.returned else terms.priority,
+        priority=terms.priority,
         latest_end_s=asked_at + objective - now,
         path_s=remaining_path_s(row),
         pool_seconds=supply.pool_seconds(waiting_work(row)),
         waited_s=now - asked_at,
         objective_s=objective,
+        returned=row.returned,
     )
 
 
--- a/hickoryplank/jobs/shortage.py
+++ b/hickoryplank/jobs/shortage.py
@@ -8,7 +8,8 @@
 earliest first, and whenever the room doesn't suffice for those taken up, the one is
 delayed whose delay costs callers least, by its priority, its remaining work and the
 time that its caller has waited (after Moore and Hodgson's rule for the least number of
-late jobs). Delayed jobs are served after the others, cheapest first. A job counts for
+late jobs). Delayed jobs are served after the others, cheapest first. Callers that were
+refused and came back when told to are served before all others. A job counts for
 less work the longer it waits, and the largest tenth has a least share of its own, so
 that large jobs are not put off for ever by others that are no more urgent.
 """
@@ -121,6 +122,7 @@
         if the pool has none of a resource.
     :param waited_s: time for which its caller has waited.
     :param objective_s: time within which its caller expects the end.
+    :param returned: its caller was refused, and came back when told to.
     """
 
     key: T
@@ -130,6 +132,7 @@
     pool_seconds: float
     waited_s: float
     objective_s: float
+    returned: bool = False
 
     @property
     def is_servable(self) -> bool:
@@ -149,8 +152,9 @@
 class ServicePlan(msgspec.Struct, Generic[T], frozen=True):
     """Order of service of the jobs of a pool.
 
-    :param order: all jobs; first those that are expected to meet their objective.
-    :param in_time: number of these.
+    :param order: all jobs; first those of callers that returned, then the others that
+        are expected to meet their objective.
+    :param in_time: number of all jobs that are expected to meet it.
     :param put_back: number of the others that could have met it with enough room.
     :param end_s: when each job is expected to end, in seconds from now.
     """
@@ -223,11 +227,14 @@
     """
     jobs = list(jobs)
     by_objective = sorted(jobs, key=lambda job: job.latest_end_s)
+    returned = [job for job in by_objective if job.returned and job.is_servable]
     in_time: _InTime[T] = _InTime(_least_large(by_objective))
     delayed: list[WaitingJob[T]] = []
     put_back = 0
-    load = busy_seconds
+    load = busy_seconds + sum(job.pool_seconds for job in returned)
     for job in by_objective:
+        if job.returned and job.is_servable:
+            continue
         if job.path_s > job.latest_end_s or not job.is_servable:
             delayed.append(job)
             continue
@@ -241,8 +248,9 @@
     position = {job.key: number for number, job in enumerate(jobs)}
     delayed.sort(key=lambda job: (job.delay_rank, position[job.key]))
     first = in_time.jobs()
-    ends = _ends(first + delayed, supply, busy_seconds)
-    return ServicePlan([*ends], len(first), put_back, ends)
+    ends = _ends(returned + first + delayed, supply, busy_seconds)
+    returned_in_time = sum(ends[job.key] <= job.latest_end_s for job in returned)
+    return ServicePlan([*ends], returned_in_time + len(first), put_back, ends)
 
 
 def _least_large(jobs: list[WaitingJob[T]]) -> float:
--- a/tests/jobs/test_service_order.py
+++ b/tests/jobs/test_service_order.py
@@ -179,6 +179,18 @@
     assert order_of(driver)[: len(urgent)] == urgent
 
 
+def test_a_caller_that_came_back_is_served_before_newcomers_also_once_it_is_late():
+    driver = Driver(count=1, cfg=weighty_configuration())
+    driver.step()
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    back = driver.engine.submit(job("back", Step(12, TASK, 1000)), driver.now)
+    back.returned = True
+    driver.now += 2.0
+    for number in range(6):
+        driver.engine.submit(job(f"s{number}", Step(2, TASK, 1000)), driver.now)
+    assert order_of(driver)[0] == "back"
+
+
 def test_pools_with_waiting_lasting_jobs_are_as_urgent_as_these():
     driver = Driver(count=1, cfg=weighty_configuration())
     driver.step()
--- a/tests/jobs/test_shortage.py
+++ b/tests/jobs/test_shortage.py
@@ -157,3 +157,12 @@
     assert plan.put_back == 1
     assert plan.end_s["never"] == float("inf")
     assert max(plan.end_s[key] for key in ("s1", "s2", "s3")) == pytest.approx(1.5)
+
+
+def test_callers_that_returned_are_planned_before_all_others():
+    back = WaitingJob("back", 1, 1.0, 0.1, 2.0, 0.0, 1.0, returned=True)
+    jobs = [waiting("s1", 1.0, 0.5), back, waiting("s2", 2.6, 0.5)]
+    plan = plan_service(jobs, SUPPLY, busy_seconds=0.0)
+    assert plan.order == ["back", "s2", "s1"]
+    assert (plan.in_time, plan.put_back) == (1, 1)
+    assert plan.end_s == pytest.approx({"back": 2.0, "s2": 2.5, "s1": 3.0})
