Refused jobs count towards the share of their team when first handed in

Cause: a refused job counted only on its return, when the share could be used up: a caller that came back in its time was then served after all others. A team that floods a queue, on the other hand, was promised room for each of its jobs. Change: the share is asked on the first refusal, and no more on the return. Beyond it a time is told, but no return is expected. The page says what is done. Ruled out: waiving the share of returned jobs, as a flood would then go before the other teams' jobs by coming back. Tests: test_the_share_of_a_team_counts_a_refused_job_only_when_it_is_first_handed_in and test_no_time_is_kept_free_for_a_job_beyond_the_share_of_its_team, red on the old code.

--- a/hickoryplank/jobs/admission.py
+++ b/hickoryplank/jobs/admission.py
@@ -8,6 +8,10 @@
 Nothing is refused while that isn't certain: the forecast counts every VM that the pool
 could get, and is only made once the VM list has been read and each endpoint of the pool
 has reported, or failed to. Lasting and timed jobs are never refused.
+
+A refused job counts towards the share of its team when it is first handed in, and not
+again on its return. Beyond the share, callers are told a time too, but no room is kept
+for them, and they are newcomers when they come back.
 """
 
 import math
@@ -87,6 +91,10 @@
     def __init__(self) -> None:
         self._returns: dict[JobId, _Return] = {}
 
+    def expects(self, job: JobId) -> bool:
+        """Return whether a caller was told to return and hasn't."""
+        return job in self._returns
+
     def is_due(self, job: JobId, now: float) -> bool:
         """Return whether a caller that comes now has come back at its time."""
         known = self._returns.get(job)
@@ -197,10 +205,16 @@
         return None
     begin_s = end_s - max(own.path_s, own.pool_seconds)
     again_s = min(MAX_RETURN_SECONDS, max(1, math.ceil(begin_s)))
-    admissions.note_refusal(own, pool, again_s, now)
+    if admissions.expects(row.job.id) or _is_within_share(tables, row.job, now):
+        admissions.note_refusal(own, pool, again_s, now)
     return Refusal(again_s, end_s, patience, plan.order.index(own.key))
 
 
+def _is_within_share(tables: EngineTables, job: Job, now: float) -> bool:
+    """Count a job towards the share of its team, and return whether it is within it."""
+    return tables.rate_limiter.take_token(job.team, tables.configuration, now)
+
+
 def _largest_supply(
     tables: EngineTables, pool: PoolId, usable: list[Endpoint]
 ) -> PoolSupply:
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -109,7 +109,8 @@
     def _note_arrival(self, row: JobRow) -> None:
         """Count a job towards the share of its team and the load of its pool."""
         job = row.job
-        row.over_share = not self.rate_limiter.take_token(
+        # A returned job was counted when it was first handed in.
+        row.over_share = not row.returned and not self.rate_limiter.take_token(
             job.team, self.configuration, row.accepted_at
         )
         if not row.over_share and not job.lasting and not job.repeats:
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -13,7 +13,7 @@
 from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.vm_supply import VmSupply
-from tests.jobs.driver import CAPACITY, TASK, Driver, job
+from tests.jobs.driver import CAPACITY, TASK, TEAM, Driver, job
 from tests.jobs.fleet_play import FleetPlay, Turn, arrivals_of, play_turns
 from tests.jobs.test_service_order import weighty_configuration
 
@@ -192,3 +192,27 @@
     driver.engine.vm_supply = VmSupply({}, Size())
     driver.step()
     assert driver.engine.refusal(job("a", SMALL), driver.now) is None
+
+
+def spend_share(driver: Driver) -> None:
+    """Let the team hand in what it may at once."""
+    while driver.engine.rate_limiter.take_token(TEAM, driver.cfg, driver.now):
+        pass
+
+
+def test_the_share_of_a_team_counts_a_refused_job_only_when_it_is_first_handed_in():
+    driver = loaded_driver()
+    big = job("a", Step(160, TASK, 1000))
+    refusal = driver.engine.refusal(big, driver.now)
+    driver.now += refusal.again_s
+    spend_share(driver)
+    assert not driver.engine.submit(big, driver.now).over_share
+
+
+def test_no_time_is_kept_free_for_a_job_beyond_the_share_of_its_team():
+    driver = loaded_driver()
+    spend_share(driver)
+    big = job("a", Step(160, TASK, 1000))
+    refusal = driver.engine.refusal(big, driver.now)
+    assert refusal is not None
+    assert not driver.engine.submit(big, driver.now + refusal.again_s).returned
