Runs on lost endpoints no longer hide idle VMs from the forecast

Cause: the room that a pool could get is the VMs that are up, outside evacuated zones, less what other pools use. The latter included runs on VMs that aren't among the former: on silent endpoints until their leases end, and in evacuated zones. After the loss of busy VMs elsewhere, jobs were refused beside VMs that could have come in time. Change: these runs are left out. A silent endpoint whose VM is up counts as idle, which only makes refusals rarer. Test: test_runs_on_lost_endpoints_of_other_pools_take_no_idle_vms_away, red for both kinds of loss on the old code.

--- a/hickoryplank/jobs/admission.py
+++ b/hickoryplank/jobs/admission.py
@@ -218,13 +218,18 @@
 def _largest_supply(
     tables: EngineTables, pool: PoolId, usable: list[Endpoint]
 ) -> PoolSupply:
-    """Return the room of a pool if it got every VM that no other pool uses."""
+    """Return the room of a pool if it got every VM that no other pool uses.
+
+    Runs on endpoints that are silent or evacuated take nothing from it, as their VMs may
+    be down, and are not counted in the supply then.
+    """
     present = own = used_elsewhere = ZERO
     for endpoint in usable:
         present = present.plus(endpoint.listing.capacity.minus(endpoint.lasting_used))
         own = own.plus(endpoint.listing.capacity)
     for endpoint in tables.endpoints.values():
-        if endpoint.listing.pool != pool:
+        lost = endpoint.silent_since is not None or endpoint.in_evacuated_zone
+        if endpoint.listing.pool != pool and not lost:
             used_elsewhere = used_elsewhere.plus(endpoint.used)
     assert tables.vm_supply is not None
     joining = tables.vm_supply.total.minus(own).minus(used_elsewhere)
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -6,10 +6,11 @@
 import msgspec
 import pytest
 
-from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId
+from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId, Zone
 from hickoryplank.jobs.admission import MAX_RETURN_SECONDS, RETURN_TOLERANCE_SECONDS
 from hickoryplank.jobs.configuration import QueueTerms
-from hickoryplank.jobs.model import Job, Step
+from hickoryplank.jobs.endpoints import Endpoint, Run
+from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.vm_supply import VmSupply
@@ -216,3 +217,28 @@
     refusal = driver.engine.refusal(big, driver.now)
     assert refusal is not None
     assert not driver.engine.submit(big, driver.now + refusal.again_s).returned
+
+
+def busy_endpoint_elsewhere(driver: Driver) -> Endpoint:
+    """List an endpoint of another pool that is wholly in use."""
+    listed = driver.listing_of(EndpointId("x"), 1)
+    listed = msgspec.structs.replace(listed, pool=PoolId("other"), zone=Zone("far"))
+    driver.engine.update_listing(listed, driver.now)
+    endpoint = driver.engine.endpoints[EndpointId("x")]
+    key = TaskKey(JobId("other"), 0, 0, 0)
+    endpoint.add(Run(key, 1, Step(1, CAPACITY, 1000), TEAM, endpoint))
+    return endpoint
+
+
+@pytest.mark.parametrize("lost", ["no", "silent", "evacuated"])
+def test_runs_on_lost_endpoints_of_other_pools_take_no_idle_vms_away(lost):
+    """Their VMs aren't among those that are up, or take no work at all."""
+    backlog = Step(60, TASK, 1000)
+    driver = loaded_driver(backlog, vms=2)
+    endpoint = busy_endpoint_elsewhere(driver)
+    if lost == "silent":
+        endpoint.silent_since = driver.now
+    elif lost == "evacuated":
+        driver.evacuate_zones(Zone("far"))
+    refusal = driver.engine.refusal(less_urgent("a", SMALL), driver.now)
+    assert (refusal is not None) is (lost == "no")
