A refused caller that asks again early is told the same time

Cause: each refusal replaced the time at which the caller was expected by that of a new forecast. A caller whose answer was lost, or that asked early, was told a later time for each cheaper job since, and one that asked every few seconds never came back "at its time". admission.md said that the time is told again. Change: while a caller is expected, its time stands. Ruled out: telling an earlier time if there is one, as a caller that knows only the first time would then be too late. Test: test_a_caller_that_asks_again_too_early_is_told_no_later_time, red on the old code (30 s where 10 s were left).

--- a/hickoryplank/jobs/admission.py
+++ b/hickoryplank/jobs/admission.py
@@ -91,9 +91,10 @@
     def __init__(self) -> None:
         self._returns: dict[JobId, _Return] = {}
 
-    def expects(self, job: JobId) -> bool:
-        """Return whether a caller was told to return and hasn't."""
-        return job in self._returns
+    def returns_in_s(self, job: JobId, now: float) -> float | None:
+        """Return when a caller is expected, in seconds from now, if it is at all."""
+        known = self._returns.get(job)
+        return known.at - now if known is not None else None
 
     def is_due(self, job: JobId, now: float) -> bool:
         """Return whether a caller that comes now has come back at its time."""
@@ -205,7 +206,10 @@
         return None
     begin_s = end_s - max(own.path_s, own.pool_seconds)
     again_s = min(MAX_RETURN_SECONDS, max(1, math.ceil(begin_s)))
-    if admissions.expects(row.job.id) or _is_within_share(tables, row.job, now):
+    told_s = admissions.returns_in_s(row.job.id, now)
+    if told_s is not None:
+        again_s = max(1, math.ceil(told_s))
+    if told_s is not None or _is_within_share(tables, row.job, now):
         admissions.note_refusal(own, pool, again_s, now)
     return Refusal(again_s, end_s, patience, plan.order.index(own.key))
 
@@ -220,8 +224,8 @@
 ) -> PoolSupply:
     """Return the room of a pool if it got every VM that no other pool uses.
 
-    Runs on endpoints that are silent or evacuated take nothing from it, as their VMs may
-    be down, and are not counted in the supply then.
+    Runs on endpoints that are silent or evacuated take nothing from it, as their VMs
+    may be down, and are not counted in the supply then.
     """
     present = own = used_elsewhere = ZERO
     for endpoint in usable:
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -242,3 +242,17 @@
         driver.evacuate_zones(Zone("far"))
     refusal = driver.engine.refusal(less_urgent("a", SMALL), driver.now)
     assert (refusal is not None) is (lost == "no")
+
+
+def test_a_caller_that_asks_again_too_early_is_told_no_later_time():
+    driver = loaded_driver(Step(40, TASK, 1000))
+    big = job("a", Step(40, TASK, 1000))
+    first = driver.engine.refusal(big, driver.now)
+    driver.now += 2.0
+    for number in range(3):
+        newcomer = job(f"n{number}", Step(20, TASK, 1000))
+        driver.engine.refusal(newcomer, driver.now)
+    second = driver.engine.refusal(big, driver.now)
+    assert second.again_s == first.again_s - 2
+    back_at = driver.now + second.again_s
+    assert driver.engine.submit(big, back_at).returned
