--- a/hickoryplank/jobs/admission.py
+++ b/hickoryplank/jobs/admission.py
@@ -8,6 +8,10 @@
 Nothing is refused while that isn't certain: the forecast counts every VM that the pool
 could get, and is only made once the VM list has been read and each endpoint of the pool
 has reported, or failed to. Lasting and timed jobs are never refused.
+
+A refused job counts towards the share of its team when it is first handed in, and not
+again on its return. Beyond the share, callers are told a time too, but no room is kept
+for them, and they are newcomers when they come back.
 """
 
 import math
@@ -87,6 +91,11 @@
     def __init__(self) -> None:
         self._returns: dict[JobId, _Return] = {}
 
+    def returns_in_s(self, job: JobId, now: float) -> float | None:
+        """Return when a caller is expected, in seconds from now, if it is at all."""
+        known = self._returns.get(job)
+        return known.at - now if known is not None else None
+
     def is_due(self, job: JobId, now: float) -> bool:
         """Return whether a caller that comes now has come back at its time."""
         known = self._returns.get(job)
@@ -192,24 +201,39 @@
     others = [one for one in expected if one.key != own.key]
     plan = pool_plan(tables, rows, usable, supply, now, [*others, own])
     end_s = plan.end_s[own.key]
-    if end_s <= patience:
+    # Without an end there is no time to tell, as the pool hasn't got what it needs.
+    if end_s <= patience or math.isinf(end_s):
         return None
     begin_s = end_s - max(own.path_s, own.pool_seconds)
     again_s = min(MAX_RETURN_SECONDS, max(1, math.ceil(begin_s)))
-    admissions.note_refusal(own, pool, again_s, now)
+    told_s = admissions.returns_in_s(row.job.id, now)
+    if told_s is not None:
+        again_s = max(1, math.ceil(told_s))
+    if told_s is not None or _is_within_share(tables, row.job, now):
+        admissions.note_refusal(own, pool, again_s, now)
     return Refusal(again_s, end_s, patience, plan.order.index(own.key))
 
 
+def _is_within_share(tables: EngineTables, job: Job, now: float) -> bool:
+    """Count a job towards the share of its team, and return whether it is within it."""
+    return tables.rate_limiter.take_token(job.team, tables.configuration, now)
+
+
 def _largest_supply(
     tables: EngineTables, pool: PoolId, usable: list[Endpoint]
 ) -> PoolSupply:
-    """Return the room of a pool if it got every VM that no other pool uses."""
+    """Return the room of a pool if it got every VM that no other pool uses.
+
+    Runs on endpoints that are silent or evacuated take nothing from it, as their VMs
+    may be down, and are not counted in the supply then.
+    """
     present = own = used_elsewhere = ZERO
     for endpoint in usable:
         present = present.plus(endpoint.listing.capacity.minus(endpoint.lasting_used))
         own = own.plus(endpoint.listing.capacity)
     for endpoint in tables.endpoints.values():
-        if endpoint.listing.pool != pool:
+        lost = endpoint.silent_since is not None or endpoint.in_evacuated_zone
+        if endpoint.listing.pool != pool and not lost:
             used_elsewhere = used_elsewhere.plus(endpoint.used)
     assert tables.vm_supply is not None
     joining = tables.vm_supply.total.minus(own).minus(used_elsewhere)
--- a/hickoryplank/jobs/shortage.py
+++ b/hickoryplank/jobs/shortage.py
@@ -8,12 +8,14 @@
 earliest first, and whenever the room doesn't suffice for those taken up, the one is
 delayed whose delay costs callers least, by its priority, its remaining work and the
 time that its caller has waited (after Moore and Hodgson's rule for the least number of
-late jobs). Delayed jobs are served after the others, cheapest first. A job counts for
+late jobs). Delayed jobs are served after the others, cheapest first. Callers that were
+refused and came back when told to are served before all others. A job counts for
 less work the longer it waits, and the largest tenth has a least share of its own, so
-that large jobs are not put off for ever.
+that large jobs are not put off for ever by others that are no more urgent.
 """
 
 import heapq
+import math
 from collections.abc import Iterable
 from enum import Enum
 from typing import Generic, TypeVar
@@ -104,7 +106,7 @@
         total = self.total.cpu
         fraction = self.present.cpu / total if total > 0 else 0.0
         done_before = fraction * self.join_s
-        if pool_seconds <= done_before:
+        if pool_seconds < done_before:
             return pool_seconds / fraction
         return self.join_s + pool_seconds - done_before
 
@@ -116,9 +118,11 @@
     :param priority: 0 is delayed last.
     :param latest_end_s: time until its objective; negative if that has passed.
     :param path_s: length of its critical path from here.
-    :param pool_seconds: room that its waiting tasks need; see ``PoolSupply``.
+    :param pool_seconds: room that its waiting tasks need; see ``PoolSupply``. Infinite
+        if the pool has none of a resource.
     :param waited_s: time for which its caller has waited.
     :param objective_s: time within which its caller expects the end.
+    :param returned: its caller was refused, and came back when told to.
     """
 
     key: T
@@ -128,6 +132,12 @@
     pool_seconds: float
     waited_s: float
     objective_s: float
+    returned: bool = False
+
+    @property
+    def is_servable(self) -> bool:
+        """Whether the pool has some of each resource that the job needs."""
+        return math.isfinite(self.pool_seconds)
 
     @property
     def delay_rank(self) -> tuple[int, float]:
@@ -142,8 +152,9 @@
 class ServicePlan(msgspec.Struct, Generic[T], frozen=True):
     """Order of service of the jobs of a pool.
 
-    :param order: all jobs; first those that are expected to meet their objective.
-    :param in_time: number of these.
+    :param order: all jobs; first those of callers that returned, then the others that
+        are expected to meet their objective.
+    :param in_time: number of all jobs that are expected to meet it.
     :param put_back: number of the others that could have met it with enough room.
     :param end_s: when each job is expected to end, in seconds from now.
     """
@@ -158,7 +169,7 @@
     """Jobs taken up so far, from which the cheapest to delay is taken out again.
 
     The largest jobs would always be the cheapest to delay. They are passed over while
-    too small a part of them is left.
+    too small a part of them is left, but not for more urgent ones.
 
     :param large: least room that one of the largest jobs needs, in pool seconds.
     """
@@ -187,7 +198,7 @@
         large, others = self._heaps[True], self._heaps[False]
         if not large or not others:
             heap = large or others
-        elif self._spares_large():
+        elif large[0][0] >= others[0][0] and self._spares_large():
             heap = others
         else:
             heap = min(large, others, key=lambda one: one[0])
@@ -216,12 +227,15 @@
     """
     jobs = list(jobs)
     by_objective = sorted(jobs, key=lambda job: job.latest_end_s)
+    returned = [job for job in by_objective if job.returned and job.is_servable]
     in_time: _InTime[T] = _InTime(_least_large(by_objective))
     delayed: list[WaitingJob[T]] = []
     put_back = 0
-    load = busy_seconds
+    load = busy_seconds + sum(job.pool_seconds for job in returned)
     for job in by_objective:
-        if job.path_s > job.latest_end_s:
+        if job.returned and job.is_servable:
+            continue
+        if job.path_s > job.latest_end_s or not job.is_servable:
             delayed.append(job)
             continue
         in_time.add(job)
@@ -234,8 +248,9 @@
     position = {job.key: number for number, job in enumerate(jobs)}
     delayed.sort(key=lambda job: (job.delay_rank, position[job.key]))
     first = in_time.jobs()
-    ends = _ends(first + delayed, supply, busy_seconds)
-    return ServicePlan([*ends], len(first), put_back, ends)
+    ends = _ends(returned + first + delayed, supply, busy_seconds)
+    returned_in_time = sum(ends[job.key] <= job.latest_end_s for job in returned)
+    return ServicePlan([*ends], returned_in_time + len(first), put_back, ends)
 
 
 def _least_large(jobs: list[WaitingJob[T]]) -> float:
@@ -251,10 +266,16 @@
 def _ends(
     jobs: list[WaitingJob[T]], supply: PoolSupply, busy_seconds: float
 ) -> dict[T, float]:
-    """Return when jobs that are served in this order end, in seconds from now."""
+    """Return when jobs that are served in this order end, in seconds from now.
+
+    A job that the pool can't serve never ends, and takes no room from others.
+    """
     load = busy_seconds
     end_s: dict[T, float] = {}
     for job in jobs:
+        if not job.is_servable:
+            end_s[job.key] = math.inf
+            continue
         load += job.pool_seconds
         end_s[job.key] = max(job.path_s, supply.ends_after_s(load))
     return end_s
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -6,12 +6,15 @@
 import msgspec
 import pytest
 
-from hickoryplank.core.ids import EndpointId, JobId, PoolId
+from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId, Zone
 from hickoryplank.jobs.admission import MAX_RETURN_SECONDS, RETURN_TOLERANCE_SECONDS
-from hickoryplank.jobs.model import Job, Step
+from hickoryplank.jobs.configuration import QueueTerms
+from hickoryplank.jobs.endpoints import Endpoint, Run
+from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.shortage import ShortageOrder
+from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.vm_supply import VmSupply
-from tests.jobs.driver import CAPACITY, TASK, Driver, job
+from tests.jobs.driver import CAPACITY, TASK, TEAM, Driver, job
 from tests.jobs.fleet_play import FleetPlay, Turn, arrivals_of, play_turns
 from tests.jobs.test_service_order import weighty_configuration
 
@@ -151,3 +154,105 @@
     assert refused
     assert all(JobId(id) in fleet.engine.jobs for id in refused)
     assert not fleet.engine.open_jobs
+
+
+WITH_GPU = Step(1, Size(1000, 1000, 1), 1000)
+
+
+def less_urgent(id: str, step: Step) -> Job:
+    return msgspec.structs.replace(
+        job(id, step), queue=QueueId("other"), terms=QueueTerms(priority=1)
+    )
+
+
+@pytest.mark.parametrize(
+    "backlog, refused",
+    [(Step(24, TASK, 1000), False), (HOPELESS_BACKLOG, True)],
+)
+def test_a_job_that_the_pool_can_never_serve_keeps_no_other_out(backlog, refused):
+    """Neither is a job refused for it, nor does the time to return depend on it."""
+    driver = loaded_driver(backlog)
+    driver.engine.submit(job("gpu", WITH_GPU), driver.now)
+    driver.step()
+    refusal = driver.engine.refusal(less_urgent("a", SMALL), driver.now)
+    assert (refusal is not None) is refused
+    if refusal is not None:
+        assert refusal.expected_s < 60
+        assert 1 <= refusal.again_s <= MAX_RETURN_SECONDS
+
+
+def test_a_job_that_the_pool_can_never_serve_waits_as_if_none_were_refused():
+    driver = loaded_driver()
+    assert driver.engine.refusal(job("gpu", WITH_GPU), driver.now) is None
+
+
+def test_a_job_is_accepted_while_the_fleet_has_no_vm_for_its_pool():
+    """When VMs come is unknown then, so that no time could be told."""
+    driver = Driver(count=0, cfg=weighty_configuration())
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    driver.engine.vm_supply = VmSupply({}, Size())
+    driver.step()
+    assert driver.engine.refusal(job("a", SMALL), driver.now) is None
+
+
+def spend_share(driver: Driver) -> None:
+    """Let the team hand in what it may at once."""
+    while driver.engine.rate_limiter.take_token(TEAM, driver.cfg, driver.now):
+        pass
+
+
+def test_the_share_of_a_team_counts_a_refused_job_only_when_it_is_first_handed_in():
+    driver = loaded_driver()
+    big = job("a", Step(160, TASK, 1000))
+    refusal = driver.engine.refusal(big, driver.now)
+    driver.now += refusal.again_s
+    spend_share(driver)
+    assert not driver.engine.submit(big, driver.now).over_share
+
+
+def test_no_time_is_kept_free_for_a_job_beyond_the_share_of_its_team():
+    driver = loaded_driver()
+    spend_share(driver)
+    big = job("a", Step(160, TASK, 1000))
+    refusal = driver.engine.refusal(big, driver.now)
+    assert refusal is not None
+    assert not driver.engine.submit(big, driver.now + refusal.again_s).returned
+
+
+def busy_endpoint_elsewhere(driver: Driver) -> Endpoint:
+    """List an endpoint of another pool that is wholly in use."""
+    listed = driver.listing_of(EndpointId("x"), 1)
+    listed = msgspec.structs.replace(listed, pool=PoolId("other"), zone=Zone("far"))
+    driver.engine.update_listing(listed, driver.now)
+    endpoint = driver.engine.endpoints[EndpointId("x")]
+    key = TaskKey(JobId("other"), 0, 0, 0)
+    endpoint.add(Run(key, 1, Step(1, CAPACITY, 1000), TEAM, endpoint))
+    return endpoint
+
+
+@pytest.mark.parametrize("lost", ["no", "silent", "evacuated"])
+def test_runs_on_lost_endpoints_of_other_pools_take_no_idle_vms_away(lost):
+    """Their VMs aren't among those that are up, or take no work at all."""
+    backlog = Step(60, TASK, 1000)
+    driver = loaded_driver(backlog, vms=2)
+    endpoint = busy_endpoint_elsewhere(driver)
+    if lost == "silent":
+        endpoint.silent_since = driver.now
+    elif lost == "evacuated":
+        driver.evacuate_zones(Zone("far"))
+    refusal = driver.engine.refusal(less_urgent("a", SMALL), driver.now)
+    assert (refusal is not None) is (lost == "no")
+
+
+def test_a_caller_that_asks_again_too_early_is_told_no_later_time():
+    driver = loaded_driver(Step(40, TASK, 1000))
+    big = job("a", Step(40, TASK, 1000))
+    first = driver.engine.refusal(big, driver.now)
+    driver.now += 2.0
+    for number in range(3):
+        newcomer = job(f"n{number}", Step(20, TASK, 1000))
+        driver.engine.refusal(newcomer, driver.now)
+    second = driver.engine.refusal(big, driver.now)
+    assert second.again_s == first.again_s - 2
+    back_at = driver.now + second.again_s
+    assert driver.engine.submit(big, back_at).returned
--- a/tests/jobs/test_service_order.py
+++ b/tests/jobs/test_service_order.py
@@ -4,9 +4,9 @@
 import pytest
 
 from hickoryplank.core.ids import JobId, PoolId, QueueId
-from hickoryplank.jobs.configuration import Configuration
-from hickoryplank.jobs.model import Step
-from hickoryplank.jobs.service_order import serve_order
+from hickoryplank.jobs.configuration import Configuration, QueueTerms
+from hickoryplank.jobs.model import Job, Step
+from hickoryplank.jobs.service_order import serve_order, waiting_priorities
 from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobRow
@@ -156,3 +156,45 @@
         for id, team in cfg.teams.items()
     }
     return msgspec.structs.replace(cfg, teams=teams)
+
+
+def less_urgent(id: str, step: Step) -> Job:
+    return msgspec.structs.replace(
+        job(id, step), queue=QueueId("other"), terms=QueueTerms(priority=1)
+    )
+
+
+def test_the_largest_jobs_are_not_spared_at_the_cost_of_more_urgent_ones():
+    driver = Driver(count=1, cfg=weighty_configuration())
+    driver.step()
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    terms = QueueTerms(priority=1, slack_ms=600)
+    for number in range(2):
+        large = less_urgent(f"large{number}", Step(3, TASK, 1000))
+        large = msgspec.structs.replace(large, terms=terms)
+        driver.engine.submit(large, driver.now)
+    urgent = [f"s{number}" for number in range(18)]
+    for id in urgent:
+        driver.engine.submit(job(id, Step(1, TASK, 1000)), driver.now)
+    assert order_of(driver)[: len(urgent)] == urgent
+
+
+def test_a_caller_that_came_back_is_served_before_newcomers_also_once_it_is_late():
+    driver = Driver(count=1, cfg=weighty_configuration())
+    driver.step()
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    back = driver.engine.submit(job("back", Step(12, TASK, 1000)), driver.now)
+    back.returned = True
+    driver.now += 2.0
+    for number in range(6):
+        driver.engine.submit(job(f"s{number}", Step(2, TASK, 1000)), driver.now)
+    assert order_of(driver)[0] == "back"
+
+
+def test_pools_with_waiting_lasting_jobs_are_as_urgent_as_these():
+    driver = Driver(count=1, cfg=weighty_configuration())
+    driver.step()
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    driver.engine.submit(job("l", Step(12, TASK, lasting=True)), driver.now)
+    driver.step()
+    assert waiting_priorities(driver.engine, driver.now) == {POOL: 0}
--- a/tests/jobs/test_shortage.py
+++ b/tests/jobs/test_shortage.py
@@ -136,3 +136,33 @@
         if load > job.latest_end_s:
             return False
     return True
+
+
+@pytest.mark.parametrize("supply", [PoolSupply(Size(0)), PoolSupply(Size(0), Size(9))])
+def test_a_pool_without_room_plans_jobs_without_work(supply):
+    plan = plan_service([waiting("a", 2.0, 0.0)], supply, busy_seconds=0.0)
+    assert plan.order == ["a"]
+
+
+def test_a_job_that_the_pool_has_no_room_for_takes_none_from_others():
+    """Its priority is the highest, and others exceed the room without it."""
+    jobs = [
+        waiting("never", 1.0, float("inf")),
+        waiting("s1", 1.1, 0.5, priority=1),
+        waiting("s2", 1.2, 0.5, priority=1),
+        waiting("s3", 1.2, 0.5, priority=1),
+    ]
+    plan = plan_service(jobs, SUPPLY, busy_seconds=0.0)
+    assert plan.in_time == 2
+    assert plan.put_back == 1
+    assert plan.end_s["never"] == float("inf")
+    assert max(plan.end_s[key] for key in ("s1", "s2", "s3")) == pytest.approx(1.5)
+
+
+def test_callers_that_returned_are_planned_before_all_others():
+    back = WaitingJob("back", 1, 1.0, 0.1, 2.0, 0.0, 1.0, returned=True)
+    jobs = [waiting("s1", 1.0, 0.5), back, waiting("s2", 2.6, 0.5)]
+    plan = plan_service(jobs, SUPPLY, busy_seconds=0.0)
+    assert plan.order == ["back", "s2", "s1"]
+    assert (plan.in_time, plan.put_back) == (1, 1)
+    assert plan.end_s == pytest.approx({"back": 2.0, "s2": 2.5, "s1": 3.0})
