Apply the last end of an occurrence whose steps its run's close discards

Cause: _apply_end closes the run first. Closing the last run of an occurrence of a timed job whose tasks are all done discards its steps, which _apply_end then looked up by key (KeyError in the poll loop, which ends the term, and each next one by the same end). All tasks of a gang are done with the first member's end, so that each timed gang met it. So did a task without a gang of which two runs ended `done`, and in both cases a second end `failed`, by _task_failed.

Change: the step is looked up before the run is closed, and handed on. A run that fails after its task was done by another no longer counts as a failure of the job. The job is stored once its occurrence is discarded, as the end is acknowledged after that.

Related paths: give_up_run and requeue look a step up only for tasks that are not done; evacuation only for lasting ones, which are never done; stored assignments and current runs keep their occurrence; _stop_unassigned_run uses the job's own step. None needs a change.

--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -217,7 +217,11 @@
         return task if task is not None and task.run is run else None
 
     def close_run(self, run: Run) -> None:
-        """Remove a run that is known to have ended, and free its resources."""
+        """Remove a run that is known to have ended, and free its resources.
+
+        This may discard the steps of its occurrence, so that they can't be looked up by
+        the key of the run any more.
+        """
         if run.endpoint.runs.get(run.run_key) is not run:
             return
         run.endpoint.remove(run)
@@ -227,7 +231,10 @@
         if task is not None:
             task.run = None
             task.working = False
-            self.jobs[run.key.job].discard_occurrence_if_ended(run.key.occurrence)
+            row = self.jobs[run.key.job]
+            if row.discard_occurrence_if_ended(run.key.occurrence):
+                # The stored state still names the run, whose end is acknowledged next.
+                self.mark_dirty(row)
 
     def give_up_run(self, run: Run, reason: str) -> None:
         """Close a run whose end will not be reported; its task waits again."""
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -14,7 +14,7 @@
     StartOutcome,
 )
 from hickoryplank.jobs.stalls import note_progress, restart_if_stalled
-from hickoryplank.jobs.table import JobRow, JobState, Task, TaskState
+from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task, TaskState
 
 __all__ = [
     "poll_answered",
@@ -231,26 +231,29 @@
     row = tables.jobs.get(end.key.job)
     task = row.task(end.key) if row is not None else None
     current = task is not None and task.run is run and run is not None
+    # Closing the last run of an occurrence of a timed job discards its steps.
+    step = row.step_of(task.key) if row is not None and task is not None else None
     if run is not None:
         tables.close_run(run)
-    if row is None or task is None:
+    if row is None or task is None or step is None:
         return
     tables.note_begun(row)
     if end.checkpoint and current:
         task.checkpoint = end.checkpoint
-    if end.kind is EndKind.DONE and not _is_lasting(row, end):
+    if end.kind is EndKind.DONE and not step.step.lasting:
         endpoint.note_success()
-        _task_done(tables, row, task, now)
+        _task_done(tables, row, step, task, now)
     elif current:
         tables.add_event(EngineEventKind.ENDED, run, end.kind.value)
-        if end.kind is EndKind.FAILED:
-            _task_failed(tables, endpoint, row, task, now)
+        if end.kind is EndKind.FAILED and task.state is not TaskState.DONE:
+            _task_failed(tables, endpoint, row, step, task, now)
         if task.state is TaskState.ACTIVE:
             tables.requeue(row, task)
 
 
-def _task_done(tables: EngineTables, row: JobRow, task: Task, now: float) -> None:
-    step = row.step_of(task.key)
+def _task_done(
+    tables: EngineTables, row: JobRow, step: StepRow, task: Task, now: float
+) -> None:
     members = step.tasks if step.step.gang else [task]
     for one in members:
         if one.state is TaskState.DONE:
@@ -267,9 +270,13 @@
 
 
 def _task_failed(
-    tables: EngineTables, endpoint: Endpoint, row: JobRow, task: Task, now: float
+    tables: EngineTables,
+    endpoint: Endpoint,
+    row: JobRow,
+    step: StepRow,
+    task: Task,
+    now: float,
 ) -> None:
-    step = row.step_of(task.key)
     tables.mark_dirty(row)
     task.failures += 1
     task.failed_on |= {endpoint.id}
@@ -369,8 +376,3 @@
     """
     if run.fenced_at is None:
         run.fenced_at = now
-
-
-def _is_lasting(row: JobRow, end: End) -> bool:
-    """Return whether the run that ended was one of a lasting task."""
-    return row.step_of(end.key).step.lasting
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -215,19 +215,22 @@
                 unbegun += tasks_each
             self.next_occurrence += 1
 
-    def discard_occurrence_if_ended(self, occurrence: int) -> None:
+    def discard_occurrence_if_ended(self, occurrence: int) -> bool:
         """Discard the steps of an occurrence of a timed job once nothing is left to do.
 
         A job that runs once keeps them until it is dropped as a whole.
+
+        :return: whether they were discarded.
         """
         rows = self.steps.get(occurrence) if self.job.repeats else None
         if rows is None or any(row.remaining for row in rows):
-            return
+            return False
         tasks = (task for row in rows for task in row.tasks)
         if any(task.run or task.stored_assignment for task in tasks):
-            return
+            return False
         del self.steps[occurrence]
         self.ended_occurrences.add(occurrence)
+        return True
 
     def task(self, key: TaskKey) -> Task | None:
         """Return the task with the given key, if the job has one.
--- a/tests/jobs/test_timed_jobs.py
+++ b/tests/jobs/test_timed_jobs.py
@@ -7,12 +7,12 @@
 import pytest
 
 from hickoryplank.core.ids import EndpointId, JobId
-from hickoryplank.jobs.messages import RunningTask
+from hickoryplank.jobs.messages import End, EndKind, PollReport, RunningTask
 from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.records import Record, RecordFault, apply_state, encode_state
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobRow, JobState
-from tests.jobs.driver import POOL, QUEUE, TASK, TEAM, Driver
+from tests.jobs.driver import POOL, QUEUE, TASK, TEAM, Driver, configuration, job
 
 #: A job that runs each minute for ten years.
 TEN_YEARS = 10 * 365 * 24 * 60
@@ -140,3 +140,84 @@
     value = msgspec.msgpack.encode(("running", [], ranges))
     fault = apply_state(JobRow(timed, 0.0), Record("s:a", value))
     assert isinstance(fault, RecordFault)
+
+
+def play_ends(
+    driver: Driver, job_id: str, ends: list[tuple[str, int, EndKind]]
+) -> None:
+    """Report the ends of tasks of the first step, in the given order.
+
+    :param ends: endpoint, index of the task, and how its run ended.
+    """
+    for id, index, kind in ends:
+        endpoint = driver.engine.endpoints[EndpointId(id)]
+        key = TaskKey(JobId(job_id), 0, 0, index)
+        number = endpoint.last_end_number + 1
+        report = PollReport(
+            endpoint.listing.born_ms,
+            endpoint.clock_ms,
+            (),
+            (End(number, key, 1, kind, ""),),
+            may_have_more_ends=True,
+        )
+        driver.engine.poll_answered(endpoint, report, driver.now, driver.now)
+
+
+# Guards against an end that is applied to steps that its own run's close has discarded,
+# which ended each coordinator in turn (review case 6).
+@pytest.mark.parametrize("last", list(EndKind))
+@pytest.mark.parametrize("repeats", [1, 2])
+def test_the_last_end_of_a_gang_of_a_timed_job_is_applied(repeats: int, last: EndKind):
+    driver = Driver()
+    step = Step(2, TASK, gang=True, max_per_endpoint=1)
+    timed = timed_job("a", step, repeats=repeats, first_ms=100_000)
+    row = driver.engine.submit(timed, driver.now)
+    driver.step()
+    assert {len(one.running) for one in driver.endpoints.values()} == {1}
+    first, second = (task.run.endpoint.id for task in row.steps[0][0].tasks)
+    play_ends(driver, "a", [(first, 0, EndKind.DONE), (second, 1, last)])
+    assert 0 in row.ended_occurrences
+    assert row.complete is (repeats == 1)
+    assert row.state is (JobState.COMPLETED if repeats == 1 else JobState.RUNNING)
+    assert not any(one.runs for one in driver.engine.endpoints.values())
+    # The record must not name the run any more, as its end is acknowledged after it.
+    assert row.job.id in driver.engine.dirty
+
+
+# Guards against the same look-up for a task without a gang of which two runs end.
+@pytest.mark.parametrize("last", list(EndKind))
+def test_a_late_end_of_a_task_that_another_run_has_done_is_applied(last: EndKind):
+    driver = Driver(count=2)
+    timed = timed_job("a", Step(1, TASK), repeats=2, first_ms=100_000)
+    row = driver.engine.submit(timed, driver.now)
+    driver.step()
+    second = row.steps[0][0].tasks[0].run.endpoint.id
+    (first,) = set(driver.endpoints) - {second}
+    play_ends(driver, "a", [(first, 0, EndKind.DONE), (second, 0, last)])
+    assert 0 in row.ended_occurrences
+    assert row.state is JobState.RUNNING
+
+
+# Guards against a job that fails by runs of a task that is done already.
+def test_a_failed_run_of_a_task_that_is_done_does_not_count():
+    driver = Driver(count=2, cfg=configuration(attempts=1))
+    row = driver.engine.submit(job("a", Step(1, TASK), Step(1, TASK)), driver.now)
+    driver.step()
+    second = row.steps[0][0].tasks[0].run.endpoint.id
+    (first,) = set(driver.endpoints) - {second}
+    play_ends(driver, "a", [(first, 0, EndKind.DONE), (second, 0, EndKind.FAILED)])
+    assert row.state is JobState.RUNNING
+
+
+def test_gangs_of_a_timed_job_are_done_with_takeovers_between():
+    driver = Driver(count=2)
+    step = Step(2, TASK, gang=True, max_per_endpoint=1)
+    timed = timed_job("a", step, repeats=4, first_ms=100_000, period_ms=300)
+    driver.engine.submit(timed, driver.now)
+    for number in range(80):
+        driver.step()
+        if number % 6 == 5:
+            driver.take_over()
+    assert driver.engine.jobs[JobId("a")].state is JobState.COMPLETED
+    started = [key for one in driver.endpoints.values() for key, _ in one.started]
+    assert len(started) == len(set(started)) == 8
