--- a/hickoryplank/coordinator/call_handler.py
+++ b/hickoryplank/coordinator/call_handler.py
@@ -167,8 +167,9 @@
             period_ms=submission.period_ms,
             terms=admitted.queue.terms,
         )
-        engine.submit(job, self._term.context.clock.now())
-        stored = await self._term.wait_until_stored()
+        row = engine.submit(job, self._term.context.clock.now())
+        # A batch lacks the job if it could not be encoded.
+        stored = await self._term.wait_until_stored() and row.recorded
         logger.info(
             "job taken",
             extra={
@@ -191,7 +192,7 @@
         if row.stored_state.final:
             return Cancelled()
         engine.cancel(row, self._term.context.clock.now())
-        if await self._term.wait_until_stored():
+        if await self._term.wait_until_stored() and row.stored_state.final:
             return Cancelled()
         return Unsettled("the cancellation is not stored yet")
 
--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -9,6 +9,7 @@
 from hickoryplank.coordinator.endpoint_poller import EndpointPoller
 from hickoryplank.coordinator.journal import TermEnded
 from hickoryplank.coordinator.lease import LeaseManager
+from hickoryplank.coordinator.metrics import EntryMetrics
 from hickoryplank.coordinator.operator_watcher import OperatorWatcher
 from hickoryplank.coordinator.recovery import read_jobs
 from hickoryplank.coordinator.request_sender import RequestSender
@@ -16,6 +17,7 @@
 from hickoryplank.coordinator.vm_controller import VmController
 from hickoryplank.jobs.assignment import AllowedStarts
 from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.quarantine import Quarantine, SubjectKind
 from hickoryplank.shell.clock import wall_ms
 
 __all__ = ["Coordinator", "CoordinatorContext"]
@@ -28,6 +30,14 @@
 #: Time between two checks for preassigned starts while an append is in progress, in
 #: seconds. It is a few times the usual duration of an append.
 PREASSIGNED_INTERVAL_SECONDS = 0.05
+#: Log fields of the ids of what is set aside, as in other lines.
+_LOG_FIELDS = {
+    SubjectKind.JOB: "request",
+    SubjectKind.ENDPOINT: "endpoint",
+    SubjectKind.PACE: "endpoint",
+    SubjectKind.WAVE: "wave",
+    SubjectKind.VM: "vm",
+}
 
 
 class Coordinator:
@@ -96,6 +106,9 @@
                 extra={"number": term.fencing_token, "detail": _first_message(group)},
             )
         finally:
+            if term.engine is not None:
+                record_faults(term.engine.quarantine, term.context.metrics)
+            term.context.metrics.set_aside_counts(Quarantine().counts())
             term.end()
 
     async def _watch_lease(self) -> None:
@@ -151,6 +164,7 @@
 
     async def _commit(self) -> None:
         engine = self._term.require_engine()
+        term_metrics = self._term.context.metrics
         now = self._term.context.clock.now()
         starts = (
             AllowedStarts.ANY
@@ -162,6 +176,7 @@
         batch = engine.take_batch()
         stored = self._term.begin_storing()
         self._record_events(engine)
+        record_faults(engine.quarantine, term_metrics)
         self._request_sender.send_stops_and_pace_changes(engine)
         if batch.records:
             started_at = self._term.context.clock.now()
@@ -183,6 +198,7 @@
             engine = self._term.require_engine()
             now = self._term.context.clock.now()
             engine.tick_preassigned(now, wall_ms())
+            record_faults(engine.quarantine, self._term.context.metrics)
             self._request_sender.send_starts(engine.take_preassigned_starts(now))
 
     def _record_events(self, engine: Engine) -> None:
@@ -210,6 +226,24 @@
             await changed.wait()
 
 
+def record_faults(quarantine: Quarantine, metrics: EntryMetrics) -> None:
+    """Log and count what was set aside since the last call."""
+    for fault in quarantine.take_faults():
+        metrics.set_aside(fault.subject.kind)
+        subject = {_LOG_FIELDS.get(fault.subject.kind, "id"): fault.subject.id}
+        logger.error(
+            "set aside",
+            extra={
+                "kind": fault.subject.kind.value,
+                **subject,
+                "failures": fault.failures,
+                "pause_s": fault.pause_s,
+            },
+            exc_info=fault.exc,
+        )
+    metrics.set_aside_counts(quarantine.counts())
+
+
 def _first_message(exc: BaseException) -> str:
     """Return the message of the first exception in a possibly nested group."""
     while isinstance(exc, BaseExceptionGroup):
--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -5,12 +5,14 @@
 import anyio
 from result import Err, Ok
 
+from hickoryplank.coordinator.journal import TermEnded
 from hickoryplank.coordinator.ports import CallFault, CallFaultKind, Newest, Topic
 from hickoryplank.coordinator.recovery import read_newest
 from hickoryplank.coordinator.term_state import Term
 from hickoryplank.core.ids import EndpointId
 from hickoryplank.jobs.endpoints import Endpoint
 from hickoryplank.jobs.engine import Engine
+from hickoryplank.jobs.quarantine import Subject, SubjectKind, endpoint_subject
 from hickoryplank.jobs.records import Record
 from hickoryplank.shell.dependency_monitor import DependencyMonitor
 
@@ -43,46 +45,73 @@
         )
         self._listings_failed_at = term.context.clock.now()
         self._missing: set[EndpointId] = set()
+        #: Records of the list that could not be applied.
+        self._failed_listings: dict[EndpointId, Record] = {}
         self._polled: set[Endpoint] = set()
 
     async def _poll_loop(self, endpoint: Endpoint) -> None:
         engine = self._term.require_engine()
         clock = self._term.context.clock
+        subject = endpoint_subject(endpoint.id, endpoint.listing.born_ms)
         while engine.endpoints.get(endpoint.id) is endpoint:
-            renew = self._term.renewed_recently()
-            request = engine.next_poll(endpoint, clock.now(), renew=renew)
-            sent_at = clock.now()
-            match await self._term.context.endpoints.poll(
-                request, self._term.fencing_token
-            ):
-                case Ok(report):
-                    is_first = not endpoint.token_confirmed
-                    engine.poll_answered(endpoint, report, sent_at, clock.now())
-                    needs_commit = is_first or endpoint.has_unstored_ends
-                    self._poll_new_endpoints(engine)
-                    if needs_commit:
-                        stored = self._term.stored
-                        self._term.request_tick()
-                        with anyio.move_on_after(ENDS_STORED_TIMEOUT_SECONDS):
-                            await stored.wait()
-                case Err(CallFault(CallFaultKind.FENCED, _)):
-                    self._term.end_fenced_term()
-                case Err(CallFault(CallFaultKind.OTHER_INCARNATION, detail)):
-                    logger.info(
-                        "endpoint incarnation ended; its runs are lost",
-                        extra={"endpoint": endpoint.id, "detail": detail},
-                    )
-                    engine.end_incarnation(endpoint, clock.now())
+            if engine.quarantine.is_paused(subject, clock.now()):
+                await anyio.sleep(POLL_RETRY_SECONDS)
+                continue
+            try:
+                await self._poll(engine, endpoint)
+            except TermEnded:
+                raise
+            except Exception as exc:
+                # As its reports can't be applied, nothing is known of it: it is
+                # treated like one that doesn't answer.
+                engine.quarantine.set_aside(subject, exc)
+                engine.note_no_answer(endpoint, clock.now())
+            else:
+                engine.quarantine.release(subject, clock.now())
+        self._polled.discard(endpoint)
+
+    async def _poll(self, engine: Engine, endpoint: Endpoint) -> None:
+        """Poll an endpoint once and apply its report.
+
+        :raises TermEnded: if the endpoint has seen a higher fencing token.
+        """
+        clock = self._term.context.clock
+        renew = self._term.renewed_recently()
+        request = engine.next_poll(endpoint, clock.now(), renew=renew)
+        sent_at = clock.now()
+        match await self._term.context.endpoints.poll(
+            request, self._term.fencing_token
+        ):
+            case Ok(report):
+                is_first = not endpoint.token_confirmed
+                engine.poll_answered(endpoint, report, sent_at, clock.now())
+                needs_commit = is_first or endpoint.has_unstored_ends
+                self._poll_new_endpoints(engine)
+                if needs_commit:
+                    stored = self._term.stored
                     self._term.request_tick()
-                case Err(fault):
-                    if endpoint.silent_since is None and not endpoint.cordoned:
-                        logger.info(
-                            "endpoint silent",
-                            extra={"endpoint": endpoint.id, "detail": fault.detail},
-                        )
-                    engine.note_no_answer(endpoint, clock.now())
+                    with anyio.move_on_after(ENDS_STORED_TIMEOUT_SECONDS):
+                        await stored.wait()
+                elif endpoint.held_end_number is not None:
+                    # An endpoint with ends that are not acknowledged answers at once.
                     await anyio.sleep(POLL_RETRY_SECONDS)
-        self._polled.discard(endpoint)
+            case Err(CallFault(CallFaultKind.FENCED, _)):
+                self._term.end_fenced_term()
+            case Err(CallFault(CallFaultKind.OTHER_INCARNATION, detail)):
+                logger.info(
+                    "endpoint incarnation ended; its runs are lost",
+                    extra={"endpoint": endpoint.id, "detail": detail},
+                )
+                engine.end_incarnation(endpoint, clock.now())
+                self._term.request_tick()
+            case Err(fault):
+                if endpoint.silent_since is None and not endpoint.cordoned:
+                    logger.info(
+                        "endpoint silent",
+                        extra={"endpoint": endpoint.id, "detail": fault.detail},
+                    )
+                engine.note_no_answer(endpoint, clock.now())
+                await anyio.sleep(POLL_RETRY_SECONDS)
 
     def _poll_new_endpoints(self, engine: Engine) -> None:
         pools = engine.configuration.pools
@@ -109,6 +138,7 @@
                     self._listings_offset = page.next
                     for record in page.records:
                         self._apply_listing(engine, record)
+                    self._apply_failed_listings(engine)
                 case Err(CallFault(CallFaultKind.TRIMMED, _)):
                     await self.read_listings()
                 case Err(fault):
@@ -143,6 +173,26 @@
         self._poll_new_endpoints(engine)
 
     def _apply_listing(self, engine: Engine, record: Record) -> None:
+        """Apply a record of the list, or keep it to be applied later if that raises."""
+        subject = Subject(SubjectKind.ENDPOINT, record.key)
+        now = self._term.context.clock.now()
+        self._failed_listings.pop(EndpointId(record.key), None)
+        try:
+            self._apply_sound_listing(engine, record)
+        except Exception as exc:
+            self._failed_listings[EndpointId(record.key)] = record
+            engine.quarantine.set_aside(subject, exc)
+        else:
+            engine.quarantine.release(subject, now)
+
+    def _apply_failed_listings(self, engine: Engine) -> None:
+        now = self._term.context.clock.now()
+        for id, record in list(self._failed_listings.items()):
+            subject = Subject(SubjectKind.ENDPOINT, id)
+            if not engine.quarantine.is_paused(subject, now):
+                self._apply_listing(engine, record)
+
+    def _apply_sound_listing(self, engine: Engine, record: Record) -> None:
         id = EndpointId(record.key)
         if not record.value:
             self._missing.add(id)
--- a/hickoryplank/coordinator/metrics.py
+++ b/hickoryplank/coordinator/metrics.py
@@ -9,6 +9,7 @@
 
 from hickoryplank.coordinator.calls import Answer, Call
 from hickoryplank.jobs.messages import EngineEvent, StartOutcome
+from hickoryplank.jobs.quarantine import SubjectKind
 
 if TYPE_CHECKING:
     from opentelemetry.metrics import Meter
@@ -28,6 +29,8 @@
     STARTS = "starts"
     DECISIONS = "decisions"
     APPEND_SECONDS = "append.seconds"
+    SET_ASIDE = "set_aside"
+    SET_ASIDE_NOW = "set_aside.now"
 
 
 class _Measurement(msgspec.Struct, frozen=True):
@@ -49,6 +52,7 @@
     def __init__(self) -> None:
         self._recorders: dict[_InstrumentName, _Recorder] | None = None
         self._buffered: deque[_Measurement] = deque(maxlen=MAX_BUFFERED_MEASUREMENTS)
+        self._set_aside_counts: dict[SubjectKind, int] = {}
 
     def attach(self, meter: "Meter") -> None:
         """Record on a meter from now on, starting with the buffered measurements."""
@@ -87,6 +91,18 @@
         """
         self._record(_Measurement(_InstrumentName.APPEND_SECONDS, seconds, {}))
 
+    def set_aside(self, kind: SubjectKind) -> None:
+        """Count an unexpected exception that set something aside."""
+        self._record(_Measurement(_InstrumentName.SET_ASIDE, 1, {"kind": kind.value}))
+
+    def set_aside_counts(self, counts: dict[SubjectKind, int]) -> None:
+        """Record how much of each kind is set aside now."""
+        for kind, count in counts.items():
+            if count != self._set_aside_counts.get(kind, 0):
+                labels = {"kind": kind.value}
+                self._record(_Measurement(_InstrumentName.SET_ASIDE_NOW, count, labels))
+        self._set_aside_counts = counts
+
     def _record(self, measurement: _Measurement) -> None:
         if self._recorders is None:
             self._buffered.append(measurement)
@@ -120,4 +136,12 @@
             "s",
             "time until a batch of records was stored",
         ).record,
+        _InstrumentName.SET_ASIDE: meter.create_counter(
+            _InstrumentName.SET_ASIDE.value,
+            description="exceptions that set a job, endpoint, wave or VM aside",
+        ).add,
+        _InstrumentName.SET_ASIDE_NOW: meter.create_gauge(
+            _InstrumentName.SET_ASIDE_NOW.value,
+            description="jobs, endpoints, waves and VMs that are set aside, by kind",
+        ).set,
     }
--- a/hickoryplank/coordinator/recovery.py
+++ b/hickoryplank/coordinator/recovery.py
@@ -92,7 +92,7 @@
                 )
     for record in states:
         row = rows.get(job_of_key(record.key))
-        fault = apply_state(row, record) if row is not None else None
+        fault = _apply_stored_state(row, record) if row is not None else None
         if fault is not None:
             malformed.add(job_of_key(record.key))
             logger.error(
@@ -103,6 +103,14 @@
     return StoredJobs(kept, frozenset(malformed))
 
 
+def _apply_stored_state(row: JobRow, record: Record) -> RecordFault | None:
+    """Apply a stored state; an unexpected exception makes it malformed."""
+    try:
+        return apply_state(row, record)
+    except Exception as exc:
+        return RecordFault(record.key, f"{type(exc).__name__}: {exc}")
+
+
 def _restore_vms(vm_controller: VmController, record: Record) -> None:
     decode = decode_wave if is_wave_key(record.key) else decode_order
     match decode(record):
--- a/hickoryplank/coordinator/request_sender.py
+++ b/hickoryplank/coordinator/request_sender.py
@@ -1,10 +1,12 @@
 """Requests to endpoints and to the advice service that the engine has decided."""
 
 import logging
+from contextlib import AbstractContextManager
 
 import anyio
 from result import Err, Ok
 
+from hickoryplank.coordinator.journal import TermEnded
 from hickoryplank.coordinator.ports import AdvicePort, CallFault, CallFaultKind
 from hickoryplank.coordinator.term_state import Term
 from hickoryplank.jobs.advice import AdviceRequest
@@ -51,7 +53,17 @@
 
     async def _start(self, run: Run) -> None:
         engine = self._term.require_engine()
-        row = engine.jobs[run.key.job]
+        row = engine.jobs.get(run.key.job)
+        if row is None:
+            return
+        try:
+            await self._send_start(engine, run, row.job.payload)
+        except TermEnded:
+            raise
+        except Exception as exc:
+            engine.start_failed(run, exc, self._term.context.clock.now())
+
+    async def _send_start(self, engine: Engine, run: Run, payload: str) -> None:
         clock = self._term.context.clock
         attempts = 0
         unanswered = True
@@ -62,7 +74,7 @@
                 return
             attempts += 1
             answer = await self._term.context.endpoints.start(
-                run, row.job.payload, self._term.fencing_token
+                run, payload, self._term.fencing_token
             )
             unanswered = engine.start_answered(
                 run, answer.outcome, attempts, answer.clock_ms, clock.now()
@@ -108,6 +120,15 @@
         )
 
     async def _stop(self, run: Run) -> None:
+        with self._guard(run):
+            await self._send_stop(run)
+
+    def _guard(self, run: Run) -> AbstractContextManager[None]:
+        """Set the job of a run aside if a request for it raises."""
+        engine = self._term.require_engine()
+        return engine.guard_job(run.key.job, passes=(TermEnded,))
+
+    async def _send_stop(self, run: Run) -> None:
         match await self._term.context.endpoints.stop(run, self._term.fencing_token):
             case Ok(_):
                 run.endpoint.note_answer()
@@ -126,6 +147,10 @@
                 )
 
     async def _pace(self, change: PaceChange) -> None:
+        with self._guard(change.run):
+            await self._send_pace(change)
+
+    async def _send_pace(self, change: PaceChange) -> None:
         run = change.run
         answer = await self._term.context.endpoints.pace(
             run, change.percent, self._term.fencing_token
@@ -142,28 +167,37 @@
 
     async def run_advice(self, port: AdvicePort) -> None:
         """Send advice requests, one at a time, until the term ends."""
-        clock = self._term.context.clock
         while True:
             engine = self._term.require_engine()
             request = engine.advice.pop_request()
             if request is None:
                 await anyio.sleep(ADVICE_INTERVAL_SECONDS)
                 continue
-            sent_at = clock.now()
-            match await port.ask(request, _advice_timeout_s(engine, request)):
-                case Ok(answer):
-                    engine.advice.add_answer(request, answer, sent_at)
-                    self._term.request_tick()
-                    self._log_advice(
-                        request, len(answer.allowed), clock.now() - sent_at
-                    )
-                case Err(fault):
-                    logger.info(
-                        "advice request failed",
-                        extra={"request": request.step.job, "detail": fault.detail},
-                    )
-                    engine.advice.request_failed(request)
-                    await anyio.sleep(ADVICE_RETRY_SECONDS)
+            answered = False
+            with engine.guard_job(request.step.job, passes=(TermEnded,)):
+                answered = await self._request_advice(port, engine, request)
+            if not answered:
+                engine.advice.request_failed(request)
+                await anyio.sleep(ADVICE_RETRY_SECONDS)
+
+    async def _request_advice(
+        self, port: AdvicePort, engine: Engine, request: AdviceRequest
+    ) -> bool:
+        """Send an advice request and apply its answer; return whether there was one."""
+        clock = self._term.context.clock
+        sent_at = clock.now()
+        match await port.ask(request, _advice_timeout_s(engine, request)):
+            case Ok(answer):
+                engine.advice.add_answer(request, answer, sent_at)
+                self._term.request_tick()
+                self._log_advice(request, len(answer.allowed), clock.now() - sent_at)
+                return True
+            case Err(fault):
+                logger.info(
+                    "advice request failed",
+                    extra={"request": request.step.job, "detail": fault.detail},
+                )
+        return False
 
     def _log_advice(
         self, request: AdviceRequest, allowed: int, answer_s: float
--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok
 
-from hickoryplank.coordinator.journal import Journal
+from hickoryplank.coordinator.journal import Journal, TermEnded
 from hickoryplank.coordinator.lease import LeaseManager
 from hickoryplank.coordinator.operator_watcher import OperatorWatcher
 from hickoryplank.coordinator.ports import (
@@ -24,8 +24,20 @@
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.evacuation import continue_evacuation, run_count, uncordon
 from hickoryplank.jobs.maintenance import ActiveWave, begin_maintenance, is_wave_done
+from hickoryplank.jobs.quarantine import (
+    Subject,
+    SubjectKind,
+    vm_subject,
+    wave_subject,
+)
 from hickoryplank.jobs.rebalancing import DemandHistory, rebalance_pools
-from hickoryplank.jobs.records import VmOrder, WaveProgress, encode_order, encode_wave
+from hickoryplank.jobs.records import (
+    Record,
+    VmOrder,
+    WaveProgress,
+    encode_order,
+    encode_wave,
+)
 from hickoryplank.jobs.vms import (
     MaintenanceDue,
     OperationPhase,
@@ -54,6 +66,7 @@
 #: seconds. It covers the difference of their wall clocks and the duration of an
 #: order.
 ORDER_SPACING_MARGIN_SECONDS = 1.0
+_MOVES = Subject(SubjectKind.MOVES, "all pools")
 
 
 class VmOperationBounds(msgspec.Struct, frozen=True):
@@ -201,32 +214,41 @@
         )
 
     def _plan_operations(self, engine: Engine, now: float) -> None:
+        quarantine = engine.quarantine
         for order in self._watcher.waves.values():
-            wave = self._active_wave(order)
-            if not wave.completion_reported:
-                recently_ordered = frozenset(
-                    vm for vm in wave.vms if not self._may_order(vm)
-                )
-                operations = begin_maintenance(
-                    wave,
-                    self._table,
-                    engine,
-                    now,
-                    self._bounds.maintenance_s,
-                    recently_ordered,
-                )
-                for operation in operations:
-                    logger.info(
-                        "VM is emptied",
-                        extra={
-                            "vm": operation.vm,
-                            "wave": operation.wave,
-                            "left": len(wave.vms) - len(wave.done),
-                            **self._describe_endpoint(engine, operation.vm),
-                        },
-                    )
-
-        self._plan_moves(engine, now)
+            subject = wave_subject(order.id)
+            if not quarantine.is_paused(subject, now):
+                with quarantine.guard(subject):
+                    self._plan_wave(engine, order, now)
+                    quarantine.release(subject, now)
+        if not quarantine.is_paused(_MOVES, now):
+            with quarantine.guard(_MOVES):
+                self._plan_moves(engine, now)
+                quarantine.release(_MOVES, now)
+
+    def _plan_wave(self, engine: Engine, order: WaveOrder, now: float) -> None:
+        wave = self._active_wave(order)
+        if wave.completion_reported:
+            return
+        recently_ordered = frozenset(vm for vm in wave.vms if not self._may_order(vm))
+        operations = begin_maintenance(
+            wave,
+            self._table,
+            engine,
+            now,
+            self._bounds.maintenance_s,
+            recently_ordered,
+        )
+        for operation in operations:
+            logger.info(
+                "VM is emptied",
+                extra={
+                    "vm": operation.vm,
+                    "wave": operation.wave,
+                    "left": len(wave.vms) - len(wave.done),
+                    **self._describe_endpoint(engine, operation.vm),
+                },
+            )
 
     def _plan_moves(self, engine: Engine, now: float) -> None:
         pools = engine.configuration.pools.values()
@@ -272,12 +294,16 @@
             )
         return wave
 
-    async def _record_waves(self, journal: Journal) -> None:
-        unrecorded = [wave for wave in self._waves.values() if not wave.recorded]
-        if unrecorded:
-            await journal.append([encode_wave(wave.progress()) for wave in unrecorded])
-        for wave in unrecorded:
-            wave.recorded = True
+    async def _record_waves(self, engine: Engine, journal: Journal) -> None:
+        records: dict[WaveId, Record] = {}
+        for wave in self._waves.values():
+            if not wave.recorded:
+                with engine.quarantine.guard(wave_subject(wave.id)):
+                    records[wave.id] = encode_wave(wave.progress())
+        if records:
+            await journal.append(list(records.values()))
+        for id in records:
+            self._waves[id].recorded = True
 
     async def _run_operations(
         self, engine: Engine, journal: Journal, token: int
@@ -285,14 +311,9 @@
         ready = [
             operation
             for operation in self._table.operations()
-            if operation.phase is OperationPhase.ORDERED
-            or (
-                operation.phase is OperationPhase.EVACUATING
-                and self._is_evacuated(engine, operation)
-            )
+            if self._is_ready(engine, operation)
         ]
-        ready = [operation for operation in ready if self._may_order(operation.vm)]
-        await self._record_waves(journal)
+        await self._record_waves(engine, journal)
         if ready:
             # The next coordinator must not give orders for these VMs too soon.
             at_ms = wall_ms()
@@ -301,10 +322,42 @@
             )
         async with anyio.create_task_group() as tasks:
             for operation in ready:
-                tasks.start_soon(self._send_order, engine, journal, operation, token)
+                tasks.start_soon(self._order, engine, journal, operation, token)
         for wave in self._waves.values():
-            if not wave.completion_reported and is_wave_done(wave, self._table):
+            await self._complete_if_done(engine, wave)
+
+    async def _complete_if_done(self, engine: Engine, wave: ActiveWave) -> None:
+        subject, quarantine = wave_subject(wave.id), engine.quarantine
+        if wave.completion_reported or quarantine.is_paused(subject, self._clock.now()):
+            return
+        with quarantine.guard(subject, passes=(TermEnded,)):
+            if is_wave_done(wave, self._table):
                 await self._report_completion(wave)
+            quarantine.release(subject, self._clock.now())
+
+    def _is_ready(self, engine: Engine, operation: VmOperation) -> bool:
+        """Return whether the order of an operation may be sent."""
+        subject, now = vm_subject(operation.vm), self._clock.now()
+        if engine.quarantine.is_paused(subject, now):
+            return False
+        ready = False
+        with engine.quarantine.guard(subject):
+            if operation.phase is OperationPhase.EVACUATING:
+                ready = self._is_evacuated(engine, operation)
+            else:
+                ready = operation.phase is OperationPhase.ORDERED
+            ready = ready and self._may_order(operation.vm)
+            if not ready:
+                engine.quarantine.release(subject, now)
+        return ready
+
+    async def _order(
+        self, engine: Engine, journal: Journal, operation: VmOperation, token: int
+    ) -> None:
+        subject = vm_subject(operation.vm)
+        with engine.quarantine.guard(subject, passes=(TermEnded,)):
+            await self._send_order(engine, journal, operation, token)
+            engine.quarantine.release(subject, self._clock.now())
 
     def _is_evacuated(self, engine: Engine, operation: VmOperation) -> bool:
         id = self._table.rows[operation.vm].listing.endpoint
--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -1,5 +1,6 @@
 """Assigns waiting tasks to endpoints, job by job in the order of service."""
 
+from collections.abc import Container
 from enum import Enum
 
 from hickoryplank.core.ids import PoolId
@@ -13,6 +14,7 @@
     has_room_for,
 )
 from hickoryplank.jobs.preassignment import preassign_tasks, start_preassigned
+from hickoryplank.jobs.quarantine import Subject, SubjectKind
 from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task
 
 __all__ = ["AllowedStarts", "assign_tasks"]
@@ -40,17 +42,63 @@
     for endpoint in tables.endpoints.values():
         if endpoint.usable(now):
             usable.setdefault(endpoint.listing.pool, []).append(endpoint)
-    rows_by_pool: dict[PoolId, list[JobRow]] = {}
-    for row in tables.open_jobs.values():
-        row.open_due_occurrences(wall_ms)
-        if row.job.pool in usable:
-            rows = rows_by_pool.setdefault(row.job.pool, [])
-            if row.needs_preassignment or row.has_waiting:
-                rows.append(row)
-    for pool, rows in rows_by_pool.items():
+    for pool, rows in _rows_to_serve(tables, usable, wall_ms).items():
         room = PoolRoom(usable[pool])
-        for row in sort_jobs(rows, tables.configuration, now):
-            _assign_job(tables, row, room, now, wall_ms, starts)
+        for row in _in_order(tables, pool, rows, now):
+            try:
+                _assign_job(tables, row, room, now, wall_ms, starts)
+            except Exception as exc:
+                tables.set_job_aside(row.job.id, exc)
+                room.refresh()
+
+
+def _rows_to_serve(
+    tables: EngineTables, pools: Container[PoolId], wall_ms: int
+) -> dict[PoolId, list[JobRow]]:
+    """Return the open jobs with waiting tasks, but those set aside, by pool.
+
+    :param pools: pools that have usable endpoints.
+    """
+    rows: dict[PoolId, list[JobRow]] = {}
+    for id, row in list(tables.open_jobs.items()):
+        if tables.quarantine.has_job(id):
+            continue
+        try:
+            row.open_due_occurrences(wall_ms)
+            pool = row.job.pool
+            if pool in pools and (row.needs_preassignment or row.has_waiting):
+                rows.setdefault(pool, []).append(row)
+        except Exception as exc:
+            tables.set_job_aside(id, exc)
+    return rows
+
+
+def _in_order(
+    tables: EngineTables, pool: PoolId, rows: list[JobRow], now: float
+) -> list[JobRow]:
+    """Return the jobs of a pool in the order of service, but those that have none.
+
+    If no single job is the cause, they are served in the order of acceptance.
+    """
+    subject = Subject(SubjectKind.POOL, pool)
+    try:
+        ordered = sort_jobs(rows, tables.configuration, now)
+    except Exception as exc:
+        sound = [row for row in rows if _can_be_ordered(tables, row, now)]
+        if len(sound) == len(rows):
+            tables.quarantine.set_aside(subject, exc)
+        return sorted(sound, key=lambda row: row.accepted_at)
+    tables.quarantine.release(subject, now)
+    return ordered
+
+
+def _can_be_ordered(tables: EngineTables, row: JobRow, now: float) -> bool:
+    try:
+        sort_jobs([row], tables.configuration, now)
+    except Exception as exc:
+        tables.set_job_aside(row.job.id, exc)
+        return False
+    return True
 
 
 def _assign_job(
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints: their incarnations, leases, free resources and runs."""
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -8,6 +9,9 @@
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import ZERO, Size
 
+if TYPE_CHECKING:
+    from hickoryplank.jobs.messages import End
+
 __all__ = [
     "LATE_CALL_SECONDS",
     "MIN_CLOCK_RATE",
@@ -201,6 +205,13 @@
         self.stale_leases_until = 0.0
         self.last_end_number = 0
         self.stored_end_number = 0
+        #: Job of each reported end that is not stored yet, by the number of the end.
+        self.unstored_end_jobs: dict[int, JobId] = {}
+        #: Reported ends that have not been noted, as their job is set aside.
+        self.unnoted_ends: dict[int, End] = {}
+        #: Lowest number of an end that the next batch does not store; none if there is
+        #: no such end. It is not acknowledged, nor are later ones.
+        self.held_end_number: int | None = None
         #: Time of the last report of this incarnation, by the local clock.
         self.reported_at = float("-inf")
         #: Last end acknowledged in a poll that was sent, and in one that was answered.
@@ -281,10 +292,34 @@
         self.serving_count += change if step.target_ms else 0
         self.lasting_count += change if step.lasting else 0
 
+    @property
+    def storable_end_number(self) -> int:
+        """Number of the last end that may be acknowledged once it is stored."""
+        if self.held_end_number is not None:
+            return self.held_end_number - 1
+        return self.last_end_number
+
+    def hold_ends(self, jobs: set[JobId]) -> None:
+        """Hold back the ends that the next batch does not store.
+
+        :param jobs: jobs whose state the batch lacks.
+        """
+        self.held_end_number = None
+        if not jobs and not self.unnoted_ends:
+            return
+        held = [number for number, job in self.unstored_end_jobs.items() if job in jobs]
+        self.held_end_number = min([*held, *self.unnoted_ends], default=None)
+
+    def note_stored_ends(self, number: int) -> None:
+        """Record that the ends up to a number are stored."""
+        self.stored_end_number = max(self.stored_end_number, number)
+        for stored in [one for one in self.unstored_end_jobs if one <= number]:
+            del self.unstored_end_jobs[stored]
+
     @property
     def has_unstored_ends(self) -> bool:
-        """Whether it has reported ends that are not stored yet."""
-        return self.last_end_number > self.stored_end_number
+        """Whether it has reported ends that are to be stored and are not yet."""
+        return self.storable_end_number > self.stored_end_number
 
     def estimated_clock_ms(self, now: float) -> int:
         """Return an estimate of the endpoint's clock, in milliseconds."""
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -5,15 +5,17 @@
 are sent, and its ends acknowledged, only after the batch has been stored.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from hickoryplank.core.ids import EndpointId, QueueId
+from hickoryplank.core.ids import EndpointId, JobId, QueueId
 from hickoryplank.jobs import incarnations, reports
 from hickoryplank.jobs.assignment import AllowedStarts, assign_tasks
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
 from hickoryplank.jobs.engine_tables import EndedJob, EngineTables, EngineTiming
 from hickoryplank.jobs.messages import (
     Batch,
+    EngineEvent,
+    EngineEventKind,
     PollReport,
     PollRequest,
     StartOutcome,
@@ -21,13 +23,15 @@
 )
 from hickoryplank.jobs.model import Job
 from hickoryplank.jobs.pacing import adjust_pace
+from hickoryplank.jobs.quarantine import Subject, SubjectKind, job_subject
+from hickoryplank.jobs.rebuild import end_job_if_settled, rebuild_job
 from hickoryplank.jobs.records import (
     Record,
     encode_deletion,
     encode_job,
     encode_state,
 )
-from hickoryplank.jobs.table import JobRow, JobState
+from hickoryplank.jobs.table import JobRow, JobState, TaskState
 
 __all__ = ["Engine", "EngineTiming"]
 
@@ -51,22 +55,33 @@
         work.
         """
         for row in sorted(rows, key=lambda one: one.accepted_at):
-            self._note_first_job(row.job, self.term_started_at)
-            if row.accepted_at > self.term_started_at - RESTORED_ARRIVALS_SECONDS:
-                self._note_arrival(row)
             row.recorded = True
             self.jobs[row.job.id] = row
-            if row.state.final:
-                self.ended_jobs.append(EndedJob(row.job.id, self.term_started_at))
-            else:
-                self.open_jobs[row.job.id] = row
-            for task in row.all_tasks():
-                if task.stored_assignment is not None:
-                    assignments = self.unlisted_assignments.setdefault(
-                        task.stored_assignment.endpoint, []
-                    )
-                    assignments.append((row, task))
-                    self.team_usage.add(row.job.team, row.step_of(task.key).step.size)
+            with self.guard_job(row.job.id):
+                self._restore_job(row)
+
+    def _restore_job(self, row: JobRow) -> None:
+        for task in row.all_tasks():
+            if task.stored_assignment is not None:
+                assignments = self.unlisted_assignments.setdefault(
+                    task.stored_assignment.endpoint, []
+                )
+                assignments.append((row, task))
+                size = row.job.steps[task.key.step].size
+                self.team_usage.add(row.job.team, size)
+            elif task.state is TaskState.ACTIVE:
+                # It was stored while the job was set aside.
+                self.requeue(row, task)
+        if row.state.final:
+            self.ended_jobs.append(EndedJob(row.job.id, self.term_started_at))
+        else:
+            self.open_jobs[row.job.id] = row
+        self._note_first_job(row.job, self.term_started_at)
+        if row.accepted_at > self.term_started_at - RESTORED_ARRIVALS_SECONDS:
+            self._note_arrival(row)
+        if not row.state.final:
+            # A former coordinator may have noted the last end, and applied no more.
+            end_job_if_settled(self, row, self.term_started_at)
 
     def submit(self, job: Job, now: float) -> JobRow:
         """Add a job, or return the row of the job if it is known already."""
@@ -96,7 +111,13 @@
     def cancel(self, row: JobRow, now: float) -> None:
         """End a job as cancelled and stop its runs."""
         if not row.state.final:
-            self.end_job(row, JobState.CANCELLED, now)
+            try:
+                self.end_job(row, JobState.CANCELLED, now)
+            except Exception as exc:
+                # What is left of its end is done when the job is tried again.
+                self.set_job_aside(row.job.id, exc)
+                row.state = JobState.CANCELLED
+                self.mark_dirty(row)
 
     def pending_count(self, queue: QueueId) -> int:
         """Return the number of jobs of a queue of which no task has been started.
@@ -202,7 +223,22 @@
 
         :param tries: number of times that it has been sent.
         """
-        return reports.is_start_due(self, run, tries, now)
+        try:
+            return reports.is_start_due(self, run, tries, now)
+        except Exception as exc:
+            self.start_failed(run, exc, now)
+            return False
+
+    def start_failed(self, run: Run, exc: Exception, now: float) -> None:
+        """Set the job of a run aside, as its start or the answer to it raised.
+
+        The start may have been sent; it is not sent again.
+        """
+        self.set_job_aside(run.key.job, exc)
+        if run.endpoint.runs.get(run.run_key) is run:
+            run.unanswered_at = now
+            if run.start_withdrawn_at is None:
+                run.start_withdrawn_at = now
 
     def start_answered(
         self, run: Run, outcome: StartOutcome, tries: int, clock_ms: int, now: float
@@ -212,7 +248,11 @@
         :param tries: number of times that it was sent, including this one.
         :param clock_ms: the endpoint's clock in the answer; 0 if not known.
         """
-        return reports.start_answered(self, run, outcome, tries, clock_ms, now)
+        try:
+            return reports.start_answered(self, run, outcome, tries, clock_ms, now)
+        except Exception as exc:
+            self.start_failed(run, exc, now)
+            return False
 
     def stop_answered(self, run: Run, now: float) -> None:
         """Record that a stop was accepted; the next report settles the run."""
@@ -231,18 +271,64 @@
         :param wall_ms: time of day, in Unix milliseconds.
         :param starts: the starts that may be decided.
         """
+        self._try_jobs_again(now)
         self._expire_leases(now)
         self._stop_on_draining(now)
         self._drop_expired_jobs(now)
         assign_tasks(self, now, wall_ms, starts)
         for endpoint in self.endpoints.values():
             if endpoint.token_confirmed and endpoint.silent_since is None:
-                self.pace_changes += adjust_pace(endpoint, now)
+                self._adjust_pace(endpoint, now)
         for run, due in list(self.stop_repeat_at.items()):
             if due <= now:
                 self.stop_repeat_at[run] = now + STOP_REPEAT_SECONDS
                 self.stops.append(run)
 
+    def _try_jobs_again(self, now: float) -> None:
+        """Rebuild the jobs that were set aside and whose pause is over."""
+        for id in map(JobId, self.quarantine.due(SubjectKind.JOB, now)):
+            row = self.jobs.get(id)
+            if row is None:
+                self.quarantine.discard(job_subject(id))
+                continue
+            self.unencodable_jobs.discard(id)
+            if not self._note_held_ends(id, now):
+                continue
+            try:
+                rebuild_job(self, row, now)
+            except Exception as exc:
+                self.set_job_aside(id, exc)
+            else:
+                if self.quarantine.release(job_subject(id), now):
+                    self.events.append(
+                        EngineEvent(
+                            EngineEventKind.RESUMED, id, None, 0, None, "rebuilt"
+                        )
+                    )
+
+    def _note_held_ends(self, job: JobId, now: float) -> bool:
+        """Note the ends of a job that could not be noted; return false if any can't.
+
+        The job is then set aside again.
+        """
+        for endpoint in self.endpoints.values():
+            for end in list(endpoint.unnoted_ends.values()):
+                if end.key.job == job:
+                    reports.take_end(self, endpoint, end, now)
+        return not any(
+            end.key.job == job
+            for endpoint in self.endpoints.values()
+            for end in endpoint.unnoted_ends.values()
+        )
+
+    def _adjust_pace(self, endpoint: Endpoint, now: float) -> None:
+        subject = Subject(SubjectKind.PACE, endpoint.id)
+        if self.quarantine.is_paused(subject, now):
+            return
+        with self.quarantine.guard(subject):
+            self.pace_changes += adjust_pace(endpoint, now)
+            self.quarantine.release(subject, now)
+
     def tick_preassigned(self, now: float, wall_ms: int) -> None:
         """Start tasks on stored pre-assignments while a batch is being stored."""
         assign_tasks(self, now, wall_ms, AllowedStarts.PREASSIGNED)
@@ -270,12 +356,15 @@
             self.ended_jobs
             and now - self.ended_jobs[0].at > self.timing.retention_seconds
         ):
-            row = self.jobs[self.ended_jobs.popleft().job]
+            row = self.jobs.get(self.ended_jobs.popleft().job)
+            if row is None:
+                continue
             settled = row.stored_state is row.state
-            if not settled or any(task.run for task in row.all_tasks()):
+            if not settled or self.quarantine.has_job(row.job.id) or row.has_run:
                 self.ended_jobs.append(EndedJob(row.job.id, now))
                 continue
             del self.jobs[row.job.id]
+            self.quarantine.discard(job_subject(row.job.id))
             self.expired_jobs.append(row.job.id)
 
     def _stop_on_draining(self, now: float) -> None:
@@ -289,33 +378,72 @@
                 continue
             for run in list(endpoint.runs.values()):
                 if run.step.lasting and run.state is RunState.STARTED:
-                    self.stop(run, now, "its endpoint leaves")
+                    with self.guard_job(run.key.job):
+                        self.stop(run, now, "its endpoint leaves")
 
     # Batches
 
     def take_batch(self) -> Batch:
-        """Return the batch to be stored next."""
-        new = self.storing_jobs = self.new_jobs
-        self.new_jobs = []
-        dirty, self.dirty = self.dirty, {}
-        starts, self.starts = self.starts, []
+        """Return the batch to be stored next.
+
+        It lacks jobs that can't be encoded. These are set aside, their ends are not
+        acknowledged, and they are tried again later.
+        """
         expired_jobs, self.expired_jobs = self.expired_jobs, []
-        records: list[Record] = [encode_job(row.job) for row in new]
-        records += [encode_state(row) for row in dirty.values()]
+        records = self._take_new_jobs() + self._take_states()
         for job in expired_jobs:
             records += encode_deletion(job)
-        self.storing_states = [(row, row.state) for row in dirty.values()]
-        self.storing_preassignments, self.new_preassignments = (
-            self.new_preassignments,
-            [],
-        )
+        preassignments = self.new_preassignments
+        self.storing_preassignments = [
+            one for one in preassignments if one.job not in self.unencodable_jobs
+        ]
+        self.new_preassignments = []
+        starts, self.starts = self.starts, []
+        for one in self.endpoints.values():
+            one.hold_ends(self.unencodable_jobs)
         ends = [
-            StoredEnd(one.id, one.listing.born_ms, one.last_end_number)
+            StoredEnd(one.id, one.listing.born_ms, one.storable_end_number)
             for one in self.endpoints.values()
             if one.has_unstored_ends
         ]
         return Batch(records, starts, ends)
 
+    def _take_new_jobs(self) -> list[Record]:
+        new, self.new_jobs, self.storing_jobs = self.new_jobs, [], []
+        records = []
+        for row in new:
+            record = self._encode(row, lambda row: encode_job(row.job))
+            if record is None:
+                self.new_jobs.append(row)
+            else:
+                records.append(record)
+                self.storing_jobs.append(row)
+        return records
+
+    def _take_states(self) -> list[Record]:
+        dirty, self.dirty, self.storing_states = self.dirty, {}, []
+        records = []
+        for id, row in dirty.items():
+            record = self._encode(row, encode_state)
+            if record is None:
+                self.dirty[id] = row
+            else:
+                records.append(record)
+                self.storing_states.append((row, row.state))
+        return records
+
+    def _encode(self, row: JobRow, encode: Callable[[JobRow], Record]) -> Record | None:
+        """Return a record of a job, or none if it can't be encoded for now."""
+        id = row.job.id
+        if id in self.unencodable_jobs:
+            return None
+        try:
+            return encode(row)
+        except Exception as exc:
+            self.unencodable_jobs.add(id)
+            self.set_job_aside(id, exc)
+            return None
+
     def batch_stored(self, batch: Batch, now: float) -> list[Run]:
         """Mark a batch as stored; return the runs that may be started now."""
         for row in self.storing_jobs:
@@ -330,7 +458,7 @@
         for end in batch.ends:
             endpoint = self.endpoints.get(end.endpoint)
             if endpoint is not None and endpoint.listing.born_ms == end.born_ms:
-                endpoint.stored_end_number = max(endpoint.stored_end_number, end.number)
+                endpoint.note_stored_ends(end.number)
         return [run for run in batch.starts if self._mark_sent(run, now)]
 
     def _mark_sent(self, run: Run, now: float) -> bool:
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -1,6 +1,8 @@
 """State tables of the engine, and the basic changes to them."""
 
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import msgspec
 
@@ -11,6 +13,7 @@
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
 from hickoryplank.jobs.limits import TeamRateLimiter, TeamUsage
 from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
+from hickoryplank.jobs.quarantine import Quarantine, endpoint_subject, job_subject
 from hickoryplank.jobs.table import (
     JobRow,
     JobState,
@@ -122,6 +125,10 @@
         #: Stored assignments to endpoints that are not listed yet. They count as
         #: resources in use by their teams, as they may be running.
         self.unlisted_assignments: dict[EndpointId, list[tuple[JobRow, Task]]] = {}
+        #: What is set aside, as its input could not be applied.
+        self.quarantine = Quarantine()
+        #: Jobs whose records could not be encoded since they were last tried again.
+        self.unencodable_jobs: set[JobId] = set()
         #: New jobs in the batch that is being stored.
         self.storing_jobs: list[JobRow] = []
         #: States in the batch that is being stored.
@@ -139,9 +146,52 @@
         """
         assignments = self.unlisted_assignments.pop(id, [])
         for row, task in assignments:
-            self.team_usage.remove(row.job.team, row.step_of(task.key).step.size)
+            size = row.job.steps[task.key.step].size
+            self.team_usage.remove(row.job.team, size)
         return assignments
 
+    @contextmanager
+    def guard_job(
+        self, job: JobId, *, passes: tuple[type[Exception], ...] = ()
+    ) -> Iterator[None]:
+        """Set a job aside if the body raises, and go on after the body.
+
+        :param passes: exceptions that don't come from the job, and pass.
+        """
+        try:
+            yield
+        except passes:
+            raise
+        except Exception as exc:
+            self.set_job_aside(job, exc)
+
+    def set_job_aside(self, job: JobId, exc: Exception) -> None:
+        """Set a job aside, and withdraw the runs that have not been sent."""
+        self.quarantine.set_aside(job_subject(job), exc)
+        for endpoint in self.endpoints.values():
+            for run in list(endpoint.runs.values()):
+                if run.key.job == job and run.state is RunState.ASSIGNED:
+                    self.detach_run(run)
+
+    def detach_run(self, run: Run) -> None:
+        """Remove a run that has ended, and do nothing else for its job.
+
+        It takes the place of ``close_run`` for a job that is set aside. Once that is
+        tried again, its tasks without a run wait for another one.
+        """
+        if run.endpoint.runs.get(run.run_key) is run:
+            run.endpoint.remove(run)
+            self.team_usage.remove(run.team, run.size)
+        self.stop_repeat_at.pop(run, None)
+        row = self.jobs.get(run.key.job)
+        steps = row.steps.get(run.key.occurrence, []) if row is not None else []
+        for task in (task for step in steps for task in step.tasks):
+            if task.run is run:
+                task.run = None
+                task.working = False
+                if task.state is TaskState.ACTIVE:
+                    task.state = TaskState.WAITING
+
     def mark_dirty(self, row: JobRow) -> None:
         """Have the state of a job stored with the next batch."""
         self.dirty[row.job.id] = row
@@ -157,6 +207,7 @@
     def end_job(self, row: JobRow, state: JobState, now: float) -> None:
         """End a job and stop its runs."""
         row.state = state
+        self.mark_dirty(row)
         self.events.append(
             EngineEvent(
                 EngineEventKind.JOB_ENDED, row.job.id, None, 0, None, state.value
@@ -165,7 +216,6 @@
         self.open_jobs.pop(row.job.id, None)
         self.ended_jobs.append(EndedJob(row.job.id, now))
         self.advice.discard_job(row.job.id)
-        self.mark_dirty(row)
         for task in row.all_tasks():
             if task.run is not None:
                 self.stop(task.run, now, state.value)
@@ -238,6 +288,13 @@
 
     def give_up_run(self, run: Run, reason: str) -> None:
         """Close a run whose end will not be reported; its task waits again."""
+        try:
+            self._give_up_run(run, reason)
+        except Exception as exc:
+            self.set_job_aside(run.key.job, exc)
+            self.detach_run(run)
+
+    def _give_up_run(self, run: Run, reason: str) -> None:
         task = self.task_of(run)
         if run.endpoint.runs.get(run.run_key) is run and not run.preassigned:
             self.add_event(EngineEventKind.LOST, run, reason)
@@ -273,6 +330,7 @@
         """Forget an incarnation of an endpoint that has no runs any more."""
         if self.endpoints.get(endpoint.id) is endpoint:
             del self.endpoints[endpoint.id]
+        self.quarantine.discard(endpoint_subject(endpoint.id, endpoint.listing.born_ms))
         self.advice.discard_endpoint(endpoint)
 
     def endpoint_of(self, id: EndpointId | None) -> Endpoint | None:
--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -65,7 +65,8 @@
     """
     for run in list(endpoint.runs.values()):
         if run.step.lasting and run.state is RunState.STARTED:
-            _evacuate_run(engine, run, now)
+            with engine.guard_job(run.key.job):
+                _evacuate_run(engine, run, now)
 
 
 def _evacuate_run(engine: Engine, run: Run, now: float) -> None:
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -6,9 +6,11 @@
     MIN_CLOCK_RATE,
     Endpoint,
     Listing,
+    Run,
     RunState,
 )
 from hickoryplank.jobs.engine_tables import EngineTables
+from hickoryplank.jobs.table import JobRow, StoredAssignment, Task
 
 __all__ = [
     "end_down_incarnations",
@@ -76,16 +78,53 @@
     for row, task in tables.pop_unlisted_assignments(endpoint.id):
         assignment = task.stored_assignment
         task.stored_assignment = None
-        if assignment is None:
-            tables.requeue(row, task)
-            continue
-        run = tables.create_run(row, task, endpoint)
-        run.state = RunState.SENT
-        run.preassigned = assignment.preassigned
-        run.adopted = True
-        run.confirmed_at = endpoint.listed_at
-        if row.state.final:
-            tables.stop(run, endpoint.listed_at, row.state.value)
+        try:
+            _adopt_assignment(tables, row, task, assignment, endpoint)
+        except Exception as exc:
+            tables.set_job_aside(row.job.id, exc)
+            if assignment is not None:
+                _adopt_plainly(tables, row, task, assignment, endpoint)
+
+
+def _adopt_assignment(
+    tables: EngineTables,
+    row: JobRow,
+    task: Task,
+    assignment: StoredAssignment | None,
+    endpoint: Endpoint,
+) -> None:
+    if assignment is None:
+        tables.requeue(row, task)
+        return
+    run = tables.create_run(row, task, endpoint)
+    _mark_adopted(run, assignment)
+    if row.state.final:
+        tables.stop(run, endpoint.listed_at, row.state.value)
+
+
+def _adopt_plainly(
+    tables: EngineTables,
+    row: JobRow,
+    task: Task,
+    assignment: StoredAssignment,
+    endpoint: Endpoint,
+) -> None:
+    """Count a run that a former coordinator may have started, and do nothing else."""
+    run = endpoint.runs.get((task.key, task.attempt))
+    if run is None:
+        step = row.job.steps[task.key.step]
+        run = Run(task.key, task.attempt, step, row.job.team, endpoint)
+        endpoint.add(run)
+        tables.team_usage.add(run.team, run.size)
+    task.run = run
+    _mark_adopted(run, assignment)
+
+
+def _mark_adopted(run: Run, assignment: StoredAssignment) -> None:
+    run.state = RunState.SENT
+    run.preassigned = assignment.preassigned
+    run.adopted = True
+    run.confirmed_at = run.endpoint.listed_at
 
 
 def end_incarnation(tables: EngineTables, endpoint: Endpoint, now: float) -> None:
@@ -135,8 +174,9 @@
 def _release_assignments(tables: EngineTables, id: EndpointId) -> None:
     for row, task in tables.pop_unlisted_assignments(id):
         task.stored_assignment = None
-        tables.requeue(row, task)
-        row.discard_occurrence_if_ended(task.key.occurrence)
+        with tables.guard_job(row.job.id):
+            tables.requeue(row, task)
+            row.discard_occurrence_if_ended(task.key.occurrence)
 
 
 def release_unlisted_assignments(tables: EngineTables, now: float) -> None:
--- a/hickoryplank/jobs/messages.py
+++ b/hickoryplank/jobs/messages.py
@@ -180,6 +180,8 @@
     STOPPED = "stopped"
     #: A job ended.
     JOB_ENDED = "job ended"
+    #: A job that was set aside is served again.
+    RESUMED = "job resumed"
 
 
 class EngineEvent(msgspec.Struct, frozen=True):
--- a/hickoryplank/jobs/preassignment.py
+++ b/hickoryplank/jobs/preassignment.py
@@ -74,7 +74,7 @@
     for task, endpoint in zip(
         unassigned, cycle(candidates[first:] + candidates[:first])
     ):
-        task.preassignment = PreAssignment(endpoint)
+        task.preassignment = PreAssignment(row.job.id, endpoint)
         tables.new_preassignments.append(task.preassignment)
     tables.mark_dirty(row)
 
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -1,5 +1,7 @@
 """Handles poll reports of endpoints, and their answers to starts and stops."""
 
+import msgspec
+
 from hickoryplank.jobs.advice import StepKey
 from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
 from hickoryplank.jobs.engine_tables import EngineTables
@@ -23,6 +25,7 @@
     "is_start_due",
     "start_answered",
     "stop_answered",
+    "take_end",
 ]
 
 #: Longest time since the last report of an endpoint for its ends to be acknowledged, in
@@ -31,6 +34,12 @@
 MAX_ACKNOWLEDGED_AGE_SECONDS = 0.25
 #: Delay before a failed lasting task is started again.
 LASTING_RESTART_DELAY_SECONDS = 0.2
+#: Ends of an endpoint that are not acknowledged, as one before them can't be stored,
+#: above which it gets no new runs. It is below the number that the platform returns in
+#: one report, so that all ends are still read.
+MAX_HELD_ENDS = 200
+#: Time for which such an endpoint gets no new runs, in seconds.
+HELD_ENDS_EJECTION_SECONDS = 1.0
 
 
 def next_poll(
@@ -95,7 +104,10 @@
     for end in report.ends:
         if end.number > endpoint.last_end_number:
             endpoint.last_end_number = end.number
-            _apply_end(tables, endpoint, end, now)
+            endpoint.unstored_end_jobs[end.number] = end.key.job
+            take_end(tables, endpoint, end, now)
+    if endpoint.last_end_number - endpoint.storable_end_number > MAX_HELD_ENDS:
+        endpoint.ejected_until = now + HELD_ENDS_EJECTION_SECONDS
     _reconcile(tables, endpoint, report, asked_at, now)
 
 
@@ -142,27 +154,50 @@
 ) -> None:
     reported = set()
     for one in report.running:
-        run_key = (one.key, one.attempt)
-        reported.add(run_key)
-        run = endpoint.runs.get(run_key)
-        if run is None:
-            _stop_unassigned_run(tables, endpoint, one.key, one.attempt, now)
-            continue
-        if run.state is RunState.SENT:
-            run.state = RunState.STARTED
-        if run.confirmed_at is None:
-            run.confirmed_at = now
-        if not run.reported:
-            run.reported = True
-            _note_begun(tables, run)
-        _update_progress(tables, run, one, report.clock_ms)
-        restart_if_stalled(tables, run, report.clock_ms, now)
+        reported.add((one.key, one.attempt))
+        try:
+            _reconcile_run(tables, endpoint, one, report.clock_ms, now)
+        except Exception as exc:
+            tables.set_job_aside(one.key.job, exc)
     if report.may_have_more_ends:
         # A run that is not reported may have ended; a later report has its end.
         return
     for run in list(endpoint.runs.values()):
-        if run.run_key not in reported:
+        if run.run_key in reported or tables.quarantine.has_job(run.key.job):
+            continue
+        try:
             _settle_unreported_run(tables, run, asked_at, now)
+        except Exception as exc:
+            tables.set_job_aside(run.key.job, exc)
+
+
+def _reconcile_run(
+    tables: EngineTables,
+    endpoint: Endpoint,
+    one: RunningTask,
+    clock_ms: int,
+    now: float,
+) -> None:
+    """Apply what an endpoint reports of a run.
+
+    Of a job that is set aside, only that the endpoint has the run.
+    """
+    run = endpoint.runs.get((one.key, one.attempt))
+    is_aside = tables.quarantine.has_job(one.key.job)
+    if run is None:
+        if not is_aside:
+            _stop_unassigned_run(tables, endpoint, one.key, one.attempt, now)
+        return
+    if run.state is RunState.SENT:
+        run.state = RunState.STARTED
+    if run.confirmed_at is None:
+        run.confirmed_at = now
+    if not run.reported:
+        run.reported = True
+        _note_begun(tables, run)
+    if not is_aside:
+        _update_progress(tables, run, one, clock_ms)
+        restart_if_stalled(tables, run, clock_ms, now)
 
 
 def _settle_unreported_run(
@@ -226,24 +261,112 @@
     tables.stop(run, now, "no task is assigned to it")
 
 
-def _apply_end(tables: EngineTables, endpoint: Endpoint, end: End, now: float) -> None:
+class _EndContext(msgspec.Struct, frozen=True):
+    """What an end is about, before any of it is applied.
+
+    :param run: the run that has ended; none if its endpoint is not known to have it.
+    :param row: its job; none if that is not known.
+    :param task: its task; none if there is no such task, or its occurrence has ended.
+    :param current: the run is the current one of its task.
+    :param failures: failures of the task before this end.
+    """
+
+    run: Run | None
+    row: JobRow | None
+    task: Task | None
+    step: StepRow | None
+    current: bool
+    failures: int
+
+
+def _context_of(tables: EngineTables, endpoint: Endpoint, end: End) -> _EndContext:
     run = endpoint.runs.get((end.key, end.attempt))
     row = tables.jobs.get(end.key.job)
     task = row.task(end.key) if row is not None else None
-    current = task is not None and task.run is run and run is not None
+    if row is None or task is None:
+        return _EndContext(run, row, None, None, False, 0)
+    current = run is not None and task.run is run
     # Closing the last run of an occurrence of a timed job discards its steps.
-    step = row.step_of(task.key) if row is not None and task is not None else None
+    step = row.step_of(task.key)
+    return _EndContext(run, row, task, step, current, task.failures)
+
+
+def take_end(tables: EngineTables, endpoint: Endpoint, end: End, now: float) -> None:
+    """Apply an end, or only note it if its job is set aside, now or before.
+
+    What is noted is stored with the state of the job, so that the end may be
+    acknowledged. If even that raises, the end is not acknowledged before it is noted
+    when the job is tried again.
+    """
+    try:
+        context = _context_of(tables, endpoint, end)
+    except Exception as exc:
+        tables.set_job_aside(end.key.job, exc)
+        _hold_end(tables, endpoint, end)
+        return
+    if not tables.quarantine.has_job(end.key.job):
+        try:
+            _apply_end(tables, endpoint, end, context, now)
+        except Exception as exc:
+            tables.set_job_aside(end.key.job, exc)
+        else:
+            return
+    try:
+        _note_end(tables, endpoint, end, context)
+    except Exception as exc:
+        tables.set_job_aside(end.key.job, exc)
+        _hold_end(tables, endpoint, end)
+    else:
+        endpoint.unnoted_ends.pop(end.number, None)
+
+
+def _hold_end(tables: EngineTables, endpoint: Endpoint, end: End) -> None:
+    endpoint.unnoted_ends[end.number] = end
+    endpoint.hold_ends(tables.unencodable_jobs)
+
+
+def _note_end(
+    tables: EngineTables, endpoint: Endpoint, end: End, context: _EndContext
+) -> None:
+    """Note what an end says of its task, and nothing that follows from it.
+
+    A part of it may have been applied, and it may be noted twice. What follows is
+    decided when the job is tried again (``jobs/rebuild.py``).
+    """
+    row, task, step = context.row, context.task, context.step
+    if context.run is not None:
+        tables.detach_run(context.run)
+    if row is None or task is None or step is None:
+        return
+    tables.note_begun(row)
+    if end.checkpoint and context.current:
+        task.checkpoint = end.checkpoint
+    if end.kind is EndKind.DONE and not step.step.lasting:
+        for one in step.tasks if step.step.gang else [task]:
+            one.state = TaskState.DONE
+    elif context.current and task.state is not TaskState.DONE:
+        task.state = TaskState.WAITING
+        if end.kind is EndKind.FAILED:
+            task.failures = context.failures + 1
+            task.failed_on |= {endpoint.id}
+    tables.mark_dirty(row)
+
+
+def _apply_end(
+    tables: EngineTables, endpoint: Endpoint, end: End, context: _EndContext, now: float
+) -> None:
+    run, row, task, step = context.run, context.row, context.task, context.step
     if run is not None:
         tables.close_run(run)
     if row is None or task is None or step is None:
         return
     tables.note_begun(row)
-    if end.checkpoint and current:
+    if end.checkpoint and context.current:
         task.checkpoint = end.checkpoint
     if end.kind is EndKind.DONE and not step.step.lasting:
         endpoint.note_success()
         _task_done(tables, row, step, task, now)
-    elif current:
+    elif run is not None and context.current:
         tables.add_event(EngineEventKind.ENDED, run, end.kind.value)
         if end.kind is EndKind.FAILED and task.state is not TaskState.DONE:
             _task_failed(tables, endpoint, row, step, task, now)
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -67,9 +67,10 @@
     :param stored: a record that contains it is stored, so that it may be used.
     """
 
-    __slots__ = ("endpoint", "stored")
+    __slots__ = ("endpoint", "job", "stored")
 
-    def __init__(self, endpoint: Endpoint):
+    def __init__(self, job: JobId, endpoint: Endpoint):
+        self.job = job
         self.endpoint = endpoint
         self.stored = False
 
@@ -265,6 +266,11 @@
             task for rows in self.steps.values() for row in rows for task in row.tasks
         ]
 
+    @property
+    def has_run(self) -> bool:
+        """Whether any task of an open occurrence has a run."""
+        return any(task.run for task in self.all_tasks())
+
     @property
     def complete(self) -> bool:
         """Whether every task of every occurrence is done."""
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -12,6 +12,7 @@
 from hickoryplank.jobs.engine import Engine, EngineTiming
 from hickoryplank.jobs.messages import Batch, StartOutcome
 from hickoryplank.jobs.model import Job, Step, TaskKey
+from hickoryplank.jobs.quarantine import Fault
 from hickoryplank.jobs.records import (
     Record,
     apply_state,
@@ -107,6 +108,9 @@
         self.delayed_starts: list[tuple[float, Run, int]] = []
         #: Number of times that each unanswered start was sent.
         self.tries: dict[Run, int] = {}
+        #: Whether something may be set aside; else what was raised is raised again.
+        self.may_set_aside = False
+        self.faults: list[Fault] = []
         self.engine = self._fresh_engine()
 
     def build_endpoint(self, id: EndpointId, born_ms: int) -> FakeEndpoint:
@@ -130,6 +134,7 @@
         """
         if applied and self.pending_batch is not None:
             self._write(self.pending_batch)
+        self.collect_faults()
         self.token += 1
         self.tries.clear()
         self.pending_batch = None
@@ -186,6 +191,14 @@
         if store_up or not self.pending_batch.records:
             self.commit()
         self._resend_starts()
+        self.collect_faults()
+
+    def collect_faults(self) -> None:
+        """Raise what has set something aside, or keep it if that is expected."""
+        faults = self.engine.quarantine.take_faults()
+        if faults and not self.may_set_aside:
+            raise faults[0].exc
+        self.faults += faults
 
     def poll_endpoints(self) -> None:
         """Poll every endpoint once."""
--- a/tests/jobs/test_timed_jobs.py
+++ b/tests/jobs/test_timed_jobs.py
@@ -161,6 +161,7 @@
             may_have_more_ends=True,
         )
         driver.engine.poll_answered(endpoint, report, driver.now, driver.now)
+        driver.collect_faults()
 
 
 # Guards against an end that is applied to steps that its own run's close has discarded,
