--- a/tests/jobs/raising.py
+++ b/tests/jobs/raising.py
@@ -56,6 +56,7 @@
     :ivar left: calls for which it still raises.
     :ivar after: whether it raises when its work is done, not before.
     :ivar raised: calls in which it has raised.
+    :ivar jobs: the jobs for which it has raised.
     """
 
     def __init__(self) -> None:
@@ -64,6 +65,7 @@
         self.left = 0
         self.after = False
         self.raised = 0
+        self.jobs: set[JobId] = set()
 
     def arm(self, place: str, job: JobId, left: int, after: bool) -> None:
         """Raise from now on."""
@@ -99,6 +101,7 @@
     def _raise(self) -> None:
         self.left -= 1
         self.raised += 1
+        self.jobs.add(self.job)
         raise InjectedFault(f"{self.place} of {self.job}")
 
 
