Set aside: stop runs of tasks that another has done; forget failed listings of a new list

Cause: an end that is only noted doesn't stop a second run of its task, which went on to its end; and a listing that had raised was applied again after the list had been read as a whole without it. Both were seen on reading the change again.

Change: rebuilding stops such runs, but those of gangs; reading the whole list forgets the listings that had failed.

Tests: test_a_run_of_a_task_that_another_has_done_is_stopped_at_the_next_try failed on the code before (the run stays STARTED), and passes.

--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -164,6 +164,10 @@
             newest = await read_newest(self._term.context.store, Topic.LISTINGS)
         self._listings_offset = newest.end
         records = newest.records
+        # The list is whole: what failed before and is gone from it must not come back.
+        for id in self._failed_listings:
+            engine.quarantine.discard(Subject(SubjectKind.ENDPOINT, id))
+        self._failed_listings.clear()
         listed_ids = {EndpointId(record.key) for record in records if record.value}
         for record in records:
             self._apply_listing(engine, record)
--- a/hickoryplank/jobs/rebuild.py
+++ b/hickoryplank/jobs/rebuild.py
@@ -21,6 +21,7 @@
     for steps in row.steps.values():
         for step in steps:
             _rebuild_step(step, runs)
+    _stop_runs_of_done_tasks(tables, row, now)
     for occurrence in list(row.steps):
         row.discard_occurrence_if_ended(occurrence)
     row.needs_preassignment = True
@@ -71,6 +72,14 @@
         task.state = TaskState.ACTIVE if may_run else TaskState.WAITING
 
 
+def _stop_runs_of_done_tasks(tables: EngineTables, row: JobRow, now: float) -> None:
+    """Stop the runs of tasks that another run has done, but not those of gangs."""
+    for task in row.all_tasks():
+        gang = row.job.steps[task.key.step].gang
+        if task.run is not None and task.state is TaskState.DONE and not gang:
+            tables.stop(task.run, now, "another run is done")
+
+
 def _finish_end(tables: EngineTables, row: JobRow, now: float) -> None:
     """Go on with the end of a job that was interrupted."""
     tables.open_jobs.pop(row.job.id, None)
--- a/tests/jobs/test_jobs_set_aside.py
+++ b/tests/jobs/test_jobs_set_aside.py
@@ -4,6 +4,7 @@
 import pytest
 
 from hickoryplank.core.ids import JobId
+from hickoryplank.jobs.endpoints import RunState
 from hickoryplank.jobs.model import Job, Step
 from hickoryplank.jobs.quarantine import (
     FIRST_PAUSE_SECONDS,
@@ -11,7 +12,7 @@
     SubjectKind,
 )
 from hickoryplank.jobs.sizes import Size
-from hickoryplank.jobs.table import JobState
+from hickoryplank.jobs.table import JobState, TaskState
 from tests.jobs.driver import POOL, QUEUE, TASK, configuration, job
 from tests.jobs.ledger import Ledger, LedgerDriver, task_keys
 from tests.jobs.raising import PLACES, InjectedFault, Raiser
@@ -211,3 +212,19 @@
             break
     assert play.state(BAD) is JobState.FAILED
     play.ledger.check_failed(play.ledger.jobs[BAD], ATTEMPTS)
+
+
+def test_a_run_of_a_task_that_another_has_done_is_stopped_at_the_next_try(raiser):
+    play = Play(job("bad", Step(1, TASK), Step(1, TASK)), raiser)
+    play.step(1)
+    row = play.driver.engine.jobs[BAD]
+    task = row.steps[0][0].tasks[0]
+    run = task.run
+    task.state = TaskState.DONE
+    play.driver.engine.set_job_aside(BAD, InjectedFault("first"))
+    engine, now = play.driver.engine, play.driver.now
+    engine.tick(now, play.driver.wall_ms)
+    assert run.state is not RunState.STOPPING
+    engine.tick(now + FIRST_PAUSE_SECONDS, play.driver.wall_ms)
+    assert run.state is RunState.STOPPING
+    assert engine.stops == [run]
