--- a/hickoryplank/coordinator/call_handler.py
+++ b/hickoryplank/coordinator/call_handler.py
@@ -180,7 +180,8 @@
         row = engine.submit(job, now)
         if known is None:
             self._term.context.metrics.acceptance(returned=row.returned)
-        stored = await self._term.wait_until_stored()
+        # A batch lacks the job if it could not be encoded, or was refused.
+        stored = await self._term.wait_until_stored() and row.recorded
         logger.info(
             "job taken",
             extra={
@@ -191,7 +192,7 @@
                 "steps": [_step_summary(step) for step in job.steps],
             },
         )
-        if stored and row.recorded:
+        if stored:
             return Accepted()
         if row.refusals:
             return Faulty("the store refuses the records of the job")
--- a/hickoryplank/coordinator/metrics.py
+++ b/hickoryplank/coordinator/metrics.py
@@ -9,6 +9,7 @@
 
 from hickoryplank.coordinator.calls import Answer, Call
 from hickoryplank.jobs.messages import EngineEvent, StartOutcome
+from hickoryplank.jobs.quarantine import SubjectKind
 
 if TYPE_CHECKING:
     from opentelemetry.metrics import Meter
@@ -34,6 +35,8 @@
     REFUSED_RECORDS = "records.refused"
     EVACUATED_ZONES = "evacuated.zones"
     EVACUATED_ZONES_RUNS = "evacuated.zones.runs"
+    SET_ASIDE = "set_aside"
+    SET_ASIDE_NOW = "set_aside.now"
 
 
 class _Measurement(msgspec.Struct, frozen=True):
@@ -56,6 +59,7 @@
         self._recorders: dict[_InstrumentName, _Recorder] | None = None
         self._buffered: deque[_Measurement] = deque(maxlen=MAX_BUFFERED_MEASUREMENTS)
         self._evacuated = (0, 0)
+        self._set_aside_counts: dict[SubjectKind, int] = {}
 
     def attach(self, meter: "Meter") -> None:
         """Record on a meter from now on, starting with the buffered measurements."""
@@ -131,6 +135,18 @@
         self._record(_Measurement(_InstrumentName.EVACUATED_ZONES, zones, {}))
         self._record(_Measurement(_InstrumentName.EVACUATED_ZONES_RUNS, runs, {}))
 
+    def set_aside(self, kind: SubjectKind) -> None:
+        """Count an unexpected exception that set something aside."""
+        self._record(_Measurement(_InstrumentName.SET_ASIDE, 1, {"kind": kind.value}))
+
+    def set_aside_counts(self, counts: dict[SubjectKind, int]) -> None:
+        """Record how much of each kind is set aside now."""
+        for kind, count in counts.items():
+            if count != self._set_aside_counts.get(kind, 0):
+                labels = {"kind": kind.value}
+                self._record(_Measurement(_InstrumentName.SET_ASIDE_NOW, count, labels))
+        self._set_aside_counts = counts
+
     def _record(self, measurement: _Measurement) -> None:
         if self._recorders is None:
             self._buffered.append(measurement)
@@ -190,4 +206,12 @@
             _InstrumentName.EVACUATED_ZONES_RUNS.value,
             description="runs on endpoints in evacuated zones",
         ).set,
+        _InstrumentName.SET_ASIDE: meter.create_counter(
+            _InstrumentName.SET_ASIDE.value,
+            description="exceptions that set a job, endpoint, wave or VM aside",
+        ).add,
+        _InstrumentName.SET_ASIDE_NOW: meter.create_gauge(
+            _InstrumentName.SET_ASIDE_NOW.value,
+            description="jobs, endpoints, waves and VMs that are set aside, by kind",
+        ).set,
     }
--- a/hickoryplank/jobs/admission.py
+++ b/hickoryplank/jobs/admission.py
@@ -176,7 +176,10 @@
     rows = [
         one
         for one in tables.open_jobs.values()
-        if one.job.pool == pool and one.has_waiting and is_planned(tables, one, now)
+        if one.job.pool == pool
+        and not tables.quarantine.has_job(one.job.id)
+        and one.has_waiting
+        and is_planned(tables, one, now)
     ]
     patience = patience_s(row, terms)
     work = waiting_work(row)
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -1,6 +1,8 @@
 """State tables of the engine, and the basic changes to them."""
 
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import msgspec
 
@@ -12,6 +14,7 @@
 from hickoryplank.jobs.evacuated_zones import EvacuatedZones
 from hickoryplank.jobs.limits import TeamRateLimiter, TeamUsage
 from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
+from hickoryplank.jobs.quarantine import Quarantine, endpoint_subject, job_subject
 from hickoryplank.jobs.records import Record, StoreBounds
 from hickoryplank.jobs.shortage import PoolShortage, ShortageOrder
 from hickoryplank.jobs.table import (
@@ -139,15 +142,17 @@
         #: Stored assignments to endpoints that are not listed yet. They count as
         #: resources in use by their teams, as they may be running.
         self.unlisted_assignments: dict[EndpointId, list[tuple[JobRow, Task]]] = {}
+        #: What is set aside, as its input could not be applied.
+        self.quarantine = Quarantine()
+        #: Jobs whose records could not be encoded since they were last tried again.
+        self.unencodable_jobs: set[JobId] = set()
         #: New jobs in the batch that is being stored.
         self.storing_jobs: list[JobRow] = []
         #: States in the batch that is being stored.
         self.storing_states: list[tuple[JobRow, JobState]] = []
-        #: First end of each endpoint that is not stored yet, by the job whose state is
-        #: to contain it.
-        self.unstored_ends: dict[JobId, dict[Endpoint, int]] = {}
-        #: The same of the batch that is being stored.
-        self.storing_ends: dict[JobId, dict[Endpoint, int]] = {}
+        #: Jobs whose state the newest batch lacks, as it could not be encoded, or as
+        #: the store refuses it. Their ends are not acknowledged.
+        self.unstored_jobs: set[JobId] = set()
 
     def age_s(self, listing: Listing, now: float) -> float:
         """Return the age of an incarnation by the time of day, in seconds."""
@@ -161,9 +166,53 @@
         """
         assignments = self.unlisted_assignments.pop(id, [])
         for row, task in assignments:
-            self.team_usage.remove(row.job.team, row.step_of(task.key).step.size)
+            size = row.job.steps[task.key.step].size
+            self.team_usage.remove(row.job.team, size)
         return assignments
 
+    @contextmanager
+    def guard_job(
+        self, job: JobId, *, passes: tuple[type[Exception], ...] = ()
+    ) -> Iterator[None]:
+        """Set a job aside if the body raises, and go on after the body.
+
+        :param passes: exceptions that don't come from the job, and pass.
+        """
+        try:
+            yield
+        except passes:
+            raise
+        except Exception as exc:
+            self.set_job_aside(job, exc)
+
+    def set_job_aside(self, job: JobId, exc: Exception) -> None:
+        """Set a job aside, and withdraw the runs that have not been sent."""
+        self.quarantine.set_aside(job_subject(job), exc)
+        for endpoint in self.endpoints.values():
+            for run in list(endpoint.runs.values()):
+                if run.key.job == job and run.state is RunState.ASSIGNED:
+                    self.detach_run(run)
+
+    def detach_run(self, run: Run) -> None:
+        """Remove a run that has ended, and do nothing else for its job.
+
+        It takes the place of ``close_run`` for a job that is set aside. Once that is
+        tried again, its tasks without a run wait for another one.
+        """
+        if run.endpoint.runs.get(run.run_key) is run:
+            run.endpoint.remove(run)
+            self.team_usage.remove(run.team, run.size)
+        self.stop_repeat_at.pop(run, None)
+        row = self.jobs.get(run.key.job)
+        steps = row.steps.get(run.key.occurrence, []) if row is not None else []
+        for task in (task for step in steps for task in step.tasks):
+            if task.run is run:
+                task.run = None
+                task.working = False
+                if task.state is TaskState.ACTIVE:
+                    task.state = TaskState.WAITING
+                row.note_change(task)
+
     def mark_dirty(self, row: JobRow, *tasks: Task) -> None:
         """Have the state of a job stored with the next batch.
 
@@ -172,10 +221,6 @@
         row.note_change(*tasks)
         self.dirty[row.job.id] = row
 
-    def note_end(self, job: JobId, endpoint: Endpoint, number: int) -> None:
-        """Have an end acknowledged only once the state of its job is stored."""
-        self.unstored_ends.setdefault(job, {}).setdefault(endpoint, number)
-
     def add_event(self, kind: EngineEventKind, run: Run, reason: str) -> None:
         """Add an event about a run, for logs and metrics."""
         self.events.append(
@@ -187,6 +232,7 @@
     def end_job(self, row: JobRow, state: JobState, now: float) -> None:
         """End a job and stop its runs."""
         row.state = state
+        self.mark_dirty(row)
         self.events.append(
             EngineEvent(
                 EngineEventKind.JOB_ENDED, row.job.id, None, 0, None, state.value
@@ -195,7 +241,6 @@
         self.open_jobs.pop(row.job.id, None)
         self.ended_jobs.append(EndedJob(row.job.id, now))
         self.advice.discard_job(row.job.id)
-        self.mark_dirty(row)
         for task in row.all_tasks():
             if task.preassignment is not None:
                 row.note_change(task)
@@ -249,7 +294,11 @@
         return task if task is not None and task.run is run else None
 
     def close_run(self, run: Run) -> None:
-        """Remove a run that is known to have ended, and free its resources."""
+        """Remove a run that is known to have ended, and free its resources.
+
+        This may discard the steps of its occurrence, so that they can't be looked up by
+        the key of the run any more.
+        """
         if run.endpoint.runs.get(run.run_key) is not run:
             return
         run.endpoint.remove(run)
@@ -259,10 +308,20 @@
         if task is not None:
             task.run = None
             task.working = False
-            self.jobs[run.key.job].discard_occurrence_if_ended(run.key.occurrence)
+            row = self.jobs[run.key.job]
+            if row.discard_occurrence_if_ended(run.key.occurrence):
+                # The stored state still names the run, whose end is acknowledged next.
+                self.mark_dirty(row)
 
     def give_up_run(self, run: Run, reason: str) -> None:
         """Close a run whose end will not be reported; its task waits again."""
+        try:
+            self._give_up_run(run, reason)
+        except Exception as exc:
+            self.set_job_aside(run.key.job, exc)
+            self.detach_run(run)
+
+    def _give_up_run(self, run: Run, reason: str) -> None:
         task = self.task_of(run)
         if run.endpoint.runs.get(run.run_key) is run and not run.preassigned:
             self.add_event(EngineEventKind.LOST, run, reason)
@@ -298,6 +357,7 @@
         """Forget an incarnation of an endpoint that has no runs any more."""
         if self.endpoints.get(endpoint.id) is endpoint:
             del self.endpoints[endpoint.id]
+        self.quarantine.discard(endpoint_subject(endpoint.id, endpoint.listing.born_ms))
         self.advice.discard_endpoint(endpoint)
 
     def endpoint_of(self, id: EndpointId | None) -> Endpoint | None:
--- a/hickoryplank/jobs/service_order.py
+++ b/hickoryplank/jobs/service_order.py
@@ -31,6 +31,7 @@
 
 __all__ = [
     "JOIN_SECONDS",
+    "check_order",
     "is_planned",
     "pool_plan",
     "pool_supply",
@@ -81,6 +82,21 @@
     return first + [by_id[id] for id in plan.order] + last
 
 
+def check_order(
+    tables: EngineTables, row: JobRow, supply: PoolSupply, now: float
+) -> None:
+    """Raise what one job alone raises in the order of service.
+
+    The plan is made only if jobs lack room together, so that it doesn't show in the
+    order of a single one.
+    """
+    sort_jobs([row], tables.configuration, now)
+    if tables.shortage_order is ShortageOrder.LEAST_COST:
+        _lacks_room([row], [])
+        if is_planned(tables, row, now):
+            waiting_job(tables, row, supply, now)
+
+
 def pool_supply(
     tables: EngineTables, pool: PoolId, endpoints: list[Endpoint]
 ) -> PoolSupply:
--- a/hickoryplank/jobs/table.py
+++ b/hickoryplank/jobs/table.py
@@ -212,6 +212,10 @@
         the smallest records there are.
         """
         self.split = True
+        self.withdraw()
+
+    def withdraw(self) -> None:
+        """Have everything written again that the newest records contained."""
         self.head = None
         self.changed |= self.sending | self.deleting
         self.deleting.clear()
@@ -302,19 +306,22 @@
                 unbegun += tasks_each
             self.next_occurrence += 1
 
-    def discard_occurrence_if_ended(self, occurrence: int) -> None:
+    def discard_occurrence_if_ended(self, occurrence: int) -> bool:
         """Discard the steps of an occurrence of a timed job once nothing is left to do.
 
         A job that runs once keeps them until it is dropped as a whole.
+
+        :return: whether they were discarded.
         """
         rows = self.steps.get(occurrence) if self.job.repeats else None
         if rows is None or any(row.remaining for row in rows):
-            return
+            return False
         tasks = (task for row in rows for task in row.tasks)
         if any(task.run or task.stored_assignment for task in tasks):
-            return
+            return False
         del self.steps[occurrence]
         self.ended_occurrences.add(occurrence)
+        return True
 
     def task(self, key: TaskKey) -> Task | None:
         """Return the task with the given key, if the job has one.
@@ -349,6 +356,11 @@
             task for rows in self.steps.values() for row in rows for task in row.tasks
         ]
 
+    @property
+    def has_run(self) -> bool:
+        """Whether any task of an open occurrence has a run."""
+        return any(task.run for task in self.all_tasks())
+
     @property
     def complete(self) -> bool:
         """Whether every task of every occurrence is done."""
--- /dev/null
+++ b/tests/jobs/test_unstored_jobs.py
@@ -0,0 +1,210 @@
+"""Tests of ends whose job's state a batch lacks, for one reason or the other."""
+
+import pytest
+
+from hickoryplank.core.ids import EndpointId, JobId
+from hickoryplank.jobs import engine, records, service_order
+from hickoryplank.jobs.model import Step
+from hickoryplank.jobs.quarantine import SubjectKind
+from hickoryplank.jobs.records import StoreBounds, job_of_key
+from hickoryplank.jobs.shortage import ShortageOrder
+from hickoryplank.jobs.sizes import Size
+from hickoryplank.jobs.table import JobState
+from tests.jobs.driver import POOL, Driver, job
+from tests.jobs.raising import Raiser
+
+SMALL = Size(500, 500, 0)
+ID = EndpointId("e0")
+ASIDE, REFUSED, GOOD = JobId("aside"), JobId("refused"), JobId("good")
+ALWAYS = 1_000_000
+
+
+@pytest.fixture
+def raiser():
+    one = Raiser()
+    with one.installed():
+        yield one
+
+
+class RefusingDriver(Driver):
+    """A driver whose store refuses the records of some jobs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_set_aside = True
+        self.refused_jobs: set[JobId] = set()
+
+    def commit(self) -> None:
+        batch = self.pending_batch or self.engine.take_batch()
+        self.pending_batch = None
+        refused = frozenset(
+            one.key for one in batch.records if job_of_key(one.key) in self.refused_jobs
+        )
+        for record in batch.records:
+            if record.key in refused:
+                continue
+            if record.value:
+                self.store[record.key] = record.value
+            else:
+                self.store.pop(record.key, None)
+        for run in self.engine.batch_stored(batch, self.now, refused):
+            self._send_start(run)
+
+    def held_jobs(self) -> set[JobId]:
+        """Return the jobs whose ends no poll has acknowledged."""
+        return {end.key.job for one in self.endpoints.values() for end in one.ends}
+
+    def state(self, id: JobId) -> JobState:
+        return self.engine.jobs[id].stored_state
+
+
+def begin(split: bool) -> RefusingDriver:
+    """Begin a job of each kind, one task of each on every endpoint."""
+    driver = RefusingDriver()
+    if split:
+        driver.bounds = driver.engine.bounds = StoreBounds(1)
+    for id in (ASIDE, REFUSED, GOOD):
+        driver.engine.submit(job(id, Step(2, SMALL, max_per_endpoint=1)), driver.now)
+    driver.step()
+    running = [key.job for one in driver.endpoints.values() for key, _ in one.running]
+    assert sorted(running) == sorted([ASIDE, REFUSED, GOOD] * 2)
+    return driver
+
+
+@pytest.mark.parametrize("takes_over", [False, True])
+@pytest.mark.parametrize("first", [ASIDE, REFUSED])
+@pytest.mark.parametrize("split", [False, True])
+def test_ends_are_held_for_both_reasons_and_released_one_by_one(
+    raiser, split: bool, first: JobId, takes_over: bool
+):
+    driver = begin(split)
+    raiser.arm("encode a state", ASIDE, ALWAYS, False)
+    driver.refused_jobs = {REFUSED}
+    for _ in range(30):
+        driver.step()
+    counts = driver.engine.quarantine.counts()
+    # One is set aside and not refused, the other is refused and not set aside.
+    assert counts[SubjectKind.JOB] == 1
+    assert driver.engine.quarantine.has_job(ASIDE)
+    assert not driver.engine.jobs[ASIDE].refusals
+    assert driver.engine.jobs[REFUSED].refusals
+    assert driver.state(GOOD) is JobState.COMPLETED
+    assert {ASIDE, REFUSED} <= driver.held_jobs()
+    if first == ASIDE:
+        raiser.left = 0
+    else:
+        driver.refused_jobs = set()
+    if takes_over:
+        driver.take_over()
+    for _ in range(400):
+        driver.step()
+    other = REFUSED if first == ASIDE else ASIDE
+    assert driver.state(first) is JobState.COMPLETED
+    assert driver.state(other) is not JobState.COMPLETED
+    assert other in driver.held_jobs()
+    raiser.left = 0
+    driver.refused_jobs = set()
+    for _ in range(800):
+        driver.step()
+    assert driver.state(other) is JobState.COMPLETED
+    assert not driver.held_jobs()
+    # Nothing was lost: no task ran again.
+    started = [key for one in driver.endpoints.values() for key, _ in one.started]
+    assert len(started) == len(set(started)) == 6
+
+
+def test_a_job_that_is_set_aside_is_refused_too():
+    driver = begin(split=True)
+    driver.refused_jobs = {ASIDE}
+    driver.engine.set_job_aside(ASIDE, ValueError("not expected"))
+    for _ in range(100):
+        driver.step()
+    # It is back in service, but its state is refused still.
+    assert not driver.engine.quarantine.has_job(ASIDE)
+    assert driver.engine.jobs[ASIDE].refusals
+    assert ASIDE in driver.held_jobs()
+    assert driver.state(GOOD) is JobState.COMPLETED
+    driver.refused_jobs = set()
+    for _ in range(300):
+        driver.step()
+    assert driver.state(ASIDE) is JobState.COMPLETED
+    assert not driver.held_jobs()
+
+
+# Guards against a batch whose refusal comes after it has named an end for storing.
+def test_an_end_whose_state_is_refused_with_its_batch_is_not_acknowledged():
+    driver = begin(split=False)
+    fake = driver.endpoints[ID]
+    driver.refused_jobs = {REFUSED}
+    while not fake.ends:
+        driver.step(100, store_up=False)
+    endpoint = driver.engine.endpoints[ID]
+    held = min(end.number for end in fake.ends if end.key.job == REFUSED)
+    assert max(end.number for end in driver.pending_batch.ends) >= held
+    driver.commit()
+    assert endpoint.stored_end_number == held - 1
+    assert endpoint.held_end_number == held
+    assert not endpoint.has_unstored_ends
+
+
+@pytest.mark.parametrize("after", [False, True])
+@pytest.mark.parametrize("place", ["encode a part", "encode a state"])
+def test_a_split_state_that_raises_halfway_is_written_whole_later(
+    raiser, monkeypatch, place: str, after: bool
+):
+    driver = begin(split=True)
+    if place == "encode a state":
+        raiser.arm(place, ASIDE, 1, after)
+    else:
+        encode_part, calls = records._encode_part, []
+
+        def raise_once(row, part):
+            if row.job.id == ASIDE and not calls:
+                calls.append(part)
+                raise ValueError("not expected")
+            return encode_part(row, part)
+
+        monkeypatch.setattr(records, "_encode_part", raise_once)
+    for _ in range(60):
+        driver.step()
+    assert driver.faults
+    assert driver.state(ASIDE) is JobState.COMPLETED
+    driver.take_over()
+    row = driver.engine.jobs[ASIDE]
+    assert row.complete
+    assert not any(task.stored_assignment for task in row.all_tasks())
+
+
+def test_a_job_that_the_plan_of_service_raises_for_is_set_aside_alone(monkeypatch):
+    driver = RefusingDriver()
+    driver.engine.shortage_order = ShortageOrder.LEAST_COST
+    waiting_job = service_order.waiting_job
+
+    def raise_for_one(tables, row, supply, now):
+        if row.job.id == ASIDE:
+            raise ValueError("not expected")
+        return waiting_job(tables, row, supply, now)
+
+    monkeypatch.setattr(service_order, "waiting_job", raise_for_one)
+    for id in (ASIDE, GOOD):
+        # Each alone has room, so that only both together are planned.
+        one = job(id, Step(5, Size(1000, 500, 0)))
+        driver.engine.submit(one, driver.now).over_share = False
+    for _ in range(40):
+        driver.step()
+    assert {one.subject.id for one in driver.faults} == {ASIDE}
+    assert POOL not in driver.engine.shortages
+    assert driver.state(GOOD) is JobState.COMPLETED
+    # Once it lacks no room, it is served.
+    assert driver.state(ASIDE) is JobState.COMPLETED
+
+
+def test_a_job_is_accepted_if_its_admission_raises(monkeypatch):
+    def raise_always(*args):
+        raise ValueError("not expected")
+
+    monkeypatch.setattr(engine, "refusal", raise_always)
+    driver = RefusingDriver()
+    assert driver.engine.refusal(job(GOOD, Step(1, SMALL)), driver.now) is None
+    driver.collect_faults()
+    assert [one.subject.id for one in driver.faults] == [POOL]
