Engine machine: the store refuses states while functions raise

Cause: the two reasons for which a batch lacks a job's state were played apart. Change: the machine in which functions raise for single jobs also has the store refuse the states of accepted jobs; Driver has refused_jobs for it. Ruled out: refusing new jobs in it, which drops them by design.

--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -20,6 +20,7 @@
     apply_states,
     decode_job,
     is_job_key,
+    job_of_key,
 )
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.table import JobRow
@@ -118,6 +119,8 @@
         self.delayed_starts: list[tuple[float, Run, int]] = []
         #: Number of times that each unanswered start was sent.
         self.tries: dict[Run, int] = {}
+        #: Jobs whose records the store refuses for good.
+        self.refused_jobs: set[JobId] = set()
         #: Whether something may be set aside; else what was raised is raised again.
         self.may_set_aside = False
         self.faults: list[Fault] = []
@@ -248,11 +251,17 @@
         batch = self.pending_batch or self.engine.take_batch()
         self.pending_batch = None
         self._write(batch)
-        for run in self.engine.batch_stored(batch, self.now):
+        refused = frozenset(one.key for one in batch.records if self._refuses(one))
+        for run in self.engine.batch_stored(batch, self.now, refused):
             self._send_start(run)
 
+    def _refuses(self, record: Record) -> bool:
+        return bool(self.refused_jobs) and job_of_key(record.key) in self.refused_jobs
+
     def _write(self, batch: Batch) -> None:
         for record in batch.records:
+            if self._refuses(record):
+                continue
             if record.value:
                 self.store[record.key] = record.value
             else:
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -460,7 +460,7 @@
                 else (len(self.ledger.done), 0)
             )
             left = list(self.driver.engine.open_jobs)
-            if self.count_aside():
+            if self.count_held_back():
                 steps = 0
             assert steps < STALL_STEPS, f"{left} were left open"
             self.driver.step()
@@ -470,8 +470,8 @@
     def end_faults(self) -> None:
         """End faults of the engine itself, of which there are none."""
 
-    def count_aside(self) -> int:
-        """Return the number of jobs that are set aside."""
+    def count_held_back(self) -> int:
+        """Return the number of jobs that are set aside, or refused."""
         return self.driver.engine.quarantine.counts()[SubjectKind.JOB]
 
     def lasting_tasks_run_where_there_is_room(self) -> None:
@@ -484,7 +484,9 @@
             rows = [
                 row
                 for id, row in engine.open_jobs.items()
-                if row.lasting and not engine.quarantine.has_job(id)
+                if row.lasting
+                and not engine.quarantine.has_job(id)
+                and not row.refusals
             ]
             waiting_steps = {
                 row.job.id: waiting_steps.get(row.job.id, 0) + 1
@@ -543,6 +545,17 @@
         assume(number < len(jobs))
         self.raiser.arm(place, jobs[number], left, after)
 
+    @rule(number=st.integers(0, MAX_JOBS - 1))
+    def refuse_the_state_of_a_job(self, number: int) -> None:
+        """Have the store refuse what it is sent of an accepted job."""
+        jobs = [id for id, row in self.driver.engine.jobs.items() if row.recorded]
+        assume(number < len(jobs))
+        self.driver.refused_jobs.add(jobs[number])
+
+    @rule()
+    def refuse_nothing(self) -> None:
+        self.driver.refused_jobs.clear()
+
     @precondition(lambda self: hasattr(self, "driver"))
     @invariant()
     def only_jobs_that_raised_are_set_aside(self) -> None:
@@ -551,6 +564,11 @@
 
     def end_faults(self) -> None:
         self.raiser.left = 0
+        self.driver.refused_jobs.clear()
+
+    def count_held_back(self) -> int:
+        rows = self.driver.engine.jobs.values()
+        return super().count_held_back() + sum(bool(row.refusals) for row in rows)
 
     def teardown(self) -> None:
         try:
--- a/tests/jobs/test_unstored_jobs.py
+++ b/tests/jobs/test_unstored_jobs.py
@@ -6,7 +6,7 @@
 from hickoryplank.jobs import engine, records, service_order
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.quarantine import SubjectKind
-from hickoryplank.jobs.records import StoreBounds, job_of_key
+from hickoryplank.jobs.records import StoreBounds
 from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.sizes import Size
 from hickoryplank.jobs.table import JobState
@@ -26,29 +26,12 @@
         yield one
 
 
-class RefusingDriver(Driver):
-    """A driver whose store refuses the records of some jobs."""
+class FaultyDriver(Driver):
+    """A driver in which jobs may be set aside."""
 
     def __init__(self) -> None:
         super().__init__()
         self.may_set_aside = True
-        self.refused_jobs: set[JobId] = set()
-
-    def commit(self) -> None:
-        batch = self.pending_batch or self.engine.take_batch()
-        self.pending_batch = None
-        refused = frozenset(
-            one.key for one in batch.records if job_of_key(one.key) in self.refused_jobs
-        )
-        for record in batch.records:
-            if record.key in refused:
-                continue
-            if record.value:
-                self.store[record.key] = record.value
-            else:
-                self.store.pop(record.key, None)
-        for run in self.engine.batch_stored(batch, self.now, refused):
-            self._send_start(run)
 
     def held_jobs(self) -> set[JobId]:
         """Return the jobs whose ends no poll has acknowledged."""
@@ -58,9 +41,9 @@
         return self.engine.jobs[id].stored_state
 
 
-def begin(split: bool) -> RefusingDriver:
+def begin(split: bool) -> FaultyDriver:
     """Begin a job of each kind, one task of each on every endpoint."""
-    driver = RefusingDriver()
+    driver = FaultyDriver()
     if split:
         driver.bounds = driver.engine.bounds = StoreBounds(1)
     for id in (ASIDE, REFUSED, GOOD):
@@ -176,7 +159,7 @@
 
 
 def test_a_job_that_the_plan_of_service_raises_for_is_set_aside_alone(monkeypatch):
-    driver = RefusingDriver()
+    driver = FaultyDriver()
     driver.engine.shortage_order = ShortageOrder.LEAST_COST
     waiting_job = service_order.waiting_job
 
@@ -204,7 +187,7 @@
         raise ValueError("not expected")
 
     monkeypatch.setattr(engine, "refusal", raise_always)
-    driver = RefusingDriver()
+    driver = FaultyDriver()
     assert driver.engine.refusal(job(GOOD, Step(1, SMALL)), driver.now) is None
     driver.collect_faults()
     assert [one.subject.id for one in driver.faults] == [POOL]
