Tests: parts of a split state while a job is set aside

Change: parts of one task in the tests with split states; an end of an unknown run, and a rebuilt job, must be restored by a successor. Ruled out: the same for encode_state_changes clearing its changes first: the rebuilding of a job that could not be encoded writes all parts anyway.

--- a/tests/jobs/test_jobs_set_aside.py
+++ b/tests/jobs/test_jobs_set_aside.py
@@ -66,7 +66,8 @@
         for one in [bad, *(job(f"good{number}", Step(2, TASK)) for number in range(4))]:
             one = msgspec.structs.replace(one, terms=terms)
             self.ledger.jobs[one.id] = one
-            self.driver.engine.submit(one, self.driver.now)
+            row = self.driver.engine.submit(one, self.driver.now)
+            row.stored.tasks_per_part = 1
             if one.id != BAD:
                 self.good.append(one.id)
 
--- a/tests/jobs/test_unstored_jobs.py
+++ b/tests/jobs/test_unstored_jobs.py
@@ -4,12 +4,13 @@
 
 from hickoryplank.core.ids import EndpointId, JobId
 from hickoryplank.jobs import engine, records, service_order
+from hickoryplank.jobs.messages import End, EndKind, PollReport
 from hickoryplank.jobs.model import Step
-from hickoryplank.jobs.quarantine import SubjectKind
+from hickoryplank.jobs.quarantine import FIRST_PAUSE_SECONDS, SubjectKind
 from hickoryplank.jobs.records import StoreBounds
 from hickoryplank.jobs.shortage import ShortageOrder
 from hickoryplank.jobs.sizes import Size
-from hickoryplank.jobs.table import JobState
+from hickoryplank.jobs.table import JobState, TaskState
 from tests.jobs.driver import POOL, Driver, job
 from tests.jobs.raising import Raiser
 
@@ -47,7 +48,9 @@
     if split:
         driver.bounds = driver.engine.bounds = StoreBounds(1)
     for id in (ASIDE, REFUSED, GOOD):
-        driver.engine.submit(job(id, Step(2, SMALL, max_per_endpoint=1)), driver.now)
+        one = job(id, Step(2, SMALL, max_per_endpoint=1))
+        row = driver.engine.submit(one, driver.now)
+        row.stored.tasks_per_part = 1
     driver.step()
     running = [key.job for one in driver.endpoints.values() for key, _ in one.running]
     assert sorted(running) == sorted([ASIDE, REFUSED, GOOD] * 2)
@@ -158,6 +161,39 @@
     assert not any(task.stored_assignment for task in row.all_tasks())
 
 
+# Guards against an end that is acknowledged though its part was not written.
+def test_an_end_of_an_unknown_run_is_stored_with_its_part_while_set_aside(raiser):
+    driver = begin(split=True)
+    raiser.arm("rebuild a job", ASIDE, ALWAYS, False)
+    driver.engine.set_job_aside(ASIDE, ValueError("not expected"))
+    task = driver.engine.jobs[ASIDE].steps[0][0].tasks[0]
+    (other,) = set(driver.endpoints) - {task.run.endpoint.id}
+    endpoint = driver.engine.endpoints[other]
+    end = End(endpoint.last_end_number + 1, task.key, 1, EndKind.DONE, "")
+    report = PollReport(endpoint.listing.born_ms, endpoint.clock_ms, (), (end,), True)
+    driver.engine.poll_answered(endpoint, report, driver.now, driver.now)
+    driver.commit()
+    assert endpoint.stored_end_number == end.number
+    driver.take_over()
+    restored = driver.engine.jobs[ASIDE].steps[0][0].tasks
+    assert [one.state for one in restored] == [TaskState.DONE, TaskState.ACTIVE]
+
+
+def test_a_rebuilt_job_is_stored_with_all_its_parts():
+    driver = begin(split=True)
+    tasks = driver.engine.jobs[ASIDE].steps[0][0].tasks
+    # As if what raised had changed a task, and not said so.
+    tasks[1].failures = 1
+    driver.engine.set_job_aside(ASIDE, ValueError("not expected"))
+    driver.engine.tick(driver.now, driver.wall_ms)
+    driver.engine.tick(driver.now + FIRST_PAUSE_SECONDS, driver.wall_ms)
+    assert not driver.engine.quarantine.has_job(ASIDE)
+    driver.commit()
+    driver.take_over()
+    restored = driver.engine.jobs[ASIDE].steps[0][0].tasks
+    assert [one.failures for one in restored] == [0, 1]
+
+
 def test_a_job_that_the_plan_of_service_raises_for_is_set_aside_alone(monkeypatch):
     driver = FaultyDriver()
     driver.engine.shortage_order = ShortageOrder.LEAST_COST
