--- a/hickoryplank/jobs/assignment.py
+++ b/hickoryplank/jobs/assignment.py
@@ -1,5 +1,6 @@
 """Assigns waiting tasks to endpoints, job by job in the order of service."""
 
+from collections.abc import Container
 from enum import Enum
 from itertools import islice
 
@@ -17,7 +18,9 @@
     preassign_tasks,
     start_preassigned,
 )
-from hickoryplank.jobs.service_order import serve_order
+from hickoryplank.jobs.quarantine import Subject, SubjectKind
+from hickoryplank.jobs.service_order import check_order, pool_supply, serve_order
+from hickoryplank.jobs.shortage import PoolSupply
 from hickoryplank.jobs.table import JobRow, JobState, StepRow, Task
 
 __all__ = ["AllowedStarts", "assign_tasks"]
@@ -45,18 +48,95 @@
     for endpoint in tables.endpoints.values():
         if endpoint.usable(now):
             usable.setdefault(endpoint.listing.pool, []).append(endpoint)
-    rows_by_pool: dict[PoolId, list[JobRow]] = {}
-    for row in tables.open_jobs.values():
-        row.open_due_occurrences(wall_ms)
-        if row.job.pool in usable and not row.refusals:
-            rows = rows_by_pool.setdefault(row.job.pool, [])
-            if row.needs_preassignment or row.has_waiting:
-                rows.append(row)
+    rows_by_pool = _rows_to_serve(tables, usable, wall_ms)
     tables.shortages.clear()
     for pool, rows in rows_by_pool.items():
         room = PoolRoom(usable[pool])
-        for row in serve_order(tables, pool, rows, usable[pool], now):
-            _assign_job(tables, row, room, now, wall_ms, starts)
+        for row in _in_order(tables, pool, rows, usable[pool], now):
+            try:
+                _assign_job(tables, row, room, now, wall_ms, starts)
+            except Exception as exc:
+                tables.set_job_aside(row.job.id, exc)
+                room.refresh()
+
+
+def _rows_to_serve(
+    tables: EngineTables, pools: Container[PoolId], wall_ms: int
+) -> dict[PoolId, list[JobRow]]:
+    """Return the open jobs with waiting tasks that may start, by pool.
+
+    Those that are set aside are left out, as are those whose state the store refuses.
+
+    :param pools: pools that have usable endpoints.
+    """
+    rows: dict[PoolId, list[JobRow]] = {}
+    for id, row in list(tables.open_jobs.items()):
+        if tables.quarantine.has_job(id):
+            continue
+        try:
+            row.open_due_occurrences(wall_ms)
+            pool = row.job.pool
+            if pool not in pools or row.refusals:
+                continue
+            if row.needs_preassignment or row.has_waiting:
+                rows.setdefault(pool, []).append(row)
+        except Exception as exc:
+            tables.set_job_aside(id, exc)
+    return rows
+
+
+def _in_order(
+    tables: EngineTables,
+    pool: PoolId,
+    rows: list[JobRow],
+    endpoints: list[Endpoint],
+    now: float,
+) -> list[JobRow]:
+    """Return the jobs of a pool in the order of service, but those that have none.
+
+    If no single job is the cause, they are served in the order of acceptance.
+
+    :param endpoints: usable endpoints of the pool.
+    """
+    subject = Subject(SubjectKind.POOL, pool)
+    try:
+        ordered = serve_order(tables, pool, rows, endpoints, now)
+    except Exception as exc:
+        # What was planned is not what is served now.
+        tables.shortages.pop(pool, None)
+        sound = _orderable(tables, pool, rows, endpoints, now)
+        if len(sound) == len(rows):
+            tables.quarantine.set_aside(subject, exc)
+        return sorted(sound, key=lambda row: row.accepted_at)
+    tables.quarantine.release(subject, now)
+    return ordered
+
+
+def _orderable(
+    tables: EngineTables,
+    pool: PoolId,
+    rows: list[JobRow],
+    endpoints: list[Endpoint],
+    now: float,
+) -> list[JobRow]:
+    """Return the jobs that can be ordered alone, and set the others aside."""
+    try:
+        supply = pool_supply(tables, pool, endpoints)
+    except Exception as exc:
+        tables.quarantine.set_aside(Subject(SubjectKind.POOL, pool), exc)
+        return rows
+    return [row for row in rows if _can_be_ordered(tables, row, supply, now)]
+
+
+def _can_be_ordered(
+    tables: EngineTables, row: JobRow, supply: PoolSupply, now: float
+) -> bool:
+    try:
+        check_order(tables, row, supply, now)
+    except Exception as exc:
+        tables.set_job_aside(row.job.id, exc)
+        return False
+    return True
 
 
 def _assign_job(
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -5,9 +5,10 @@
 are sent, and its ends acknowledged, only after the batch has been stored.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import TypeVar
 
-from hickoryplank.core.ids import EndpointId, QueueId, Zone
+from hickoryplank.core.ids import EndpointId, JobId, QueueId, Zone
 from hickoryplank.jobs import incarnations, reports
 from hickoryplank.jobs.admission import Admissions, Refusal, refusal
 from hickoryplank.jobs.assignment import AllowedStarts, assign_tasks
@@ -17,6 +18,8 @@
 from hickoryplank.jobs.evacuation import evacuate_zones
 from hickoryplank.jobs.messages import (
     Batch,
+    EngineEvent,
+    EngineEventKind,
     PollReport,
     PollRequest,
     StartOutcome,
@@ -24,6 +27,8 @@
 )
 from hickoryplank.jobs.model import Job
 from hickoryplank.jobs.pacing import adjust_pace
+from hickoryplank.jobs.quarantine import Subject, SubjectKind, job_subject
+from hickoryplank.jobs.rebuild import end_job_if_settled, rebuild_job
 from hickoryplank.jobs.records import (
     Record,
     StoreBounds,
@@ -33,10 +38,12 @@
     job_of_key,
 )
 from hickoryplank.jobs.shortage import ShortageOrder
-from hickoryplank.jobs.table import JobRow, JobState
+from hickoryplank.jobs.table import JobRow, JobState, TaskState
 
 __all__ = ["Engine", "EngineTiming"]
 
+_T = TypeVar("_T")
+
 #: Interval at which a stop is repeated until the run has ended.
 STOP_REPEAT_SECONDS = 0.5
 #: Age up to which stored jobs count as arrivals in the next term, in seconds: several
@@ -72,26 +79,42 @@
         work.
         """
         for row in sorted(rows, key=lambda one: one.accepted_at):
-            self._note_first_job(row.job, self.term_started_at)
-            if row.accepted_at > self.term_started_at - RESTORED_ARRIVALS_SECONDS:
-                self._note_arrival(row)
             row.recorded = True
             self.jobs[row.job.id] = row
-            if row.state.final:
-                self.ended_jobs.append(EndedJob(row.job.id, self.term_started_at))
-            else:
-                self.open_jobs[row.job.id] = row
-            for task in row.all_tasks():
-                if task.stored_assignment is not None:
-                    assignments = self.unlisted_assignments.setdefault(
-                        task.stored_assignment.endpoint, []
-                    )
-                    assignments.append((row, task))
-                    self.team_usage.add(row.job.team, row.step_of(task.key).step.size)
+            with self.guard_job(row.job.id):
+                self._restore_job(row)
+
+    def _restore_job(self, row: JobRow) -> None:
+        for task in row.all_tasks():
+            if task.stored_assignment is not None:
+                assignments = self.unlisted_assignments.setdefault(
+                    task.stored_assignment.endpoint, []
+                )
+                assignments.append((row, task))
+                size = row.job.steps[task.key.step].size
+                self.team_usage.add(row.job.team, size)
+            elif task.state is TaskState.ACTIVE:
+                # It was stored while the job was set aside.
+                self.requeue(row, task)
+        if row.state.final:
+            self.ended_jobs.append(EndedJob(row.job.id, self.term_started_at))
+        else:
+            self.open_jobs[row.job.id] = row
+        self._note_first_job(row.job, self.term_started_at)
+        if row.accepted_at > self.term_started_at - RESTORED_ARRIVALS_SECONDS:
+            self._note_arrival(row)
+        if not row.state.final:
+            # A former coordinator may have noted the last end, and applied no more.
+            end_job_if_settled(self, row, self.term_started_at)
 
     def refusal(self, job: Job, now: float) -> Refusal | None:
         """Return why a job that isn't known is refused; none if it is accepted."""
-        return refusal(self, self.admissions, job, now)
+        try:
+            return refusal(self, self.admissions, job, now)
+        except Exception as exc:
+            # Some other job may be the cause, and the order of service shows which one.
+            self.quarantine.set_aside(Subject(SubjectKind.POOL, job.pool), exc)
+            return None
 
     def submit(self, job: Job, now: float) -> JobRow:
         """Add a job, or return the row of the job if it is known already."""
@@ -123,7 +146,13 @@
     def cancel(self, row: JobRow, now: float) -> None:
         """End a job as cancelled and stop its runs."""
         if not row.state.final:
-            self.end_job(row, JobState.CANCELLED, now)
+            try:
+                self.end_job(row, JobState.CANCELLED, now)
+            except Exception as exc:
+                # What is left of its end is done when the job is tried again.
+                self.set_job_aside(row.job.id, exc)
+                row.state = JobState.CANCELLED
+                self.mark_dirty(row)
 
     def pending_count(self, queue: QueueId) -> int:
         """Return the number of jobs of a queue of which no task has been started.
@@ -243,7 +272,22 @@
 
         :param tries: number of times that it has been sent.
         """
-        return reports.is_start_due(self, run, tries, now)
+        try:
+            return reports.is_start_due(self, run, tries, now)
+        except Exception as exc:
+            self.start_failed(run, exc, now)
+            return False
+
+    def start_failed(self, run: Run, exc: Exception, now: float) -> None:
+        """Set the job of a run aside, as its start or the answer to it raised.
+
+        The start may have been sent; it is not sent again.
+        """
+        self.set_job_aside(run.key.job, exc)
+        if run.endpoint.runs.get(run.run_key) is run:
+            run.unanswered_at = now
+            if run.start_withdrawn_at is None:
+                run.start_withdrawn_at = now
 
     def start_answered(
         self, run: Run, outcome: StartOutcome, tries: int, clock_ms: int, now: float
@@ -253,7 +297,11 @@
         :param tries: number of times that it was sent, including this one.
         :param clock_ms: the endpoint's clock in the answer; 0 if not known.
         """
-        return reports.start_answered(self, run, outcome, tries, clock_ms, now)
+        try:
+            return reports.start_answered(self, run, outcome, tries, clock_ms, now)
+        except Exception as exc:
+            self.start_failed(run, exc, now)
+            return False
 
     def stop_answered(self, run: Run, now: float) -> None:
         """Record that a stop was accepted; the next report settles the run."""
@@ -272,6 +320,7 @@
         :param wall_ms: time of day, in Unix milliseconds.
         :param starts: the starts that may be decided.
         """
+        self._try_jobs_again(now)
         self._expire_leases(now)
         self._stop_on_draining(now)
         self.evacuated_zones.end_warm_ups(now)
@@ -279,13 +328,58 @@
         assign_tasks(self, now, wall_ms, starts)
         for endpoint in self.endpoints.values():
             if endpoint.token_confirmed and endpoint.silent_since is None:
-                self.pace_changes += adjust_pace(endpoint, now)
+                self._adjust_pace(endpoint, now)
         evacuate_zones(self, now)
         for run, due in list(self.stop_repeat_at.items()):
             if due <= now:
                 self.stop_repeat_at[run] = now + STOP_REPEAT_SECONDS
                 self.stops.append(run)
 
+    def _try_jobs_again(self, now: float) -> None:
+        """Rebuild the jobs that were set aside and whose pause is over."""
+        for id in map(JobId, self.quarantine.due(SubjectKind.JOB, now)):
+            row = self.jobs.get(id)
+            if row is None:
+                self.quarantine.discard(job_subject(id))
+                continue
+            self.unencodable_jobs.discard(id)
+            if not self._note_held_ends(id, now):
+                continue
+            try:
+                rebuild_job(self, row, now)
+            except Exception as exc:
+                self.set_job_aside(id, exc)
+            else:
+                if self.quarantine.release(job_subject(id), now):
+                    self.events.append(
+                        EngineEvent(
+                            EngineEventKind.RESUMED, id, None, 0, None, "rebuilt"
+                        )
+                    )
+
+    def _note_held_ends(self, job: JobId, now: float) -> bool:
+        """Note the ends of a job that could not be noted; return false if any can't.
+
+        The job is then set aside again.
+        """
+        for endpoint in self.endpoints.values():
+            for end in list(endpoint.unnoted_ends.values()):
+                if end.key.job == job:
+                    reports.take_end(self, endpoint, end, now)
+        return not any(
+            end.key.job == job
+            for endpoint in self.endpoints.values()
+            for end in endpoint.unnoted_ends.values()
+        )
+
+    def _adjust_pace(self, endpoint: Endpoint, now: float) -> None:
+        subject = Subject(SubjectKind.PACE, endpoint.id)
+        if self.quarantine.is_paused(subject, now):
+            return
+        with self.quarantine.guard(subject):
+            self.pace_changes += adjust_pace(endpoint, now)
+            self.quarantine.release(subject, now)
+
     def tick_preassigned(self, now: float, wall_ms: int) -> None:
         """Start tasks on stored pre-assignments while a batch is being stored."""
         assign_tasks(self, now, wall_ms, AllowedStarts.PREASSIGNED)
@@ -317,10 +411,12 @@
             if row is None:
                 continue
             settled = row.stored_state is row.state
-            if not settled or any(task.run for task in row.all_tasks()):
+            is_held = self.quarantine.has_job(row.job.id) or row.refusals
+            if not settled or is_held or row.has_run:
                 self.ended_jobs.append(EndedJob(row.job.id, now))
                 continue
             del self.jobs[row.job.id]
+            self.quarantine.discard(job_subject(row.job.id))
             self.expired_jobs.append(row)
 
     def _stop_on_draining(self, now: float) -> None:
@@ -334,45 +430,94 @@
                 continue
             for run in list(endpoint.runs.values()):
                 if run.step.lasting and run.state is RunState.STARTED:
-                    self.stop(run, now, "its endpoint leaves")
+                    with self.guard_job(run.key.job):
+                        self.stop(run, now, "its endpoint leaves")
 
     # Batches
 
     def take_batch(self) -> Batch:
-        """Return the batch to be stored next."""
-        new = self.storing_jobs = self.new_jobs
-        self.new_jobs = []
-        dirty, self.dirty = self.dirty, {}
-        starts, self.starts = self.starts, []
-        expired_jobs, self.expired_jobs = self.expired_jobs, []
+        """Return the batch to be stored next.
+
+        It lacks the states of jobs that can't be encoded, and of those that the store
+        has refused a short time ago. Their ends are not acknowledged.
+        """
         unowned, self.unowned_records = self.unowned_records, []
         records = [Record(record.key, b"") for record in unowned]
+        expired_jobs, self.expired_jobs = self.expired_jobs, []
         for row in expired_jobs:
             records += encode_deletion(row)
         self.storing_states = []
-        for row in new:
-            # A state without its job means nothing, a job without its state is new.
-            if dirty.pop(row.job.id, None) is not None:
-                records += self._encode_state(row)
-            records.append(encode_job(row.job))
-        for row in dirty.values():
-            if row.batches_to_skip:
-                row.batches_to_skip -= 1
-                self.dirty[row.job.id] = row
-            else:
-                records += self._encode_state(row)
-        self.storing_preassignments, self.new_preassignments = (
-            self.new_preassignments,
-            [],
-        )
-        self.storing_ends, self.unstored_ends = self.unstored_ends, {}
+        self.unstored_jobs = set()
+        records += self._take_new_jobs() + self._take_states()
+        self.unstored_jobs |= self.unencodable_jobs
+        preassignments, self.new_preassignments = self.new_preassignments, []
+        # Those of jobs that can't be encoded are chosen anew at the next try.
+        self.storing_preassignments = [
+            (row, one)
+            for row, one in preassignments
+            if row.job.id not in self.unencodable_jobs
+        ]
+        starts, self.starts = self.starts, []
+        self._hold_ends()
         ends = [
-            StoredEnd(one.id, one.listing.born_ms, one.last_end_number)
+            StoredEnd(one.id, one.listing.born_ms, one.storable_end_number)
             for one in self.endpoints.values()
             if one.has_unstored_ends
         ]
         return Batch(records, starts, ends)
 
+    def _take_new_jobs(self) -> list[Record]:
+        new, self.new_jobs, self.storing_jobs = self.new_jobs, [], []
+        records = []
+        for row in new:
+            record = self._encode(row, lambda row: encode_job(row.job))
+            if record is None:
+                self.new_jobs.append(row)
+                continue
+            # A state without its job means nothing, a job without its state is new.
+            records += [*self._take_state(row), record]
+            self.storing_jobs.append(row)
+        return records
+
+    def _take_states(self) -> list[Record]:
+        records = []
+        for row in list(self.dirty.values()):
+            if row.batches_to_skip:
+                row.batches_to_skip -= 1
+                self.unstored_jobs.add(row.job.id)
+            else:
+                records += self._take_state(row)
+        return records
+
+    def _take_state(self, row: JobRow) -> list[Record]:
+        """Return the changes of a state, which remain if they can't be encoded."""
+        if row.job.id not in self.dirty:
+            return []
+        records = self._encode(row, lambda row: encode_state_changes(row, self.bounds))
+        if records is None:
+            return []
+        del self.dirty[row.job.id]
+        self.storing_states.append((row, row.state))
+        return records
+
+    def _encode(self, row: JobRow, encode: Callable[[JobRow], _T]) -> _T | None:
+        """Return what is encoded of a job, or none if it can't be for now."""
+        id = row.job.id
+        if id in self.unencodable_jobs:
+            return None
+        try:
+            return encode(row)
+        except Exception as exc:
+            row.stored.withdraw()
+            self.unencodable_jobs.add(id)
+            self.set_job_aside(id, exc)
+            return None
+
+    def _hold_ends(self) -> None:
+        """Hold back the ends of jobs whose state the newest batch lacks."""
+        for endpoint in self.endpoints.values():
+            endpoint.hold_ends(self.unstored_jobs)
+
     def batch_stored(
         self, batch: Batch, now: float, refused: frozenset[str] = frozenset()
     ) -> list[Run]:
@@ -403,35 +548,27 @@
             else:
                 preassignment.stored = True
         self.storing_preassignments = []
-        self._keep_unstored_ends()
-        held_ends = [
-            ends
-            for job, ends in self.unstored_ends.items()
-            if job in self.jobs and self.jobs[job].refusals
-        ]
+        if refused_jobs:
+            self.unstored_jobs |= refused_jobs & self.jobs.keys()
+            self._hold_ends()
         for end in batch.ends:
             endpoint = self.endpoints.get(end.endpoint)
             if endpoint is not None and endpoint.listing.born_ms == end.born_ms:
-                numbers = [ends[endpoint] - 1 for ends in held_ends if endpoint in ends]
-                endpoint.stored_end_number = max(
-                    endpoint.stored_end_number, min([end.number, *numbers])
-                )
+                number = min(end.number, endpoint.storable_end_number)
+                endpoint.note_stored_ends(number)
         return [run for run in batch.starts if self._may_start(run, now)]
 
-    def _encode_state(self, row: JobRow) -> list[Record]:
-        self.storing_states.append((row, row.state))
-        return encode_state_changes(row, self.bounds)
-
     def _drop_refused_job(self, row: JobRow) -> None:
         """Drop a new job that can't be stored; nothing of it has been started."""
         row.refusals += 1
         self.jobs.pop(row.job.id, None)
         self.open_jobs.pop(row.job.id, None)
         self.advice.discard_job(row.job.id)
+        self.quarantine.discard(job_subject(row.job.id))
         self.dirty.pop(row.job.id, None)
         for task in row.all_tasks():
             if task.run is not None:
-                self.close_run(task.run)
+                self.detach_run(task.run)
         # Parts of its state may have been stored.
         self.expired_jobs.append(row)
 
@@ -443,17 +580,6 @@
         row.stored.refuse()
         self.dirty[row.job.id] = row
 
-    def _keep_unstored_ends(self) -> None:
-        """Keep the ends of jobs whose state was not stored with this batch."""
-        for job, ends in self.storing_ends.items():
-            row = self.jobs.get(job)
-            if row is None or not row.refusals:
-                continue
-            for endpoint, number in ends.items():
-                kept = self.unstored_ends.setdefault(job, {})
-                kept[endpoint] = min(number, kept.get(endpoint, number))
-        self.storing_ends = {}
-
     def _may_start(self, run: Run, now: float) -> bool:
         """Mark a run of a stored batch as sent; return whether it may be started."""
         row = self.jobs.get(run.key.job)
--- a/hickoryplank/jobs/evacuation.py
+++ b/hickoryplank/jobs/evacuation.py
@@ -78,7 +78,8 @@
     """
     for run in list(endpoint.runs.values()):
         if run.step.lasting and run.state is RunState.STARTED:
-            _evacuate_run(tables, run, now, "its VM is to leave")
+            with tables.guard_job(run.key.job):
+                _evacuate_run(tables, run, now, "its VM is to leave")
 
 
 def evacuate_zones(tables: EngineTables, now: float) -> None:
@@ -100,8 +101,9 @@
             if not run.step.lasting or run.state is not RunState.STARTED:
                 continue
             reason = "its zone is evacuated"
-            if _evacuate_run(tables, run, now, reason, stopping[pool]):
-                stopping[pool] += 1
+            with tables.guard_job(run.key.job):
+                if _evacuate_run(tables, run, now, reason, stopping[pool]):
+                    stopping[pool] += 1
 
 
 def _count_stopping(tables: EngineTables) -> Counter[PoolId]:
--- a/hickoryplank/jobs/preassignment.py
+++ b/hickoryplank/jobs/preassignment.py
@@ -78,12 +78,13 @@
         return
     first = tables.round_robin_counter % len(candidates)
     tables.round_robin_counter += 1
+    # Before any of them may count as stored.
+    tables.mark_dirty(row, *unassigned)
     for task, endpoint in zip(
         unassigned, cycle(candidates[first:] + candidates[:first])
     ):
         task.preassignment = PreAssignment(endpoint)
         tables.new_preassignments.append((row, task.preassignment))
-    tables.mark_dirty(row, *unassigned)
 
 
 def _is_current(tables: EngineTables, preassignment: PreAssignment | None) -> bool:
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -247,11 +247,12 @@
     the head that says that their occurrence has ended.
     """
     stored = row.stored
-    changed, stored.changed = stored.changed, set()
+    changed = set(stored.changed)
     if not stored.split:
         record = encode_state(row)
         limit = min(MAX_SINGLE_STATE_BYTES, bounds.record_bytes)
         if _record_bytes(record) <= limit:
+            stored.changed.clear()
             return [record]
         stored.split = True
     if not stored.split_in_store:
@@ -260,10 +261,14 @@
         changed |= {
             part for part in stored.parts if part.occurrence in row.ended_occurrences
         }
+    head = _StateRecord(row.state, stored.tasks_per_part, row.ended_occurrences.ranges)
+    head_value = _encode_state_record(head)
+    values = {part: _encode_part(row, part) for part in sorted(changed)}
+    # If any of it raises, all of it is written the next time.
+    stored.changed.clear()
     written = []
     deleted = []
-    for part in sorted(changed):
-        value = _encode_part(row, part)
+    for part, value in values.items():
         if value:
             stored.parts.add(part)
             stored.sending.add(part)
@@ -271,10 +276,10 @@
         elif part in stored.parts:
             stored.deleting.add(part)
             deleted.append(Record(_part_key(row.job.id, part), b""))
-    head = _StateRecord(row.state, stored.tasks_per_part, row.ended_occurrences.ranges)
-    value = _encode_state_record(head)
-    heads = [Record(_STATE_PREFIX + row.job.id, value)] if value != stored.head else []
-    stored.head = value
+    heads = []
+    if head_value != stored.head:
+        heads.append(Record(_STATE_PREFIX + row.job.id, head_value))
+    stored.head = head_value
     if stored.split_in_store:
         return heads + written + deleted
     return written + deleted + heads
@@ -376,12 +381,22 @@
     faults = []
     for head in heads:
         id = job_of_key(head.key)
-        faults.append(apply_state(rows[id], head, parts.pop(id, [])))
+        faults.append(_apply_guarded(rows[id], head, parts.pop(id, [])))
     for id, unused in parts.items():
         faults += [_note_part(rows[id], part) for part in unused]
     return [fault for fault in faults if fault is not None], unowned
 
 
+def _apply_guarded(
+    row: JobRow, record: Record, parts: list[Record]
+) -> RecordFault | None:
+    """Apply a stored state; an unexpected exception makes it malformed."""
+    try:
+        return apply_state(row, record, parts)
+    except Exception as exc:
+        return RecordFault(record.key, f"{type(exc).__name__}: {exc}")
+
+
 def apply_state(
     row: JobRow, record: Record, parts: Iterable[Record] = ()
 ) -> RecordFault | None:
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -14,11 +14,13 @@
 from hickoryplank.jobs.engine import Engine, EngineTiming
 from hickoryplank.jobs.messages import Batch, StartOutcome
 from hickoryplank.jobs.model import Job, Step, TaskKey
+from hickoryplank.jobs.quarantine import Fault
 from hickoryplank.jobs.records import (
     Record,
     apply_states,
     decode_job,
     is_job_key,
+    job_of_key,
 )
 from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.table import JobRow
@@ -117,6 +119,11 @@
         self.delayed_starts: list[tuple[float, Run, int]] = []
         #: Number of times that each unanswered start was sent.
         self.tries: dict[Run, int] = {}
+        #: Jobs whose records the store refuses for good.
+        self.refused_jobs: set[JobId] = set()
+        #: Whether something may be set aside; else what was raised is raised again.
+        self.may_set_aside = False
+        self.faults: list[Fault] = []
         self.engine = self._fresh_engine()
 
     def build_endpoint(self, id: EndpointId, born_ms: int) -> FakeEndpoint:
@@ -157,6 +164,7 @@
         """
         if applied and self.pending_batch is not None:
             self._write(self.pending_batch)
+        self.collect_faults()
         self.token += 1
         self.tries.clear()
         self.pending_batch = None
@@ -216,6 +224,14 @@
         if store_up or not self.pending_batch.records:
             self.commit()
         self._resend_starts()
+        self.collect_faults()
+
+    def collect_faults(self) -> None:
+        """Raise what has set something aside, or keep it if that is expected."""
+        faults = self.engine.quarantine.take_faults()
+        if faults and not self.may_set_aside:
+            raise faults[0].exc
+        self.faults += faults
 
     def poll_endpoints(self) -> None:
         """Poll every endpoint once."""
@@ -235,11 +251,17 @@
         batch = self.pending_batch or self.engine.take_batch()
         self.pending_batch = None
         self._write(batch)
-        for run in self.engine.batch_stored(batch, self.now):
+        refused = frozenset(one.key for one in batch.records if self._refuses(one))
+        for run in self.engine.batch_stored(batch, self.now, refused):
             self._send_start(run)
 
+    def _refuses(self, record: Record) -> bool:
+        return bool(self.refused_jobs) and job_of_key(record.key) in self.refused_jobs
+
     def _write(self, batch: Batch) -> None:
         for record in batch.records:
+            if self._refuses(record):
+                continue
             if record.value:
                 self.store[record.key] = record.value
             else:
