A job that can't be served no longer hides that all others end in time

Cause: a job is accepted without a look at the plan if all work ends within its caller's patience. One waiting job that needs a resource the pool hasn't got made that work infinite. The plan, which adds up jobs that use different resources, then refused jobs that the former test accepts. Change: the work of such jobs is left out. The sum has a function of its own. Test: test_work_for_different_resources_is_done_at_once, red with the waiting job on the old code, and green without it.

--- a/hickoryplank/jobs/admission.py
+++ b/hickoryplank/jobs/admission.py
@@ -34,7 +34,7 @@
     waiting_work,
 )
 from hickoryplank.jobs.shortage import PoolSupply, ShortageOrder, WaitingJob
-from hickoryplank.jobs.sizes import ZERO
+from hickoryplank.jobs.sizes import ZERO, Size
 from hickoryplank.jobs.table import JobRow
 
 __all__ = ["Admissions", "Refusal", "refusal"]
@@ -188,12 +188,7 @@
         if one.job.pool == pool and one.has_waiting and is_planned(tables, one, now)
     ]
     patience = patience_s(row, terms)
-    work = waiting_work(row)
-    for one in rows:
-        work = work.plus(waiting_work(one))
-    for endpoint in usable:
-        for run in endpoint.runs.values():
-            work = work.plus(remaining_work(run))
+    work = _servable_work([*rows, row], usable, supply)
     if supply.ends_after_s(supply.pool_seconds(work)) <= patience:
         return None
     expected = admissions.expected(pool, now)
@@ -214,6 +209,20 @@
     return Refusal(again_s, end_s, patience, plan.order.index(own.key))
 
 
+def _servable_work(
+    rows: list[JobRow], usable: list[Endpoint], supply: PoolSupply
+) -> Size:
+    """Return the work of jobs that a pool can serve, and what its runs need yet."""
+    total = ZERO
+    for work in map(waiting_work, rows):
+        if math.isfinite(supply.pool_seconds(work)):
+            total = total.plus(work)
+    for endpoint in usable:
+        for run in endpoint.runs.values():
+            total = total.plus(remaining_work(run))
+    return total
+
+
 def _is_within_share(tables: EngineTables, job: Job, now: float) -> bool:
     """Count a job towards the share of its team, and return whether it is within it."""
     return tables.rate_limiter.take_token(job.team, tables.configuration, now)
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -256,3 +256,14 @@
     assert second.again_s == first.again_s - 2
     back_at = driver.now + second.again_s
     assert driver.engine.submit(big, back_at).returned
+
+
+@pytest.mark.parametrize("with_gpu", [False, True])
+def test_work_for_different_resources_is_done_at_once(with_gpu):
+    """Job by job the work takes 14 s; neither resource is used for more than 8 s."""
+    driver = loaded_driver(Step(22, Size(1000, 10, 0), 1000))
+    driver.engine.submit(job("mem", Step(22, Size(10, 2000, 0), 1000)), driver.now)
+    if with_gpu:
+        driver.engine.submit(job("gpu", WITH_GPU), driver.now)
+    driver.step()
+    assert driver.engine.refusal(less_urgent("a", SMALL), driver.now) is None
