The end of a shortage is logged as what it is

Cause: "pool has room again" also came when a pool lost its last endpoint, or when only jobs were left that are late anyway. The test expects the new text, and is otherwise the same.

--- a/hickoryplank/coordinator/shortage_reporter.py
+++ b/hickoryplank/coordinator/shortage_reporter.py
@@ -1,4 +1,4 @@
-"""Logs which pools lack room, and what was decided for them."""
+"""Logs which pools delay jobs for want of room, and how many."""
 
 import logging
 
@@ -17,6 +17,9 @@
 class ShortageReporter:
     """Reports the begin and the end of each shortage, and its state in between.
 
+    A shortage ends when the pool delays no job any more: as it has room, has nothing
+    left that could be in time, or has lost all endpoints.
+
     :param metrics: records the number of delayed jobs with each report.
     """
 
@@ -30,7 +33,7 @@
         for pool in set(self._since) - set(shortages):
             lasted_s = round(now - self._since.pop(pool), 1)
             del self._reported_at[pool]
-            logger.info("pool has room again", extra={"pool": pool, "after": lasted_s})
+            logger.info("pool delays no jobs", extra={"pool": pool, "after": lasted_s})
         for pool, shortage in shortages.items():
             since = self._since.setdefault(pool, now)
             reported_at = self._reported_at.get(pool)
--- a/tests/coordinator/test_shortage_reporter.py
+++ b/tests/coordinator/test_shortage_reporter.py
@@ -24,7 +24,7 @@
         ),
         pytest.param(
             [(0.0, SHORT), (0.1, {})],
-            ["pool lacks room", "pool has room again"],
+            ["pool lacks room", "pool delays no jobs"],
             id="it ends",
         ),
         pytest.param([(0.0, {})], [], id="none"),
