--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -6,9 +6,8 @@
 import msgspec
 import pytest
 
-from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId, Zone
+from hickoryplank.core.ids import EndpointId, JobId, PoolId, Zone
 from hickoryplank.jobs.admission import MAX_RETURN_SECONDS, RETURN_TOLERANCE_SECONDS
-from hickoryplank.jobs.configuration import QueueTerms
 from hickoryplank.jobs.endpoints import Endpoint, Run
 from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.shortage import ShortageOrder
@@ -16,7 +15,7 @@
 from hickoryplank.jobs.vm_supply import VmSupply
 from tests.jobs.driver import CAPACITY, TASK, TEAM, Driver, job
 from tests.jobs.fleet_play import FleetPlay, Turn, arrivals_of, play_turns
-from tests.jobs.test_service_order import weighty_configuration
+from tests.jobs.test_service_order import less_urgent, weighty_configuration
 
 #: 40 s of the work of the only endpoint, which is over what any caller waits for.
 HOPELESS_BACKLOG = Step(160, TASK, 1000)
@@ -159,12 +158,6 @@
 WITH_GPU = Step(1, Size(1000, 1000, 1), 1000)
 
 
-def less_urgent(id: str, step: Step) -> Job:
-    return msgspec.structs.replace(
-        job(id, step), queue=QueueId("other"), terms=QueueTerms(priority=1)
-    )
-
-
 @pytest.mark.parametrize(
     "backlog, refused",
     [(Step(24, TASK, 1000), False), (HOPELESS_BACKLOG, True)],
