--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -6,9 +6,8 @@
 import msgspec
 import pytest
 
-from hickoryplank.core.ids import EndpointId, JobId, PoolId, QueueId, Zone
+from hickoryplank.core.ids import EndpointId, JobId, PoolId, Zone
 from hickoryplank.jobs.admission import MAX_RETURN_SECONDS, RETURN_TOLERANCE_SECONDS
-from hickoryplank.jobs.configuration import QueueTerms
 from hickoryplank.jobs.endpoints import Endpoint, Run
 from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.shortage import ShortageOrder
@@ -16,7 +15,7 @@
 from hickoryplank.jobs.vm_supply import VmSupply
 from tests.jobs.driver import CAPACITY, TASK, TEAM, Driver, job
 from tests.jobs.fleet_play import FleetPlay, Turn, arrivals_of, play_turns
-from tests.jobs.test_service_order import weighty_configuration
+from tests.jobs.test_service_order import less_urgent, weighty_configuration
 
 #: 40 s of the work of the only endpoint, which is over what any caller waits for.
 HOPELESS_BACKLOG = Step(160, TASK, 1000)
@@ -159,12 +158,6 @@
 WITH_GPU = Step(1, Size(1000, 1000, 1), 1000)
 
 
-def less_urgent(id: str, step: Step) -> Job:
-    return msgspec.structs.replace(
-        job(id, step), queue=QueueId("other"), terms=QueueTerms(priority=1)
-    )
-
-
 @pytest.mark.parametrize(
     "backlog, refused",
     [(Step(24, TASK, 1000), False), (HOPELESS_BACKLOG, True)],
@@ -256,3 +249,14 @@
     assert second.again_s == first.again_s - 2
     back_at = driver.now + second.again_s
     assert driver.engine.submit(big, back_at).returned
+
+
+@pytest.mark.parametrize("with_gpu", [False, True])
+def test_work_for_different_resources_is_done_at_once(with_gpu):
+    """Job by job the work takes 14 s; neither resource is used for more than 8 s."""
+    driver = loaded_driver(Step(22, Size(1000, 10, 0), 1000))
+    driver.engine.submit(job("mem", Step(22, Size(10, 2000, 0), 1000)), driver.now)
+    if with_gpu:
+        driver.engine.submit(job("gpu", WITH_GPU), driver.now)
+    driver.step()
+    assert driver.engine.refusal(less_urgent("a", SMALL), driver.now) is None
