--- a/hickoryplank/jobs/admission.py
+++ b/hickoryplank/jobs/admission.py
@@ -46,7 +46,7 @@
 #: seconds. Times are told in whole seconds.
 RETURN_TOLERANCE_SECONDS = 3.0
 #: Callers whose return is expected, at most; further ones are told a time only.
-MAX_EXPECTED_RETURNS = 10_000
+MAX_EXPECTED_RETURNS = 1_000
 
 
 class Refusal(msgspec.Struct, frozen=True):
