A successor starts nothing where its predecessor's order may end it

Cause: orders for VMs were stored without the endpoint that they end, so that a new coordinator could start lasting tasks there before it had read the VM list.

Change: the record names the endpoint; a new coordinator cordons those of recent orders from before its first tick. The state machine does as the coordinator now does; its former steps are a test of their own.

Ruled out: nothing starts until the VM list is read (delays every takeover); narrowing the check to orders that aren't held up, which the rule would allow.

Red first: test_nothing_starts_where_a_recent_order_may_end_it without the line in Coordinator._restore; the test of the steps without the cordon.

--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -152,6 +152,7 @@
             bounds=self._term.context.store_bounds,
         )
         engine.restore(stored.rows)
+        engine.cordon(self._vm_controller.recently_ordered_endpoints())
         engine.unowned_records = stored.unowned
         self._term.malformed_jobs = stored.malformed
         self._apply_evacuated_zones(engine)
--- a/hickoryplank/coordinator/vm_controller.py
+++ b/hickoryplank/coordinator/vm_controller.py
@@ -20,7 +20,7 @@
     VmState,
     WaveOrder,
 )
-from hickoryplank.core.ids import VmId, WaveId
+from hickoryplank.core.ids import EndpointId, VmId, WaveId
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.evacuation import continue_evacuation, run_count, uncordon
 from hickoryplank.jobs.maintenance import ActiveWave, begin_maintenance, is_wave_done
@@ -123,7 +123,7 @@
         self._former_waves: dict[WaveId, WaveProgress] = {}
         self._demand = DemandHistory()
         self._states: dict[VmId, VmState] = {}
-        self._former_orders: dict[VmId, int] = {}
+        self._former_orders: dict[VmId, VmOrder] = {}
         self._list_requested_at = 0.0
         self._vm_list_availability = DependencyMonitor("VM list", clock)
 
@@ -132,8 +132,19 @@
         self._former_waves[progress.wave] = progress
 
     def restore_order(self, order: VmOrder) -> None:
-        """Restore the time of a former coordinator's last order for a VM."""
-        self._former_orders[order.vm] = order.at_ms
+        """Restore a former coordinator's last order for a VM."""
+        self._former_orders[order.vm] = order
+
+    def recently_ordered_endpoints(self) -> frozenset[EndpointId]:
+        """Return the endpoints that a former coordinator's recent orders may end yet.
+
+        They are known from the store, before the VM list is read.
+        """
+        return frozenset(
+            order.endpoint
+            for order in self._former_orders.values()
+            if order.endpoint is not None and self._is_recent(order)
+        )
 
     async def run(self, engine: Engine, journal: Journal, token: int) -> None:
         """Run the control loop until the term ends.
@@ -146,22 +157,27 @@
             now = self._clock.now()
             if await self._refresh_vm_list(engine, now) and self._lease.valid():
                 self._plan_operations(engine, now)
-                engine.cordon(self._table.leaving_endpoints())
+                engine.cordon(
+                    self._table.leaving_endpoints() | self.recently_ordered_endpoints()
+                )
                 engine.vm_supply = read_supply(self._table, engine.evacuated_zones)
                 if not journal.failing:
                     await self._run_operations(engine, journal, token)
 
     def _may_order(self, vm: VmId) -> bool:
         """Return whether a former coordinator's order for a VM is long enough ago."""
-        at_ms = self._former_orders.get(vm)
-        if at_ms is None:
+        order = self._former_orders.get(vm)
+        if order is None:
             return True
-        min_spacing_s = self._bounds.orders_apart_s + ORDER_SPACING_MARGIN_SECONDS
-        if wall_ms() - at_ms < min_spacing_s * 1000:
+        if self._is_recent(order):
             return False
         del self._former_orders[vm]
         return True
 
+    def _is_recent(self, order: VmOrder) -> bool:
+        min_spacing_s = self._bounds.orders_apart_s + ORDER_SPACING_MARGIN_SECONDS
+        return wall_ms() - order.at_ms < min_spacing_s * 1000
+
     async def _refresh_vm_list(self, engine: Engine, now: float) -> bool:
         """Read the VM list if it is due; return whether it has ever been read."""
         silent = any(one.silent_since for one in engine.endpoints.values())
@@ -188,9 +204,10 @@
         return self._table.listed_at is not None
 
     def _uncordon_idle(self, engine: Engine) -> None:
-        """Uncordon the endpoints of VMs that have no operation any more."""
+        """Uncordon the endpoints of VMs that no order may end any more."""
+        recent = self.recently_ordered_endpoints()
         for row in self._table.rows.values():
-            if row.operation is None:
+            if row.operation is None and row.listing.endpoint not in recent:
                 uncordon(engine, row)
 
     def _log_changes(self, listed: tuple[ListedVm, ...]) -> None:
@@ -319,7 +336,12 @@
         if ready:
             # The next coordinator must not give orders for these VMs too soon.
             at_ms = wall_ms()
-            records = [encode_order(VmOrder(one.vm, at_ms)) for one in ready]
+            records = [
+                encode_order(
+                    VmOrder(one.vm, at_ms, self._table.rows[one.vm].listing.endpoint)
+                )
+                for one in ready
+            ]
             refused = await journal.append(records)
             ready = [
                 operation
--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -106,10 +106,13 @@
     """An order for a VM, stored before it is sent.
 
     :param at_ms: time of the order, in Unix milliseconds.
+    :param endpoint: endpoint that the order ends, if the VM has one; orders of former
+        versions don't name it.
     """
 
     vm: VmId
     at_ms: int
+    endpoint: EndpointId | None = None
 
 
 class _TaskRecord(msgspec.Struct, array_like=True):
@@ -541,13 +544,21 @@
 
 def encode_order(order: VmOrder) -> Record:
     """Return the record of an order for a VM."""
-    return Record(_ORDER_PREFIX + order.vm, _encoder.encode(order.at_ms))
+    value: int | tuple[int, EndpointId] = order.at_ms
+    if order.endpoint is not None:
+        value = (order.at_ms, order.endpoint)
+    return Record(_ORDER_PREFIX + order.vm, _encoder.encode(value))
 
 
 def decode_order(record: Record) -> VmOrder | RecordFault:
     """Decode an order for a VM."""
     try:
-        at_ms = msgspec.msgpack.decode(record.value, type=int)
+        value = msgspec.msgpack.decode(record.value, type=int | tuple[int, str])
     except msgspec.MsgspecError as exc:
         return RecordFault(record.key, str(exc))
-    return VmOrder(VmId(record.key[len(_ORDER_PREFIX) :]), at_ms)
+    vm = VmId(record.key[len(_ORDER_PREFIX) :])
+    match value:
+        case (at_ms, endpoint):
+            return VmOrder(vm, at_ms, EndpointId(endpoint))
+        case at_ms:
+            return VmOrder(vm, at_ms)
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -50,6 +50,7 @@
     Record,
     VmOrder,
     WaveProgress,
+    decode_order,
     decode_wave,
     encode_order,
     is_wave_key,
@@ -655,6 +656,34 @@
         assert time.time() - ordered_at >= entry.context.vm_bounds.orders_apart_s + 0.9
 
 
+async def test_nothing_starts_where_a_recent_order_may_end_it(monkeypatch):
+    """Guards against starts on a VM that a former coordinator has ordered away.
+
+    The VM list, which shows the operation, isn't read before the first tick.
+    """
+    platform = Platform(work_ms=lambda key: None, count=2)
+    await platform.open()
+    ordered_at = time.time()
+    order = VmOrder(VmId("m-e0"), int(ordered_at * 1000), EndpointId("e0"))
+    await platform.store.append(Topic.JOBS, [encode_order(order)], None)
+    monkeypatch.setattr(vm_controller, "LOOP_INTERVAL_SECONDS", 0.5)
+    entry = Entry(platform, "a")
+    started = [fake.started for fake in platform.fake_endpoints.values()]
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        step = Step(2, TASK, lasting=True, max_per_endpoint=1, may_miss=1)
+        await entry.local_coordinator.answer(submit("j", step))
+        await wait_until(lambda: bool(started[1]))
+        await wait_until(lambda: bool(started[0]))
+        assert time.time() - ordered_at >= entry.context.vm_bounds.orders_apart_s + 0.9
+
+
+@pytest.mark.parametrize("endpoint", [None, EndpointId("e0")])
+def test_stored_orders_name_their_endpoint(endpoint):
+    order = VmOrder(VmId("m-e0"), 5, endpoint)
+    assert decode_order(encode_order(order)) == order
+
+
 async def test_vm_is_not_ordered_away_while_its_runs_are_only_known_from_the_store():
     """Guards against maintenance of VMs whose endpoints aren't listed after a takeover.
 
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -367,6 +367,8 @@
     def take_over(self, applied: bool, unlisted: set[EndpointId]) -> None:
         self.driver.unlisted = unlisted
         self.driver.take_over(applied)
+        # The orders are stored with the endpoints that they end.
+        self.driver.engine.cordon(frozenset(self.ordered))
 
     @rule(unlisted=SUBSETS, ids=SOME_ENDPOINTS)
     def take_over_during_a_wave(
@@ -387,6 +389,7 @@
         self.store_up = False
         self.step(count, 400)
         self.driver.take_over(applied)
+        self.driver.engine.cordon(frozenset(self.ordered))
         self.store_up = True
 
     @rule(count=st.integers(1, 12), ms=st.sampled_from([50, 100, 400]))
@@ -601,3 +604,15 @@
             machine.take_over(False, set())
     machine.teardown()
     assert not machine.driver.engine.open_jobs
+
+
+def test_a_successor_starts_nothing_where_an_order_may_end_it():
+    """Plays steps that broke a disruption budget, with and without an outage."""
+    machine = EngineMachine()
+    machine.begin(slow=False, advised=False, ends_per_report=1, split=False)
+    machine.begin_wave({EndpointId("e0")})
+    machine.take_over_in_an_outage_of_the_store(count=1, applied=False)
+    machine.submit_lasting(Step(2, Size(500, 500, 0), lasting=True))
+    machine.fail_all_runs(count=2)
+    machine.carry_out_orders()
+    machine.teardown()
