Tests: each successor knows the orders given; a process that waits needs no input

One of the machine's rules, which begins a term while zones are evacuated, left out the orders that a coordinator now restores.

Change: one method begins the next term for all rules; the process sleeps.

--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -309,7 +309,7 @@
         self.step(count, 50)
         self.evacuate_zones(zones)
         if taken_over:
-            self.driver.take_over()
+            self.begin_next_term(applied=False)
         self.step(12, 100)
 
     @precondition(lambda self: len(self.ledger.jobs) < MAX_JOBS)
@@ -366,9 +366,7 @@
     @rule(applied=st.booleans(), unlisted=SUBSETS)
     def take_over(self, applied: bool, unlisted: set[EndpointId]) -> None:
         self.driver.unlisted = unlisted
-        self.driver.take_over(applied)
-        # The orders are stored with the endpoints that they end.
-        self.driver.engine.cordon(frozenset(self.ordered))
+        self.begin_next_term(applied)
 
     @rule(unlisted=SUBSETS, ids=SOME_ENDPOINTS)
     def take_over_during_a_wave(
@@ -388,9 +386,16 @@
     def take_over_in_an_outage_of_the_store(self, count: int, applied: bool) -> None:
         self.store_up = False
         self.step(count, 400)
+        self.begin_next_term(applied)
+        self.store_up = True
+
+    def begin_next_term(self, applied: bool) -> None:
+        """Begin the term of another coordinator, which knows the orders given so far.
+
+        They are stored with the endpoints that they end.
+        """
         self.driver.take_over(applied)
         self.driver.engine.cordon(frozenset(self.ordered))
-        self.store_up = True
 
     @rule(count=st.integers(1, 12), ms=st.sampled_from([50, 100, 400]))
     def step(self, count: int, ms: int) -> None:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -37,7 +37,7 @@
 
 
 def test_condition_not_met_in_time_is_reported_with_the_log(program):
-    program.command = [sys.executable, "-c", "input()"]
+    program.command = [sys.executable, "-c", "import time; time.sleep(60)"]
     program.log.write_text("the last line")
     program.start()
     with pytest.raises(AssertionError) as caught:
