--- a/hickoryplank/jobs/rebalancing.py
+++ b/hickoryplank/jobs/rebalancing.py
@@ -80,9 +80,9 @@
     :param backlog: demand of the tasks that run or are ready to run.
     :param wanted: current demand, including that of the jobs that are about to arrive.
     :param max_recent: largest recent demand; VMs beyond it may go to other pools.
-    :param retained: VMs beyond this number go to standby. A pool keeps all its VMs
-        until it has had work other than lasting tasks for ``IDLE_SECONDS``, as its
-        demand is not known before.
+    :param retained: VMs beyond this number go to standby. A pool keeps all its VMs, and
+        those that it draws, until it has had work other than lasting tasks for
+        ``IDLE_SECONDS``, as its demand is not known before.
     :param rows: VMs that the last list shows in the pool, without those in an evacuated
         zone.
     :param unusable_rows: VMs of the pool in an evacuated zone that may go to standby.
