--- /dev/null
+++ b/review/shared3/__init__.py
@@ -0,0 +1,1 @@
+"""What the cases of the third review share."""
