--- a/review/shared3/platform.py
+++ b/review/shared3/platform.py
@@ -346,6 +346,11 @@
                 number += 1
         self.spawn(self._beat())
 
+    def run_count(self) -> int:
+        """Return the number of tasks that run."""
+        executors = [one.executor for one in self.machines.values()]
+        return sum(len(one.runs) for one in executors if one is not None)
+
     def cancel_tasks(self) -> None:
         """End what :meth:`spawn` has started."""
         for task in list(self._tasks):
