Entry: calls that are open at the end of a planned stop are answered

Cause: a submission waits for a coordinator until its own deadline. A stopping entry takes no lease, so that no coordinator was left, and after 0.8 of the grace period the entry closed its connections with the calls still waiting in CallForwarder.

The forwarder now abandons its open calls before the connections are closed: each is answered at once, 504 with Retry-After for one that may have taken effect, 503 for one that has none. Answers have a twentieth of the grace period to be written. The wait for deregistration no longer extends the stop when releasing the lease took long. The log says how many calls were abandoned, and why a call that is not served got its answer.

Ruled out: the drain of the coordinator's own calls (the cut requests were sent over 2 s after it had ended), and a close of idle connections (the requests had been read).

--- a/hickoryplank/coordinator/forwarder.py
+++ b/hickoryplank/coordinator/forwarder.py
@@ -69,12 +69,43 @@
         self._lease = lease
         self._client = client
         self._clock = clock
+        self._open_calls: set[anyio.CancelScope] = set()
+        self._abandoning = False
         #: The coordinator in this process; none while this entry is not coordinator.
         self.local_coordinator: Coordinator | None = None
 
     async def answer(self, call: Call, within_s: float) -> Answer:
         """Forward a call and return its answer.
 
+        A call that is abandoned is answered at once, see :meth:`abandon_calls`.
+
+        :param within_s: timeout of the caller, in seconds.
+        """
+        if not self._abandoning:
+            with anyio.CancelScope() as scope:
+                self._open_calls.add(scope)
+                try:
+                    return await self._retry(call, within_s)
+                finally:
+                    self._open_calls.discard(scope)
+        return _without_answer(call, "the entry is stopping", RETRY_AFTER_SECONDS)
+
+    def abandon_calls(self) -> int:
+        """Answer the open calls now, and each later one at once.
+
+        An entry that ends closes its connections. Callers that wait for an answer would
+        see them broken, with no time after which to call again.
+
+        :return: the number of open calls.
+        """
+        self._abandoning = True
+        for scope in self._open_calls:
+            scope.cancel()
+        return len(self._open_calls)
+
+    async def _retry(self, call: Call, within_s: float) -> Answer:
+        """Forward a call until it is answered, for as long as this helps its caller.
+
         A submission or cancellation is retried until the timeout of the caller; both
         are idempotent. One that may have reached a coordinator is not refused any more,
         as its first attempt may still take effect. Neither is one that has reached
@@ -84,8 +115,6 @@
         store does not answer, this entry may be cut off and others not, so that the
         caller keeps a part of its time for them. Other calls are refused soon, with a
         time after which to call again.
-
-        :param within_s: timeout of the caller, in seconds.
         """
         started_at = self._clock.now()
         deadline = started_at + min(within_s, MAX_CALL_SECONDS) - ANSWER_RESERVE_SECONDS
--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -76,9 +76,11 @@
 #: Delay after the start before the metrics library is loaded, in seconds. A takeover
 #: after a restart of all entries is completed within this time.
 METRICS_LOAD_DELAY_SECONDS = 4.0
-#: Fraction of the grace period after which open requests are abandoned. The rest is
-#: for closing the listeners, and a reserve for a busy processor.
+#: Fraction of the grace period after which open calls are abandoned. The rest is for
+#: answering them, closing the listeners, and a reserve for a busy processor.
 GRACE_PERIOD_FRACTION = 0.8
+#: Fraction of the grace period within which the abandoned calls are answered.
+ANSWER_PERIOD_FRACTION = 0.05
 #: Time that a listener waits for its open connections on close, in seconds.
 #: Requests of callers are waited for earlier in the shutdown.
 LISTENER_CLOSE_SECONDS = 0.1
@@ -196,17 +198,31 @@
                 logger.info("SIGHUP ignored; settings are read at the start only")
 
     async def _shut_down(self) -> None:
+        """Hand the lease over, and serve until no calls are open or the time is up."""
         logger.info("stopping")
-        started_at = self._clock.now()
-        time_limit = self._cfg.grace_s * GRACE_PERIOD_FRACTION
+        abandon_at = self._clock.now() + self._cfg.grace_s * GRACE_PERIOD_FRACTION
         self._ingress.closing = True
         if self._forwarder.local_coordinator is not None:
             await self._forwarder.local_coordinator.drain_calls()
         await self._lease.stop()
-        await anyio.sleep(min(DEREGISTRATION_DELAY_SECONDS, time_limit))
-        while (
-            self._ingress.open_requests and self._clock.now() - started_at < time_limit
-        ):
+        remaining_s = abandon_at - self._clock.now()
+        await anyio.sleep(max(0.0, min(DEREGISTRATION_DELAY_SECONDS, remaining_s)))
+        await self._wait_for_open_requests(abandon_at)
+        abandoned = self._forwarder.abandon_calls()
+        if abandoned:
+            logger.warning(
+                "open calls abandoned at the end of the grace period",
+                extra={
+                    "calls": abandoned,
+                    "coordinator": self._lease.coordinator_address or "",
+                },
+            )
+        await self._wait_for_open_requests(
+            self._clock.now() + self._cfg.grace_s * ANSWER_PERIOD_FRACTION
+        )
+
+    async def _wait_for_open_requests(self, until: float) -> None:
+        while self._ingress.open_requests and self._clock.now() < until:
             await anyio.sleep(0.05)
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/hickoryplank/platform/ingress.py
+++ b/hickoryplank/platform/ingress.py
@@ -155,6 +155,16 @@
             return _response(504, retry_after_s=retry_after_s)
 
 
+def _why_not_served(answer: NotRun | Unsettled | NoKey) -> str:
+    match answer:
+        case NotRun(why):
+            return why.value
+        case Unsettled(detail):
+            return detail
+        case NoKey():
+            return ""
+
+
 def _timeout_s(request: web.BaseRequest) -> float:
     """Return the timeout of the caller, in seconds."""
     header = request.headers.get("Hickoryplank-Deadline-Ms", "")
@@ -211,7 +221,7 @@
                     "request": call.where.request,
                     "call": type(call).__name__,
                     "answer": type(answer).__name__,
-                    "why": answer.why.value if isinstance(answer, NotRun) else "",
+                    "why": _why_not_served(answer),
                 },
             )
         return answer
--- a/tests/coordinator/test_forwarder.py
+++ b/tests/coordinator/test_forwarder.py
@@ -26,6 +26,7 @@
     ANSWER_RESERVE_SECONDS,
     ELECTION_WAIT_SECONDS,
     HANDOVER_WAIT_SECONDS,
+    RETRY_AFTER_SECONDS,
     CallForwarder,
 )
 from hickoryplank.core.ids import JobId
@@ -158,6 +159,56 @@
     assert coordinator.calls == []
 
 
+class SilentCoordinator:
+    """A fake coordinator that never answers."""
+
+    async def answer(self, call: Call) -> Answer:
+        await anyio.sleep_forever()
+        raise AssertionError("unreachable")
+
+
+@pytest.mark.parametrize("coordinator", [None, SilentCoordinator()], ids=type)
+@pytest.mark.parametrize("opened", ["before", "after"])
+@pytest.mark.parametrize(
+    ("call", "expected"),
+    [
+        (SUBMIT, Unsettled("the entry is stopping", RETRY_AFTER_SECONDS)),
+        (
+            Cancel(WHERE, CALL.id),
+            Unsettled("the entry is stopping", RETRY_AFTER_SECONDS),
+        ),
+        (CALL, NotRun(NotRunReason.NO_COORDINATOR, RETRY_AFTER_SECONDS)),
+    ],
+    ids=["submit", "cancel", "ask"],
+)
+async def test_abandoned_calls_are_answered_with_a_time_to_call_again(
+    call, expected, opened, coordinator
+):
+    forwarder = build_forwarder(FakeLease(is_handover_expected=True))
+    forwarder.local_coordinator = coordinator
+    answers: list[Answer] = []
+
+    async def submit() -> None:
+        answers.append(await forwarder.answer(call, 9.0))
+
+    with anyio.fail_after(1.0):
+        async with anyio.create_task_group() as tasks:
+            if opened == "before":
+                tasks.start_soon(submit)
+                await anyio.wait_all_tasks_blocked()
+            assert forwarder.abandon_calls() == (opened == "before")
+            if opened == "after":
+                tasks.start_soon(submit)
+    assert answers == [expected]
+
+
+async def test_abandoning_calls_leaves_those_that_were_answered_alone():
+    forwarder = build_forwarder(FakeLease(is_handover_expected=False))
+    forwarder.local_coordinator = FakeCoordinator(RUNNING)
+    assert await forwarder.answer(CALL, 3.0) == RUNNING
+    assert forwarder.abandon_calls() == 0
+
+
 #: Time for which no entry is coordinator, as the store is down, in seconds.
 OUTAGE_SECONDS = 1.8
 #: Callers in that time, and the timeout, the number of calls and the shortest pause of
