Runs that an unseen incarnation of an endpoint may have are kept

Callers' tasks ran twice at the same time (TWICE). An endpoint had started again under its id and was cut off before its new incarnation was listed or polled. It carried out a start that was meant for the former one, under the longest lease there is. The coordinator gave the task up 5 s after the start was sent, or after 4.2 s by the clock of the former incarnation, and started it elsewhere.

Fix: a run that no report has shown is kept on a silent endpoint for the longest lease from the latest moment at which a call that extends leases can arrive. A VM list ends it sooner only if it was requested after that arrival. A successor takes the starts that it finds as sent when its term began. Starts go no more to an endpoint that is silent for longer than a poll takes.

--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -69,7 +69,9 @@
         start may never have been sent.
     :param adopted: it was taken over from a former coordinator.
     :param unanswered_at: time of the last start that this coordinator has sent, unless
-        its first one was answered.
+        its first one was answered; of a run that was taken over, the latest time at
+        which a former coordinator is taken to have sent one.
+    :param held: it was kept longer than by the leases of the known incarnation.
     :param fenced_at: when this incarnation of the endpoint first accepted a stop,
         after which it refuses the start.
     :param start_withdrawn_at: time from which its start, which had no answer yet, is
@@ -83,6 +85,7 @@
         "counted_size",
         "endpoint",
         "fenced_at",
+        "held",
         "key",
         "reported",
         "load",
@@ -124,6 +127,7 @@
         self.start_withdrawn_at: float | None = None
         self.unanswered_at: float | None = None
         self.fenced_at: float | None = None
+        self.held = False
 
     @property
     def awaits_first_report(self) -> bool:
@@ -136,10 +140,21 @@
         """Whether the start may have reached a later incarnation of the endpoint."""
         return self.state is not RunState.ASSIGNED and not self.reported
 
-    def start_may_arrive(self, now: float) -> bool:
-        """Return whether a start without an answer may still be carried out."""
-        at = self.unanswered_at
-        return at is not None and now < at + LATE_CALL_SECONDS
+    def start_may_arrive(self, at: float) -> bool:
+        """Return whether a start without an answer may be carried out after a time."""
+        sent_at = self.unanswered_at
+        return sent_at is not None and at < sent_at + LATE_CALL_SECONDS
+
+    @property
+    def may_be_in_unseen_incarnation(self) -> bool:
+        """Whether an incarnation that has not reported yet may have begun it.
+
+        That is so until a report contains it, and also afterwards if an earlier start
+        could still arrive after the last report.
+        """
+        return self.may_be_in_next_incarnation or self.start_may_arrive(
+            self.endpoint.reported_at
+        )
 
     @property
     def run_key(self) -> tuple[TaskKey, int]:
@@ -207,6 +222,8 @@
         self.clock_read_at = now
         #: Latest end of any lease that was sent, by the clock of the endpoint.
         self.latest_lease_ms = 0
+        #: Time of the last call that extends leases, by the local clock.
+        self.lease_call_at = float("-inf")
         #: Latest end of a lease that a former coordinator renewed, or that a call sent
         #: to the previous incarnation granted, by the local clock.
         self.former_leases_until = 0.0
@@ -383,6 +400,16 @@
         least = self.clock_ms + (now - self.clock_read_at) * 1000 * MIN_CLOCK_RATE
         return least > self.latest_lease_ms + EXPIRY_MARGIN_MS
 
+    def unseen_leases_until(self, max_lease_s: float) -> float:
+        """Return until when leases in an incarnation that has not reported may last.
+
+        The calls name the end by the clock of the known incarnation, which may be far
+        ahead of that of the next one, so that this one grants the longest lease.
+
+        :param max_lease_s: duration of the longest lease, by the local clock.
+        """
+        return self.lease_call_at + LATE_CALL_SECONDS + max_lease_s
+
     def note_failure(self, job: JobId, now: float) -> None:
         """Record a failure of a job; eject the endpoint at ``EJECTION_JOBS`` jobs."""
         self.failed_jobs.add(job)
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -394,13 +394,26 @@
             if endpoint.silent_since is None and endpoint.token_confirmed:
                 continue
             if endpoint.runs and endpoint.leases_expired(now):
-                for run in list(endpoint.runs.values()):
-                    if endpoint.vm_down and run.start_may_arrive(now):
-                        continue
-                    self.give_up_run(run, "its lease has lapsed on a silent endpoint")
+                self._give_up_expired_runs(endpoint, now)
             if not endpoint.listed and not endpoint.runs:
                 self.drop_endpoint(endpoint)
 
+    def _give_up_expired_runs(self, endpoint: Endpoint, now: float) -> None:
+        """Give up the runs of a silent endpoint that no incarnation can have any more.
+
+        The leases of the known incarnation have lapsed. The endpoint may have started
+        again since its last report, though, and have carried out calls for that one.
+        """
+        unseen_until = endpoint.unseen_leases_until(self.timing.max_lease_seconds)
+        for run in list(endpoint.runs.values()):
+            if now < unseen_until and run.may_be_in_unseen_incarnation:
+                if not run.held:
+                    run.held = True
+                    reason = "its endpoint may have started again unseen"
+                    self.add_event(EngineEventKind.HELD, run, reason)
+                continue
+            self.give_up_run(run, "its lease has lapsed on a silent endpoint")
+
     def _drop_expired_jobs(self, now: float) -> None:
         """Drop jobs past their retention period from memory and from the store."""
         while (
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -10,7 +10,13 @@
 from hickoryplank.jobs.advice import AdviceTable, StepKey
 from hickoryplank.jobs.arrivals import ArrivalRates
 from hickoryplank.jobs.configuration import Configuration
-from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, RunState
+from hickoryplank.jobs.endpoints import (
+    MIN_CLOCK_RATE,
+    Endpoint,
+    Listing,
+    Run,
+    RunState,
+)
 from hickoryplank.jobs.evacuated_zones import EvacuatedZones
 from hickoryplank.jobs.limits import TeamRateLimiter, TeamUsage
 from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
@@ -60,6 +66,11 @@
         self.retention_seconds = retention_seconds
         self.stop_grace_ms = stop_grace_ms
 
+    @property
+    def max_lease_seconds(self) -> float:
+        """Longest time for which a lease lasts on the slowest clock."""
+        return self.max_lease_ms / 1000 / MIN_CLOCK_RATE
+
 
 class EndedJob(msgspec.Struct, frozen=True):
     """A job that has ended.
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -3,7 +3,6 @@
 from hickoryplank.core.ids import EndpointId
 from hickoryplank.jobs.endpoints import (
     LATE_CALL_SECONDS,
-    MIN_CLOCK_RATE,
     Endpoint,
     Listing,
     Run,
@@ -36,8 +35,13 @@
     # Of the calls that a former coordinator sent to the previous incarnation, only the
     # age of this one tells that they are over.
     age_s = tables.age_s(listing, now) if known is None else 0.0
-    max_lease_s = tables.timing.max_lease_ms / 1000 / MIN_CLOCK_RATE
-    fresh.stale_leases_until = now - age_s + LATE_CALL_SECONDS + max_lease_s
+    fresh.stale_leases_until = (
+        now - age_s + LATE_CALL_SECONDS + tables.timing.max_lease_seconds
+    )
+    # A former coordinator may have sent calls until this one's term began.
+    fresh.lease_call_at = (
+        tables.term_started_at if known is None else known.lease_call_at
+    )
     fresh.former_leases_until = max(
         tables.term_started_at + tables.timing.former_lease_seconds,
         fresh.stale_leases_until,
@@ -60,6 +64,7 @@
             continue
         before.remove(run)
         run.endpoint = fresh
+        run.reported = False
         run.progressed_at_ms = 0
         run.fenced_at = None
         # Nobody repeats the start of a run that was taken over from a former
@@ -97,7 +102,7 @@
         tables.requeue(row, task)
         return
     run = tables.create_run(row, task, endpoint)
-    _mark_adopted(run, assignment)
+    _mark_adopted(tables, run, assignment)
     if row.state.final:
         tables.stop(run, endpoint.listed_at, row.state.value)
 
@@ -117,14 +122,15 @@
         endpoint.add(run)
         tables.team_usage.add(run.team, run.size)
     task.run = run
-    _mark_adopted(run, assignment)
+    _mark_adopted(tables, run, assignment)
 
 
-def _mark_adopted(run: Run, assignment: StoredAssignment) -> None:
+def _mark_adopted(tables: EngineTables, run: Run, assignment: StoredAssignment) -> None:
     run.state = RunState.SENT
     run.preassigned = assignment.preassigned
     run.adopted = True
     run.confirmed_at = run.endpoint.listed_at
+    run.unanswered_at = tables.term_started_at
 
 
 def end_incarnation(tables: EngineTables, endpoint: Endpoint, now: float) -> None:
@@ -140,7 +146,8 @@
     """End silent endpoints whose VM is down, without waiting for their leases.
 
     Only endpoints that were silent before the VM list was requested are ended.
-    Stored assignments to unlisted endpoints whose VM is down are released.
+    Stored assignments to unlisted endpoints whose VM is down are released once no start
+    of a former coordinator can arrive any more.
 
     :param alive: endpoints of all VMs that are up according to the VM list.
     :param asked_at: time at which the VM list was requested.
@@ -150,20 +157,26 @@
         if endpoint.id in alive or silent_since is None:
             continue
         if silent_since < asked_at:
-            _end_down_incarnation(tables, endpoint, now)
+            _end_down_incarnation(tables, endpoint, asked_at, now)
+    if asked_at < tables.term_started_at + LATE_CALL_SECONDS:
+        return
     for id in [one for one in tables.unlisted_assignments if one not in alive]:
         _release_assignments(tables, id)
 
 
-def _end_down_incarnation(tables: EngineTables, endpoint: Endpoint, now: float) -> None:
-    """End what ran on a VM that is down, but for starts that may still arrive.
+def _end_down_incarnation(
+    tables: EngineTables, endpoint: Endpoint, asked_at: float, now: float
+) -> None:
+    """End what ran on a VM that is down, but for starts that may arrive later.
 
     The VM may be back at any time with an endpoint of the same id, which then carries
     out the starts that were sent while it was down.
+
+    :param asked_at: time at which the VM list was requested that shows it as down.
     """
     endpoint.vm_down = True
     for run in list(endpoint.runs.values()):
-        if not run.start_may_arrive(now):
+        if not run.start_may_arrive(asked_at):
             tables.give_up_run(run, "its VM is down")
         elif run.start_withdrawn_at is None:
             run.start_withdrawn_at = now
--- a/hickoryplank/jobs/messages.py
+++ b/hickoryplank/jobs/messages.py
@@ -176,6 +176,9 @@
     ENDED = "ended"
     #: A run was given up, as its end will not be reported.
     LOST = "lost"
+    #: A run on a silent endpoint was kept, as it may go on although its lease has
+    #: lapsed by the clock of the known incarnation.
+    HELD = "held"
     #: A run is to be stopped.
     STOPPED = "stopped"
     #: A job ended.
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -34,6 +34,10 @@
 MAX_ACKNOWLEDGED_AGE_SECONDS = 0.25
 #: Delay before a failed lasting task is started again.
 LASTING_RESTART_DELAY_SECONDS = 0.2
+#: Silence of an endpoint after which starts are not sent to it again, in seconds: the
+#: time within which it answers a poll. Each start may reach an incarnation that has not
+#: been seen yet, and extend its leases.
+MAX_START_SILENCE_SECONDS = 1.2
 #: Ends of an endpoint that are not acknowledged, as one before them can't be stored,
 #: above which it gets no new runs. It is below the number that the platform returns in
 #: one report, so that all ends are still read.
@@ -53,6 +57,7 @@
     if renew and endpoint.silent_since is None and endpoint.token_confirmed:
         until = endpoint.estimated_clock_ms(now) + tables.timing.lease_ms
         endpoint.record_lease(until)
+        endpoint.lease_call_at = now
     # The next incarnation of the endpoint numbers its ends anew, so that a late
     # acknowledgement would make it drop ends that have not been read. An end is
     # therefore acknowledged only right after a report, and until a poll with the
@@ -211,7 +216,9 @@
         tables.give_up_run(run, "its endpoint has accepted a stop")
         return
     confirmed = _is_before(run.confirmed_at, asked_at)
-    if confirmed and not run.start_may_arrive(now):
+    # The poll has raised the endpoint's fencing token above that of a former
+    # coordinator, whose starts it refuses from then on.
+    if confirmed and (run.adopted or not run.start_may_arrive(now)):
         tables.give_up_run(run, "its endpoint lists neither it nor its end")
     elif confirmed or _is_before(run.start_withdrawn_at, asked_at):
         # Once the endpoint has accepted the stop, it refuses the start.
@@ -424,14 +431,18 @@
 def is_start_due(tables: EngineTables, run: Run, tries: int, now: float) -> bool:
     """Return whether the start of a run is to be sent, for the first time or again.
 
-    It is withdrawn once the run is to be stopped, or its endpoint takes no more starts.
+    It is withdrawn once the run is to be stopped, or its endpoint takes no more starts
+    or has not answered for ``MAX_START_SILENCE_SECONDS``.
 
     :param tries: number of times that it has been sent.
     """
     if run.endpoint.runs.get(run.run_key) is not run:
         return False
-    if run.state is RunState.SENT and run.endpoint.takes_starts:
-        run.unanswered_at = now
+    endpoint = run.endpoint
+    silent_s = 0.0 if endpoint.silent_since is None else now - endpoint.silent_since
+    may_be_sent = endpoint.takes_starts and silent_s <= MAX_START_SILENCE_SECONDS
+    if run.state is RunState.SENT and may_be_sent:
+        run.unanswered_at = endpoint.lease_call_at = now
         return True
     if not tries:
         tables.give_up_run(run, "its start was withdrawn before it was sent")
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -4,6 +4,7 @@
 import pytest
 
 from hickoryplank.core.ids import EndpointId, JobId, TeamId
+from hickoryplank.jobs.endpoints import LATE_CALL_SECONDS
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.messages import PollReport, StartOutcome
 from hickoryplank.jobs.model import Job, Step, TaskKey
@@ -13,6 +14,7 @@
     POOL,
     RETENTION_SECONDS,
     TASK,
+    TIMING,
     Driver,
     configuration,
     job,
@@ -248,7 +250,8 @@
     driver.unreachable.add(endpoint_id)
     driver.take_over()
     key = TaskKey(JobId("a"), 0, 0, 0)
-    for _ in range(150):
+    until = driver.now + LATE_CALL_SECONDS + TIMING.max_lease_seconds
+    while driver.now <= until:
         driver.step()
         assert driver.run_count(key) <= 1
     assert driver.run_count(key) == 1
@@ -268,13 +271,19 @@
         down = driver.endpoints.pop(endpoint_id)
         driver.take_over()
         driver.endpoints[endpoint_id] = down
-    driver.step()
-    driver.engine.end_down_incarnations(
-        frozenset([other]), driver.now + 0.1, driver.now
-    )
+    # Until then, starts of the former coordinator may reach the next incarnation.
+    late_until = driver.now + LATE_CALL_SECONDS if take_over else driver.now
+    key = TaskKey(JobId("a"), 0, 0, 0)
+    while True:
+        driver.step()
+        asked_at = driver.now + 0.1
+        driver.engine.end_down_incarnations(frozenset([other]), asked_at, driver.now)
+        if asked_at >= late_until:
+            break
+        assert driver.run_count(key) == 0
     driver.step()
     driver.step()
-    assert driver.run_count(TaskKey(JobId("a"), 0, 0, 0)) == 1
+    assert driver.run_count(key) == 1
 
 
 def test_an_answering_endpoint_takes_precedence_over_the_vm_list():
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -284,6 +284,29 @@
             born_ms = self.driver.endpoints[id].born_ms + 1
             self.driver.endpoints[id] = self.driver.build_endpoint(id, born_ms)
 
+    @precondition(lambda self: len(self.ledger.jobs) < MAX_JOBS)
+    @rule(
+        id=st.sampled_from(ENDPOINTS),
+        step=LASTING,
+        taken_over=st.booleans(),
+        count=st.integers(10, 90),
+    )
+    def restart_endpoint_unseen_and_cut_it(
+        self, id: EndpointId, step: Step, taken_over: bool, count: int
+    ) -> None:
+        """Have a start reach an incarnation that is cut off before it is noticed."""
+        self.driver.endpoints[id].clock_ms += 60_000
+        self.step(3, 100)
+        self.submit_lasting(step)
+        self.restart_endpoint(id, listed=False)
+        self.driver.engine.tick(self.driver.now, self.driver.wall_ms)
+        if self.store_up:
+            self.driver.commit()
+        self.cut_endpoints({id})
+        if taken_over:
+            self.begin_next_term(applied=False)
+        self.step(count, 100)
+
     @rule(id=st.sampled_from(ENDPOINTS), draining=st.booleans())
     def drain_endpoint(self, id: EndpointId, draining: bool) -> None:
         self.driver.list_endpoint(id, draining)
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -347,3 +347,147 @@
         driver.engine.stop_answered(run, driver.now)
     driver.poll_endpoints()
     assert driver.endpoints[E0].until_ms <= driver.endpoints[E0].clock_ms + LEASE_MS
+
+
+def restart_unheard(driver: Driver, endpoint_id: EndpointId) -> None:
+    """Begin an incarnation with a clock that is behind that of the former one."""
+    restart_unnoticed(driver, endpoint_id)
+    driver.endpoints[endpoint_id].clock_ms = 1000.0
+
+
+def advance_former_clocks(driver: Driver) -> None:
+    for fake in driver.endpoints.values():
+        fake.clock_ms = 80_000.0
+
+
+def note_vm_list(driver: Driver, down: set[EndpointId]) -> None:
+    alive = frozenset(driver.endpoints) - down
+    driver.engine.end_down_incarnations(alive, driver.now + 0.001, driver.now)
+
+
+def max_runs_while_cut(driver: Driver, steps: int) -> int:
+    """Return the most runs of the task at once, while the VM list shows all VMs up."""
+    most = driver.run_count(KEY)
+    for _ in range(steps):
+        driver.step()
+        note_vm_list(driver, set())
+        most = max(most, driver.run_count(KEY))
+    return most
+
+
+@pytest.mark.parametrize("answer_lost", [False, True])
+@pytest.mark.parametrize("cut_after", [0, 1, 2, 4])
+def test_a_run_in_an_incarnation_that_was_not_heard_of_keeps_its_task(
+    answer_lost, cut_after
+):
+    """Guards against a second run of a task that a restarted endpoint began unseen.
+
+    The start granted the longest lease there is, as it named an end by the clock of the
+    former incarnation. The endpoint was cut off before it was listed or polled.
+    """
+    driver = Driver(work_ms=lambda key: None)
+    advance_former_clocks(driver)
+    driver.step()
+    for endpoint_id in driver.endpoints:
+        restart_unheard(driver, endpoint_id)
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    if answer_lost:
+        driver.lost_answers |= set(driver.endpoints)
+    driver.commit()
+    (run,) = [r for one in driver.engine.endpoints.values() for r in one.runs.values()]
+    driver.lost_answers = {run.endpoint.id}
+    for _ in range(cut_after):
+        driver.now += 0.1
+        for one in driver.endpoints.values():
+            one.advance(100)
+        driver._resend_starts()
+    driver.unreachable = {run.endpoint.id}
+    assert max_runs_while_cut(driver, 200) == 1
+    assert driver.run_count(KEY) == 1
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 2
+
+
+@pytest.mark.parametrize("taken_over", [False, True])
+@pytest.mark.parametrize("dark_steps", [3, 12, 25, 48])
+def test_a_start_sent_to_a_vm_that_was_down_may_have_begun_its_longest_lease(
+    dark_steps, taken_over
+):
+    """Guards against a second run while a VM that was down is up again, but cut off.
+
+    The start reached the next incarnation when this began; nothing was heard of it. The
+    bound on late calls tells until when it may arrive, not until when it may run.
+    """
+    driver = Driver(work_ms=lambda key: None)
+    advance_former_clocks(driver)
+    driver.step()
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.unreachable = set(driver.endpoints)
+    driver.commit()
+    (run,) = [r for one in driver.engine.endpoints.values() for r in one.runs.values()]
+    busy, until_ms = run.endpoint.id, run.until_ms
+    driver.unreachable = {busy}
+    restart_unheard(driver, busy)
+    if taken_over:
+        driver.take_over()
+    for _ in range(dark_steps):
+        driver.step()
+        note_vm_list(driver, {busy})
+    driver.endpoints[busy].start(KEY, 1, "payload", until_ms, 1)
+    assert max_runs_while_cut(driver, 200) == 1
+    assert driver.run_count(KEY) == 1
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_a_successor_waits_for_starts_that_its_predecessor_sent_to_a_vm_that_is_down(
+    is_listed,
+):
+    """Guards against a second run after a takeover while a VM is down.
+
+    The successor doesn't know which starts were confirmed, and its fencing token is not
+    known to the next incarnation.
+    """
+    driver = Driver(work_ms=lambda key: None)
+    driver.step()
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.unreachable = set(driver.endpoints)
+    driver.commit()
+    (run,) = [r for one in driver.engine.endpoints.values() for r in one.runs.values()]
+    busy = run.endpoint.id
+    driver.unreachable = {busy}
+    crash(driver, busy)
+    driver.unlisted = set() if is_listed else {busy}
+    driver.take_over()
+    for _ in range(10):
+        driver.step()
+        note_vm_list(driver, {busy})
+    driver.endpoints[busy].start(KEY, 1, "payload", run.until_ms, 1)
+    driver.unreachable.clear()
+    driver.relist()
+    assert max_concurrent_runs(driver, 60) == 1
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+
+
+@pytest.mark.parametrize("taken_over", [False, True])
+@pytest.mark.parametrize("answered", [False, True])
+def test_a_task_on_a_vm_that_stays_down_is_started_elsewhere_in_time(
+    answered, taken_over
+):
+    """The platform expects a lasting task to run again within some 9 s."""
+    driver = Driver(work_ms=lambda key: None)
+    driver.step()
+    driver.engine.submit(job("a", Step(1, TASK, lasting=True)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.unreachable = set() if answered else set(driver.endpoints)
+    driver.commit()
+    (run,) = [r for one in driver.engine.endpoints.values() for r in one.runs.values()]
+    driver.unreachable = {run.endpoint.id}
+    crash(driver, run.endpoint.id)
+    if taken_over:
+        driver.take_over()
+    for _ in range(60):
+        driver.step()
+        note_vm_list(driver, {run.endpoint.id})
+    assert driver.run_count(KEY) == 1
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,14 +6,14 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from tests.soak.fault_plan import INJECTION_SECONDS, RESTART_PLAY_SECONDS
-from tests.soak.run import REPOSITORY, Report, soak
+from tests.soak.run import REPOSITORY, Play, Report, soak
 
 __all__ = ["main"]
 
 
-def _run(job: tuple[int, float, str, bool]) -> Report:
-    seed, length_s, code, restarts = job
-    return soak(seed, length_s, code=code, restarts=restarts)
+def _run(job: tuple[int, float, str, Play]) -> Report:
+    seed, length_s, code, play = job
+    return soak(seed, length_s, code=code, play=play)
 
 
 def main() -> int:
@@ -30,13 +30,23 @@
     )
     options.add_argument(
         "--restarts",
-        action="store_true",
+        dest="play",
+        action="store_const",
+        const=Play.RESTARTS,
+        default=Play.MIXED,
         help="play only endpoints that restart and are cut off soon after",
     )
+    options.add_argument(
+        "--restarts-unlisted",
+        dest="play",
+        action="store_const",
+        const=Play.RESTARTS_UNLISTED,
+        help="the same, and cut them off before they are listed again",
+    )
     args = options.parse_args()
-    length_s = RESTART_PLAY_SECONDS if args.restarts else args.seconds
+    length_s = args.seconds if args.play is Play.MIXED else RESTART_PLAY_SECONDS
     first = args.seed if args.seed is not None else secrets.randbelow(2**31)
-    work = [(first + n, length_s, args.code, args.restarts) for n in range(args.seeds)]
+    work = [(first + n, length_s, args.code, args.play) for n in range(args.seeds)]
     failed = 0
     with ProcessPoolExecutor(args.jobs) as pool:
         for report in pool.map(_run, work):
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -404,13 +404,16 @@
             self._end_incarnation(self.vms.vms[vm].endpoint)
             self.vms.set_state(vm, VmState.DOWN)
 
-    def start_endpoints_again(self, vms: list[VmId]) -> None:
-        """Begin the next incarnation of crashed endpoints, under the same ids."""
+    def start_endpoints_again(self, vms: list[VmId], *, listed: bool = True) -> None:
+        """Begin the next incarnation of crashed endpoints, under the same ids.
+
+        :param listed: whether the list of endpoints shows it already.
+        """
         for vm in vms:
             self.vms.set_state(vm, VmState.UP)
             self._crashed.discard(self.vms.vms[vm].endpoint)
             if vm not in self.vms.unavailable:
-                self._begin_incarnation(self.vms.vms[vm])
+                self._begin_incarnation(self.vms.vms[vm], listed=listed)
             self.proxies[vm].restore()
 
     def lapse_listings_of(self, vms: list[VmId]) -> None:
@@ -442,7 +445,7 @@
             if id not in self.vms.unavailable and endpoint is not None:
                 self._write_listing(vm.endpoint, self._listing(vm, endpoint.born_ms))
 
-    def _begin_incarnation(self, vm: ListedVm) -> None:
+    def _begin_incarnation(self, vm: ListedVm, *, listed: bool = True) -> None:
         born_ms = time.time_ns() // 1_000_000
         incarnation = ObservedEndpoint(
             vm.endpoint,
@@ -455,7 +458,8 @@
         )
         incarnation.clock_ms = self._clock_rng.choice(FIRST_CLOCKS_MS)
         self.endpoints.endpoints[vm.endpoint] = incarnation
-        self._write_listing(vm.endpoint, self._listing(vm, born_ms))
+        if listed:
+            self._write_listing(vm.endpoint, self._listing(vm, born_ms))
 
     def _end_incarnation(self, id: EndpointId | None) -> None:
         ended = self.endpoints.endpoints.pop(id, None)
--- a/tests/soak/fault_plan.py
+++ b/tests/soak/fault_plan.py
@@ -76,6 +76,7 @@
     WAVE = "maintenance wave"
     LISTINGS_LAPSED = "wave, and an outage of the store in which entries lapse"
     ENDPOINTS_RESTARTED_AND_CUT = "endpoints restarted under their ids, and then cut"
+    ENDPOINTS_CUT_UNLISTED = "endpoints restarted, and cut before they are listed"
     ZONE_EVACUATED = "availability zone evacuated and taken back"
     ODD_LISTINGS = "odd entries of another writer in the list of endpoints"
 
@@ -87,6 +88,7 @@
     FaultKind.LISTINGS_LAPSED,
     FaultKind.ENDPOINTS_RESTARTED_AND_CUT,
     FaultKind.ZONE_EVACUATED,
+    FaultKind.ENDPOINTS_CUT_UNLISTED,
 )
 #: Weights of kinds in the random choice; 1 for all others.
 _WEIGHTS = {
@@ -142,19 +144,30 @@
         )
     if rng.random() < ZONE_EVACUATED_FRACTION:
         faults += _evacuate_before_take_over(rng, length_s)
+    if rng.random() < RESTART_AND_CUT_FRACTION:
+        at = round(rng.uniform(1.0, length_s / 2), 2)
+        dark_s = round(rng.uniform(0.2, 1.5), 2)
+        target = rng.randrange(64)
+        faults.append(Fault(at, dark_s, FaultKind.ENDPOINTS_CUT_UNLISTED, target))
     return sorted(faults, key=lambda one: one.at)
 
 
-def draw_restarts(seed: int) -> list[Fault]:
-    """Return the faults of a play in which endpoints start again and are cut off."""
+def draw_restarts(seed: int, *, unlisted: bool = False) -> list[Fault]:
+    """Return the faults of a play in which endpoints start again and are cut off.
+
+    :param unlisted: cut them off before their next incarnations are listed.
+    """
     rng = random.Random(f"recut {seed}")
+    kind = (
+        FaultKind.ENDPOINTS_CUT_UNLISTED
+        if unlisted
+        else FaultKind.ENDPOINTS_RESTARTED_AND_CUT
+    )
     faults: list[Fault] = []
     for number in range(RESTART_ROUNDS):
         at = 4.0 + number * RESTART_INTERVAL_SECONDS
         dark_s = round(rng.choice((0.3, 0.6, 0.6, 1.2, 2.5)), 2)
-        faults.append(
-            Fault(at, dark_s, FaultKind.ENDPOINTS_RESTARTED_AND_CUT, rng.randrange(64))
-        )
+        faults.append(Fault(at, dark_s, kind, rng.randrange(64)))
         if rng.random() < RESTART_KILL_FRACTION:
             kill_at = round(at + dark_s + rng.uniform(0.1, 1.8), 2)
             faults.append(Fault(kill_at, 1.0, FaultKind.KILL_COORDINATOR, 0))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import tempfile
 import time
 from dataclasses import dataclass
+from enum import Enum
 from pathlib import Path
 
 from hickoryplank.coordinator.ports import Topic
@@ -23,7 +24,7 @@
     draw_restarts,
 )
 
-__all__ = ["Report", "soak"]
+__all__ = ["Play", "Report", "soak"]
 
 #: Longest wait until all accepted work is done after the last fault, in seconds: the
 #: time until entries are connected again, and the bound that users require.
@@ -39,6 +40,9 @@
 RESTARTED_VMS = 3
 CUT_DELAY_SECONDS = 2.0
 CUT_SECONDS = 9.0
+#: The same time for endpoints that are cut off before they are listed, at random up to
+#: this one: less than the interval at which endpoints renew their listing.
+MAX_UNLISTED_SECONDS = 0.6
 #: Silence of an endpoint after which it is removed from the list, in seconds.
 LISTING_LAPSE_SECONDS = 4.5
 #: Run time of the tasks in a play of such faults alone, in milliseconds.
@@ -47,6 +51,17 @@
 REPOSITORY = str(Path(__file__).parents[2])
 
 
+class Play(Enum):
+    """Which faults a run injects."""
+
+    #: Faults of all kinds.
+    MIXED = "mixed"
+    #: Only endpoints that restart and are cut off, with long tasks.
+    RESTARTS = "restarts"
+    #: The same, but the endpoints are cut off before they are listed again.
+    RESTARTS_UNLISTED = "restarts-unlisted"
+
+
 @dataclass
 class Report:
     """Result of one seed."""
@@ -156,7 +171,10 @@
         proxy = self._deployment.proxies[vm]
         match fault.kind:
             case FaultKind.ENDPOINTS_RESTARTED_AND_CUT:
-                await self._restart_and_cut(vm, fault.for_s)
+                await self._restart_and_cut(vm, fault.for_s, CUT_DELAY_SECONDS)
+            case FaultKind.ENDPOINTS_CUT_UNLISTED:
+                delay_s = random.Random(f"{fault}").uniform(0.0, MAX_UNLISTED_SECONDS)
+                await self._restart_and_cut(vm, fault.for_s, delay_s, listed=False)
             case FaultKind.ENDPOINT_RESTARTED:
                 self._deployment.restart_endpoint(vm)
             case FaultKind.ENDPOINT_FAILING:
@@ -172,10 +190,14 @@
             case _:
                 await self._disturb_connections(proxy, fault)
 
-    async def _restart_and_cut(self, vm: VmId, dark_s: float) -> None:
+    async def _restart_and_cut(
+        self, vm: VmId, dark_s: float, delay_s: float, *, listed: bool = True
+    ) -> None:
         """Restart endpoints of one pool under their ids, and cut them off soon after.
 
         They go on working while they are cut off, and renew no listing.
+
+        :param listed: whether their next incarnations are listed before the cut.
         """
         deployment = self._deployment
         rows = deployment.vms.vms
@@ -187,8 +209,8 @@
         ][:RESTARTED_VMS]
         deployment.crash_endpoints(vms)
         await asyncio.sleep(dark_s)
-        deployment.start_endpoints_again(vms)
-        await asyncio.sleep(CUT_DELAY_SECONDS)
+        deployment.start_endpoints_again(vms, listed=listed)
+        await asyncio.sleep(delay_s)
         for id in vms:
             deployment.proxies[id].freeze()
         await asyncio.sleep(LISTING_LAPSE_SECONDS)
@@ -273,12 +295,17 @@
 
 
 async def _soak(
-    seed: int, length_s: float, root: Path, code: str, restarts: bool
+    seed: int, length_s: float, root: Path, code: str, play: Play
 ) -> Report:
     deployment = Deployment(root, seed, code)
-    deployment.task_ms = LONG_TASK_MS if restarts else None
-    callers = Callers(deployment, seed, LONG_STEPS if restarts else None)
-    faults = draw_restarts(seed) if restarts else draw_faults(seed, length_s)
+    is_mixed = play is Play.MIXED
+    deployment.task_ms = None if is_mixed else LONG_TASK_MS
+    callers = Callers(deployment, seed, None if is_mixed else LONG_STEPS)
+    faults = (
+        draw_faults(seed, length_s)
+        if is_mixed
+        else draw_restarts(seed, unlisted=play is Play.RESTARTS_UNLISTED)
+    )
     try:
         await deployment.start()
         await deployment.wait_until_coordinated()
@@ -313,7 +340,7 @@
     length_s: float = INJECTION_SECONDS,
     root: Path | None = None,
     code: str = REPOSITORY,
-    restarts: bool = False,
+    play: Play = Play.MIXED,
 ) -> Report:
     """Run one seed and return its report.
 
@@ -321,8 +348,8 @@
     :param length_s: time for which jobs are submitted and faults begin, in seconds.
     :param root: directory for settings and logs; a new temporary one by default.
     :param code: directory of the code that the entries run.
-    :param restarts: play only endpoints that restart and are cut off, with long tasks.
+    :param play: the kinds of faults.
     """
     root = root or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     random.seed(seed)
-    return asyncio.run(_soak(seed, length_s, root, code, restarts))
+    return asyncio.run(_soak(seed, length_s, root, code, play))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,7 +22,7 @@
     draw_faults,
     draw_restarts,
 )
-from tests.soak.run import soak
+from tests.soak.run import Play, soak
 
 SHORT_SECONDS = 6.0
 TEAM = TeamId("rutas")
@@ -57,13 +57,20 @@
     assert report.starts > 0
 
 
-def test_endpoints_that_restart_and_are_cut_off_run_no_task_twice(tmp_path):
-    """Guards against second runs of tasks around a restart under the same id.
-
-    Starts that were sent while the VM was down reached the next incarnation, and a
-    successor of the coordinator expected its leases to end too early.
-    """
-    report = soak(11, RESTART_PLAY_SECONDS, tmp_path, restarts=True)
+@pytest.mark.parametrize(
+    ("seed", "play"),
+    [
+        # Guards against starts that were sent while the VM was down and reached the
+        # next incarnation, and against leases that a successor expected to end early.
+        (11, Play.RESTARTS),
+        # Guards against tasks that are given up 5 s after such a start, while an
+        # incarnation that was not heard of has them under its longest lease.
+        (44001, Play.RESTARTS_UNLISTED),
+    ],
+)
+def test_endpoints_that_restart_and_are_cut_off_run_no_task_twice(seed, play, tmp_path):
+    """Guards against second runs of tasks around a restart under the same id."""
+    report = soak(seed, RESTART_PLAY_SECONDS, tmp_path, play=play)
     assert report.violations == [], "\n".join(report.lines())
     assert report.starts > 0
 
