Acknowledgements of ends are applied before a new incarnation can have ended a task

A task was started again after its end was acknowledged (TWICE): the end had been dropped unread. The endpoint had started again under its id and numbers its ends anew; a poll for the former incarnation acknowledged up to a number that the new one had reached meanwhile. Such a poll was sent up to 0.25 s after the last report, and waited for up to 0.6 s, in which time short tasks start and end.

The time from the report until the acknowledgement is applied, the wait of its poll included, is now bounded by half of the shortest run time of the pool lately.

Ruled out: runs in unseen incarnations; the reports of the new one were read.

The engine's test driver polls again at once after a report that was too old to acknowledge, as EndpointPoller does: with one poll in 0.1 s it would never acknowledge ends of tasks of 0.2 s.

--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -68,6 +68,7 @@
     :param preassigned: a former coordinator stored it as a pre-assignment, so that its
         start may never have been sent.
     :param adopted: it was taken over from a former coordinator.
+    :param first_sent_at: time at which this coordinator first sent its start.
     :param unanswered_at: time of the last start that this coordinator has sent, unless
         its first one was answered; of a run that was taken over, the latest time at
         which a former coordinator is taken to have sent one.
@@ -85,6 +86,7 @@
         "counted_size",
         "endpoint",
         "fenced_at",
+        "first_sent_at",
         "held",
         "key",
         "reported",
@@ -125,6 +127,7 @@
         self.preassigned = False
         self.adopted = False
         self.start_withdrawn_at: float | None = None
+        self.first_sent_at: float | None = None
         self.unanswered_at: float | None = None
         self.fenced_at: float | None = None
         self.held = False
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -22,6 +22,7 @@
 from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
 from hickoryplank.jobs.quarantine import Quarantine, endpoint_subject, job_subject
 from hickoryplank.jobs.records import Record, StoreBounds
+from hickoryplank.jobs.run_times import RunTimes
 from hickoryplank.jobs.shortage import PoolShortage, ShortageOrder
 from hickoryplank.jobs.table import (
     JobRow,
@@ -122,6 +123,7 @@
         #: Time of the first job other than a lasting one, by pool.
         self.first_job_at: dict[PoolId, float] = {}
         self.arrivals = ArrivalRates()
+        self.run_times = RunTimes()
         #: Pools in which a VM cannot be evacuated, as no other endpoint has room.
         self.pools_lacking_room: set[PoolId] = set()
         #: Runs for which a stop order is to be sent.
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -29,9 +29,14 @@
 ]
 
 #: Longest time since the last report of an endpoint for its ends to be acknowledged, in
-#: seconds. It is less than a new incarnation needs to start, run a task to its end and
-#: thus have an end that the acknowledgement would drop.
+#: seconds.
 MAX_ACKNOWLEDGED_AGE_SECONDS = 0.25
+#: Fraction of the shortest run time lately within which an acknowledgement has to be
+#: applied after the last report. A new incarnation can't have run a task to its end by
+#: then, so that there is no end that the acknowledgement would drop.
+ACKNOWLEDGEMENT_FRACTION = 0.5
+#: The same time while no run time is known, in seconds.
+DEFAULT_ACKNOWLEDGEMENT_SECONDS = 0.1
 #: Delay before a failed lasting task is started again.
 LASTING_RESTART_DELAY_SECONDS = 0.2
 #: Silence of an endpoint after which starts are not sent to it again, in seconds: the
@@ -63,7 +68,9 @@
     # therefore acknowledged only right after a report, and until a poll with the
     # acknowledgement is answered.
     new_ends = endpoint.stored_end_number > endpoint.confirmed_ack_number
-    report_is_recent = now - endpoint.reported_at <= MAX_ACKNOWLEDGED_AGE_SECONDS
+    report_age_s = now - endpoint.reported_at
+    within_s = _acknowledgement_seconds(tables, endpoint, now)
+    report_is_recent = report_age_s <= min(MAX_ACKNOWLEDGED_AGE_SECONDS, within_s)
     acknowledge = new_ends and report_is_recent
     endpoint.sent_ack_number = endpoint.stored_end_number if acknowledge else 0
     at_once = (
@@ -72,11 +79,27 @@
         or (new_ends and not acknowledge)
     )
     wait = 0 if at_once else tables.timing.poll_wait_ms
+    if acknowledge:
+        # The endpoint may apply the acknowledgement when it answers.
+        wait = min(wait, int((within_s - report_age_s) * 1000))
     return PollRequest(
         endpoint.id, endpoint.listing.address, endpoint.sent_ack_number, until, wait
     )
 
 
+def _acknowledgement_seconds(
+    tables: EngineTables, endpoint: Endpoint, now: float
+) -> float:
+    """Return how long after a report an acknowledgement may be applied, in seconds.
+
+    A start may have reached a new incarnation right after the report.
+    """
+    shortest_s = tables.run_times.shortest(endpoint.listing.pool, now)
+    if shortest_s is None:
+        return DEFAULT_ACKNOWLEDGEMENT_SECONDS
+    return ACKNOWLEDGEMENT_FRACTION * shortest_s
+
+
 def note_no_answer(tables: EngineTables, endpoint: Endpoint, now: float) -> None:
     """Record that an endpoint did not answer a poll or a start."""
     if endpoint.silent_since is None:
@@ -376,6 +399,9 @@
         row.note_change(task)
     if end.kind is EndKind.DONE and not step.step.lasting:
         endpoint.note_success()
+        if run is not None and run.first_sent_at is not None:
+            run_s = now - run.first_sent_at
+            tables.run_times.note_done(endpoint.listing.pool, run_s, now)
         _task_done(tables, row, step, task, now)
     elif run is not None and context.current:
         tables.add_event(EngineEventKind.ENDED, run, end.kind.value)
@@ -442,6 +468,8 @@
     silent_s = 0.0 if endpoint.silent_since is None else now - endpoint.silent_since
     may_be_sent = endpoint.takes_starts and silent_s <= MAX_START_SILENCE_SECONDS
     if run.state is RunState.SENT and may_be_sent:
+        if not tries:
+            run.first_sent_at = now
         run.unanswered_at = endpoint.lease_call_at = now
         return True
     if not tries:
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -10,7 +10,7 @@
     Queue,
     Team,
 )
-from hickoryplank.jobs.endpoints import Listing, Run
+from hickoryplank.jobs.endpoints import Endpoint, Listing, Run
 from hickoryplank.jobs.engine import Engine, EngineTiming
 from hickoryplank.jobs.messages import Batch, StartOutcome
 from hickoryplank.jobs.model import Job, Step, TaskKey
@@ -234,17 +234,28 @@
         self.faults += faults
 
     def poll_endpoints(self) -> None:
-        """Poll every endpoint once."""
+        """Poll every endpoint once, or twice if ends are to be acknowledged.
+
+        After a report that was too old for that, a coordinator polls again at once.
+        """
         for endpoint in list(self.engine.endpoints.values()):
-            request = self.engine.next_poll(endpoint, self.now, renew=True)
-            asked_at = self.now
-            fake = self.endpoints[endpoint.id]
-            if endpoint.id in self.unreachable:
-                self.engine.note_no_answer(endpoint, self.now)
-                continue
-            report = fake.poll(self.token, request.acknowledged, request.until_ms)
-            assert report is not None
-            self.engine.poll_answered(endpoint, report, asked_at, self.now)
+            acknowledged = self._poll(endpoint)
+            stored = endpoint.stored_end_number
+            if stored > endpoint.confirmed_ack_number and not acknowledged:
+                self._poll(endpoint)
+
+    def _poll(self, endpoint: Endpoint) -> int:
+        """Poll an endpoint; return the last end that was acknowledged, or 0."""
+        request = self.engine.next_poll(endpoint, self.now, renew=True)
+        asked_at = self.now
+        fake = self.endpoints[endpoint.id]
+        if endpoint.id in self.unreachable:
+            self.engine.note_no_answer(endpoint, self.now)
+            return 0
+        report = fake.poll(self.token, request.acknowledged, request.until_ms)
+        assert report is not None
+        self.engine.poll_answered(endpoint, report, asked_at, self.now)
+        return request.acknowledged
 
     def commit(self) -> None:
         """Store a batch and send its starts."""
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -491,3 +491,39 @@
         driver.step()
         note_vm_list(driver, {run.endpoint.id})
     assert driver.run_count(KEY) == 1
+
+
+@pytest.mark.parametrize("work_ms", [100.0, 300.0, 700.0, 2000.0])
+@pytest.mark.parametrize("store_ms", [0, 50, 150, 240])
+def test_an_acknowledgement_is_applied_before_a_new_incarnation_can_have_an_end(
+    store_ms, work_ms
+):
+    """Guards against ends that an acknowledgement of a former incarnation drops.
+
+    The endpoint starts again right after its report and is sent a start at once. The
+    poll with the acknowledgement waits for an end, and is applied when it is answered.
+    """
+    driver = Driver(count=1, work_ms=lambda key: work_ms)
+    driver.engine.submit(job("b", Step(2, TASK)), driver.now)
+    while driver.engine.endpoints[E0].confirmed_ack_number < 2:
+        driver.step()
+    driver.engine.submit(job("c", Step(2, TASK)), driver.now)
+    endpoint = driver.engine.endpoints[E0]
+    while endpoint.last_end_number < 4:
+        driver.now += 0.01
+        driver.endpoints[E0].advance(10)
+        driver.poll_endpoints()
+        driver.engine.tick(driver.now, driver.wall_ms)
+        if endpoint.last_end_number < 4:
+            driver.commit()
+    reported_at = driver.now
+    driver.commit()
+    driver.now += store_ms / 1000
+    request = driver.engine.next_poll(endpoint, driver.now, renew=True)
+    applied_at = driver.now + request.wait_ms / 1000
+    if request.acknowledged:
+        assert applied_at - reported_at < work_ms / 1000
+    else:
+        # It is polled at once, so that the next poll can acknowledge.
+        assert request.wait_ms == 0
+        assert store_ms >= work_ms / 2
