--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,6 +45,10 @@
         (3020, 10.0),
         # Guards against orders for VMs whose endpoints aren't listed after a takeover.
         (4005, SHORT_SECONDS),
+        # Guards against ends of restarted endpoints that an acknowledgement for the
+        # former incarnation drops.
+        (8106, 10.0),
+        (44208, 10.0),
         # Guards against a fault of the soak: of two stops that overlap, the second one
         # waited for the end of the next process, which it had not signalled.
         (2105523503, 10.0),
