--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -40,8 +40,8 @@
 RESTARTED_VMS = 3
 CUT_DELAY_SECONDS = 2.0
 CUT_SECONDS = 9.0
-#: The same time for endpoints that are cut off before they are listed, at random up to
-#: this one: less than the interval at which endpoints renew their listing.
+#: Longest time until the cut for endpoints that are cut off before they are listed, in
+#: seconds: less than the interval at which endpoints renew their listing.
 MAX_UNLISTED_SECONDS = 0.6
 #: Silence of an endpoint after which it is removed from the list, in seconds.
 LISTING_LAPSE_SECONDS = 4.5
@@ -173,6 +173,7 @@
             case FaultKind.ENDPOINTS_RESTARTED_AND_CUT:
                 await self._restart_and_cut(vm, fault.for_s, CUT_DELAY_SECONDS)
             case FaultKind.ENDPOINTS_CUT_UNLISTED:
+                # The delay follows from the seed without a change of other draws.
                 delay_s = random.Random(f"{fault}").uniform(0.0, MAX_UNLISTED_SECONDS)
                 await self._restart_and_cut(vm, fault.for_s, delay_s, listed=False)
             case FaultKind.ENDPOINT_RESTARTED:
