Acknowledgements may take three quarters of the shortest run time

A new incarnation still can't have an end by then, unless a task takes a quarter less time than any that was done in the pool in the last 10 seconds.

--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -34,7 +34,7 @@
 #: Fraction of the shortest run time lately within which an acknowledgement has to be
 #: applied after the last report. A new incarnation can't have run a task to its end by
 #: then, so that there is no end that the acknowledgement would drop.
-ACKNOWLEDGEMENT_FRACTION = 0.5
+ACKNOWLEDGEMENT_FRACTION = 0.75
 #: The same time while no run time is known, in seconds.
 DEFAULT_ACKNOWLEDGEMENT_SECONDS = 0.1
 #: Delay before a failed lasting task is started again.
