Observability: ends that were dropped unread, and the evidence on which runs are given up

Logs had neither the numbers of ends nor acknowledgements without an answer.

- 'ends dropped unread' with incarnation and numbers, and the counter hickoryplank_ends_missing_total: a gap in the numbers of an incarnation that began in this term proves that an acknowledgement for another incarnation dropped them.
- 'lost' carries born_ms, the age of the last report, the silence, and the last ends that were read and stored.
- 'endpoint incarnation begun' and 'acknowledgement without an answer'.

--- a/hickoryplank/coordinator/coordinator.py
+++ b/hickoryplank/coordinator/coordinator.py
@@ -3,6 +3,7 @@
 import logging
 
 import anyio
+import msgspec
 
 from hickoryplank.coordinator.call_handler import CallHandler
 from hickoryplank.coordinator.calls import Answer, Call
@@ -19,6 +20,7 @@
 from hickoryplank.jobs.assignment import AllowedStarts
 from hickoryplank.jobs.engine import Engine
 from hickoryplank.jobs.evacuation import evacuated_load
+from hickoryplank.jobs.messages import EndpointState
 from hickoryplank.jobs.quarantine import Quarantine, SubjectKind
 from hickoryplank.shell.clock import wall_ms
 
@@ -224,7 +226,7 @@
         events, engine.events = engine.events, []
         for event in events:
             self._term.context.metrics.event(event)
-            extra = {"request": event.job, "why": event.reason}
+            extra: dict[str, object] = {"request": event.job, "why": event.reason}
             if event.key is not None:
                 extra |= {
                     "step": event.key.step,
@@ -232,7 +234,18 @@
                     "attempt": event.attempt,
                     "endpoint": event.endpoint,
                 }
+            if event.endpoint_state is not None:
+                extra |= _describe_state(
+                    event.endpoint_state, self._term.context.clock.now()
+                )
             logger.info(event.kind.value, extra=extra)
+        missing, engine.missing_ends = engine.missing_ends, []
+        for ends in missing:
+            self._term.context.metrics.missing_ends(ends.last - ends.first + 1)
+            logger.warning(
+                "ends dropped unread",
+                extra={"number": self._term.fencing_token, **msgspec.to_builtins(ends)},
+            )
 
     async def _operator_loop(self) -> None:
         """Apply what operators have stored, as soon as it has been read."""
@@ -277,6 +290,23 @@
         return True
 
 
+def _describe_state(state: EndpointState, now: float) -> dict[str, object]:
+    """Return log fields for the evidence on which a run was given up.
+
+    :param now: time by the local clock, in seconds.
+    """
+    fields: dict[str, object] = {
+        "born_ms": state.born_ms,
+        "read_end": state.read_end,
+        "stored_end": state.stored_end,
+    }
+    if state.reported_at > 0:
+        fields["reported_s_ago"] = round(now - state.reported_at, 3)
+    if state.silent_since is not None:
+        fields["silent_s"] = round(now - state.silent_since, 3)
+    return fields
+
+
 def record_faults(quarantine: Quarantine, metrics: EntryMetrics) -> None:
     """Log and count what was set aside since the last call."""
     for fault in quarantine.take_faults():
--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -85,6 +85,7 @@
             case Ok(report):
                 is_first = not endpoint.token_confirmed
                 engine.poll_answered(endpoint, report, sent_at, clock.now())
+                _log_if_begun(engine, endpoint, "report")
                 needs_commit = is_first or endpoint.has_unstored_ends
                 self._poll_new_endpoints(engine)
                 if needs_commit:
@@ -110,6 +111,17 @@
                         "endpoint silent",
                         extra={"endpoint": endpoint.id, "detail": fault.detail},
                     )
+                if request.acknowledged and fault.kind is not CallFaultKind.NOT_DONE:
+                    logger.info(
+                        "acknowledgement without an answer",
+                        extra={
+                            "endpoint": endpoint.id,
+                            "born_ms": endpoint.listing.born_ms,
+                            "acknowledged": request.acknowledged,
+                            "wait_ms": request.wait_ms,
+                            "sent_s_ago": round(clock.now() - sent_at, 3),
+                        },
+                    )
                 engine.note_no_answer(endpoint, clock.now())
                 await anyio.sleep(POLL_RETRY_SECONDS)
 
@@ -205,7 +217,10 @@
         if listing is None:
             return
         self._missing.discard(id)
+        known = engine.endpoint_of(id)
         engine.update_listing(listing, self._term.context.clock.now())
+        if known is not None:
+            _log_if_begun(engine, known, "listing")
 
     def _remove_missing(self, engine: Engine) -> None:
         """Remove endpoints that are missing for another reason than an outage."""
@@ -215,3 +230,25 @@
         for id in self._missing:
             engine.remove_listing(id)
         self._missing.clear()
+
+
+def _log_if_begun(engine: Engine, before: Endpoint, source: str) -> None:
+    """Log that an endpoint has started again under its id, if it has.
+
+    :param before: the incarnation that was known until now.
+    :param source: how the new one became known.
+    """
+    fresh = engine.endpoints.get(before.id)
+    if fresh is None or fresh is before:
+        return
+    logger.info(
+        "endpoint incarnation begun",
+        extra={
+            "endpoint": fresh.id,
+            "source": source,
+            "born_ms": fresh.listing.born_ms,
+            "former_born_ms": before.listing.born_ms,
+            "acknowledged": before.sent_ack_number,
+            "runs": len(fresh.runs),
+        },
+    )
--- a/hickoryplank/coordinator/metrics.py
+++ b/hickoryplank/coordinator/metrics.py
@@ -33,6 +33,7 @@
     RETURN_SECONDS = "admission.return.seconds"
     DELAYED_JOBS = "shortage.delayed.jobs"
     REFUSED_RECORDS = "records.refused"
+    MISSING_ENDS = "ends.missing"
     EVACUATED_ZONES = "evacuated.zones"
     EVACUATED_ZONES_RUNS = "evacuated.zones.runs"
     SET_ASIDE = "set_aside"
@@ -124,6 +125,10 @@
         """Count records of jobs that the store refuses for good."""
         self._record(_Measurement(_InstrumentName.REFUSED_RECORDS, count, {}))
 
+    def missing_ends(self, count: int) -> None:
+        """Count ends that endpoints have dropped before they were read."""
+        self._record(_Measurement(_InstrumentName.MISSING_ENDS, count, {}))
+
     def evacuated_zones(self, zones: int, runs: int) -> None:
         """Record the number of evacuated zones, and of the runs still there.
 
@@ -198,6 +203,10 @@
             _InstrumentName.REFUSED_RECORDS.value,
             description="records of jobs that the store refuses for good",
         ).add,
+        _InstrumentName.MISSING_ENDS: meter.create_counter(
+            _InstrumentName.MISSING_ENDS.value,
+            description="ends of runs that endpoints dropped before they were read",
+        ).add,
         _InstrumentName.EVACUATED_ZONES: meter.create_gauge(
             _InstrumentName.EVACUATED_ZONES.value,
             description="availability zones that the coordinator keeps evacuated",
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -213,6 +213,9 @@
         self.serving_count = 0
         self.lasting_count = 0
         self.lasting_used = ZERO
+        #: Whether the incarnation began in this coordinator's term, so that nobody else
+        #: can have acknowledged its ends.
+        self.begun_in_term = False
         #: Time of the first unanswered call since the last answer; none if there is no
         #: such call. While it is set, no run is assigned here and no lease extended.
         self.silent_since: float | None = None
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -19,7 +19,13 @@
 )
 from hickoryplank.jobs.evacuated_zones import EvacuatedZones
 from hickoryplank.jobs.limits import TeamRateLimiter, TeamUsage
-from hickoryplank.jobs.messages import EngineEvent, EngineEventKind, PaceChange
+from hickoryplank.jobs.messages import (
+    EndpointState,
+    EngineEvent,
+    EngineEventKind,
+    MissingEnds,
+    PaceChange,
+)
 from hickoryplank.jobs.quarantine import Quarantine, endpoint_subject, job_subject
 from hickoryplank.jobs.records import Record, StoreBounds
 from hickoryplank.jobs.run_times import RunTimes
@@ -129,6 +135,8 @@
         #: Runs for which a stop order is to be sent.
         self.stops: list[Run] = []
         self.events: list[EngineEvent] = []
+        #: Ends that were dropped before they were read, for logs and metrics.
+        self.missing_ends: list[MissingEnds] = []
         self.pace_changes: list[PaceChange] = []
         self.advice = AdviceTable()
         self.new_jobs: list[JobRow] = []
@@ -236,9 +244,19 @@
 
     def add_event(self, kind: EngineEventKind, run: Run, reason: str) -> None:
         """Add an event about a run, for logs and metrics."""
+        state = None
+        if kind is EngineEventKind.LOST:
+            endpoint = run.endpoint
+            state = EndpointState(
+                endpoint.listing.born_ms,
+                endpoint.reported_at,
+                endpoint.silent_since,
+                endpoint.last_end_number,
+                endpoint.stored_end_number,
+            )
         self.events.append(
             EngineEvent(
-                kind, run.key.job, run.key, run.attempt, run.endpoint.id, reason
+                kind, run.key.job, run.key, run.attempt, run.endpoint.id, reason, state
             )
         )
 
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -47,6 +47,7 @@
         fresh.stale_leases_until,
     )
     fresh.cordoned = listing.id in tables.leaving
+    fresh.begun_in_term = known is not None
     if known is not None:
         _carry_over_runs(tables, known, fresh, now)
         end_incarnation(tables, known, now)
--- a/hickoryplank/jobs/messages.py
+++ b/hickoryplank/jobs/messages.py
@@ -14,7 +14,9 @@
     "Batch",
     "End",
     "EndKind",
+    "EndpointState",
     "EngineEventKind",
+    "MissingEnds",
     "PollRequest",
     "PollReport",
     "EngineEvent",
@@ -187,10 +189,31 @@
     RESUMED = "job resumed"
 
 
+class EndpointState(msgspec.Struct, frozen=True):
+    """What was known of an incarnation of an endpoint when a run was given up.
+
+    :param born_ms: start of the incarnation, in Unix milliseconds.
+    :param reported_at: time of its last report, by the local clock, in seconds;
+        negative infinity before the first.
+    :param silent_since: time of the first call since then without an answer; none if
+        there is none.
+    :param read_end: number of the last end that was read.
+    :param stored_end: number of the last end whose effect is stored, up to which polls
+        acknowledge.
+    """
+
+    born_ms: int
+    reported_at: float
+    silent_since: float | None
+    read_end: int
+    stored_end: int
+
+
 class EngineEvent(msgspec.Struct, frozen=True):
     """An event for logs and metrics.
 
     :param reason: reason of the decision, or outcome.
+    :param endpoint_state: evidence for a decision to give a run up.
     """
 
     kind: EngineEventKind
@@ -199,6 +222,23 @@
     attempt: int
     endpoint: EndpointId | None
     reason: str
+    endpoint_state: EndpointState | None = None
+
+
+class MissingEnds(msgspec.Struct, frozen=True):
+    """Ends that an endpoint has dropped before they were read.
+
+    Only an acknowledgement that was meant for a former incarnation can cause that.
+
+    :param born_ms: start of the endpoint's incarnation, in Unix milliseconds.
+    :param first: number of the first of these ends.
+    :param last: number of the last of these ends.
+    """
+
+    endpoint: EndpointId
+    born_ms: int
+    first: int
+    last: int
 
 
 class Batch(msgspec.Struct):
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -10,6 +10,7 @@
     End,
     EndKind,
     EngineEventKind,
+    MissingEnds,
     PollReport,
     PollRequest,
     RunningTask,
@@ -131,6 +132,7 @@
         _record_initial_leases(tables, endpoint, report.clock_ms, now)
     for end in report.ends:
         if end.number > endpoint.last_end_number:
+            _note_missing_ends(tables, endpoint, end.number)
             endpoint.last_end_number = end.number
             endpoint.unstored_end_jobs[end.number] = end.key.job
             take_end(tables, endpoint, end, now)
@@ -139,6 +141,19 @@
     _reconcile(tables, endpoint, report, asked_at, now)
 
 
+def _note_missing_ends(tables: EngineTables, endpoint: Endpoint, number: int) -> None:
+    """Record the ends before a newly read one that no report has contained.
+
+    :param number: number of the end that was read.
+    """
+    first = endpoint.last_end_number + 1
+    if number == first or (first == 1 and not endpoint.begun_in_term):
+        return
+    tables.missing_ends.append(
+        MissingEnds(endpoint.id, endpoint.listing.born_ms, first, number - 1)
+    )
+
+
 def _record_initial_leases(
     tables: EngineTables, endpoint: Endpoint, clock_ms: int, now: float
 ) -> None:
--- a/tests/coordinator/test_metrics.py
+++ b/tests/coordinator/test_metrics.py
@@ -69,3 +69,11 @@
         [sys.executable, "-c", code], capture_output=True, text=True, check=True
     )
     assert ran.stdout.strip() == "False"
+
+
+def test_ends_that_were_dropped_unread_are_counted():
+    entry_metrics, metrics = EntryMetrics(), Metrics("entry-1")
+    entry_metrics.attach(metrics.meter)
+    for count in (1, 3):
+        entry_metrics.missing_ends(count)
+    assert metric_total(metrics, "hickoryplank_ends_missing_total") == 4
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -527,3 +527,32 @@
         # It is polled at once, so that the next poll can acknowledge.
         assert request.wait_ms == 0
         assert store_ms >= work_ms / 2
+
+
+@pytest.mark.parametrize(
+    ("begun_in_term", "dropped", "expected"),
+    [
+        (True, 0, []),
+        (True, 1, [(1, 1)]),
+        (True, 2, [(1, 2)]),
+        # A former coordinator may have acknowledged the first ends.
+        (False, 1, []),
+    ],
+)
+def test_ends_that_were_dropped_before_they_were_read_are_recorded(
+    begun_in_term, dropped, expected
+):
+    driver = Driver(count=1)
+    driver.step()
+    if begun_in_term:
+        driver.restart_endpoint(E0)
+        driver.step()
+    driver.engine.submit(job("a", Step(3, TASK)), driver.now)
+    driver.step()
+    fake = driver.endpoints[E0]
+    for run in list(fake.running.values()):
+        fake._end(run, EndKind.DONE)
+    del fake.ends[:dropped]
+    driver.poll_endpoints()
+    recorded = [(one.first, one.last) for one in driver.engine.missing_ends]
+    assert recorded == expected
