--- a/hickoryplank/jobs/messages.py
+++ b/hickoryplank/jobs/messages.py
@@ -176,6 +176,8 @@
     ASSIGNED = "assigned"
     #: A run ended without being done.
     ENDED = "ended"
+    #: The end was read of a run that had been given up, or of which nothing was known.
+    LATE_END = "late end"
     #: A run was given up, as its end will not be reported.
     LOST = "lost"
     #: A run on a silent endpoint was kept, as it may go on although its lease has
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -9,6 +9,7 @@
 from hickoryplank.jobs.messages import (
     End,
     EndKind,
+    EngineEvent,
     EngineEventKind,
     MissingEnds,
     PollReport,
@@ -406,6 +407,17 @@
     run, row, task, step = context.run, context.row, context.task, context.step
     if run is not None:
         tables.close_run(run)
+    elif row is not None:
+        tables.events.append(
+            EngineEvent(
+                EngineEventKind.LATE_END,
+                row.job.id,
+                end.key,
+                end.attempt,
+                endpoint.id,
+                end.kind.value,
+            )
+        )
     if row is None or task is None or step is None:
         return
     tables.note_begun(row)
