--- a/hickoryplank/jobs/messages.py
+++ b/hickoryplank/jobs/messages.py
@@ -176,7 +176,7 @@
     ASSIGNED = "assigned"
     #: A run ended without being done.
     ENDED = "ended"
-    #: The end was read of a run that had been given up, or of which nothing was known.
+    #: The end was read of a run that had been given up, while its task wasn't done.
     LATE_END = "late end"
     #: A run was given up, as its end will not be reported.
     LOST = "lost"
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -407,11 +407,11 @@
     run, row, task, step = context.run, context.row, context.task, context.step
     if run is not None:
         tables.close_run(run)
-    elif row is not None:
+    elif task is not None and task.state is not TaskState.DONE:
         tables.events.append(
             EngineEvent(
                 EngineEventKind.LATE_END,
-                row.job.id,
+                end.key.job,
                 end.key,
                 end.attempt,
                 endpoint.id,
