A fencing token of its own for each incarnation of an endpoint

Cause: a call names the id of an endpoint, which its next incarnation has too, and may be carried out seconds late. Ends are numbered anew in each incarnation, so a poll that acknowledges ends of the former one drops ends of the new one that nobody has read. Its next report lists neither the run nor its end, and the task is started again.

Change: the token of calls to an endpoint is the token of the term and, below it, a number that is higher for each incarnation that becomes known. An endpoint does nothing for a lower token than it has seen, and a new incarnation is polled before anything starts there, so that it refuses what was meant for the former one from then on. A call that is refused for a lower token of the same term doesn't end the term; a start is sent again under the present token.

--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -79,9 +79,8 @@
         renew = self._term.renewed_recently()
         request = engine.next_poll(endpoint, clock.now(), renew=renew)
         sent_at = clock.now()
-        match await self._term.context.endpoints.poll(
-            request, self._term.fencing_token
-        ):
+        token = self._term.token_for(endpoint)
+        match await self._term.context.endpoints.poll(request, token):
             case Ok(report):
                 is_first = not endpoint.token_confirmed
                 engine.poll_answered(endpoint, report, sent_at, clock.now())
@@ -97,7 +96,7 @@
                     # An endpoint with ends that are not acknowledged answers at once.
                     await anyio.sleep(POLL_RETRY_SECONDS)
             case Err(CallFault(CallFaultKind.FENCED, _)):
-                self._term.end_fenced_term()
+                self._term.end_if_fenced(endpoint, token)
             case Err(CallFault(CallFaultKind.OTHER_INCARNATION, detail)):
                 logger.info(
                     "endpoint incarnation ended; its runs are lost",
--- a/hickoryplank/coordinator/request_sender.py
+++ b/hickoryplank/coordinator/request_sender.py
@@ -73,17 +73,19 @@
                 self._term.request_tick()
                 return
             attempts += 1
-            answer = await self._term.context.endpoints.start(
-                run, payload, self._term.fencing_token
-            )
-            unanswered = engine.start_answered(
-                run, answer.outcome, attempts, answer.clock_ms, clock.now()
-            )
+            token = self._term.token_for(run.endpoint)
+            answer = await self._term.context.endpoints.start(run, payload, token)
             self._term.context.metrics.start(answer.outcome)
             if answer.outcome is not StartOutcome.STARTED or attempts > 1:
                 self._log_start(run, attempts, answer.outcome, answer.detail)
             if answer.outcome is StartOutcome.FENCED:
-                self._term.end_fenced_term()
+                self._term.end_if_fenced(run.endpoint, token)
+                # The run has been carried over to the present incarnation, if it is
+                # not given up, and its start is due there.
+                continue
+            unanswered = engine.start_answered(
+                run, answer.outcome, attempts, answer.clock_ms, clock.now()
+            )
             if unanswered:
                 await anyio.sleep(START_RETRY_SECONDS)
             elif answer.outcome is not StartOutcome.STARTED:
@@ -129,13 +131,15 @@
         return engine.guard_job(run.key.job, passes=(TermEnded,))
 
     async def _send_stop(self, run: Run) -> None:
-        match await self._term.context.endpoints.stop(run, self._term.fencing_token):
+        token = self._term.token_for(run.endpoint)
+        match await self._term.context.endpoints.stop(run, token):
             case Ok(_):
                 run.endpoint.note_answer()
                 now = self._term.context.clock.now()
                 self._term.require_engine().stop_answered(run, now)
             case Err(CallFault(CallFaultKind.FENCED, _)):
-                self._term.end_fenced_term()
+                # It is repeated under the token of the present incarnation.
+                self._term.end_if_fenced(run.endpoint, token)
             case Err(fault):
                 logger.info(
                     "stop request failed",
@@ -153,7 +157,7 @@
     async def _send_pace(self, change: PaceChange) -> None:
         run = change.run
         answer = await self._term.context.endpoints.pace(
-            run, change.percent, self._term.fencing_token
+            run, change.percent, self._term.token_for(run.endpoint)
         )
         logger.info(
             "paced",
--- a/hickoryplank/coordinator/term_state.py
+++ b/hickoryplank/coordinator/term_state.py
@@ -1,5 +1,7 @@
 """State that the components of one term as coordinator share."""
 
+import logging
+
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
@@ -18,6 +20,7 @@
 )
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
 from hickoryplank.core.ids import JobId
+from hickoryplank.jobs.endpoints import Endpoint, incarnation_token
 from hickoryplank.jobs.engine import Engine, EngineTiming
 from hickoryplank.jobs.records import StoreBounds
 from hickoryplank.jobs.shortage import ShortageOrder
@@ -25,6 +28,8 @@
 
 __all__ = ["MAX_RENEWAL_AGE_SECONDS", "CoordinatorContext", "Term"]
 
+logger = logging.getLogger(__name__)
+
 #: Age of the last renewal of the coordinator's lease up to which run leases are renewed
 #: and preassigned tasks are started, in seconds. It covers the usual outages of the
 #: store.
@@ -61,7 +66,7 @@
 class Term:
     """One term of this entry as coordinator, from when it has taken the lease.
 
-    :ivar fencing_token: fencing token and epoch of the term.
+    :ivar fencing_token: epoch of the term, and fencing token of its orders for VMs.
     :ivar engine: none until it has been restored, and after the term.
     :ivar malformed_jobs: stored jobs whose state is not known.
     :ivar tasks: task group of the term.
@@ -139,12 +144,26 @@
         self._storing.set()
         self.stored.set()
 
-    def end_fenced_term(self) -> None:
-        """End the term after an endpoint has reported a higher fencing token.
+    def token_for(self, endpoint: Endpoint) -> int:
+        """Return the fencing token of calls to an incarnation of an endpoint."""
+        return incarnation_token(self.fencing_token, endpoint.number)
+
+    def end_if_fenced(self, endpoint: Endpoint, token: int) -> None:
+        """End the term after an endpoint has refused a call for its fencing token.
 
-        Only a later coordinator can have sent it.
+        Only a later coordinator can have sent a higher one, unless the call was meant
+        for a former incarnation: then the present one has seen its own token.
 
-        :raises TermEnded: always.
+        :param endpoint: the incarnation that is called now.
+        :param token: fencing token of the refused call.
+        :raises TermEnded: if a later coordinator has called the endpoint.
         """
+        current = self.require_engine().endpoints.get(endpoint.id)
+        if current is not endpoint or token < self.token_for(endpoint):
+            logger.info(
+                "endpoint refused a call to its former incarnation",
+                extra={"endpoint": endpoint.id, "born_ms": endpoint.listing.born_ms},
+            )
+            return
         self.lease.mark_lost()
         raise TermEnded("an endpoint has seen a higher fencing token")
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -20,6 +20,7 @@
     "Listing",
     "Run",
     "RunState",
+    "incarnation_token",
 ]
 
 #: Lowest rate of an endpoint's clock relative to true time. The platform states that
@@ -39,6 +40,24 @@
 #: after which the platform expects a lasting task to run again.
 LATE_CALL_SECONDS = 5.0
 
+#: Incarnations of endpoints that the fencing tokens of one term tell apart. Further
+#: ones share the last token: the next term's is higher.
+INCARNATIONS_PER_TERM = 1 << 20
+
+
+def incarnation_token(term_token: int, incarnation: int) -> int:
+    """Return the fencing token of calls to one incarnation of an endpoint.
+
+    It is higher than that of calls to any incarnation that was known before. The
+    header of a call names only the id, which an endpoint may have again; once a new
+    incarnation has seen its own token, it refuses calls that were meant for the former.
+
+    :param term_token: fencing token of the coordinator's term.
+    :param incarnation: number of the incarnation in the term, from 0.
+    """
+    offset = min(incarnation, INCARNATIONS_PER_TERM - 1)
+    return term_token * INCARNATIONS_PER_TERM + offset
+
 
 class RunState(Enum):
     """State of a run."""
@@ -188,6 +207,8 @@
 
     :param now: time by the local clock, in seconds.
     :param evacuated_zones: the table of the engine; by default one without zones.
+    :param number: number of the incarnation, which orders those of all endpoints by
+        when they became known in this term.
     """
 
     def __init__(
@@ -195,12 +216,14 @@
         listing: Listing,
         now: float,
         evacuated_zones: EvacuatedZones | None = None,
+        number: int = 0,
     ):
         self.listing = listing
         if evacuated_zones is None:
             evacuated_zones = EvacuatedZones()
         self._evacuated_zones = evacuated_zones
         self.id = listing.id
+        self.number = number
         self.listed = True
         self.listed_at = now
         self.runs: dict[tuple[TaskKey, int], Run] = {}
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -121,6 +121,7 @@
         #: Jobs that have not ended.
         self.open_jobs: dict[JobId, JobRow] = {}
         self.endpoints: dict[EndpointId, Endpoint] = {}
+        self.next_incarnation_number = 0
         #: Endpoints that are to be cordoned whenever they are listed.
         self.leaving: frozenset[EndpointId] = frozenset()
         self.evacuated_zones = EvacuatedZones()
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -10,9 +10,9 @@
     Queue,
     Team,
 )
-from hickoryplank.jobs.endpoints import Endpoint, Listing, Run
+from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, incarnation_token
 from hickoryplank.jobs.engine import Engine, EngineTiming
-from hickoryplank.jobs.messages import Batch, StartOutcome
+from hickoryplank.jobs.messages import Batch, PollRequest, StartOutcome
 from hickoryplank.jobs.model import Job, Step, TaskKey
 from hickoryplank.jobs.quarantine import Fault
 from hickoryplank.jobs.records import (
@@ -117,6 +117,8 @@
         self.lost_answers: set[EndpointId] = set()
         #: Time, run and fencing token of each start to be delivered again.
         self.delayed_starts: list[tuple[float, Run, int]] = []
+        #: Latest poll of each endpoint, with its fencing token.
+        self.last_polls: dict[EndpointId, tuple[PollRequest, int]] = {}
         #: Number of times that each unanswered start was sent.
         self.tries: dict[Run, int] = {}
         #: Jobs whose records the store refuses for good.
@@ -252,11 +254,17 @@
         if endpoint.id in self.unreachable:
             self.engine.note_no_answer(endpoint, self.now)
             return 0
-        report = fake.poll(self.token, request.acknowledged, request.until_ms)
+        token = self.token_for(endpoint)
+        self.last_polls[endpoint.id] = (request, token)
+        report = fake.poll(token, request.acknowledged, request.until_ms)
         assert report is not None
         self.engine.poll_answered(endpoint, report, asked_at, self.now)
         return request.acknowledged
 
+    def token_for(self, endpoint: Endpoint) -> int:
+        """Return the fencing token of calls to an endpoint."""
+        return incarnation_token(self.token, endpoint.number)
+
     def commit(self) -> None:
         """Store a batch and send its starts."""
         batch = self.pending_batch or self.engine.take_batch()
@@ -291,7 +299,11 @@
             reported_outcome = StartOutcome.NO_TICKET
             if self.accepts_ticket(run):
                 reported_outcome = fake.start(
-                    run.key, run.attempt, "payload", run.until_ms, self.token
+                    run.key,
+                    run.attempt,
+                    "payload",
+                    run.until_ms,
+                    self.token_for(run.endpoint),
                 )
             if run.endpoint.id not in self.lost_answers:
                 outcome, clock_ms = reported_outcome, int(fake.clock_ms)
@@ -318,12 +330,14 @@
             if run.endpoint.id in self.unreachable:
                 continue
             fake = self.endpoints[run.endpoint.id]
-            if fake.stop(run.key, run.attempt, self.token):
+            if fake.stop(run.key, run.attempt, self.token_for(run.endpoint)):
                 self.engine.stop_answered(run, self.now)
 
     def deliver_later(self, run: Run, seconds: float) -> None:
         """Deliver a start again after a delay, with the present fencing token."""
-        self.delayed_starts.append((self.now + seconds, run, self.token))
+        self.delayed_starts.append(
+            (self.now + seconds, run, self.token_for(run.endpoint))
+        )
 
     def _deliver_delayed_starts(self) -> None:
         for at, run, token in list(self.delayed_starts):
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -556,3 +556,34 @@
     driver.poll_endpoints()
     recorded = [(one.first, one.last) for one in driver.engine.missing_ends]
     assert recorded == expected
+
+
+@pytest.mark.parametrize("is_listed", [True, False])
+@pytest.mark.parametrize("late_steps", [0, 20, 65])
+def test_a_late_acknowledgement_for_a_former_incarnation_drops_no_end(
+    late_steps, is_listed
+):
+    """Guards against a second run of a task whose end was dropped unread."""
+    driver = Driver(count=1, work_ms=lambda key: 7000.0 if key.job == "a" else 500.0)
+    driver.engine.submit(job("b", Step(2, TASK)), driver.now)
+    driver.step()
+    while not driver.last_polls[E0][0].acknowledged:
+        driver.step()
+    late_poll, late_token = driver.last_polls[E0]
+    if is_listed:
+        driver.restart_endpoint(E0)
+    else:
+        restart_unnoticed(driver, E0)
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    fake = driver.endpoints[E0]
+    while not fake.running:
+        driver.step()
+    for _ in range(late_steps):
+        driver.step()
+    for run in list(fake.running.values()):
+        fake._end(run, EndKind.DONE)
+    fake.poll(late_token, late_poll.acknowledged, late_poll.until_ms)
+    for _ in range(10):
+        driver.step()
+    assert fake.started == [(KEY, 1)]
+    assert driver.engine.jobs[JobId("a")].state is JobState.COMPLETED
--- a/tests/jobs/test_starts.py
+++ b/tests/jobs/test_starts.py
@@ -88,6 +88,6 @@
     asked_at = driver.now + 0.3
     for stopped_at in (driver.now, driver.now + 0.5):
         driver.engine.stop_answered(run, stopped_at)
-    report = driver.endpoints[E0].poll(driver.token, 0, None)
+    report = driver.endpoints[E0].poll(driver.token_for(endpoint), 0, None)
     driver.engine.poll_answered(endpoint, report, asked_at, driver.now + 0.9)
     assert not endpoint.runs
--- a/tests/jobs/test_timed_jobs.py
+++ b/tests/jobs/test_timed_jobs.py
@@ -121,7 +121,8 @@
         driver.take_over()
         driver.step()
     fake = driver.endpoints[EndpointId("e0")]
-    report = fake.poll(driver.token, 0, None)
+    endpoint = driver.engine.endpoints[EndpointId("e0")]
+    report = fake.poll(driver.token_for(endpoint), 0, None)
     key = TaskKey(JobId("a"), 0, 0, 0)
     report = type(report)(
         report.born_ms,
