The fencing token rises after an acknowledgement without an answer

A start that is sent after the acknowledgement has failed to be answered now carries a higher token. The test fails with the token per incarnation alone.

Left: a start that was sent before, and is carried out beside an acknowledgement that is held up for longer than the task takes, both before the first poll of a new incarnation.

--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -65,7 +65,7 @@
                 # As its reports can't be applied, nothing is known of it: it is
                 # treated like one that doesn't answer.
                 engine.quarantine.set_aside(subject, exc)
-                engine.note_no_answer(endpoint, clock.now())
+                engine.poll_unanswered(endpoint, clock.now(), may_arrive=True)
             else:
                 engine.quarantine.release(subject, clock.now())
         self._polled.discard(endpoint)
@@ -110,7 +110,8 @@
                         "endpoint silent",
                         extra={"endpoint": endpoint.id, "detail": fault.detail},
                     )
-                if request.acknowledged and fault.kind is not CallFaultKind.NOT_DONE:
+                may_arrive = fault.kind is not CallFaultKind.NOT_DONE
+                if request.acknowledged and may_arrive:
                     logger.info(
                         "acknowledgement without an answer",
                         extra={
@@ -121,7 +122,7 @@
                             "sent_s_ago": round(clock.now() - sent_at, 3),
                         },
                     )
-                engine.note_no_answer(endpoint, clock.now())
+                engine.poll_unanswered(endpoint, clock.now(), may_arrive=may_arrive)
                 await anyio.sleep(POLL_RETRY_SECONDS)
 
     def _poll_new_endpoints(self, engine: Engine) -> None:
--- a/hickoryplank/coordinator/term_state.py
+++ b/hickoryplank/coordinator/term_state.py
@@ -20,7 +20,7 @@
 )
 from hickoryplank.coordinator.vm_controller import VmOperationBounds
 from hickoryplank.core.ids import JobId
-from hickoryplank.jobs.endpoints import Endpoint, incarnation_token
+from hickoryplank.jobs.endpoints import Endpoint, endpoint_token
 from hickoryplank.jobs.engine import Engine, EngineTiming
 from hickoryplank.jobs.records import StoreBounds
 from hickoryplank.jobs.shortage import ShortageOrder
@@ -145,23 +145,23 @@
         self.stored.set()
 
     def token_for(self, endpoint: Endpoint) -> int:
-        """Return the fencing token of calls to an incarnation of an endpoint."""
-        return incarnation_token(self.fencing_token, endpoint.number)
+        """Return the fencing token of calls to an endpoint."""
+        return endpoint_token(self.fencing_token, endpoint.token_number)
 
     def end_if_fenced(self, endpoint: Endpoint, token: int) -> None:
         """End the term after an endpoint has refused a call for its fencing token.
 
-        Only a later coordinator can have sent a higher one, unless the call was meant
-        for a former incarnation: then the present one has seen its own token.
+        Only a later coordinator can have sent a higher one, unless this one has raised
+        its own since the call was sent.
 
-        :param endpoint: the incarnation that is called now.
+        :param endpoint: the incarnation to which the call belongs now.
         :param token: fencing token of the refused call.
         :raises TermEnded: if a later coordinator has called the endpoint.
         """
         current = self.require_engine().endpoints.get(endpoint.id)
         if current is not endpoint or token < self.token_for(endpoint):
             logger.info(
-                "endpoint refused a call to its former incarnation",
+                "endpoint refused a call by a former token",
                 extra={"endpoint": endpoint.id, "born_ms": endpoint.listing.born_ms},
             )
             return
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -20,7 +20,7 @@
     "Listing",
     "Run",
     "RunState",
-    "incarnation_token",
+    "endpoint_token",
 ]
 
 #: Lowest rate of an endpoint's clock relative to true time. The platform states that
@@ -40,23 +40,20 @@
 #: after which the platform expects a lasting task to run again.
 LATE_CALL_SECONDS = 5.0
 
-#: Incarnations of endpoints that the fencing tokens of one term tell apart. Further
-#: ones share the last token: the next term's is higher.
-INCARNATIONS_PER_TERM = 1 << 20
+#: Fencing tokens of one term at endpoints. Those of a hundred thousand terms and more
+#: are integers that JSON keeps exactly.
+TOKENS_PER_TERM = 1 << 32
 
 
-def incarnation_token(term_token: int, incarnation: int) -> int:
-    """Return the fencing token of calls to one incarnation of an endpoint.
+def endpoint_token(term_token: int, number: int) -> int:
+    """Return the fencing token of calls to an endpoint.
 
-    It is higher than that of calls to any incarnation that was known before. The
-    header of a call names only the id, which an endpoint may have again; once a new
-    incarnation has seen its own token, it refuses calls that were meant for the former.
+    It is higher than all tokens of former terms.
 
     :param term_token: fencing token of the coordinator's term.
-    :param incarnation: number of the incarnation in the term, from 0.
+    :param number: number of the token in the term, from 0.
     """
-    offset = min(incarnation, INCARNATIONS_PER_TERM - 1)
-    return term_token * INCARNATIONS_PER_TERM + offset
+    return term_token * TOKENS_PER_TERM + min(number, TOKENS_PER_TERM - 1)
 
 
 class RunState(Enum):
@@ -207,8 +204,9 @@
 
     :param now: time by the local clock, in seconds.
     :param evacuated_zones: the table of the engine; by default one without zones.
-    :param number: number of the incarnation, which orders those of all endpoints by
-        when they became known in this term.
+    :param token_number: number of the fencing token of its calls in this term. A call
+        names only the id, which a later incarnation may have. That one refuses calls
+        that were meant for this one once it has seen a higher token.
     """
 
     def __init__(
@@ -216,14 +214,14 @@
         listing: Listing,
         now: float,
         evacuated_zones: EvacuatedZones | None = None,
-        number: int = 0,
+        token_number: int = 0,
     ):
         self.listing = listing
         if evacuated_zones is None:
             evacuated_zones = EvacuatedZones()
         self._evacuated_zones = evacuated_zones
         self.id = listing.id
-        self.number = number
+        self.token_number = token_number
         self.listed = True
         self.listed_at = now
         self.runs: dict[tuple[TaskKey, int], Run] = {}
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -258,6 +258,15 @@
         """Record that an endpoint did not answer a poll or a start."""
         reports.note_no_answer(self, endpoint, now)
 
+    def poll_unanswered(
+        self, endpoint: Endpoint, now: float, *, may_arrive: bool
+    ) -> None:
+        """Record that an endpoint did not answer a poll.
+
+        :param may_arrive: whether the poll may still be carried out.
+        """
+        reports.poll_unanswered(self, endpoint, now, may_arrive=may_arrive)
+
     def poll_answered(
         self, endpoint: Endpoint, report: PollReport, asked_at: float, now: float
     ) -> None:
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -121,7 +121,7 @@
         #: Jobs that have not ended.
         self.open_jobs: dict[JobId, JobRow] = {}
         self.endpoints: dict[EndpointId, Endpoint] = {}
-        self.next_incarnation_number = 0
+        self._next_token_number = 0
         #: Endpoints that are to be cordoned whenever they are listed.
         self.leaving: frozenset[EndpointId] = frozenset()
         self.evacuated_zones = EvacuatedZones()
@@ -176,6 +176,14 @@
         #: the store refuses it. Their ends are not acknowledged.
         self.unstored_jobs: set[JobId] = set()
 
+    def take_token_number(self) -> int:
+        """Return the number of a fencing token that is higher than all before it."""
+        number, self._next_token_number = (
+            self._next_token_number,
+            self._next_token_number + 1,
+        )
+        return number
+
     def age_s(self, listing: Listing, now: float) -> float:
         """Return the age of an incarnation by the time of day, in seconds."""
         born_s = (listing.born_ms - self.term_started_ms) / 1000
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -31,10 +31,8 @@
         if listing.born_ms == known.listing.born_ms:
             known.relist(listing)
         return known
-    fresh = Endpoint(
-        listing, now, tables.evacuated_zones, tables.next_incarnation_number
-    )
-    tables.next_incarnation_number += 1
+    token_number = tables.take_token_number()
+    fresh = Endpoint(listing, now, tables.evacuated_zones, token_number)
     # Of the calls that a former coordinator sent to the previous incarnation, only the
     # age of this one tells that they are over.
     age_s = tables.age_s(listing, now) if known is None else 0.0
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -23,6 +23,7 @@
 __all__ = [
     "poll_answered",
     "note_no_answer",
+    "poll_unanswered",
     "next_poll",
     "is_start_due",
     "start_answered",
@@ -108,6 +109,21 @@
         endpoint.silent_since = now
 
 
+def poll_unanswered(
+    tables: EngineTables, endpoint: Endpoint, now: float, *, may_arrive: bool
+) -> None:
+    """Record that an endpoint did not answer a poll.
+
+    If the poll acknowledges ends, the next incarnation may carry it out late and drop
+    ends of its own. It refuses the poll if it has begun a run by a higher token.
+
+    :param may_arrive: whether the poll may still be carried out.
+    """
+    if may_arrive and endpoint.sent_ack_number:
+        endpoint.token_number = tables.take_token_number()
+    note_no_answer(tables, endpoint, now)
+
+
 def poll_answered(
     tables: EngineTables,
     endpoint: Endpoint,
--- a/tests/coordinator/test_former_incarnations.py
+++ b/tests/coordinator/test_former_incarnations.py
@@ -6,7 +6,7 @@
 from hickoryplank.coordinator.calls import Cancel, Cancelled
 from hickoryplank.coordinator.ports import Topic
 from hickoryplank.core.ids import EndpointId, JobId
-from hickoryplank.jobs.endpoints import INCARNATIONS_PER_TERM
+from hickoryplank.jobs.endpoints import TOKENS_PER_TERM
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.records import Record
 from hickoryplank.jobs.table import JobState
@@ -80,7 +80,7 @@
         fake = self.fake_endpoints[E0] = FakeEndpoint(2, self.work_ms)
         self.listings.listings[E0] = listing(E0, 2)
         await self.store.append(Topic.LISTINGS, [Record(E0, b"listed")], None)
-        await wait_until(lambda: fake.token > INCARNATIONS_PER_TERM)
+        await wait_until(lambda: fake.token > TOKENS_PER_TERM)
 
 
 @pytest.mark.parametrize("call", ["poll", "start", "stop"])
@@ -134,6 +134,6 @@
         if call == "stop":
             await coordinator.answer(Cancel(where("/p/a"), JobId("a")))
         await wait_until(lambda: not platform.endpoints.delayed)
-        platform.fake_endpoints[E0].token = 2 * INCARNATIONS_PER_TERM
+        platform.fake_endpoints[E0].token = 2 * TOKENS_PER_TERM
         platform.endpoints.arrived.set()
         await wait_until(lambda: entry.local_coordinator is not coordinator)
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -10,7 +10,7 @@
     Queue,
     Team,
 )
-from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, incarnation_token
+from hickoryplank.jobs.endpoints import Endpoint, Listing, Run, endpoint_token
 from hickoryplank.jobs.engine import Engine, EngineTiming
 from hickoryplank.jobs.messages import Batch, PollRequest, StartOutcome
 from hickoryplank.jobs.model import Job, Step, TaskKey
@@ -251,11 +251,11 @@
         request = self.engine.next_poll(endpoint, self.now, renew=True)
         asked_at = self.now
         fake = self.endpoints[endpoint.id]
-        if endpoint.id in self.unreachable:
-            self.engine.note_no_answer(endpoint, self.now)
-            return 0
         token = self.token_for(endpoint)
         self.last_polls[endpoint.id] = (request, token)
+        if endpoint.id in self.unreachable:
+            self.engine.poll_unanswered(endpoint, self.now, may_arrive=True)
+            return 0
         report = fake.poll(token, request.acknowledged, request.until_ms)
         assert report is not None
         self.engine.poll_answered(endpoint, report, asked_at, self.now)
@@ -263,7 +263,7 @@
 
     def token_for(self, endpoint: Endpoint) -> int:
         """Return the fencing token of calls to an endpoint."""
-        return incarnation_token(self.token, endpoint.number)
+        return endpoint_token(self.token, endpoint.token_number)
 
     def commit(self) -> None:
         """Store a batch and send its starts."""
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -587,3 +587,33 @@
         driver.step()
     assert fake.started == [(KEY, 1)]
     assert driver.engine.jobs[JobId("a")].state is JobState.COMPLETED
+
+
+def test_a_late_acknowledgement_drops_no_end_of_a_start_that_was_sent_after_it():
+    """Guards against a second run of a task that an unseen incarnation has done."""
+    driver = Driver(count=1)
+    driver.engine.submit(job("b", Step(2, TASK)), driver.now)
+    endpoint = driver.engine.endpoints[E0]
+    while endpoint.stored_end_number < 2:
+        driver.step()
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.unreachable.add(E0)
+    driver.commit()
+    driver.poll_endpoints()
+    late_poll, late_token = driver.last_polls[E0]
+    assert late_poll.acknowledged == 2
+    restart_unnoticed(driver, E0)
+    driver.unreachable.clear()
+    driver.lost_answers.add(E0)
+    driver.now += 0.5
+    driver._resend_starts()
+    fake = driver.endpoints[E0]
+    for run in list(fake.running.values()):
+        fake._end(run, EndKind.DONE)
+    fake.poll(late_token, late_poll.acknowledged, late_poll.until_ms)
+    driver.lost_answers.clear()
+    for _ in range(70):
+        driver.step()
+    assert fake.started == [(KEY, 1)]
+    assert driver.engine.jobs[JobId("a")].state is JobState.COMPLETED
