Ends are read in the order of their numbers

The engine skips an end whose number is below one that it has read, and acknowledges it with that one. The protocol says how ends are numbered and not in which order they are listed. If a list isn't in order, a task whose end is skipped would be started again. The adapter sorts them.

--- a/hickoryplank/platform/endpoints.py
+++ b/hickoryplank/platform/endpoints.py
@@ -265,9 +265,11 @@
             for row in lists.running
             if (key := _own_task_key(row.task)) is not None
         )
+        # The protocol doesn't say in which order they are listed. An acknowledgement of
+        # the highest number that was read covers all before it.
         ends = tuple(
             End(row.number, key, row.attempt, row.how, row.checkpoint)
-            for row in lists.ended
+            for row in sorted(lists.ended, key=lambda row: row.number)
             if (key := _own_task_key(row.task)) is not None
         )
     except (ValueError, OverflowError) as exc:
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -104,6 +104,19 @@
         assert report.may_have_more_ends is may_have_more
 
 
+@pytest.mark.parametrize("numbers", [(1, 2, 3), (3, 1, 2), (2, 3, 1)])
+async def test_ends_are_read_in_the_order_of_their_numbers(numbers):
+    """Guards against ends that are skipped, and then acknowledged with a later one."""
+    ended = [[number, task_name(KEY), number, "done"] for number in numbers]
+
+    async def answer(request):
+        return web.json_response({"clock_ms": 5, "running": [], "ended": ended})
+
+    async with fake_executor(answer) as executor:
+        report = (await executor.poll(3)).unwrap()
+        assert [one.number for one in report.ends] == [1, 2, 3]
+
+
 @pytest.mark.parametrize(
     ("attempt", "until_ms", "token", "outcome"),
     [
