--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -65,7 +65,7 @@
                 # As its reports can't be applied, nothing is known of it: it is
                 # treated like one that doesn't answer.
                 engine.quarantine.set_aside(subject, exc)
-                engine.note_no_answer(endpoint, clock.now())
+                engine.poll_unanswered(endpoint, clock.now(), may_arrive=True)
             else:
                 engine.quarantine.release(subject, clock.now())
         self._polled.discard(endpoint)
@@ -79,9 +79,8 @@
         renew = self._term.renewed_recently()
         request = engine.next_poll(endpoint, clock.now(), renew=renew)
         sent_at = clock.now()
-        match await self._term.context.endpoints.poll(
-            request, self._term.fencing_token
-        ):
+        token = self._term.token_for(endpoint)
+        match await self._term.context.endpoints.poll(request, token):
             case Ok(report):
                 is_first = not endpoint.token_confirmed
                 engine.poll_answered(endpoint, report, sent_at, clock.now())
@@ -97,7 +96,7 @@
                     # An endpoint with ends that are not acknowledged answers at once.
                     await anyio.sleep(POLL_RETRY_SECONDS)
             case Err(CallFault(CallFaultKind.FENCED, _)):
-                self._term.end_fenced_term()
+                self._term.end_if_fenced(endpoint, token)
             case Err(CallFault(CallFaultKind.OTHER_INCARNATION, detail)):
                 logger.info(
                     "endpoint incarnation ended; its runs are lost",
@@ -111,7 +110,8 @@
                         "endpoint silent",
                         extra={"endpoint": endpoint.id, "detail": fault.detail},
                     )
-                if request.acknowledged and fault.kind is not CallFaultKind.NOT_DONE:
+                may_arrive = fault.kind is not CallFaultKind.NOT_DONE
+                if request.acknowledged and may_arrive:
                     logger.info(
                         "acknowledgement without an answer",
                         extra={
@@ -122,7 +122,7 @@
                             "sent_s_ago": round(clock.now() - sent_at, 3),
                         },
                     )
-                engine.note_no_answer(endpoint, clock.now())
+                engine.poll_unanswered(endpoint, clock.now(), may_arrive=may_arrive)
                 await anyio.sleep(POLL_RETRY_SECONDS)
 
     def _poll_new_endpoints(self, engine: Engine) -> None:
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -20,6 +20,7 @@
     "Listing",
     "Run",
     "RunState",
+    "endpoint_token",
 ]
 
 #: Lowest rate of an endpoint's clock relative to true time. The platform states that
@@ -39,6 +40,21 @@
 #: after which the platform expects a lasting task to run again.
 LATE_CALL_SECONDS = 5.0
 
+#: Fencing tokens of one term at endpoints. Those of a hundred thousand terms and more
+#: are integers that JSON keeps exactly.
+TOKENS_PER_TERM = 1 << 32
+
+
+def endpoint_token(term_token: int, number: int) -> int:
+    """Return the fencing token of calls to an endpoint.
+
+    It is higher than all tokens of former terms.
+
+    :param term_token: fencing token of the coordinator's term.
+    :param number: number of the token in the term, from 0.
+    """
+    return term_token * TOKENS_PER_TERM + min(number, TOKENS_PER_TERM - 1)
+
 
 class RunState(Enum):
     """State of a run."""
@@ -188,6 +204,9 @@
 
     :param now: time by the local clock, in seconds.
     :param evacuated_zones: the table of the engine; by default one without zones.
+    :param token_number: number of the fencing token of its calls in this term. A call
+        names only the id, which a later incarnation may have. That one refuses calls
+        that were meant for this one once it has seen a higher token.
     """
 
     def __init__(
@@ -195,12 +214,14 @@
         listing: Listing,
         now: float,
         evacuated_zones: EvacuatedZones | None = None,
+        token_number: int = 0,
     ):
         self.listing = listing
         if evacuated_zones is None:
             evacuated_zones = EvacuatedZones()
         self._evacuated_zones = evacuated_zones
         self.id = listing.id
+        self.token_number = token_number
         self.listed = True
         self.listed_at = now
         self.runs: dict[tuple[TaskKey, int], Run] = {}
