Specification of ends and acknowledgements, for the bound in time and for a token per incarnation

Ends are numbered anew in each incarnation, and an acknowledgement does not name the one that it is meant for. No specification had incarnations of endpoints or numbers of ends.

Change: spec/ends.py with two designs. ends-in-time has one fencing token a term, and acknowledgements are carried out before a run of the next incarnation can have ended (the present bound, as long as calls are not held up). ends-per-incarnation raises the token for each incarnation that the coordinator learns of, with calls held up for any time. The latter is held only against ends of runs in the incarnation that their start was sent to; its variant CARRIED_OVER holds it against all ends.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -5,6 +5,7 @@
 from spec.base import Finding, check
 from spec.claims import CLAIMS
 from spec.coordinator import COORDINATOR
+from spec.ends import ENDS_IN_TIME, ENDS_PER_INCARNATION
 from spec.escrow import ESCROW
 from spec.evacuation import EVACUATION
 from spec.fold import FOLD
@@ -23,6 +24,8 @@
     EVACUATION,
     LEASE,
     SUBMISSIONS,
+    ENDS_IN_TIME,
+    ENDS_PER_INCARNATION,
 )
 
 
