Specification of ends: two rules under which no end is dropped unread

Cause: with a token per incarnation, a start that was sent to the former incarnation may still be carried out by the next one before that has seen the new token; a late acknowledgement with the former token then drops the end of that run (CARRIED_OVER).

Change: the design ends, with calls held up for any time. A start is sent only with a token above those of all acknowledgements in flight, and ends are acknowledged only while each start that was sent is known, from a report of the known incarnation that was asked for later, not to be in another one. The token may be raised at any time.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -5,7 +5,7 @@
 from spec.base import Finding, check
 from spec.claims import CLAIMS
 from spec.coordinator import COORDINATOR
-from spec.ends import ENDS_IN_TIME, ENDS_PER_INCARNATION
+from spec.ends import ENDS, ENDS_IN_TIME, ENDS_PER_INCARNATION
 from spec.escrow import ESCROW
 from spec.evacuation import EVACUATION
 from spec.fold import FOLD
@@ -26,6 +26,7 @@
     SUBMISSIONS,
     ENDS_IN_TIME,
     ENDS_PER_INCARNATION,
+    ENDS,
 )
 
 
--- a/spec/ends.py
+++ b/spec/ends.py
@@ -10,8 +10,10 @@
 from spec.base import Mechanism
 
 __all__ = [
+    "ENDS",
     "ENDS_IN_TIME",
     "ENDS_PER_INCARNATION",
+    "AcknowledgedBeside",
     "Defect",
     "Rules",
     "State",
@@ -37,6 +39,17 @@
     GIVE_UP_EARLY = "a run is given up while a start of it may still be carried out"
     ONE_TOKEN = "the fencing token is the same for all incarnations"
     CARRIED_OVER = "a start for one incarnation is carried out by the next, too"
+    START_BESIDE = "a start has the token of an acknowledgement that is in flight"
+    ACKNOWLEDGE_BESIDE = "ends are acknowledged while a start is in flight"
+    ACKNOWLEDGE_UNREPORTED = "ends are acknowledged once all starts are carried out"
+
+
+class AcknowledgedBeside(Enum):
+    """Starts that may have been sent when ends are acknowledged."""
+
+    ANY = "any start"
+    CARRIED_OUT = "starts that are not in flight any more"
+    REPORTED = "starts that no incarnation can have carried out since the last report"
 
 
 @dataclass(frozen=True)
@@ -48,6 +61,10 @@
     :param not_held_up: such an acknowledgement is also carried out before that.
     :param token_per_incarnation: the coordinator raises its fencing token whenever it
         learns of an incarnation.
+    :param token_at_any_time: the coordinator may raise it at any time.
+    :param start_token_higher: a start is sent only with a token above those of all
+        acknowledgements in flight.
+    :param acknowledged_beside: starts beside which ends are acknowledged.
     :param stored_first: ends are stored before they are acknowledged.
     :param starts_awaited: a run is given up only once no start of it is in flight.
     """
@@ -55,6 +72,9 @@
     sent_in_time: bool = False
     not_held_up: bool = False
     token_per_incarnation: bool = False
+    token_at_any_time: bool = False
+    start_token_higher: bool = False
+    acknowledged_beside: AcknowledgedBeside = AcknowledgedBeside.ANY
     stored_first: bool = True
     starts_awaited: bool = True
 
@@ -284,7 +304,10 @@
                 )
 
     def may_send_start(self, s: State, start: Start) -> bool:
-        return start not in s.starts and len(s.starts) < MAX_STARTS
+        if start in s.starts or len(s.starts) >= MAX_STARTS:
+            return False
+        higher = all(poll.token < start.token for poll in s.polls)
+        return higher or not self.rules.start_token_higher
 
     def store_steps(self, s: State):
         own = s.coordinator
@@ -308,11 +331,22 @@
                 yield f"acknowledges {last_seen}", sent
 
     def may_acknowledge(self, s: State) -> bool:
+        match self.rules.acknowledged_beside:
+            case AcknowledgedBeside.REPORTED if s.coordinator.start_open:
+                return False
+            case AcknowledgedBeside.CARRIED_OUT if s.starts:
+                return False
         is_in_time = (
             s.endpoint.incarnation == s.coordinator.known or not s.endpoint.end_count
         )
         return is_in_time or not self.rules.sent_in_time
 
+    def token_steps(self, s: State):
+        own = s.coordinator
+        if self.rules.token_at_any_time and own.number < MAX_TOKEN_NUMBER:
+            raised = own._replace(number=own.number + 1)
+            yield "raises its token", s._replace(coordinator=raised)
+
     def after_report(self, s: State, token: int) -> State:
         """Return the state after the coordinator has read a report.
 
@@ -412,6 +446,7 @@
             *self.start_steps(s),
             *self.store_steps(s),
             *self.poll_steps(s),
+            *self.token_steps(s),
         ]
         for poll in s.polls:
             steps.extend(self.acknowledgement_steps(s, poll))
@@ -460,6 +495,11 @@
     Defect.GIVE_UP_EARLY: {"starts_awaited": False},
     Defect.ONE_TOKEN: {"token_per_incarnation": False},
     Defect.CARRIED_OVER: {},
+    Defect.START_BESIDE: {"start_token_higher": False},
+    Defect.ACKNOWLEDGE_BESIDE: {"acknowledged_beside": AcknowledgedBeside.ANY},
+    Defect.ACKNOWLEDGE_UNREPORTED: {
+        "acknowledged_beside": AcknowledgedBeside.CARRIED_OUT
+    },
 }
 
 
@@ -513,3 +553,23 @@
         Defect.CARRIED_OVER: NOT_AFTER_DROPPED_END,
     },
 )
+
+ENDS = Mechanism(
+    name="ends",
+    bounds=BOUNDS,
+    build=partial(
+        build,
+        Rules(
+            token_at_any_time=True,
+            start_token_higher=True,
+            acknowledged_beside=AcknowledgedBeside.REPORTED,
+        ),
+        tuple(INVARIANTS),
+    ),
+    broken={
+        Defect.START_BESIDE: NOT_AFTER_DROPPED_END,
+        Defect.ACKNOWLEDGE_BESIDE: NOT_AFTER_DROPPED_END,
+        Defect.ACKNOWLEDGE_UNREPORTED: NOT_AFTER_DROPPED_END,
+        Defect.ACKNOWLEDGE_UNSTORED: NOT_AFTER_DROPPED_END,
+    },
+)
