Stand-ins: an order can be carried out apart from its request

Cause: the fake platform carried an order out only inside the request that had brought it, so that a call which gets no answer could not be carried out seconds later.

Change: FakePlatform.carry_out takes the id, the path and the order, and handle_endpoint calls it. The body is read before the incarnation is looked up, so that the one that is there then gets the order.

--- a/tests/standins/fake_platform.py
+++ b/tests/standins/fake_platform.py
@@ -172,15 +172,18 @@
 
     async def handle_endpoint(self, request: web.BaseRequest) -> web.Response:
         """Handle a request to the executor that the header names."""
-        assert self.endpoints is not None
         id = EndpointId(request.headers["Hickoryplank-Expect-Instance"])
+        return self.carry_out(id, request.path, json.loads(await request.read()))
+
+    def carry_out(self, id: EndpointId, path: str, order: dict) -> web.Response:
+        """Carry out an order in the present incarnation of an executor."""
+        assert self.endpoints is not None
         one = self.endpoints.endpoints.get(id)
         if one is None:
             return _json_response(421, {})
-        order = json.loads(await request.read())
         token = order["fencing_token"]
         self.endpoints.advance_clocks()
-        if request.path == "/api/hold":
+        if path == "/api/hold":
             report = one.poll(token, order["last_seen"], order.get("until_ms"))
             if report is None:
                 return _json_response(409, {"reason": "fence"})
@@ -213,7 +216,7 @@
             return _json_response(200, body)
         key = _task_key(order["task"])
         clock = {"clock_ms": int(one.clock_ms)}
-        if request.path == "/api/run-stop":
+        if path == "/api/run-stop":
             done = one.stop(key, order["attempt"], token)
             return _json_response(200 if done else 409, clock)
         outcome = one.start(
