Soak: plays of calls that endpoints carry out late

Cause: an endpoint may carry out a call that got no answer seconds later, and by then in another incarnation under the same id.

Four endpoints start again under their ids every 3 to 10 s, dark for 0.3 to 1.2 s before. In three spans of 5 to 12 s two in five of the polls, starts and stops to them get no answer, and are carried out 2 to 12 s later by the incarnation that is there then. Tasks of 0.1 to 6 s, three to a job on different endpoints. The late calls are logged in late-calls.log of the run, with the ends that the incarnation had. The checker is unchanged.

test_seed_determines_the_injected_faults asked for every kind of fault in the mixed play. Two kinds are in the new plays only, so that the mixed play stays as it was: the test asks for exactly all others there, and for exactly these and kills of the coordinator in the new plays.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -43,6 +43,20 @@
         const=Play.RESTARTS_UNLISTED,
         help="the same, and cut them off before they are listed again",
     )
+    options.add_argument(
+        "--late-calls",
+        dest="play",
+        action="store_const",
+        const=Play.LATE_CALLS,
+        help="play only endpoints that restart and carry calls out late",
+    )
+    options.add_argument(
+        "--late-polls",
+        dest="play",
+        action="store_const",
+        const=Play.LATE_POLLS,
+        help="the same, but only polls are late",
+    )
     args = options.parse_args()
     length_s = args.seconds if args.play is Play.MIXED else RESTART_PLAY_SECONDS
     first = args.seed if args.seed is not None else secrets.randbelow(2**31)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -52,6 +52,10 @@
 UNANSWERED_SECONDS = 15.0
 #: Interval at which the clocks of the endpoints are advanced, in seconds.
 CLOCK_INTERVAL_SECONDS = 0.01
+#: Fraction of the calls that are late while calls to an endpoint are held up, and
+#: shortest and longest time after which these are carried out, in seconds.
+LATE_FRACTION = 0.4
+LATE_SECONDS = (2.0, 12.0)
 
 _SETTINGS = """
 [node]
@@ -191,8 +195,14 @@
         self.longest_stall_s = 0.0
         #: Endpoints that have crashed and answer nothing until their next incarnation.
         self._crashed: set[EndpointId | None] = set()
-        #: Run time of every task that ends, in milliseconds; random by default.
-        self.task_ms: float | None = None
+        #: Paths of the calls that may be late, endpoints to which calls are held up,
+        #: and the late calls themselves.
+        self.late_paths: tuple[str, ...] = ()
+        self._held_up: set[EndpointId | None] = set()
+        self._late_calls: set[asyncio.Task] = set()
+        self._late_rng = random.Random(f"late calls {seed}")
+        #: Run times of the tasks that end, in milliseconds; random by default.
+        self.task_ms: tuple[float, ...] = ()
 
     async def start(self) -> None:
         """Start everything."""
@@ -250,12 +260,19 @@
             await asyncio.sleep(0.1)
 
     async def _handle_endpoint(self, request: web.BaseRequest) -> web.Response:
-        if request.headers["Hickoryplank-Expect-Instance"] in self._crashed:
+        id = EndpointId(request.headers["Hickoryplank-Expect-Instance"])
+        if id in self._crashed:
+            await self._leave_unanswered(request)
+            raise ConnectionResetError
+        may_be_late = id in self._held_up and request.path in self.late_paths
+        if may_be_late and self._late_rng.random() < LATE_FRACTION:
+            order = json.loads(await request.read())
+            late = asyncio.create_task(self._carry_out_late(id, request.path, order))
+            self._late_calls.add(late)
             await self._leave_unanswered(request)
             raise ConnectionResetError
         if request.path == "/api/hold":
             order = json.loads(await request.read())
-            id = EndpointId(request.headers["Hickoryplank-Expect-Instance"])
             incarnation = self.endpoints.endpoints.get(id)
             await self._wait_for_end(id, order.get("wait_ms", 0) / 1000)
             if id in self._crashed:
@@ -269,6 +286,40 @@
                 return web.Response(status=503)
         return await self.platform.handle_endpoint(request)
 
+    async def hold_up_calls(self, vm: VmId, for_s: float) -> None:
+        """Leave calls to the endpoint of a VM unanswered, and carry them out late.
+
+        :param for_s: time for which new calls are held up, in seconds.
+        """
+        id = self.vms.vms[vm].endpoint
+        self._held_up.add(id)
+        await asyncio.sleep(for_s)
+        self._held_up.discard(id)
+        await asyncio.gather(*self._late_calls)
+
+    async def _carry_out_late(self, id: EndpointId, path: str, order: dict) -> None:
+        """Carry a call out in the incarnation that is there then, if there is one."""
+        self._log_late_call("sent", id, path, order)
+        await asyncio.sleep(self._late_rng.uniform(*LATE_SECONDS))
+        incarnation = self.endpoints.endpoints.get(id)
+        self._log_late_call("carried out", id, path, order)
+        self.platform.carry_out(id, path, order)
+        if path != "/api/hold":
+            return
+        # It may apply the acknowledgement when it answers, too.
+        await self._wait_for_end(id, order.get("wait_ms", 0) / 1000)
+        if incarnation is not None and self.endpoints.endpoints.get(id) is incarnation:
+            self._log_late_call("answered", id, path, order)
+            self.platform.carry_out(id, path, order)
+
+    def _log_late_call(self, what: str, id: EndpointId, path: str, order: dict) -> None:
+        """Log a late call, with the incarnation that is there and its ends."""
+        one = self.endpoints.endpoints.get(id)
+        there = None if one is None else (one.born_ms, one.ends)
+        line = msgspec.json.encode((time.time(), what, id, path, order, there))
+        with (self._root / "late-calls.log").open("ab") as log:
+            log.write(line + b"\n")
+
     async def _wait_for_end(self, id: EndpointId, wait_s: float) -> None:
         """Wait until a run has ended on the endpoint, as a poll may request."""
         until = time.monotonic() + wait_s
@@ -484,9 +535,8 @@
         job = self.checker.jobs.get(key.job)
         if job is None or job.steps[key.step].lasting:
             return None
-        if self.task_ms is not None:
-            return self.task_ms
-        return random.Random(f"{key.job}{key.step}{key.index}").uniform(60, 900)
+        rng = random.Random(f"{key.job}{key.step}{key.index}")
+        return rng.choice(self.task_ms) if self.task_ms else rng.uniform(60, 900)
 
     def _lease_epoch(self) -> int:
         """Return the highest stored epoch of a coordinator; 0 before the first."""
--- a/tests/soak/fault_plan.py
+++ b/tests/soak/fault_plan.py
@@ -11,6 +11,7 @@
     "Fault",
     "FaultKind",
     "draw_faults",
+    "draw_late_calls",
     "draw_restarts",
 ]
 
@@ -35,6 +36,12 @@
 RESTART_PLAY_SECONDS = 4.0 + RESTART_ROUNDS * RESTART_INTERVAL_SECONDS
 #: Fraction of these rounds in which the coordinator is killed before the cut.
 RESTART_KILL_FRACTION = 0.4
+#: Endpoints of a play of late calls, and shortest and longest time, in seconds, for
+#: which calls to them are held up, they are dark, and their incarnations last.
+LATE_CALL_VMS = 4
+HELD_UP_SECONDS = (5.0, 12.0)
+DARK_SECONDS = (0.3, 1.2)
+LIFE_SECONDS = (3.0, 10.0)
 #: Fraction of the seeds in which a zone is evacuated and the coordinator killed then.
 ZONE_EVACUATED_FRACTION = 0.6
 #: Longest time from the evacuation until the coordinator is killed, in seconds.
@@ -79,16 +86,20 @@
     ENDPOINTS_CUT_UNLISTED = "endpoints restarted, and cut before they are listed"
     ZONE_EVACUATED = "availability zone evacuated and taken back"
     ODD_LISTINGS = "odd entries of another writer in the list of endpoints"
+    ENDPOINT_DARK = "endpoint dark, and then restarted under the same id"
+    CALLS_LATE = "calls to an endpoint without an answer, and carried out late"
 
 
 #: Kinds that are drawn after all others, so that the other faults of a seed that failed
-#: before stay the same.
+#: before stay the same, or only in plays of their own.
 _DRAWN_LAST = (
     FaultKind.ODD_LISTINGS,
     FaultKind.LISTINGS_LAPSED,
     FaultKind.ENDPOINTS_RESTARTED_AND_CUT,
     FaultKind.ZONE_EVACUATED,
     FaultKind.ENDPOINTS_CUT_UNLISTED,
+    FaultKind.ENDPOINT_DARK,
+    FaultKind.CALLS_LATE,
 )
 #: Weights of kinds in the random choice; 1 for all others.
 _WEIGHTS = {
@@ -174,6 +185,32 @@
     return faults
 
 
+def draw_late_calls(seed: int) -> list[Fault]:
+    """Return the faults of a play in which calls to endpoints are carried out late.
+
+    The endpoints start again under their ids several times.
+    """
+    rng = random.Random(f"late calls {seed}")
+    faults: list[Fault] = []
+    # The VMs of the standby pool come last.
+    targets = rng.sample(range(8), LATE_CALL_VMS)
+    for target in targets:
+        at = rng.uniform(*LIFE_SECONDS)
+        while at < RESTART_PLAY_SECONDS:
+            dark_s = round(rng.uniform(*DARK_SECONDS), 2)
+            faults.append(Fault(round(at, 2), dark_s, FaultKind.ENDPOINT_DARK, target))
+            at += dark_s + rng.uniform(*LIFE_SECONDS)
+    for number in range(RESTART_ROUNDS):
+        at = 4.0 + number * RESTART_INTERVAL_SECONDS
+        for target in targets:
+            for_s = round(rng.uniform(*HELD_UP_SECONDS), 2)
+            faults.append(Fault(at, for_s, FaultKind.CALLS_LATE, target))
+        if rng.random() < RESTART_KILL_FRACTION:
+            kill_at = round(at + rng.uniform(*HELD_UP_SECONDS), 2)
+            faults.append(Fault(kill_at, 1.0, FaultKind.KILL_COORDINATOR, 0))
+    return sorted(faults, key=lambda one: one.at)
+
+
 def _evacuate_before_take_over(rng: random.Random, length_s: float) -> list[Fault]:
     """Return the faults of a take-over while a zone is evacuated."""
     at = round(rng.uniform(0.5, length_s / 2), 2)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,6 +21,7 @@
     Fault,
     FaultKind,
     draw_faults,
+    draw_late_calls,
     draw_restarts,
 )
 
@@ -45,9 +46,12 @@
 MAX_UNLISTED_SECONDS = 0.6
 #: Silence of an endpoint after which it is removed from the list, in seconds.
 LISTING_LAPSE_SECONDS = 4.5
-#: Run time of the tasks in a play of such faults alone, in milliseconds.
-LONG_TASK_MS = 12_000.0
+#: Run times of the tasks in a play of such faults alone, in milliseconds.
+LONG_TASK_MS = (12_000.0,)
 LONG_STEPS = (Step(2, Size(100, 100), estimate_ms=12_000),)
+#: The same in a play of late calls.
+LATE_CALLS_TASK_MS = (100.0, 300.0, 900.0, 2500.0, 6000.0)
+LATE_CALLS_STEPS = (Step(3, Size(300, 300), estimate_ms=2000, max_per_endpoint=1),)
 REPOSITORY = str(Path(__file__).parents[2])
 
 
@@ -60,6 +64,25 @@
     RESTARTS = "restarts"
     #: The same, but the endpoints are cut off before they are listed again.
     RESTARTS_UNLISTED = "restarts-unlisted"
+    #: Only endpoints that restart and carry calls out late, with tasks of any length.
+    LATE_CALLS = "late-calls"
+    #: The same, but only polls are late.
+    LATE_POLLS = "late-polls"
+
+
+#: Run times of the tasks and steps of the jobs of each play; random if there are none.
+_WORK: dict[Play, tuple[tuple[float, ...], tuple[Step, ...] | None]] = {
+    Play.MIXED: ((), None),
+    Play.RESTARTS: (LONG_TASK_MS, LONG_STEPS),
+    Play.RESTARTS_UNLISTED: (LONG_TASK_MS, LONG_STEPS),
+    Play.LATE_CALLS: (LATE_CALLS_TASK_MS, LATE_CALLS_STEPS),
+    Play.LATE_POLLS: (LATE_CALLS_TASK_MS, LATE_CALLS_STEPS),
+}
+#: Paths of the calls that may be late in each play.
+_LATE_PATHS = {
+    Play.LATE_CALLS: ("/api/hold", "/api/run-start", "/api/run-stop"),
+    Play.LATE_POLLS: ("/api/hold",),
+}
 
 
 @dataclass
@@ -178,6 +201,10 @@
                 await self._restart_and_cut(vm, fault.for_s, delay_s, listed=False)
             case FaultKind.ENDPOINT_RESTARTED:
                 self._deployment.restart_endpoint(vm)
+            case FaultKind.ENDPOINT_DARK:
+                await self._restart_after_dark(vm, fault.for_s)
+            case FaultKind.CALLS_LATE:
+                await self._deployment.hold_up_calls(vm, fault.for_s)
             case FaultKind.ENDPOINT_FAILING:
                 id = self._deployment.vms.vms[vm].endpoint
                 one = self._deployment.endpoints.endpoints.get(id)
@@ -191,6 +218,13 @@
             case _:
                 await self._disturb_connections(proxy, fault)
 
+    async def _restart_after_dark(self, vm: VmId, dark_s: float) -> None:
+        """Restart the endpoint of a VM in service, which is dark before."""
+        if vm not in self._deployment.vms.unavailable:
+            self._deployment.crash_endpoints([vm])
+            await asyncio.sleep(dark_s)
+            self._deployment.start_endpoints_again([vm])
+
     async def _restart_and_cut(
         self, vm: VmId, dark_s: float, delay_s: float, *, listed: bool = True
     ) -> None:
@@ -284,7 +318,7 @@
 
 
 async def _finish(deployment: Deployment, callers: Callers) -> None:
-    task_s = (deployment.task_ms or 0.0) / 1000
+    task_s = max(deployment.task_ms, default=0.0) / 1000
     until = time.monotonic() + FINISH_SECONDS + task_s
     while _unfinished(deployment) and time.monotonic() < until:
         await asyncio.sleep(0.1)
@@ -295,18 +329,24 @@
     deployment.checker.check_refusals()
 
 
+def _draw(play: Play, seed: int, length_s: float) -> list[Fault]:
+    """Return the faults of a seed in a play."""
+    match play:
+        case Play.MIXED:
+            return draw_faults(seed, length_s)
+        case Play.LATE_CALLS | Play.LATE_POLLS:
+            return draw_late_calls(seed)
+    return draw_restarts(seed, unlisted=play is Play.RESTARTS_UNLISTED)
+
+
 async def _soak(
     seed: int, length_s: float, root: Path, code: str, play: Play
 ) -> Report:
     deployment = Deployment(root, seed, code)
-    is_mixed = play is Play.MIXED
-    deployment.task_ms = None if is_mixed else LONG_TASK_MS
-    callers = Callers(deployment, seed, None if is_mixed else LONG_STEPS)
-    faults = (
-        draw_faults(seed, length_s)
-        if is_mixed
-        else draw_restarts(seed, unlisted=play is Play.RESTARTS_UNLISTED)
-    )
+    deployment.task_ms, steps = _WORK[play]
+    deployment.late_paths = _LATE_PATHS.get(play, ())
+    callers = Callers(deployment, seed, steps)
+    faults = _draw(play, seed, length_s)
     try:
         await deployment.start()
         await deployment.wait_until_coordinated()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
     RESTART_PLAY_SECONDS,
     FaultKind,
     draw_faults,
+    draw_late_calls,
     draw_restarts,
 )
 from tests.soak.run import Play, soak
@@ -82,8 +83,12 @@
 def test_seed_determines_the_injected_faults():
     assert draw_faults(7) == draw_faults(7)
     assert draw_restarts(7) == draw_restarts(7)
+    assert draw_late_calls(7) == draw_late_calls(7)
+    own_kinds = {FaultKind.ENDPOINT_DARK, FaultKind.CALLS_LATE}
     drawn = {fault.kind for seed in range(200) for fault in draw_faults(seed)}
-    assert drawn == set(FaultKind)
+    assert drawn == set(FaultKind) - own_kinds
+    late = {fault.kind for seed in range(200) for fault in draw_late_calls(seed)}
+    assert late == own_kinds | {FaultKind.KILL_COORDINATOR}
 
 
 @pytest.mark.parametrize(
