--- a/tests/coordinator/test_former_incarnations.py
+++ b/tests/coordinator/test_former_incarnations.py
@@ -10,6 +10,7 @@
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.records import Record
 from hickoryplank.jobs.table import JobState
+from hickoryplank.meter import Metrics
 from tests.coordinator.memory_platform import MemoryEndpoints
 from tests.coordinator.test_coordinator import (
     Entry,
@@ -137,3 +138,24 @@
         platform.fake_endpoints[E0].token = 2 * TOKENS_PER_TERM
         platform.endpoints.arrived.set()
         await wait_until(lambda: entry.local_coordinator is not coordinator)
+
+
+async def test_ends_that_were_dropped_unread_are_logged_and_counted(caplog):
+    platform = RestartingPlatform(lambda key: 100.0)
+    await platform.open()
+    entry = Entry(platform, "a")
+    with caplog.at_level("INFO", "hickoryplank"):
+        async with running(entry):
+            await wait_until(lambda: entry.serving)
+            await platform.restart_endpoint()
+            platform.fake_endpoints[E0].number = 2
+            await entry.local_coordinator.answer(submit("b", Step(1, TASK)))
+            await wait_for_state(entry, "b", JobState.COMPLETED)
+    (begun,) = [r for r in caplog.records if r.msg == "endpoint incarnation begun"]
+    assert (begun.former_born_ms, begun.born_ms) == (1, 2)
+    assert begun.source in {"listing", "report"}
+    (dropped,) = [r for r in caplog.records if r.msg == "ends dropped unread"]
+    assert (dropped.endpoint, dropped.first, dropped.last) == (E0, 1, 2)
+    metrics = Metrics("entry-1")
+    entry.metrics.attach(metrics.meter)
+    assert "hickoryplank_ends_missing_total 2.0" in metrics.text().decode()
