A takeover started tasks again that were done while they were pre-assigned

Callers could see a task run twice: a run that an endpoint had been cut off with was given up, its task waited for room with a pre-assignment, and the end of the run (done) came afterwards. The task was done in memory, but its record said active, with the next attempt at the pre-assigned endpoint. The end was acknowledged, as that record was stored. After a takeover the task was started again.

Cause: a record took the pre-assignment of any task of an open job, whatever its state. Now it takes that of a waiting task only.

The test failed before (the short task was started twice). Ruled out for the same path: ends of jobs that are set aside, which use the same records, and split states.

--- a/hickoryplank/jobs/records.py
+++ b/hickoryplank/jobs/records.py
@@ -10,6 +10,7 @@
 from hickoryplank.jobs.table import (
     JobRow,
     JobState,
+    PreAssignment,
     StatePart,
     StepRow,
     StoredAssignment,
@@ -229,12 +230,14 @@
 
 def _task_records(row: JobRow, tasks: list[Task]) -> list[_TaskRecord]:
     """Return the states of those tasks that are not in their initial state."""
-    include_preassignments = not row.state.final
-    return [
-        _task_record(task, include_preassignments)
-        for task in tasks
-        if task.attempt or (include_preassignments and task.preassignment is not None)
-    ]
+    records = []
+    for task in tasks:
+        # A task may be done while it waits, by a run that had been given up.
+        may_start = not row.state.final and task.state is TaskState.WAITING
+        preassignment = task.preassignment if may_start else None
+        if task.attempt or preassignment is not None:
+            records.append(_task_record(task, preassignment))
+    return records
 
 
 def encode_state_changes(row: JobRow, bounds: StoreBounds) -> list[Record]:
@@ -333,7 +336,7 @@
     return _encoder.encode((record.state, record.tasks))
 
 
-def _task_record(task: Task, include_preassignments: bool) -> _TaskRecord:
+def _task_record(task: Task, preassignment: PreAssignment | None) -> _TaskRecord:
     key = task.key
     record = _TaskRecord(
         key.occurrence,
@@ -351,13 +354,13 @@
         record.endpoint = task.stored_assignment.endpoint
         record.born_ms = task.stored_assignment.born_ms
         record.preassigned = task.stored_assignment.preassigned
-    elif include_preassignments and task.preassignment is not None:
+    elif preassignment is not None:
         # The task may be started on that endpoint at any time. The next coordinator
         # must therefore check the endpoint for a run, as for any other assignment.
         record.state = TaskState.ACTIVE.value
         record.attempt = task.attempt + 1
-        record.endpoint = task.preassignment.endpoint.id
-        record.born_ms = task.preassignment.endpoint.listing.born_ms
+        record.endpoint = preassignment.endpoint.id
+        record.born_ms = preassignment.endpoint.listing.born_ms
         record.preassigned = True
     return record
 
--- a/tests/jobs/test_preassignment.py
+++ b/tests/jobs/test_preassignment.py
@@ -8,7 +8,7 @@
 from hickoryplank.jobs.assignment import AllowedStarts
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import Size
-from hickoryplank.jobs.table import JobState
+from hickoryplank.jobs.table import JobState, TaskState
 from tests.jobs.driver import TASK, Driver, job
 
 CHAIN = (Step(2, TASK), Step(2, TASK, after=(0,)), Step(1, TASK, after=(1,)))
@@ -172,6 +172,28 @@
     assert driver.engine.pending_count(driver.engine.jobs[JobId("b")].job.queue) == 1
 
 
+def test_a_takeover_starts_no_task_that_was_done_while_it_was_preassigned():
+    short = TaskKey(JobId("a"), 0, 0, 0)
+    driver = Driver(work_ms=lambda key: 500.0 if key == short else 60_000.0)
+    submit_and_start(driver, Step(2, TASK))
+    task = driver.engine.jobs[JobId("a")].task(short)
+    cut_off = task.run.endpoint.id
+    driver.engine.submit(job("b", Step(6, TASK)), driver.now)
+    driver.step()
+    driver.unreachable = {cut_off}
+    while task.preassignment is None or not task.preassignment.stored:
+        driver.step()
+    driver.unreachable = set()
+    driver.step()
+    assert task.state is TaskState.DONE
+    driver.step()
+    driver.take_over()
+    for _ in range(30):
+        driver.step()
+    started = [run for one in driver.endpoints.values() for run in one.started]
+    assert [key for key, _ in started].count(short) == 1
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_no_task_runs_twice_under_random_faults(seed):
     rng = random.Random(seed)
