An acknowledgement is applied before a resumed run can have ended

A poll that acknowledges ends of an endpoint's former incarnation may wait in the next one, which applies it when it answers. It was to be answered within three quarters of the shortest run time lately, before any run there can have ended. A run that resumes from a checkpoint may be shorter than any that ended lately: it takes restore_ms and the rest of its work. Its end would be dropped unread, and its task be started again (TWICE).

The time is now bounded by three quarters of restore_ms as well, a new optional setting in [bounds] (250 ms by default). The fencing token of an incarnation doesn't cover the case: it is checked when a call arrives, and this one arrives before the first call with the new token.

--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -123,6 +123,7 @@
                 cfg.lease_max_ms,
                 cfg.status_s * STATUS_RETENTION_FACTOR,
                 cfg.stop_grace_ms,
+                cfg.restore_ms,
             ),
             vms=PlatformVms(self._client, cfg.vms, cfg.name),
             operator=operator,
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -26,6 +26,8 @@
         seconds.
     :param lease_max_ms: longest lease that endpoints grant, in ms.
     :param stop_grace_ms: longest time from a stop order until the run has ended, in ms.
+    :param restore_ms: least time that a run takes which resumes from a checkpoint, in
+        ms.
     :param move_s: duration of the move of a VM, in seconds.
     :param maintenance_s: duration of the maintenance of a VM, in seconds.
     :param orders_apart_ms: minimum time between orders for one VM by two
@@ -57,6 +59,7 @@
     maintenance_s: float
     orders_apart_ms: int
     stop_grace_ms: int = 1000
+    restore_ms: int = 250
     orders_per_s: float = 64.0
     status_s: float = 120.0
     cpu_share: float = 1.0
@@ -78,6 +81,7 @@
         "grace_s",
         "lease_max_ms",
         "stop_grace_ms",
+        "restore_ms",
         "move_s",
         "maintenance_s",
         "orders_apart_ms",
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -55,6 +55,7 @@
     :param max_lease_ms: longest lease that an endpoint grants, whatever is requested.
     :param retention_seconds: retention period of a job that has ended.
     :param stop_grace_ms: longest time from a stop order until the run has ended.
+    :param restore_ms: least time that a run takes which begins from a checkpoint.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         max_lease_ms: int,
         retention_seconds: float,
         stop_grace_ms: int,
+        restore_ms: int,
     ):
         self.lease_ms = lease_ms
         self.poll_wait_ms = poll_wait_ms
@@ -72,6 +74,7 @@
         self.max_lease_ms = max_lease_ms
         self.retention_seconds = retention_seconds
         self.stop_grace_ms = stop_grace_ms
+        self.restore_ms = restore_ms
 
     @property
     def max_lease_seconds(self) -> float:
--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -34,9 +34,9 @@
 #: Longest time since the last report of an endpoint for its ends to be acknowledged, in
 #: seconds.
 MAX_ACKNOWLEDGED_AGE_SECONDS = 0.25
-#: Fraction of the shortest run time lately within which an acknowledgement has to be
-#: applied after the last report. A new incarnation can't have run a task to its end by
-#: then, so that there is no end that the acknowledgement would drop.
+#: Fraction of the shortest run time within which an acknowledgement has to be applied
+#: after the last report. A new incarnation can't have run a task to its end by then, so
+#: that there is no end that the acknowledgement would drop.
 ACKNOWLEDGEMENT_FRACTION = 0.75
 #: The same time while no run time is known, in seconds.
 DEFAULT_ACKNOWLEDGEMENT_SECONDS = 0.1
@@ -95,12 +95,14 @@
 ) -> float:
     """Return how long after a report an acknowledgement may be applied, in seconds.
 
-    A start may have reached a new incarnation right after the report.
+    A start may have reached a new incarnation right after the report. It may be that of
+    a run that resumes from a checkpoint shortly before its end.
     """
+    resumed_s = ACKNOWLEDGEMENT_FRACTION * tables.timing.restore_ms / 1000
     shortest_s = tables.run_times.shortest(endpoint.listing.pool, now)
     if shortest_s is None:
-        return DEFAULT_ACKNOWLEDGEMENT_SECONDS
-    return ACKNOWLEDGEMENT_FRACTION * shortest_s
+        return min(DEFAULT_ACKNOWLEDGEMENT_SECONDS, resumed_s)
+    return min(ACKNOWLEDGEMENT_FRACTION * shortest_s, resumed_s)
 
 
 def note_no_answer(tables: EngineTables, endpoint: Endpoint, now: float) -> None:
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -143,7 +143,7 @@
             endpoints=platform.endpoints,
             listings=platform.listings,
             clock=clock,
-            timing=EngineTiming(4000, 100, 9.2, 10_000, 180.0, 400),
+            timing=EngineTiming(4000, 100, 9.2, 10_000, 180.0, 400, 250),
             vms=platform.vms,
             operator=platform.operator,
             vm_bounds=VmOperationBounds(0.1, 0.1, 0.2, 64.0),
--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -36,14 +36,21 @@
 RETENTION_SECONDS = 180.0
 STOP_GRACE_MS = 400
 FORMER_LEASE_SECONDS = 9.0
-TIMING = EngineTiming(
-    LEASE_MS,
-    600,
-    FORMER_LEASE_SECONDS,
-    MAX_LEASE_MS,
-    RETENTION_SECONDS,
-    STOP_GRACE_MS,
-)
+#: Longer than any run of these tests, whose runs don't begin from a checkpoint.
+RESTORE_MS = 5000
+
+
+def timing_with_restore(restore_ms: int) -> EngineTiming:
+    """Return the timing of the engine, given the least time of a resumed run."""
+    return EngineTiming(
+        LEASE_MS,
+        600,
+        FORMER_LEASE_SECONDS,
+        MAX_LEASE_MS,
+        RETENTION_SECONDS,
+        STOP_GRACE_MS,
+        restore_ms,
+    )
 
 
 def configuration(
@@ -89,11 +96,18 @@
         milliseconds, or none for a lasting task.
     :param cfg: the configuration.
     :param bounds: bounds of the store.
+    :param timing: timing of the engine.
     """
 
     def __init__(
-        self, count: int = 2, work_ms=lambda key: 500.0, cfg=None, bounds=None
+        self,
+        count: int = 2,
+        work_ms=lambda key: 500.0,
+        cfg=None,
+        bounds=None,
+        timing: EngineTiming | None = None,
     ):
+        self.timing = timing or timing_with_restore(RESTORE_MS)
         self.bounds = bounds
         self.now = 100.0
         self.cfg = cfg or configuration()
@@ -133,7 +147,9 @@
         return FakeEndpoint(born_ms, self.work_ms)
 
     def _fresh_engine(self) -> Engine:
-        engine = Engine(self.cfg, TIMING, self.now, self.wall_ms, bounds=self.bounds)
+        engine = Engine(
+            self.cfg, self.timing, self.now, self.wall_ms, bounds=self.bounds
+        )
         self._list_endpoints(engine)
         return engine
 
@@ -171,7 +187,7 @@
         self.tries.clear()
         self.pending_batch = None
         self.engine = Engine(
-            self.cfg, TIMING, self.now, self.wall_ms, bounds=self.bounds
+            self.cfg, self.timing, self.now, self.wall_ms, bounds=self.bounds
         )
         self.engine.set_evacuated_zones(self.evacuated, self.now)
         rows: dict[str, JobRow] = {}
--- a/tests/jobs/fleet_play.py
+++ b/tests/jobs/fleet_play.py
@@ -82,7 +82,7 @@
         self.max_moves = max_moves
         self.engine = Engine(
             cfg,
-            EngineTiming(4000, 600, 9.0, 10_000, 180, 400),
+            EngineTiming(4000, 600, 9.0, 10_000, 180, 400, 250),
             self.now,
             100_000,
             order,
--- a/tests/jobs/test_engine.py
+++ b/tests/jobs/test_engine.py
@@ -14,7 +14,6 @@
     POOL,
     RETENTION_SECONDS,
     TASK,
-    TIMING,
     Driver,
     configuration,
     job,
@@ -250,7 +249,7 @@
     driver.unreachable.add(endpoint_id)
     driver.take_over()
     key = TaskKey(JobId("a"), 0, 0, 0)
-    until = driver.now + LATE_CALL_SECONDS + TIMING.max_lease_seconds
+    until = driver.now + LATE_CALL_SECONDS + driver.timing.max_lease_seconds
     while driver.now <= until:
         driver.step()
         assert driver.run_count(key) <= 1
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -15,6 +15,7 @@
     configuration,
     job,
     listing,
+    timing_with_restore,
 )
 from tests.jobs.fake_endpoint import FakeEndpoint
 
@@ -529,6 +530,22 @@
         assert store_ms >= work_ms / 2
 
 
+@pytest.mark.parametrize("restore_ms", [100, 250, 600])
+def test_an_acknowledgement_is_applied_before_a_resumed_run_can_have_ended(restore_ms):
+    driver = Driver(
+        count=1, work_ms=lambda key: 2000.0, timing=timing_with_restore(restore_ms)
+    )
+    driver.engine.submit(job("a", Step(2, TASK)), driver.now)
+    endpoint = driver.engine.endpoints[E0]
+    while endpoint.last_end_number < 2:
+        driver.step()
+    request = driver.engine.next_poll(endpoint, driver.now, renew=True)
+    assert request.acknowledged == 2
+    assert request.wait_ms / 1000 < restore_ms / 1000 - (
+        driver.now - endpoint.reported_at
+    )
+
+
 @pytest.mark.parametrize(
     ("begun_in_term", "dropped", "expected"),
     [
