A report to a poll from before an endpoint was listed again changes nothing

Callers could see a run stopped for no reason, and their team lose a part of its limit for as long as the coordinator's term lasted.

Cause: an endpoint that was dropped (its VM was shown as down) and listed again has a new row. A poll of the former row that was still open was applied to that row, so that the runs of the new one counted as runs that are assigned to nobody: they were stopped, and their resources were counted twice, the second time for good, as nothing polls a dropped row. Such a report is now ignored; the new row is polled anyway.

The test failed before: 2,000m in use by a team with one task of 1,000m.

--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -140,6 +140,9 @@
     if report.born_ms != endpoint.listing.born_ms:
         _begin_incarnation(tables, endpoint, report, now)
         return
+    if tables.endpoints.get(endpoint.id) is not endpoint:
+        # It was dropped and listed again since the poll was sent.
+        return
     endpoint.note_answer()
     endpoint.note_clock(report.clock_ms, now)
     endpoint.reported_at = now
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -634,3 +634,24 @@
         driver.step()
     assert fake.started == [(KEY, 1)]
     assert driver.engine.jobs[JobId("a")].state is JobState.COMPLETED
+
+
+def test_a_report_to_a_poll_from_before_an_endpoint_was_listed_again_stops_no_run():
+    driver = Driver(count=1, work_ms=lambda key: 60_000.0)
+    driver.step()
+    dropped = driver.engine.endpoints[E0]
+    asked_at = driver.now
+    driver.engine.note_no_answer(dropped, driver.now)
+    note_vm_list(driver, {E0})
+    assert E0 not in driver.engine.endpoints
+    list_incarnation(driver, E0)
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    while not driver.run_count(KEY):
+        driver.step()
+    token = driver.token_for(driver.engine.endpoints[E0])
+    report = driver.endpoints[E0].poll(token, 0, None)
+    driver.engine.poll_answered(dropped, report, asked_at, driver.now)
+    driver.step()
+    assert driver.run_count(KEY) == 1
+    assert driver.engine.team_usage.used(TEAM) == TASK
+    assert not dropped.runs
