An answer that a start reached another endpoint ends its own incarnation only

Runs of an endpoint could be given up, and started elsewhere, while they went on.

Cause: an endpoint starts again under its id while a start for its former incarnation is under way, and another endpoint has its former address. That one answers 421. The run had been carried over to the present incarnation meanwhile, which the answer ended. The start is now repeated where its run is due instead.

The test failed before: the present incarnation was dropped.

--- a/hickoryplank/coordinator/request_sender.py
+++ b/hickoryplank/coordinator/request_sender.py
@@ -73,7 +73,8 @@
                 self._term.request_tick()
                 return
             attempts += 1
-            token = self._term.token_for(run.endpoint)
+            endpoint = run.endpoint
+            token = self._term.token_for(endpoint)
             answer = await self._term.context.endpoints.start(run, payload, token)
             self._term.context.metrics.start(answer.outcome)
             if answer.outcome is not StartOutcome.STARTED or attempts > 1:
@@ -83,6 +84,12 @@
                 # The run has been carried over to the present incarnation, if it is
                 # not given up, and its start is due there.
                 continue
+            if (
+                answer.outcome is StartOutcome.OTHER_INCARNATION
+                and run.endpoint is not endpoint
+            ):
+                # The incarnation that this says has ended was replaced already.
+                continue
             unanswered = engine.start_answered(
                 run, answer.outcome, attempts, answer.clock_ms, clock.now()
             )
--- a/tests/coordinator/test_former_incarnations.py
+++ b/tests/coordinator/test_former_incarnations.py
@@ -4,9 +4,10 @@
 import pytest
 
 from hickoryplank.coordinator.calls import Cancel, Cancelled
-from hickoryplank.coordinator.ports import Topic
+from hickoryplank.coordinator.ports import StartAnswer, Topic
 from hickoryplank.core.ids import EndpointId, JobId
 from hickoryplank.jobs.endpoints import TOKENS_PER_TERM
+from hickoryplank.jobs.messages import StartOutcome
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.records import Record
 from hickoryplank.jobs.table import JobState
@@ -38,12 +39,14 @@
 
     :ivar delayed: the next call of this name is delayed; none if empty.
     :ivar arrived: set to let the delayed call arrive.
+    :ivar refusal: what the delayed call is answered instead of being carried out.
     """
 
     def __init__(self, endpoints: dict[EndpointId, FakeEndpoint]):
         super().__init__(endpoints)
         self.delayed = ""
         self.arrived = anyio.Event()
+        self.refusal: StartAnswer | None = None
         self.outcome: object = None
 
     async def _call(self, name: str, *args):
@@ -51,6 +54,9 @@
         if is_delayed:
             self.delayed = ""
             await self.arrived.wait()
+        if is_delayed and self.refusal is not None:
+            self.outcome = self.refusal
+            return self.refusal
         outcome = await getattr(super(), name)(*args)
         if is_delayed:
             self.outcome = outcome
@@ -159,3 +165,22 @@
     metrics = Metrics("entry-1")
     entry.metrics.attach(metrics.meter)
     assert "hickoryplank_ends_missing_total 2.0" in metrics.text().decode()
+
+
+async def test_a_start_that_reached_another_endpoint_ends_only_its_own_incarnation():
+    platform = RestartingPlatform(lambda key: 100.0)
+    await platform.open()
+    entry = Entry(platform, "a")
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        engine = entry.local_coordinator.engine
+        await wait_until(lambda: engine.endpoints[E0].token_confirmed)
+        platform.endpoints.delayed = "start"
+        platform.endpoints.refusal = StartAnswer(StartOutcome.OTHER_INCARNATION)
+        await entry.local_coordinator.answer(submit("b", Step(1, TASK)))
+        await wait_until(lambda: not platform.endpoints.delayed)
+        await platform.restart_endpoint()
+        restarted = engine.endpoints[E0]
+        platform.endpoints.arrived.set()
+        await wait_for_state(entry, "b", JobState.COMPLETED)
+        assert engine.endpoints[E0] is restarted
