A start that a restarted endpoint carries out late is its task's only run

Callers saw a task run twice: a start had no answer, its endpoint crashed, and the task was started elsewhere 5 s after the start.

Cause: a call without an answer was taken to be lost after 5 s. That is a compromise for lasting tasks, which are to run again within 6 s. A task that ends has no such bound; it waits for 13 s now, unless the run was taken over: then it isn't known whether any start of it had no answer, and each takeover would hold up the runs of all endpoints that are down.

--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "LATE_CALL_SECONDS",
+    "LATE_START_SECONDS",
     "MIN_CLOCK_RATE",
     "Endpoint",
     "Listing",
@@ -39,6 +40,9 @@
 #: then it may be carried out, also by a later incarnation. It is less than the 6 s
 #: after which the platform expects a lasting task to run again.
 LATE_CALL_SECONDS = 5.0
+#: The same for starts of tasks that end, in seconds. Such a task may start later, but must
+#: not run twice.
+LATE_START_SECONDS = 13.0
 
 #: Fencing tokens of one term at endpoints. Those of a hundred thousand terms and more
 #: are integers that JSON keeps exactly.
@@ -160,9 +164,15 @@
         return self.state is not RunState.ASSIGNED and not self.reported
 
     def start_may_arrive(self, at: float) -> bool:
-        """Return whether a start without an answer may be carried out after a time."""
+        """Return whether a start without an answer may be carried out after a time.
+
+        Of a run that was taken over it isn't known whether there is such a start.
+        """
         sent_at = self.unanswered_at
-        return sent_at is not None and at < sent_at + LATE_CALL_SECONDS
+        if sent_at is None:
+            return False
+        is_short = self.step.lasting or self.adopted
+        return at < sent_at + (LATE_CALL_SECONDS if is_short else LATE_START_SECONDS)
 
     @property
     def may_be_in_unseen_incarnation(self) -> bool:
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -471,6 +471,29 @@
     assert sum(len(one.started) for one in driver.endpoints.values()) == 1
 
 
+@pytest.mark.parametrize("late_s", [3.0, 7.0, 12.0])
+def test_a_start_that_a_restarted_endpoint_carries_out_late_is_the_only_run(late_s):
+    driver = Driver(work_ms=lambda key: 30_000.0)
+    driver.step()
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.unreachable = set(driver.endpoints)
+    driver.commit()
+    sent_at = driver.now
+    (run,) = [r for one in driver.engine.endpoints.values() for r in one.runs.values()]
+    busy = run.endpoint.id
+    driver.unreachable = {busy}
+    crash(driver, busy)
+    while driver.now < sent_at + late_s:
+        driver.step()
+        note_vm_list(driver, {busy})
+    driver.endpoints[busy].start(KEY, 1, "payload", run.until_ms + 60_000, 1)
+    driver.unreachable.clear()
+    list_incarnation(driver, busy)
+    assert max_concurrent_runs(driver, 60) == 1
+    assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+
+
 @pytest.mark.parametrize("taken_over", [False, True])
 @pytest.mark.parametrize("answered", [False, True])
 def test_a_task_on_a_vm_that_stays_down_is_started_elsewhere_in_time(
