Ends are acknowledged also where a run resumes in no time

With restore_ms = 0 no end would ever have been acknowledged, and the endpoint have been polled without a pause: an acknowledgement was to be applied within 0 s of its report. The time has a lower bound now. The test failed before.

--- a/hickoryplank/jobs/reports.py
+++ b/hickoryplank/jobs/reports.py
@@ -40,6 +40,9 @@
 ACKNOWLEDGEMENT_FRACTION = 0.75
 #: The same time while no run time is known, in seconds.
 DEFAULT_ACKNOWLEDGEMENT_SECONDS = 0.1
+#: The least such time for the sake of runs that resume from a checkpoint, in seconds.
+#: Ends that are never acknowledged would be reported again and again.
+MIN_ACKNOWLEDGEMENT_SECONDS = 0.05
 #: Delay before a failed lasting task is started again.
 LASTING_RESTART_DELAY_SECONDS = 0.2
 #: Silence of an endpoint after which starts are not sent to it again, in seconds: the
@@ -99,6 +102,7 @@
     a run that resumes from a checkpoint shortly before its end.
     """
     resumed_s = ACKNOWLEDGEMENT_FRACTION * tables.timing.restore_ms / 1000
+    resumed_s = max(resumed_s, MIN_ACKNOWLEDGEMENT_SECONDS)
     shortest_s = tables.run_times.shortest(endpoint.listing.pool, now)
     if shortest_s is None:
         return min(DEFAULT_ACKNOWLEDGEMENT_SECONDS, resumed_s)
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -569,6 +569,16 @@
     )
 
 
+def test_ends_are_acknowledged_where_a_run_resumes_in_no_time():
+    driver = Driver(count=1, timing=timing_with_restore(0))
+    driver.engine.submit(job("a", Step(2, TASK)), driver.now)
+    endpoint = driver.engine.endpoints[E0]
+    while endpoint.last_end_number < 2:
+        driver.step()
+    driver.now += 0.02
+    assert driver.engine.next_poll(endpoint, driver.now, renew=True).acknowledged == 2
+
+
 @pytest.mark.parametrize(
     ("begun_in_term", "dropped", "expected"),
     [
