--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -40,8 +40,8 @@
 #: then it may be carried out, also by a later incarnation. It is less than the 6 s
 #: after which the platform expects a lasting task to run again.
 LATE_CALL_SECONDS = 5.0
-#: The same for starts of tasks that end, in seconds. Such a task may start later, but must
-#: not run twice.
+#: The same for starts of tasks that end, in seconds. Such a task may start later, but
+#: must not run twice.
 LATE_START_SECONDS = 13.0
 
 #: Fencing tokens of one term at endpoints. Those of a hundred thousand terms and more
