Ends dropped unread were not logged after a VM had been down

What operators saw: nothing. 'ends dropped unread' and its counter left out the first ends of an endpoint that was back after its VM had been shown as down.

Cause: such an endpoint has been dropped, and its next incarnation counted as one that may have begun before the term, of which a former coordinator may have acknowledged the first ends. A crash usually goes this way, as VMs are down half a second after one, and an acknowledgement for the former incarnation drops the first ends.

The start of the incarnation that was dropped is kept for the term; a later one began in it. The same incarnation that is listed again is left out as before, as this coordinator may have acknowledged its first ends.

--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -125,6 +125,9 @@
         self.open_jobs: dict[JobId, JobRow] = {}
         self.endpoints: dict[EndpointId, Endpoint] = {}
         self._next_token_number = 0
+        #: Start of the last incarnation of each endpoint that was dropped in this term,
+        #: in Unix milliseconds.
+        self.dropped_born_ms: dict[EndpointId, int] = {}
         #: Endpoints that are to be cordoned whenever they are listed.
         self.leaving: frozenset[EndpointId] = frozenset()
         self.evacuated_zones = EvacuatedZones()
@@ -400,6 +403,7 @@
         """Forget an incarnation of an endpoint that has no runs any more."""
         if self.endpoints.get(endpoint.id) is endpoint:
             del self.endpoints[endpoint.id]
+            self.dropped_born_ms[endpoint.id] = endpoint.listing.born_ms
         self.quarantine.discard(endpoint_subject(endpoint.id, endpoint.listing.born_ms))
         self.advice.discard_endpoint(endpoint)
 
--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -48,7 +48,8 @@
         fresh.stale_leases_until,
     )
     fresh.cordoned = listing.id in tables.leaving
-    fresh.begun_in_term = known is not None
+    former_born_ms = tables.dropped_born_ms.get(listing.id, listing.born_ms)
+    fresh.begun_in_term = known is not None or former_born_ms < listing.born_ms
     if known is not None:
         _carry_over_runs(tables, known, fresh, now)
         end_incarnation(tables, known, now)
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -688,3 +688,26 @@
     assert driver.run_count(KEY) == 1
     assert driver.engine.team_usage.used(TEAM) == TASK
     assert not dropped.runs
+
+
+def test_ends_that_an_endpoint_drops_after_its_vm_was_down_are_recorded():
+    """Guards against late acknowledgements that go unnoticed after a crash."""
+    driver = Driver(count=1)
+    driver.step()
+    crash(driver, E0)
+    for _ in range(3):
+        driver.step()
+        note_vm_down(driver, E0)
+    assert E0 not in driver.engine.endpoints
+    driver.unreachable.clear()
+    list_incarnation(driver, E0)
+    driver.step()
+    driver.engine.submit(job("a", Step(3, TASK)), driver.now)
+    driver.step()
+    fake = driver.endpoints[E0]
+    for run in list(fake.running.values()):
+        fake._end(run, EndKind.DONE)
+    del fake.ends[:2]
+    driver.poll_endpoints()
+    recorded = [(one.first, one.last) for one in driver.engine.missing_ends]
+    assert recorded == [(1, 2)]
