Test that stops reach a later incarnation of an endpoint

A sender that gave stops the lowest token of the term passed all tests of this change: the endpoint refuses them, which doesn't end the term, and they are repeated for ever.

--- a/tests/coordinator/test_former_incarnations.py
+++ b/tests/coordinator/test_former_incarnations.py
@@ -7,7 +7,7 @@
 from hickoryplank.coordinator.ports import StartAnswer, Topic
 from hickoryplank.core.ids import EndpointId, JobId
 from hickoryplank.jobs.endpoints import TOKENS_PER_TERM
-from hickoryplank.jobs.messages import StartOutcome
+from hickoryplank.jobs.messages import EndKind, StartOutcome
 from hickoryplank.jobs.model import Step
 from hickoryplank.jobs.records import Record
 from hickoryplank.jobs.table import JobState
@@ -184,3 +184,21 @@
         platform.endpoints.arrived.set()
         await wait_for_state(entry, "b", JobState.COMPLETED)
         assert engine.endpoints[E0] is restarted
+
+
+async def test_a_run_in_a_later_incarnation_can_be_stopped():
+    platform = RestartingPlatform(lambda key: None)
+    await platform.open()
+    entry = Entry(platform, "a")
+    async with running(entry):
+        await wait_until(lambda: entry.serving)
+        await platform.restart_endpoint()
+        fake = platform.fake_endpoints[E0]
+        coordinator = entry.local_coordinator
+        await coordinator.answer(submit("a", Step(1, TASK, lasting=True)))
+        await wait_until(lambda: fake.running)
+        cancel = Cancel(where("/p/a"), JobId("a"))
+        assert await coordinator.answer(cancel) == Cancelled()
+        await wait_until(lambda: not fake.running)
+        assert [end.kind for end in fake.ends] in ([], [EndKind.STOPPED])
+        assert entry.local_coordinator is coordinator
