The state machine of the engine has late acknowledgements

A rule lets a poll that acknowledges ends go without an answer, restarts its endpoint, and carries the poll out as soon as the next incarnation has an end.

--- a/tests/jobs/driver.py
+++ b/tests/jobs/driver.py
@@ -131,6 +131,8 @@
         self.lost_answers: set[EndpointId] = set()
         #: Time, run and fencing token of each start to be delivered again.
         self.delayed_starts: list[tuple[float, Run, int]] = []
+        #: Endpoint, poll and fencing token of each poll to be delivered again.
+        self.late_polls: list[tuple[EndpointId, PollRequest, int]] = []
         #: Latest poll of each endpoint, with its fencing token.
         self.last_polls: dict[EndpointId, tuple[PollRequest, int]] = {}
         #: Number of times that each unanswered start was sent.
@@ -228,6 +230,7 @@
         for one in self.endpoints.values():
             one.advance(ms)
         self._deliver_delayed_starts()
+        self._deliver_late_polls()
         self.engine.release_unlisted_assignments(self.now)
         self.poll_endpoints()
         if self.pending_batch is None:
@@ -363,6 +366,17 @@
                     run.key, run.attempt, "payload", run.until_ms, token
                 )
 
+    def deliver_last_poll_later(self, id: EndpointId) -> None:
+        """Deliver the last poll of an endpoint when the next incarnation has an end."""
+        self.late_polls.append((id, *self.last_polls[id]))
+
+    def _deliver_late_polls(self) -> None:
+        for one in list(self.late_polls):
+            id, request, token = one
+            if id not in self.unreachable and self.endpoints[id].ends:
+                self.late_polls.remove(one)
+                self.endpoints[id].poll(token, request.acknowledged, request.until_ms)
+
     def restart_endpoint(self, id: EndpointId) -> None:
         """Begin a new incarnation of an endpoint under the same id, and list it."""
         before = self.endpoints[id]
--- a/tests/jobs/test_engine_machine.py
+++ b/tests/jobs/test_engine_machine.py
@@ -307,6 +307,28 @@
             self.begin_next_term(applied=False)
         self.step(count, 100)
 
+    @precondition(lambda self: len(self.ledger.jobs) < MAX_JOBS - 1)
+    @rule(id=st.sampled_from(ENDPOINTS), step=PLAIN, listed=st.booleans())
+    def hold_up_an_acknowledgement(
+        self, id: EndpointId, step: Step, listed: bool
+    ) -> None:
+        """Have a poll without an answer arrive in the next incarnation."""
+        self.submit_plain([step], chained=False)
+        for _ in range(12):
+            self.step(1, 100)
+            endpoint = self.driver.engine.endpoint_of(id)
+            if endpoint is None or id in self.driver.unreachable:
+                return
+            if endpoint.stored_end_number > endpoint.confirmed_ack_number:
+                break
+        self.driver.unreachable = self.driver.unreachable | {id}
+        self.driver.poll_endpoints()
+        self.driver.unreachable = self.driver.unreachable - {id}
+        self.driver.deliver_last_poll_later(id)
+        self.restart_endpoint(id, listed)
+        self.submit_plain([step], chained=False)
+        self.step(12, 100)
+
     @rule(id=st.sampled_from(ENDPOINTS), draining=st.booleans())
     def drain_endpoint(self, id: EndpointId, draining: bool) -> None:
         self.driver.list_endpoint(id, draining)
