A late start on a silent endpoint whose VM is up is its task's only run

Callers could see a task run twice, as with a VM that is down: the endpoint had started again unseen and was cut off, and carried a start out up to 12 s late. Its runs were held for 5 s and the longest lease after the last call, 15.2 s, and then started elsewhere.

The time is now counted for each run, from the moment until which its start may arrive.

--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -163,16 +163,22 @@
         """Whether the start may have reached a later incarnation of the endpoint."""
         return self.state is not RunState.ASSIGNED and not self.reported
 
-    def start_may_arrive(self, at: float) -> bool:
-        """Return whether a start without an answer may be carried out after a time.
+    @property
+    def start_may_arrive_until(self) -> float:
+        """Time until which a start without an answer may be carried out, in seconds.
 
         Of a run that was taken over it isn't known whether there is such a start.
         """
-        sent_at = self.unanswered_at
-        if sent_at is None:
-            return False
+        if self.unanswered_at is None:
+            return float("-inf")
         is_short = self.step.lasting or self.adopted
-        return at < sent_at + (LATE_CALL_SECONDS if is_short else LATE_START_SECONDS)
+        return self.unanswered_at + (
+            LATE_CALL_SECONDS if is_short else LATE_START_SECONDS
+        )
+
+    def start_may_arrive(self, at: float) -> bool:
+        """Return whether a start without an answer may be carried out after a time."""
+        return at < self.start_may_arrive_until
 
     @property
     def may_be_in_unseen_incarnation(self) -> bool:
@@ -437,15 +443,19 @@
         least = self.clock_ms + (now - self.clock_read_at) * 1000 * MIN_CLOCK_RATE
         return least > self.latest_lease_ms + EXPIRY_MARGIN_MS
 
-    def unseen_leases_until(self, max_lease_s: float) -> float:
-        """Return until when leases in an incarnation that has not reported may last.
+    def unseen_lease_until(self, run: Run, max_lease_s: float) -> float:
+        """Return until when a run may last in an incarnation that has not reported.
 
-        The calls name the end by the clock of the known incarnation, which may be far
-        ahead of that of the next one, so that this one grants the longest lease.
+        The calls name the end of its lease by the clock of the known incarnation, which
+        may be far ahead of that of the next one, so that this one grants the longest
+        lease.
 
         :param max_lease_s: duration of the longest lease, by the local clock.
         """
-        return self.lease_call_at + LATE_CALL_SECONDS + max_lease_s
+        last_call_at = max(
+            self.lease_call_at + LATE_CALL_SECONDS, run.start_may_arrive_until
+        )
+        return last_call_at + max_lease_s
 
     def note_failure(self, job: JobId, now: float) -> None:
         """Record a failure of a job; eject the endpoint at ``EJECTION_JOBS`` jobs."""
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -738,3 +738,21 @@
         driver.step()
     assert fake.acknowledged == 1
     assert sum(len(one.started) for one in driver.endpoints.values()) == 1
+
+
+@pytest.mark.parametrize("late_s", [3.0, 9.0, 12.0])
+def test_a_late_start_on_a_silent_endpoint_whose_vm_is_up_is_the_only_run(late_s):
+    """Guards against a second run while the first one, begun unseen, is silent."""
+    driver = Driver(work_ms=lambda key: 7000.0)
+    driver.step()
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    driver.engine.tick(driver.now, 0)
+    driver.unreachable = set(driver.endpoints)
+    driver.commit()
+    (run,) = [r for one in driver.engine.endpoints.values() for r in one.runs.values()]
+    busy, token = run.endpoint.id, driver.token_for(run.endpoint)
+    driver.unreachable = {busy}
+    restart_unheard(driver, busy)
+    assert max_runs_while_cut(driver, int(late_s * 10)) == 0
+    driver.endpoints[busy].start(KEY, 1, "payload", 80_000, token)
+    assert max_runs_while_cut(driver, 200) == 1
