--- a/hickoryplank/coordinator/endpoint_poller.py
+++ b/hickoryplank/coordinator/endpoint_poller.py
@@ -239,7 +239,7 @@
     :param source: how the new one became known.
     """
     fresh = engine.endpoints.get(before.id)
-    if fresh is None or fresh is before:
+    if fresh is None or fresh.listing.born_ms == before.listing.born_ms:
         return
     logger.info(
         "endpoint incarnation begun",
--- a/hickoryplank/jobs/engine_tables.py
+++ b/hickoryplank/jobs/engine_tables.py
@@ -43,6 +43,11 @@
 __all__ = ["EndedJob", "EngineTables", "EngineTiming", "step_key"]
 
 
+#: Most endpoints of which it is kept what was dropped, the last ones. Most endpoints
+#: that are dropped never come back.
+MAX_DROPPED_ENDPOINTS = 10_000
+
+
 class EngineTiming:
     """Durations that bound the engine's decisions.
 
@@ -404,6 +409,8 @@
         if self.endpoints.get(endpoint.id) is endpoint:
             del self.endpoints[endpoint.id]
             self.dropped_born_ms[endpoint.id] = endpoint.listing.born_ms
+            if len(self.dropped_born_ms) > MAX_DROPPED_ENDPOINTS:
+                del self.dropped_born_ms[next(iter(self.dropped_born_ms))]
         self.quarantine.discard(endpoint_subject(endpoint.id, endpoint.listing.born_ms))
         self.advice.discard_endpoint(endpoint)
 
