Filling tasks that a former coordinator slowed down speed up again

Users would see filling tasks stand still after a takeover, for as long as they last: the pace is neither stored nor reported, and the successor took it for full speed, so that it never raised it. It now takes the pace of a run that it took over for 75 %, and sets it anew once the tasks beside it have room.

The test failed before.

--- a/hickoryplank/jobs/incarnations.py
+++ b/hickoryplank/jobs/incarnations.py
@@ -18,6 +18,10 @@
     "end_incarnation",
 ]
 
+#: Pace that a run is taken to have whose pace isn't known, in percent: below full
+#: speed, so that it is sped up.
+ADOPTED_PACE_PERCENT = 75
+
 
 def update_listing(tables: EngineTables, listing: Listing, now: float) -> Endpoint:
     """Apply a listing.
@@ -134,6 +138,8 @@
     run.adopted = True
     run.confirmed_at = run.endpoint.listed_at
     run.unanswered_at = tables.term_started_at
+    # The pace that a former coordinator set isn't known: it is set anew.
+    run.pace_percent = ADOPTED_PACE_PERCENT
 
 
 def end_incarnation(tables: EngineTables, endpoint: Endpoint, now: float) -> None:
--- a/tests/jobs/test_pacing.py
+++ b/tests/jobs/test_pacing.py
@@ -5,7 +5,7 @@
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.pacing import SETTLE_SECONDS, SPEED_UP_DELAY_SECONDS, adjust_pace
 from hickoryplank.jobs.sizes import Size
-from tests.jobs.driver import TASK, listing
+from tests.jobs.driver import TASK, Driver, job, listing
 
 SERVING_STEP = Step(1, TASK, lasting=True, target_ms=100)
 FILLING_STEP = Step(1, Size(4000, 100, 0), lasting=True, fills=True)
@@ -56,3 +56,20 @@
 def test_without_serving_tasks_no_filling_task_is_slowed_down():
     endpoint, _ = endpoint_with(load_ms=0)
     assert adjust_pace(endpoint, 100.0) == []
+
+
+def test_filling_tasks_that_a_former_coordinator_has_slowed_down_speed_up_again():
+    driver = Driver(count=1, work_ms=lambda key: None)
+    serving = Step(1, Size(1000, 100, 0), lasting=True, target_ms=100)
+    driver.engine.submit(job("s", serving), driver.now)
+    driver.engine.submit(job("f", FILLING_STEP), driver.now)
+    for _ in range(5):
+        driver.step()
+    (endpoint,) = driver.engine.endpoints.values()
+    for run in endpoint.runs.values():
+        run.load = 140 if run.step.target_ms else 0
+    assert [one.percent for one in adjust_pace(endpoint, driver.now)] == [50]
+    driver.take_over()
+    for _ in range(100):
+        driver.step()
+    assert [one.percent for one in driver.engine.pace_changes][-1:] == [100]
