--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -756,3 +756,18 @@
     assert max_runs_while_cut(driver, int(late_s * 10)) == 0
     driver.endpoints[busy].start(KEY, 1, "payload", 80_000, token)
     assert max_runs_while_cut(driver, 200) == 1
+
+
+def test_an_incarnation_that_began_at_an_earlier_time_of_day_gets_its_work_done():
+    """Guards against jobs that hang once the clock of a VM was set back."""
+    driver = Driver(count=1)
+    driver.engine.submit(job("b", Step(1, TASK)), driver.now)
+    driver.step()
+    former = driver.endpoints[E0]
+    driver.endpoints[E0] = FakeEndpoint(former.born_ms - 1, driver.work_ms)
+    list_incarnation(driver, E0)
+    driver.engine.submit(job("a", Step(1, TASK)), driver.now)
+    for _ in range(300):
+        driver.step()
+    states = {id: row.state for id, row in driver.engine.jobs.items()}
+    assert states == {"a": JobState.COMPLETED, "b": JobState.COMPLETED}
