Entries of former versions can take over: the epoch is the highest token of a term

Operators who replaced entries one after another, or went back to a former version, would have lost their coordinator again and again: since the tokens at endpoints were the epoch times 2^32. A former version raises the epoch by one and sends it as the token, which all endpoints refused; its term ended, while it may have displaced a weaker entry.

Each term now raises the epoch by 2^20, and its tokens are the numbers up to it. They are above all of former terms and versions, and below the next epoch, whoever takes it.

--- a/hickoryplank/coordinator/lease.py
+++ b/hickoryplank/coordinator/lease.py
@@ -16,6 +16,7 @@
     Topic,
 )
 from hickoryplank.coordinator.speed import SpeedMonitor
+from hickoryplank.jobs.endpoints import TOKENS_PER_TERM
 from hickoryplank.jobs.records import Record
 from hickoryplank.shell.clock import Clock
 from hickoryplank.shell.dependency_monitor import DependencyMonitor
@@ -73,7 +74,8 @@
     """The lease as stored.
 
     :param epoch: increases with each change of the holder; it serves as the epoch of
-        appends and as the fencing token of requests to endpoints and VMs.
+        appends and as the fencing token of orders for VMs, and is the highest fencing
+        token of requests to endpoints.
     :param holder: name of the incarnation of an entry that holds the lease.
     :param address: address at which peers reach the holder.
     :param released: whether the holder has released the lease.
@@ -408,7 +410,7 @@
     # Writing
 
     async def _take_over(self) -> None:
-        epoch = self.epoch + 1
+        epoch = self.epoch + TOKENS_PER_TERM
         if await self._write(self._lease_record(epoch)):
             logger.info("lease taken", extra={"number": epoch})
 
--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -44,20 +44,22 @@
 #: must not run twice.
 LATE_START_SECONDS = 13.0
 
-#: Fencing tokens of one term at endpoints. Those of a hundred thousand terms and more
-#: are integers that JSON keeps exactly.
-TOKENS_PER_TERM = 1 << 32
+#: Fencing tokens of one term at endpoints, by which each term raises the epoch. The
+#: epoch is the highest of them: a coordinator of a former version, which raises it by
+#: one, can take over.
+TOKENS_PER_TERM = 1 << 20
 
 
-def endpoint_token(term_token: int, number: int) -> int:
+def endpoint_token(epoch: int, number: int) -> int:
     """Return the fencing token of calls to an endpoint.
 
     It is higher than all tokens of former terms.
 
-    :param term_token: fencing token of the coordinator's term.
+    :param epoch: epoch of the coordinator's term.
     :param number: number of the token in the term, from 0.
     """
-    return term_token * TOKENS_PER_TERM + min(number, TOKENS_PER_TERM - 1)
+    first = epoch - TOKENS_PER_TERM + 1
+    return min(first + number, epoch)
 
 
 class RunState(Enum):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hickoryplank.core.ids import EndpointId, JobId, TeamId, Zone
+from hickoryplank.jobs.endpoints import TOKENS_PER_TERM, endpoint_token
 from hickoryplank.jobs.messages import StartOutcome
 from hickoryplank.jobs.model import Step, TaskKey
 from hickoryplank.jobs.sizes import Size
@@ -113,6 +114,28 @@
     assert [one.split(":")[0] for one in checker.violations] == ["evacuated"] * found
 
 
+@pytest.mark.parametrize(
+    ("term", "age_s", "found"),
+    [
+        (3, 0.0, False),
+        (3, EVACUATION_GRACE_SECONDS + 1, True),
+        (4, 0.0, True),
+    ],
+)
+def test_term_of_a_start_in_an_evacuated_zone_is_that_of_its_token(term, age_s, found):
+    # Tokens of one term differ by the incarnation that a call is meant for.
+    checker, _ = new_checker()
+    zone = Zone("north")
+    requested_at = time.monotonic() - age_s
+    checker.evacuations[zone] = Evacuation(requested_at, epoch=3 * TOKENS_PER_TERM)
+    endpoint = ObservedEndpoint(
+        EndpointId("i"), 1, lambda key: 1.0, Size(4000, 8000), 1.0, checker, zone
+    )
+    token = endpoint_token(term * TOKENS_PER_TERM, 10)
+    endpoint.start(TaskKey(JOB, 0, 0, 0), 1, "payload", 60_000, token)
+    assert [one.split(":")[0] for one in checker.violations] == ["evacuated"] * found
+
+
 def new_checker(limit: int = 9000) -> tuple[InvariantChecker, list[ObservedEndpoint]]:
     checker = InvariantChecker({TEAM: Size(limit)})
     steps = (
