Test that the deployed settings are valid without restore_ms (fails)

Since deploy/entry.ini sets restore_ms unconditionally. Where the platform states no bounds.restore_ms the line is empty, and no entry starts: "Expected `int`, got `str` - at `$.restore_ms`". The key has a default (250), which isn't used then.

One of the two cases of the test fails.

--- a/tests/test_entry_settings.py
+++ b/tests/test_entry_settings.py
@@ -1,5 +1,8 @@
 """Tests of the settings file of an entry on the users' platform."""
 
+import re
+from pathlib import Path
+
 import pytest
 from result import Err, Ok
 
@@ -27,6 +30,54 @@
 orders_apart_ms = 3000
 """
 
+TEMPLATE = Path(__file__).parents[1] / "deploy" / "entry.ini"
+STATED = {
+    "node": "edge-1",
+    "ip": "127.0.0.1",
+    "listen.front": "127.0.0.1:1",
+    "listen.readiness": "127.0.0.1:2",
+    "port_range.0": "3",
+    "port_range.1": "4",
+    "limits.cpu_share": "0.5",
+    "limits.cores": "2",
+    "limits.link_mbps": "1000.0",
+    "platform.address": "127.0.0.1:5",
+    "cloud_api.address": "127.0.0.1:6",
+    "bounds.grace_s": "6",
+    "bounds.hold_max_ms": "6000",
+    "bounds.stop_grace_ms": "900",
+    "bounds.migrate_s": "1.5",
+    "bounds.maintenance_s": "2",
+    "bounds.lease_ms": "3000",
+    "bounds.status_s": "120",
+}
+
+
+def render(template: str, values: dict[str, str]) -> str:
+    """Render sections and placeholders of a template as the platform does."""
+    text = re.sub(
+        r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}",
+        lambda one: one[2] if one[1] in values else "",
+        template,
+    )
+    return re.sub(r"\{\{([^}]+)\}\}", lambda one: values.get(one[1], ""), text)
+
+
+@pytest.mark.parametrize(
+    "stated, restore_ms", [({}, 250), ({"bounds.restore_ms": "600"}, 600)]
+)
+def test_deployed_settings_are_valid_without_a_bound_that_has_a_default(
+    tmp_path, stated, restore_ms
+):
+    # No entry started on a platform that doesn't state restore_ms.
+    path = tmp_path / "entry.ini"
+    path.write_text(render(TEMPLATE.read_text(), STATED | stated))
+    match load_entry_settings(path):
+        case Ok(cfg):
+            assert cfg.restore_ms == restore_ms
+        case Err(detail):
+            pytest.fail(detail)
+
 
 @pytest.mark.parametrize(
     "section, order",
