--- a/hickoryplank/jobs/endpoints.py
+++ b/hickoryplank/jobs/endpoints.py
@@ -15,7 +15,6 @@
 
 __all__ = [
     "LATE_CALL_SECONDS",
-    "LATE_START_SECONDS",
     "MIN_CLOCK_RATE",
     "Endpoint",
     "Listing",
@@ -40,9 +39,6 @@
 #: then it may be carried out, also by a later incarnation. It is less than the 6 s
 #: after which the platform expects a lasting task to run again.
 LATE_CALL_SECONDS = 5.0
-#: The same for starts of tasks that end, in seconds. Such a task may start later, but
-#: must not run twice.
-LATE_START_SECONDS = 13.0
 
 #: Fencing tokens of one term at endpoints, by which each term raises the epoch. The
 #: epoch is the highest of them: a coordinator of a former version, which raises it by
@@ -165,22 +161,10 @@
         """Whether the start may have reached a later incarnation of the endpoint."""
         return self.state is not RunState.ASSIGNED and not self.reported
 
-    @property
-    def start_may_arrive_until(self) -> float:
-        """Time until which a start without an answer may be carried out, in seconds.
-
-        Of a run that was taken over it isn't known whether there is such a start.
-        """
-        if self.unanswered_at is None:
-            return float("-inf")
-        is_short = self.step.lasting or self.adopted
-        return self.unanswered_at + (
-            LATE_CALL_SECONDS if is_short else LATE_START_SECONDS
-        )
-
     def start_may_arrive(self, at: float) -> bool:
         """Return whether a start without an answer may be carried out after a time."""
-        return at < self.start_may_arrive_until
+        sent_at = self.unanswered_at
+        return sent_at is not None and at < sent_at + LATE_CALL_SECONDS
 
     @property
     def may_be_in_unseen_incarnation(self) -> bool:
@@ -445,19 +429,15 @@
         least = self.clock_ms + (now - self.clock_read_at) * 1000 * MIN_CLOCK_RATE
         return least > self.latest_lease_ms + EXPIRY_MARGIN_MS
 
-    def unseen_lease_until(self, run: Run, max_lease_s: float) -> float:
-        """Return until when a run may last in an incarnation that has not reported.
+    def unseen_leases_until(self, max_lease_s: float) -> float:
+        """Return until when leases in an incarnation that has not reported may last.
 
-        The calls name the end of its lease by the clock of the known incarnation, which
-        may be far ahead of that of the next one, so that this one grants the longest
-        lease.
+        The calls name the end by the clock of the known incarnation, which may be far
+        ahead of that of the next one, so that this one grants the longest lease.
 
         :param max_lease_s: duration of the longest lease, by the local clock.
         """
-        last_call_at = max(
-            self.lease_call_at + LATE_CALL_SECONDS, run.start_may_arrive_until
-        )
-        return last_call_at + max_lease_s
+        return self.lease_call_at + LATE_CALL_SECONDS + max_lease_s
 
     def note_failure(self, job: JobId, now: float) -> None:
         """Record a failure of a job; eject the endpoint at ``EJECTION_JOBS`` jobs."""
--- a/hickoryplank/jobs/engine.py
+++ b/hickoryplank/jobs/engine.py
@@ -413,9 +413,8 @@
         The leases of the known incarnation have lapsed. The endpoint may have started
         again since its last report, though, and have carried out calls for that one.
         """
-        max_lease_s = self.timing.max_lease_seconds
+        unseen_until = endpoint.unseen_leases_until(self.timing.max_lease_seconds)
         for run in list(endpoint.runs.values()):
-            unseen_until = endpoint.unseen_lease_until(run, max_lease_s)
             if now < unseen_until and run.may_be_in_unseen_incarnation:
                 if not run.held:
                     run.held = True
