Soak: a restart ends the incarnation that is there

In its plan endpoints restart and are cut (4.14 s, dark for 0.75 s), and so do the same ones once more (4.22 s, dark for 0.5 s): both restarts began an incarnation, and the second replaced the first without an end. That couldn't happen to a process.

Ruled out: the product. The logs have both incarnations (born 171 ms apart) with no crash in between.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -497,6 +497,8 @@
                 self._write_listing(vm.endpoint, self._listing(vm, endpoint.born_ms))
 
     def _begin_incarnation(self, vm: ListedVm, *, listed: bool = True) -> None:
+        # Restarts of one endpoint may overlap.
+        self._end_incarnation(vm.endpoint)
         born_ms = time.time_ns() // 1_000_000
         incarnation = ObservedEndpoint(
             vm.endpoint,
