--- a/hickoryplank/entry.py
+++ b/hickoryplank/entry.py
@@ -53,6 +53,9 @@
 #: Long-poll time, in ms: how long an endpoint waits for a task to end before it
 #: answers a poll.
 POLL_WAIT_MS = 600
+#: Least time that a run takes which resumes from a checkpoint, in ms, where the
+#: settings don't state it.
+DEFAULT_RESTORE_MS = 250
 #: How long leases granted by an earlier coordinator may last, in seconds. That
 #: coordinator may renew them for ``MAX_RENEWAL_AGE_SECONDS`` without proof that its
 #: own lease is valid, and the factor allows for slow endpoint clocks.
@@ -123,7 +126,7 @@
                 cfg.lease_max_ms,
                 cfg.status_s * STATUS_RETENTION_FACTOR,
                 cfg.stop_grace_ms,
-                cfg.restore_ms,
+                _restore_ms(cfg),
             ),
             vms=PlatformVms(self._client, cfg.vms, cfg.name),
             operator=operator,
@@ -264,6 +267,11 @@
     return order if isinstance(order, ShortageOrder) else ShortageOrder.DEADLINE
 
 
+def _restore_ms(cfg: EntrySettings) -> int:
+    """Return the least time of a run that resumes from a checkpoint, in ms."""
+    return cfg.restore_ms if isinstance(cfg.restore_ms, int) else DEFAULT_RESTORE_MS
+
+
 def _store_bounds(cfg: EntrySettings) -> StoreBounds:
     """Return the bounds of the store; where none is set, those of the platform."""
     given = {"record_bytes": cfg.record_bytes, "call_bytes": cfg.call_bytes}
--- a/hickoryplank/entry_settings.py
+++ b/hickoryplank/entry_settings.py
@@ -59,7 +59,6 @@
     maintenance_s: float
     orders_apart_ms: int
     stop_grace_ms: int = 1000
-    restore_ms: int = 250
     orders_per_s: float = 64.0
     status_s: float = 120.0
     cpu_share: float = 1.0
@@ -67,6 +66,7 @@
     link_mbps: float = 1000.0
     advice: str = ""
     shortage_order: ShortageOrder | msgspec.UnsetType = msgspec.UNSET
+    restore_ms: int | msgspec.UnsetType = msgspec.UNSET
     log_level: str = "info"
     record_bytes: int | msgspec.UnsetType = msgspec.UNSET
     call_bytes: int | msgspec.UnsetType = msgspec.UNSET
